--- /dev/null
+++ b/src/balsamreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services as abstract bases, and HTTP clients for them."""
