Let an attempt leave for its target once at most

Cause: curl sends a POST again by itself where a reused connection closes without an answer, so one attempt ran twice. Besides, tornado raises a CurlError even with raise_error=False: a refused connection ended the run with an exception in place of NOT_SENT. Change: Intake.before_send is asked right before the first byte leaves; curl's pre-request hook asks it. 'Not sent' rests on it alone. Conclusion: what callers are told about 'ran' has one source.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -43,6 +43,7 @@
     """
 
     def __init__(self, answer: Answer, attempt_id: str) -> None:
+        super().__init__()
         self.answer = answer
         self.attempt_id = attempt_id
         self.status = 0
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -45,7 +45,31 @@
 
 
 class Intake(abc.ABC):
-    """What takes in a target's answer."""
+    """What takes in a target's answer.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether bytes of the request may have left for the target.
+    """
+
+    def __init__(self) -> None:
+        self.sent = False
+
+    def before_send(self) -> bool:
+        """Note that the request is about to leave, once.
+
+        Returns
+        -------
+        bool
+            Whether it may leave. HTTP clients send a request again by
+            themselves where a reused connection turns out dead; the target
+            may have run the first one, so a second time is forbidden.
+        """
+        if self.sent:
+            return False
+        self.sent = True
+        return True
 
     @abc.abstractmethod
     def start(self, status: int, headers: dict[str, str]) -> None:
@@ -71,8 +95,12 @@
         -------
         UpstreamFault or None
             None if the HTTP exchange ended in order, with any status.
+            NOT_SENT only if ``intake.before_send`` never allowed a byte.
 
         Notes
         -----
-        Cancelling the task closes the connection to the target.
+        An implementation calls ``intake.before_send`` each time right before
+        the first byte of the request can leave, and sends nothing where that
+        returns False. What callers are told about whether their request ran
+        rests on this. Cancelling the task closes the connection.
         """
--- a/src/balsamreach/gateway/curl_upstream.py
+++ b/src/balsamreach/gateway/curl_upstream.py
@@ -1,9 +1,11 @@
 """Carries requests to targets over HTTP with the curl client."""
 
+import functools
+
 import attrs
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPRequest
 
 from balsamreach.config.settings import Settings
 from balsamreach.dispatch.upstream import (
@@ -15,13 +17,6 @@
     UpstreamFault,
 )
 
-_CONNECT_ERRORS = frozenset(
-    (
-        pycurl.E_COULDNT_CONNECT,
-        pycurl.E_COULDNT_RESOLVE_HOST,
-        pycurl.E_SSL_CONNECT_ERROR,
-    )
-)
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 _MAX_CLIENTS = 4000
 
@@ -71,8 +66,11 @@
         """Send a request and feed the answer to the intake."""
         head = _Head(intake)
         request = self._request(attempt, head, intake)
-        response = await self._client.fetch(request, raise_error=False)
-        return _judge(response, head)
+        try:
+            await self._client.fetch(request, raise_error=False)
+        except CurlError as exc:
+            return _judge(exc, intake)
+        return None
 
     def close(self) -> None:
         """Close all connections."""
@@ -96,20 +94,26 @@
             header_callback=head.take,
             decompress_response=False,
             follow_redirects=False,
-            prepare_curl_callback=self._prepare,
+            prepare_curl_callback=functools.partial(self._prepare, intake),
         )
 
-    def _prepare(self, curl: pycurl.Curl) -> None:
+    def _prepare(self, intake: Intake, curl: pycurl.Curl) -> None:
         age = max(1, int(self._cfg.routing.connection_age))
         curl.setopt(pycurl.MAXAGE_CONN, age)
+        # Curl sends a request again by itself where a reused connection
+        # closes without an answer. The target may have run the first one:
+        # it would show as two runs of one attempt. The intake allows one.
+        allow = functools.partial(_before_send, intake)
+        curl.setopt(pycurl.PREREQFUNCTION, allow)
 
 
-def _judge(response: HTTPResponse, head: _Head) -> UpstreamFault | None:
-    error = response.error
-    if not isinstance(error, CurlError):
-        return None
-    if error.errno in _CONNECT_ERRORS:
-        return NOT_SENT.because(str(error.message))
-    # A time-out while no head has come may be one of connecting, but it may
-    # also come after the request went out: only the errors above are proof.
-    return BROKEN.because(str(error.message))
+def _before_send(intake: Intake, *_addresses: object) -> int:
+    if intake.before_send():
+        return pycurl.PREREQFUNC_OK
+    return pycurl.PREREQFUNC_ABORT
+
+
+def _judge(exc: CurlError, intake: Intake) -> UpstreamFault:
+    if intake.sent:
+        return BROKEN.because(str(exc))
+    return NOT_SENT.because(str(exc))
