Drive curl on the event loop, so that a request can be cancelled

Cause: tornado's curl client can't end a transfer early: a cancelled request ran on at its target, a silent connection held a request until its deadline, and a caller that didn't read let its answer pile up. Curl also reports a connection closed within the head as a success. Change: an own small driver of curl's multi handle. Cancelling closes the connection; streams silent for gap_timeout end as SILENT and no connection that stood at that time is used again; connections have a greatest age; non-idempotent requests get a new connection; reading pauses while every caller attached is 256 KiB behind; the head is bounded; TLS towards targets by [routing] target_tls*. Chunks after the first go straight to the caller's connection.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -96,6 +96,10 @@
     gap_timeout: float = key(units.read_duration)
     quarantine_after: int = key(units.read_count)
     connection_age: float = key(units.read_duration)
+    target_tls: bool = key(units.read_flag)
+    target_tls_ca: str = key(views.read_text)
+    target_tls_certificate: str = key(views.read_text)
+    target_tls_key: str = key(views.read_text)
 
 
 @attrs.frozen
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -1,6 +1,7 @@
 """Checks a target's answer on its way into the caller's answer."""
 
 import json
+import re
 from typing import Any
 
 import attrs
@@ -10,9 +11,15 @@
 
 _EVENT_END = b'\n\n'
 _DONE = b'data: [DONE]'
-_USAGE = b'"usage"'
+# Figures, that is, and not the null that many engines put into every event
+# but the last. Inside a text the quotes would be escaped.
+_USAGE = re.compile(rb'"usage"(?!\s*:\s*null)')
 _DATA = b'data:'
 _OK_LIMIT = 500
+#: Bytes a caller may be behind before the target is read no further.
+_BACKLOG_LIMIT = 256 * 1024
+#: An event longer than this is not waited for.
+_LARGEST_EVENT = 4 * 1024 * 1024
 _NOT_RUN_HEADER = 'x-not-run'
 _ATTEMPT_HEADER = 'x-attempt-id'
 _PASSED_HEADERS = ('content-type', 'x-engine-request')
@@ -56,6 +63,13 @@
         """Whether the target says that it did not run the request."""
         return self.headers.get(_NOT_RUN_HEADER) == 'true'
 
+    @property
+    def full(self) -> bool:
+        """Whether every caller attached is far behind."""
+        # A caller that reads slowly, or not at all without closing, would
+        # have its whole answer pile up in its connection's buffer.
+        return self.answer.backlog > _BACKLOG_LIMIT
+
     @property
     def failed(self) -> bool:
         """Whether the target answered with a server error."""
@@ -144,11 +158,13 @@
         self._wants_usage = wants_usage
         self._tail = b''
         self._done = False
+        self._torn = False
         self._usage: Usage | None = None
 
     def whole(self) -> bool:
         """Return whether the end mark came, with no part after it."""
-        return self._done or not self._is_stream()
+        ended = self._done and not self._torn
+        return ended or not self._is_stream()
 
     def usage(self) -> Usage | None:
         """Return the figures of the usage event."""
@@ -162,22 +178,28 @@
         if not self._is_stream():
             super()._take(chunk)
             return
-        received = self._tail + chunk
+        received = self._tail + chunk if self._tail else chunk
         # Only whole events are passed on, so that a stream that breaks in
         # the middle of one can be resumed or ended with an error event.
         cut = received.rfind(_EVENT_END) + len(_EVENT_END)
         if cut < len(_EVENT_END):
-            self._tail = received
+            self._hold(received)
             return
         self._tail = received[cut:]
         events = received[:cut]
-        if _USAGE in events or _DONE in events:
+        if _USAGE.search(events) or _DONE in events:
             events = self._look_closer(events)
         self.events += events.count(_EVENT_END)
         if events:
             self._open()
             self.answer.write(events)
 
+    def _hold(self, received: bytes) -> None:
+        # A target that never ends its event would fill the memory. What is
+        # dropped here is missed as the end mark, so the answer is broken.
+        self._torn = self._torn or len(received) > _LARGEST_EVENT
+        self._tail = b'' if self._torn else received
+
     def _look_closer(self, events: bytes) -> bytes:
         passed = [
             event + _EVENT_END
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -71,6 +71,11 @@
         self.sent = True
         return True
 
+    @property
+    def full(self) -> bool:
+        """Whether reading is to pause until the callers caught up."""
+        return False
+
     @abc.abstractmethod
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Take the head of the answer, header names in lower case."""
--- a/src/balsamreach/gateway/callers.py
+++ b/src/balsamreach/gateway/callers.py
@@ -116,6 +116,7 @@
             self.on_connection_close()
 
     def _finish_checked(self, end: End) -> None:
+        self.sink.flush()
         if end.whole:
             self.finish()
             return
--- a/src/balsamreach/gateway/curl_upstream.py
+++ b/src/balsamreach/gateway/curl_upstream.py
@@ -1,62 +1,49 @@
-"""Carries requests to targets over HTTP with the curl client."""
-
-import functools
+"""Carries requests to targets over HTTP with curl."""
 
 import attrs
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPRequest
 
+from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.dispatch.upstream import (
     BROKEN,
     NOT_SENT,
+    SILENT,
     Attempt,
     Intake,
     Upstream,
     UpstreamFault,
 )
+from balsamreach.gateway.curl_loop import CurlLoop, TransferEnd
+from balsamreach.gateway.curl_options import CurlOptions
+from balsamreach.gateway.curl_transfer import Transfer
+from balsamreach.gateway.curl_watch import SILENCE, Watch
 
-_BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
-_MAX_CLIENTS = 4000
+#: Handles kept for the next requests.
+_KEPT_HANDLES = 1024
 
 
 @attrs.define
-class _Head:
-    """Collects the head of an answer line by line."""
-
-    intake: Intake
-    status: int = 0
-    headers: dict[str, str] = attrs.field(factory=dict)
-
-    def take(self, line: str) -> None:
-        """Take a header line; the empty one starts the answer."""
-        line = line.strip()
-        if line.startswith('HTTP/'):
-            self.status = int(line.split(' ')[1])
-            self.headers = {}
-        elif line:
-            name, _colon, text = line.partition(':')
-            self.headers[name.strip().lower()] = text.strip()
-        else:
-            self.intake.start(self.status, self.headers)
-
-
 class CurlUpstream(Upstream):
     """Sends each request on a pooled connection.
 
     Parameters
     ----------
     cfg : Settings
-        Time-outs and the age of pooled connections.
+        Time-outs, the age of pooled connections, and TLS.
+    clock : Clock
+        Time since connections went silent.
     """
 
-    def __init__(self, cfg: Settings) -> None:
-        self._cfg = cfg
-        self._client = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=_MAX_CLIENTS,
-        )
+    cfg: Settings
+    clock: Clock = attrs.Factory(SystemClock)
+    _curls: CurlLoop = attrs.field(factory=CurlLoop)
+    _options: CurlOptions = attrs.field(init=False)
+    _free: list[pycurl.Curl] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare what all attempts share."""
+        self._options = CurlOptions(self.cfg, self.clock)
 
     async def send(
         self,
@@ -64,56 +51,46 @@
         intake: Intake,
     ) -> UpstreamFault | None:
         """Send a request and feed the answer to the intake."""
-        head = _Head(intake)
-        request = self._request(attempt, head, intake)
+        transfer = Transfer(intake)
+        curl = self._free.pop() if self._free else pycurl.Curl()
+        self._options.apply(curl, attempt, transfer)
+        # A plain answer comes all at once after a time that only its
+        # deadline bounds; only a stream is expected to say something.
+        gap = self.cfg.routing.gap_timeout if attempt.call.stream else 0
+        watch = Watch(self._curls, curl, transfer, gap)
+        watch.start()
         try:
-            await self._client.fetch(request, raise_error=False)
-        except CurlError as exc:
-            return _judge(exc, intake)
-        return None
+            end = await self._curls.perform(curl)
+        finally:
+            watch.stop()
+            self._keep(curl)
+        if end.code == SILENCE:
+            self._options.note_silence(attempt.target.row.address)
+        return _judge(end, transfer)
 
     def close(self) -> None:
         """Close all connections."""
-        self._client.close()
-
-    def _request(
-        self,
-        attempt: Attempt,
-        head: _Head,
-        intake: Intake,
-    ) -> HTTPRequest:
-        call = attempt.call
-        return HTTPRequest(
-            f'http://{attempt.target.row.address}{call.path}',
-            method=call.method,
-            headers=call.headers | {'X-Attempt-Id': attempt.attempt_id},
-            body=call.body if call.method in _BODY_METHODS else None,
-            connect_timeout=self._cfg.platform.connect_timeout,
-            request_timeout=0,
-            streaming_callback=intake.write,
-            header_callback=head.take,
-            decompress_response=False,
-            follow_redirects=False,
-            prepare_curl_callback=functools.partial(self._prepare, intake),
-        )
-
-    def _prepare(self, intake: Intake, curl: pycurl.Curl) -> None:
-        age = max(1, int(self._cfg.routing.connection_age))
-        curl.setopt(pycurl.MAXAGE_CONN, age)
-        # Curl sends a request again by itself where a reused connection
-        # closes without an answer. The target may have run the first one:
-        # it would show as two runs of one attempt. The intake allows one.
-        allow = functools.partial(_before_send, intake)
-        curl.setopt(pycurl.PREREQFUNCTION, allow)
-
-
-def _before_send(intake: Intake, *_addresses: object) -> int:
-    if intake.before_send():
-        return pycurl.PREREQFUNC_OK
-    return pycurl.PREREQFUNC_ABORT
+        self._curls.close()
+        while self._free:
+            self._free.pop().close()
+
+    def _keep(self, curl: pycurl.Curl) -> None:
+        curl.reset()
+        if len(self._free) < _KEPT_HANDLES:
+            self._free.append(curl)
+        else:
+            curl.close()
 
 
-def _judge(exc: CurlError, intake: Intake) -> UpstreamFault:
-    if intake.sent:
-        return BROKEN.because(str(exc))
-    return NOT_SENT.because(str(exc))
+def _judge(end: TransferEnd, transfer: Transfer) -> UpstreamFault | None:
+    if end.code == pycurl.E_OK and transfer.started:
+        return None
+    # A connection that closes within the head is no error to curl; what
+    # came of the head would pass for an answer with an empty body.
+    # Curl's error numbers can't tell a connection that timed out from an
+    # answer that did; only that sending never began is proof.
+    if not transfer.intake.sent:
+        return NOT_SENT.because(end.message or 'no connection in time')
+    if end.code == SILENCE:
+        return SILENT.because('nothing came for the gap timeout')
+    return BROKEN.because(transfer.problem or end.message or 'no whole head')
--- a/src/balsamreach/requests/answers.py
+++ b/src/balsamreach/requests/answers.py
@@ -15,6 +15,11 @@
 class Sink(abc.ABC):
     """Where one caller's copy of an answer goes."""
 
+    @property
+    def backlog(self) -> int:
+        """Bytes that wait for the caller to take them."""
+        return 0
+
     @abc.abstractmethod
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Take the head of the answer."""
@@ -76,6 +81,11 @@
         """How many callers are attached."""
         return len(self._sinks)
 
+    @property
+    def backlog(self) -> int:
+        """Bytes that wait for the fastest of the callers attached."""
+        return min((sink.backlog for sink in self._sinks), default=0)
+
     def attach(self, sink: Sink) -> None:
         """Send a caller what there is so far and then the rest."""
         if self.status:
