Meet the dying connection with an idempotent request

Cause: requests that are not idempotent no longer use pooled connections, so tests/test_dispatch_upstream.py could not bring its failure about. Change: its attempt is idempotent; what it asserts stays the same. tests/test_gateway_curl_upstream.py covers the non-idempotent kind. Measured: fails again with the intake's refusal ignored.

--- a/tests/test_dispatch_upstream.py
+++ b/tests/test_dispatch_upstream.py
@@ -105,7 +105,9 @@
         headers={},
         body=b'{}',
         stream=False,
-        idempotent=False,
+        # One that is not idempotent goes on a new connection and can't meet
+        # a dying one.
+        idempotent=True,
         most_tokens=1,
         deadline=0,
     )
