--- /dev/null
+++ b/tests/test_peers_neighbours.py
@@ -0,0 +1,124 @@
+"""Tests of the choice of neighbours: bounded, connected, few steps wide."""
+
+import random
+import unittest
+from collections import deque
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.peers.neighbours import choose
+from balsamreach.wire.messages import Member
+
+_MAX_PEERS = 16
+_MOST_LINKS = 20
+_MOST_STEPS = 6
+_LOST_SHARE = 0.3
+_STARTS = 20
+
+
+def _members(count, zones):
+    rng = random.Random(count)
+    return [
+        Member(
+            incarnation=f'{rng.getrandbits(128):032x}',
+            host=f'host-{number}',
+            address=f'10.0.0.1:{number}',
+            zone=f'zone-{number % zones}',
+        )
+        for number in range(count)
+    ]
+
+
+def _links(members):
+    links = {member.incarnation: set() for member in members}
+    for member in members:
+        for other in choose(member, members, _MAX_PEERS):
+            links[member.incarnation].add(other.incarnation)
+            links[other.incarnation].add(member.incarnation)
+    return links
+
+
+def _steps_to_all(links, alive):
+    """Return the most steps from some members to any, -1 if cut off."""
+    most = 0
+    for start in sorted(alive)[:_STARTS]:
+        steps = {start: 0}
+        ahead = deque((start,))
+        while ahead:
+            here = ahead.popleft()
+            reached = (links[here] & alive).difference(steps)
+            for there in reached:
+                steps[there] = steps[here] + 1
+            ahead.extend(reached)
+        if len(steps) < len(alive):
+            return -1
+        most = max(most, *steps.values())
+    return most
+
+
+class ChoiceTest(unittest.TestCase):
+    """The graph of all connections carries news to everyone."""
+
+    @parameterized.expand(
+        (
+            (2, 1),
+            (8, 4),
+            (18, 4),
+            (64, 4),
+            (910, 27),
+        ),
+    )
+    def test_connected_in_few_steps_also_after_losses(self, count, zones):
+        """Symptom: some routers never hear of an edit.
+
+        Sequence: a rack, an availability zone or any third of the routers
+        is lost, before anyone has chosen anew. Cause: a graph of neighbours
+        that falls apart.
+        """
+        members = _members(count, zones)
+        links = _links(members)
+        everyone = set(links)
+        rng = random.Random(3)
+        losses = {
+            'none': everyone,
+            'a third': {
+                name for name in everyone if rng.random() > _LOST_SHARE
+            },
+            'a zone': {
+                member.incarnation
+                for member in members
+                if member.zone != 'zone-0'
+            },
+            'all but a zone': {
+                member.incarnation
+                for member in members
+                if member.zone == 'zone-0'
+            },
+        }
+        for lost, alive in losses.items():
+            if len(alive) < 2:
+                continue
+            with self.subTest(lost=lost):
+                steps = _steps_to_all(links, alive)
+                self.assertIn(steps, range(1, _MOST_STEPS + 1))
+        self.assertLessEqual(max(map(len, links.values())), _MOST_LINKS)
+
+    def test_order_of_the_list_does_not_matter(self):
+        members = _members(64, 4)
+        chosen = choose(members[0], members, _MAX_PEERS)
+        shuffled = random.Random(1).sample(members, len(members))
+        self.assertEqual(choose(members[0], shuffled, _MAX_PEERS), chosen)
+        self.assertEqual(len(chosen), _MAX_PEERS // 2)
+
+    def test_leaving_routers_are_not_chosen(self):
+        members = _members(64, 4)
+        first = choose(members[0], members, _MAX_PEERS)[0]
+        members = [
+            attrs.evolve(member, leaving=member == first) for member in members
+        ]
+        names = {
+            member.incarnation
+            for member in choose(members[0], members, _MAX_PEERS)
+        }
+        self.assertNotIn(first.incarnation, names)
