Route through limits, fair queues, affinity and a quarantine

Cause: the thin version chose by two choices over a scan of all rows and had no limits, queues, retry budget or crash quarantine. Change: packages of routing/ for team limits, fair queues, adaptive target limits, circuit breakers, prefix affinity, retry budget and quarantine, put together by make_routing; dispatch counts a call in, reserves, then takes a slot. Targets.revision tells indexes when rows changed. A non-idempotent request is placed again only where no connection was made; before, also where a trusted target had refused it.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -11,6 +11,15 @@
 from balsamreach.config import units, views
 from balsamreach.config.listeners import Listener, key
 
+#: Names of the policies that choose among targets.
+POLICY_NAMES = (
+    'affinity',
+    'two_choices',
+    'least_requests',
+    'round_robin',
+    'random',
+)
+
 
 @attrs.frozen
 class HostSettings:
@@ -91,13 +100,14 @@
 class RoutingSettings:
     """Section ``[routing]``: choice of targets, queues and retries."""
 
-    policy: str = key(views.read_name)
+    policy: str = key(views.Choice(POLICY_NAMES))
     retry_share: float = key(units.read_share)
     queue_limit: int = key(units.read_count)
     deadline: float = key(units.read_duration)
     hedge: bool = key(units.read_flag)
     gap_timeout: float = key(units.read_duration)
     quarantine_after: int = key(units.read_count)
+    crash_targets: int = key(units.read_count)
     connection_age: float = key(units.read_duration)
     target_tls: bool = key(units.read_flag)
     target_tls_ca: str = key(views.read_text)
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -18,7 +18,7 @@
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.registry import Answers
-from balsamreach.routing.choice import TwoChoices
+from balsamreach.routing.routing import Routing, make_routing
 from balsamreach.table.editor import Editor
 from balsamreach.table.reader import TableReader
 from balsamreach.table.view import TableView
@@ -48,6 +48,7 @@
     reader: TableReader
     editor: Editor
     targets: Targets
+    routing: Routing
     budgets: Budgets
     upstream: CurlUpstream
     dispatcher: Dispatcher
@@ -76,14 +77,7 @@
     targets = Targets()
     budgets = Budgets(service, incarnation, cfg.budget, clock)
     upstream = CurlUpstream(cfg)
-    run_parts = RunParts(
-        budgets=budgets,
-        claims=Claims(service, incarnation),
-        answers=Answers(cfg.requests, clock, metrics),
-        placer=Placer(view, targets, TwoChoices(rng), cfg.host.zone),
-        attempts=Attempts(upstream, clock),
-        clock=clock,
-    )
+    routing = make_routing(cfg, targets, clock, rng, metrics)
     return Parts(
         cfg=cfg,
         incarnation=incarnation,
@@ -95,9 +89,19 @@
         reader=TableReader(service, view),
         editor=Editor(service, clock),
         targets=targets,
+        routing=routing,
         budgets=budgets,
         upstream=upstream,
-        dispatcher=Dispatcher(run_parts),
+        dispatcher=Dispatcher(
+            RunParts(
+                budgets=budgets,
+                claims=Claims(service, incarnation),
+                answers=Answers(cfg.requests, clock, metrics),
+                placer=Placer(routing),
+                attempts=Attempts(upstream, clock, routing.feedback),
+                clock=clock,
+            ),
+        ),
     )
 
 
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -16,6 +16,7 @@
     ReadyHandler,
 )
 from balsamreach.gateway.operators import OperatorContext, make_operators_app
+from balsamreach.gateway.operators_quarantine import quarantine_handlers
 from balsamreach.table.faults import TableFault
 from balsamreach.telemetry.logs import log_event
 
@@ -60,6 +61,7 @@
         self._tasks = [
             asyncio.create_task(self._follow_table()),
             asyncio.create_task(self.parts.budgets.run()),
+            asyncio.create_task(self.parts.routing.run()),
         ]
         log_event(
             _logger,
@@ -118,14 +120,17 @@
 
     def _operators_app(self) -> Application:
         parts = self.parts
-        app = make_operators_app(
-            OperatorContext(
-                cfg=self.cfg,
-                view=parts.view,
-                service=parts.service,
-                editor=parts.editor,
-                budgets=parts.budgets,
-            ),
+        context = OperatorContext(
+            cfg=self.cfg,
+            view=parts.view,
+            service=parts.service,
+            editor=parts.editor,
+            budgets=parts.budgets,
+        )
+        app = make_operators_app(context)
+        app.add_handlers(
+            '.*',
+            quarantine_handlers(context, parts.routing.quarantine),
         )
         self._add_health(app)
         return app
--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -14,11 +14,23 @@
     DECLINED,
     FAILED,
     NOT_SENT,
+    SILENT,
     Attempt,
     Upstream,
     UpstreamFault,
 )
 from balsamreach.requests.answers import Answer
+from balsamreach.routing.feedback import Feedback
+from balsamreach.routing.slot import Slot, Verdict
+from balsamreach.table.rows import ENGINE
+
+_VERDICTS = {
+    NOT_SENT: Verdict.REFUSED,
+    DECLINED: Verdict.DECLINED,
+    FAILED: Verdict.FAILED,
+    BROKEN: Verdict.BROKEN,
+    SILENT: Verdict.SILENT,
+}
 
 
 @attrs.define
@@ -27,11 +39,13 @@
 
     upstream: Upstream
     clock: Clock
+    feedback: Feedback
 
     async def send(
         self,
         attempt: Attempt,
         reply: Reply,
+        slot: Slot,
     ) -> DispatchFault | None:
         """Send an attempt and take in its answer.
 
@@ -41,6 +55,8 @@
             What to send where.
         reply : Reply
             Takes in the answer.
+        slot : Slot
+            The hold on the target; told how the exchange ended.
 
         Returns
         -------
@@ -49,13 +65,18 @@
         """
         left = attempt.call.deadline - self.clock.now()
         attempt.target.in_flight += 1
+        if _shows_queueing(attempt.call):
+            reply.on_first = slot.first_byte_came
+        self.feedback.sent(slot)
         try:
             async with asyncio.timeout(left):
                 outcome = await self.upstream.send(attempt, reply)
         except TimeoutError:
-            outcome = BROKEN.because('the deadline passed')
+            slot.verdict = Verdict.ABANDONED
+            return faults.ANSWER_BROKEN.because('the deadline passed')
         finally:
             attempt.target.in_flight -= 1
+        slot.verdict = _verdict(attempt, reply, outcome)
         return _judge(attempt, reply, outcome)
 
 
@@ -66,6 +87,26 @@
     return PlainReply(answer, attempt_id)
 
 
+def _shows_queueing(call: Call) -> bool:
+    # Of an engine's answer in one piece, the first byte comes with the last
+    # token. A long answer would look like a queue at the target.
+    return call.stream or call.kind != ENGINE
+
+
+def _verdict(
+    attempt: Attempt,
+    reply: Reply,
+    outcome: UpstreamFault | None,
+) -> Verdict:
+    if outcome is not None:
+        return _VERDICTS[outcome]
+    if reply.declined and attempt.target.row.trusted_refusals:
+        return Verdict.DECLINED
+    if reply.failed or reply.foreign:
+        return Verdict.FAILED
+    return Verdict.GOOD if reply.whole() else Verdict.BROKEN
+
+
 def _judge(
     attempt: Attempt,
     reply: Reply,
--- a/src/balsamreach/dispatch/faults.py
+++ b/src/balsamreach/dispatch/faults.py
@@ -35,6 +35,18 @@
 NO_TARGET = DispatchFault('no_target', retry_after=30)
 #: All targets that serve it are busy, failing or leaving.
 OVERLOADED = DispatchFault('overloaded', retry_after=1)
+#: The team is past its requests or tokens a minute.
+RATE_LIMITED = DispatchFault('rate_limited', retry_after=1)
+#: The team has as many requests in progress as its row allows.
+TEAM_CONCURRENCY = DispatchFault('team_concurrency', retry_after=1)
+#: No more requests may wait for a target.
+QUEUE_FULL = DispatchFault('queue_full', retry_after=1)
+#: No target can answer the request before its deadline.
+DEADLINE_UNMEETABLE = DispatchFault('deadline_unmeetable', retry_after=1)
+#: The request crashed several targets and is not run again.
+QUARANTINED = DispatchFault('request_quarantined')
+#: The request may have crashed targets; whether it did is not known yet.
+REQUEST_SUSPECTED = DispatchFault('request_suspected', retry_after=5)
 #: The key came with another body before.
 KEY_REUSED = DispatchFault('idempotency_key_reused')
 #: A non-idempotent request could not be claimed.
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -47,10 +48,16 @@
         Where checked bytes go.
     attempt_id : str
         The attempt that this answer must belong to.
+
+    Attributes
+    ----------
+    on_first : callable or None
+        Called once as the first bytes of the body come.
     """
 
     def __init__(self, answer: Answer, attempt_id: str) -> None:
         super().__init__()
+        self.on_first: Callable[[], None] | None = None
         self.answer = answer
         self.attempt_id = attempt_id
         self.status = 0
@@ -87,6 +94,9 @@
 
     def write(self, chunk: bytes) -> None:
         """Take bytes of the body unless they are not for this caller."""
+        if self.on_first is not None:
+            self.on_first()
+            self.on_first = None
         if not (self.foreign or self.failed):
             self._take(chunk)
 
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -22,6 +22,7 @@
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.faults import RequestFault
 from balsamreach.requests.registry import Answers
+from balsamreach.routing.slot import Slot, Verdict
 
 _MOST_ATTEMPTS = 3
 
@@ -55,9 +56,20 @@
     parts: RunParts
     call: Call
     answer: Answer
+    used_tokens: int = 0
 
     async def run(self) -> None:
         """Run the request; the answer is ended when this returns."""
+        refusal = self.parts.placer.enter(self.call)
+        if refusal is not None:
+            self._refuse(refusal)
+            return
+        try:
+            await self._run_admitted()
+        finally:
+            self.parts.placer.close(self.call, self.used_tokens)
+
+    async def _run_admitted(self) -> None:
         reservation = await self.parts.budgets.reserve(
             self.call.team.name,
             self.call.most_tokens,
@@ -73,32 +85,41 @@
                 self._refuse(faults.CANCELLED)
 
     async def _run_reserved(self, reservation: Reservation) -> None:
-        attempt_id = uuid.uuid4().hex
-        refusal = await self._claim(attempt_id)
-        if refusal is not None:
-            self._refuse(refusal)
+        # The slot comes after the reservation: a draw from the platform can
+        # take seconds, and a slot held meanwhile would leave its target idle.
+        slot = await self.parts.placer.place(self.call)
+        if isinstance(slot, DispatchFault):
+            self._refuse(slot)
             return
-        tried: set[str] = set()
-        fault = faults.NO_TARGET
-        for _ in range(_MOST_ATTEMPTS):
-            target = self.parts.placer.place(self.call, tried)
-            if isinstance(target, DispatchFault):
+        fault = await self._try_first(slot, reservation)
+        tried = {slot.target.name}
+        while self._may_retry(fault, slot) and len(tried) < _MOST_ATTEMPTS:
+            other = await self.parts.placer.place_again(self.call, tried)
+            if isinstance(other, DispatchFault):
                 # What the last attempt met says more than that no other
                 # target is left to try.
-                fault = fault if tried else target
                 break
-            tried.add(target.name)
-            outcome = await self._try(
-                Attempt(attempt_id, self.call, target),
-                reservation,
-            )
-            if outcome is None:
-                return
-            fault = outcome
-            if not self._may_retry(fault):
-                break
-            attempt_id = uuid.uuid4().hex
-        self._refuse(fault)
+            slot = other
+            tried.add(slot.target.name)
+            fault = await self._try(slot, uuid.uuid4().hex, reservation)
+        if fault is not None:
+            self._refuse(fault)
+
+    async def _try_first(
+        self,
+        slot: Slot,
+        reservation: Reservation,
+    ) -> DispatchFault | None:
+        attempt_id = uuid.uuid4().hex
+        try:
+            refusal = await self._claim(attempt_id)
+        except asyncio.CancelledError:
+            self.parts.placer.leave(slot)
+            raise
+        if refusal is not None:
+            self.parts.placer.leave(slot)
+            return refusal
+        return await self._try(slot, attempt_id, reservation)
 
     async def _claim(self, attempt_id: str) -> DispatchFault | None:
         # A key that this router minted is known to nobody else, so no other
@@ -112,15 +133,19 @@
 
     async def _try(
         self,
-        attempt: Attempt,
+        slot: Slot,
+        attempt_id: str,
         reservation: Reservation,
     ) -> DispatchFault | None:
-        reply = make_reply(self.call, self.answer, attempt.attempt_id)
+        attempt = Attempt(attempt_id, self.call, slot.target)
+        reply = make_reply(self.call, self.answer, attempt_id)
         try:
-            fault = await self.parts.attempts.send(attempt, reply)
+            fault = await self.parts.attempts.send(attempt, reply, slot)
         except asyncio.CancelledError:
             self._bill(reservation, reply)
             raise
+        finally:
+            self.parts.placer.leave(slot)
         if fault is not None and not self.answer.status:
             return fault
         self._bill(reservation, reply)
@@ -133,12 +158,22 @@
         return None
 
     def _bill(self, reservation: Reservation, reply: Reply) -> None:
-        self.parts.budgets.bill(reservation, make_bill(self.call, reply))
+        bill = make_bill(self.call, reply)
+        self.used_tokens = bill.tokens
+        self.parts.budgets.bill(reservation, bill)
 
-    def _may_retry(self, fault: DispatchFault) -> bool:
-        if self.answer.status:
+    def _may_retry(
+        self,
+        fault: DispatchFault | None,
+        slot: Slot,
+    ) -> bool:
+        if fault is None or self.answer.status:
             return False
-        return fault.ran == faults.NOT_RUN or self.call.idempotent
+        if not self.call.idempotent:
+            # Only where no connection was made is the single run of a
+            # non-idempotent request certainly unused.
+            return slot.verdict == Verdict.REFUSED
+        return fault.ran == faults.NOT_RUN or fault == faults.ANSWER_BROKEN
 
     def _refuse(self, fault: DispatchFault) -> None:
         # A refused request leaves nothing behind, so that its key can be
--- a/src/balsamreach/routing/choice.py
+++ b/src/balsamreach/routing/choice.py
@@ -2,11 +2,13 @@
 
 import abc
 import random
-from collections.abc import Sequence
 
 import attrs
 
-from balsamreach.targets.registry import Target
+from balsamreach.routing.pools import Group
+
+#: A choice among members of a group: an index, or None if all are full.
+Choice = int | None
 
 
 @attrs.frozen
@@ -19,36 +21,73 @@
         Model, or name of the plain service.
     prefix : bytes
         Leading part of the prompt; empty for plain services.
-    zone : str
-        Availability zone of this router.
+    tried : frozenset of str
+        Names of targets that must not be chosen.
     """
 
     model: str
     prefix: bytes = b''
-    zone: str = ''
+    tried: frozenset[str] = frozenset()
 
 
+@attrs.define
 class Chooser(abc.ABC):
     """A policy of choice."""
 
+    rng: random.Random
+
     @abc.abstractmethod
-    def choose(self, want: Want, targets: Sequence[Target]) -> Target:
-        """Return one of a non-empty sequence of targets."""
+    def choose(self, want: Want, group: Group, now: float) -> Choice:
+        """Return the index of a member with room, None if there is none."""
 
 
 @attrs.define
-class TwoChoices(Chooser):
-    """Takes the less loaded of two targets drawn by weight."""
+class RandomChoice(Chooser):
+    """Draws by weight."""
 
-    rng: random.Random
+    def choose(self, want: Want, group: Group, now: float) -> Choice:
+        """Return a member drawn by weight."""
+        return group.draw_open(self.rng, now, want.tried)
 
-    def choose(self, want: Want, targets: Sequence[Target]) -> Target:
-        """Return the less loaded of two draws."""
-        weights = [target.row.weight for target in targets]
-        pair = self.rng.choices(targets, weights, k=2)
-        return min(pair, key=relative_load)
 
+@attrs.define
+class RoundRobin(Chooser):
+    """Takes the members in turn, whatever their weights."""
+
+    def choose(self, want: Want, group: Group, now: float) -> Choice:
+        """Return the next member in turn that has room."""
+        size = len(group.members)
+        for step in range(size):
+            index = (group.turn + step) % size
+            if group.is_open(index, now, want.tried):
+                group.turn = index + 1
+                return index
+        return None
 
-def relative_load(target: Target) -> float:
-    """Return own requests in progress and reported queue per weight."""
-    return (target.in_flight + target.report.queued) / target.row.weight
+
+@attrs.define
+class LeastRequests(Chooser):
+    """Takes the least loaded member of all."""
+
+    def choose(self, want: Want, group: Group, now: float) -> Choice:
+        """Return the member of the least load per weight."""
+        able = list(group.open_ones(now, want.tried))
+        # Ties go to a random member, so that routers without news do not
+        # all send to the first row of the table.
+        self.rng.shuffle(able)
+        return min(able, key=group.load, default=None)
+
+
+@attrs.define
+class TwoChoices(Chooser):
+    """Takes the less loaded of two members drawn by weight."""
+
+    def choose(self, want: Want, group: Group, now: float) -> Choice:
+        """Return the less loaded of two draws."""
+        first = group.draw_open(self.rng, now, want.tried)
+        if first is None:
+            return None
+        second = group.draw(self.rng)
+        if not group.is_open(second, now, want.tried):
+            return first
+        return min(first, second, key=group.load)
--- /dev/null
+++ b/src/balsamreach/routing/feedback.py
@@ -0,0 +1,97 @@
+"""What the end of an exchange teaches about its target and its request."""
+
+import logging
+import random
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.routing.quarantine import Quarantine
+from balsamreach.routing.slot import Slot, Verdict
+from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.metrics import Metrics
+
+_ATTEMPTS = 'balsamreach_attempts_total'
+_FIRST_BYTE = 'balsamreach_target_first_byte_seconds'
+_SUSPENSIONS = 'balsamreach_target_suspensions_total'
+_FAILURES = frozenset(
+    (Verdict.REFUSED, Verdict.FAILED, Verdict.BROKEN, Verdict.SILENT),
+)
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Feedback:
+    """Tells breakers, adaptive limits and the quarantine of each end.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Learns who was at a target that crashed.
+    clock : Clock
+        Time.
+    rng : random.Random
+        Jitter of suspensions.
+    metrics : Metrics
+        Counters.
+    """
+
+    quarantine: Quarantine
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+
+    def sent(self, slot: Slot) -> None:
+        """Take note that a request is being sent."""
+        slot.sent(self.clock.now())
+        self.quarantine.crashes.started(slot.ask.fingerprint, slot.state.name)
+
+    def ended(self, slot: Slot) -> None:
+        """Take note of how an exchange ended."""
+        if slot.verdict == Verdict.UNUSED:
+            slot.state.breaker.let_go()
+            return
+        self.metrics.count(_ATTEMPTS, verdict=slot.verdict.value)
+        self._tell_quarantine(slot)
+        self._tell_breaker(slot)
+        if slot.verdict == Verdict.DECLINED:
+            slot.state.limit.overloaded(self.clock.now())
+        if slot.verdict == Verdict.GOOD and slot.first_at:
+            first_byte = slot.first_at - slot.sent_at
+            now = self.clock.now()
+            slot.state.limit.observe(first_byte, slot.busy, now)
+            self.metrics.observe(_FIRST_BYTE, first_byte)
+
+    def _tell_quarantine(self, slot: Slot) -> None:
+        fingerprint = slot.ask.fingerprint
+        name = slot.state.name
+        if slot.verdict == Verdict.BROKEN:
+            self.quarantine.broken(
+                fingerprint,
+                slot.ask.team,
+                name,
+                slot.incarnation,
+            )
+        elif slot.verdict in {Verdict.GOOD, Verdict.FAILED}:
+            self.quarantine.finished(fingerprint, name)
+        else:
+            self.quarantine.crashes.ended(fingerprint, name)
+        if slot.verdict == Verdict.REFUSED:
+            self.quarantine.refused(name)
+
+    def _tell_breaker(self, slot: Slot) -> None:
+        breaker = slot.state.breaker
+        if slot.verdict in {Verdict.GOOD, Verdict.DECLINED}:
+            breaker.succeed()
+        elif slot.verdict not in _FAILURES:
+            breaker.let_go()
+        elif breaker.fail(self.clock.now(), self.rng):
+            self.metrics.count(_SUSPENSIONS)
+            log_event(
+                _logger,
+                logging.WARNING,
+                'target_suspended',
+                target=slot.state.name,
+                reason=slot.verdict.value,
+            )
--- /dev/null
+++ b/src/balsamreach/routing/probation.py
@@ -0,0 +1,110 @@
+"""Runs suspects one by one, each at a target that runs nothing else."""
+
+import asyncio
+
+import attrs
+import xxhash
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import RoutingSettings
+from balsamreach.routing import faults
+from balsamreach.routing.ask import Ask
+from balsamreach.routing.faults import RoutingFault
+from balsamreach.routing.pools import Group
+from balsamreach.routing.state import TargetState
+
+_MOST_STEPS = 16
+#: Part of a group's targets that suspects may take up at a time.
+_PART = 4
+
+
+@attrs.define(eq=False)
+class Probation:
+    """Keeps a target free for a suspect until it has run there.
+
+    Parameters
+    ----------
+    cfg : RoutingSettings
+        Longest wait.
+    clock : Clock
+        Time.
+    """
+
+    cfg: RoutingSettings
+    clock: Clock
+    _empty: dict[TargetState, asyncio.Event] = attrs.field(factory=dict)
+
+    async def enter(
+        self,
+        ask: Ask,
+        group: Group,
+        tried: frozenset[str],
+    ) -> TargetState | RoutingFault:
+        """Return a target that runs nothing else, its slot taken."""
+        state = self._reserve(ask, group, tried)
+        if state is None:
+            return faults.ALL_BUSY.because(
+                'the request may have crashed a target, so it has to run '
+                'alone, and no target can be kept free for it now',
+            )
+        left = min(self.cfg.deadline, ask.deadline - self.clock.now())
+        emptied = await self._wait_empty(state, left)
+        if not emptied:
+            state.alone = ''
+            return faults.DEADLINE_UNMEETABLE.after(
+                1,
+                'no target came free for the request to run alone',
+            )
+        state.take(self.clock.now())
+        return state
+
+    def freed(self, state: TargetState) -> None:
+        """Take note that a target gave a slot back."""
+        event = self._empty.get(state)
+        if event is not None and not state.held:
+            event.set()
+
+    async def _wait_empty(self, state: TargetState, left: float) -> bool:
+        if not state.held:
+            return True
+        event = asyncio.Event()
+        self._empty[state] = event
+        waiting = asyncio.ensure_future(event.wait())
+        try:
+            await asyncio.wait((waiting,), timeout=left)
+        except asyncio.CancelledError:
+            # The caller went away. The target would otherwise stay closed
+            # to everyone, which shows as a target without requests.
+            state.alone = ''
+            raise
+        finally:
+            self._empty.pop(state, None)
+            waiting.cancel()
+        return event.is_set()
+
+    def _reserve(
+        self,
+        ask: Ask,
+        group: Group,
+        tried: frozenset[str],
+    ) -> TargetState | None:
+        """Choose a target by the request's own place on the ring.
+
+        Two suspects of one crash, at whatever routers, hardly meet again
+        then. If they did, they could crash a second target between them
+        without showing which of them it was.
+        """
+        now = self.clock.now()
+        kept = sum(bool(state.alone) for state in group.members)
+        if kept * _PART >= len(group.members):
+            return None
+        key = xxhash.xxh3_64_intdigest(ask.fingerprint.encode())
+        for step, index in enumerate(group.ring.walk(key)):
+            state = group.members[index]
+            usable = state.is_usable(now) and state.name not in tried
+            if usable:
+                state.alone = ask.fingerprint
+                return state
+            if step >= _MOST_STEPS:
+                break
+        return None
--- /dev/null
+++ b/src/balsamreach/routing/ring.py
@@ -0,0 +1,53 @@
+"""Consistent hashing: names in an order that a key decides."""
+
+import bisect
+from array import array
+from collections.abc import Iterator, Sequence
+
+import attrs
+import xxhash
+
+_POINTS = 32
+_MOST_POINTS = 512
+
+
+@attrs.frozen
+class Ring:
+    """Points of all members on a circle of 64-bit hashes.
+
+    Every router that knows the same members and weights builds the same
+    ring, so they agree on a key's member without a message.
+    """
+
+    _hashes: array
+    _owners: array
+
+    def walk(self, key: int) -> Iterator[int]:
+        """Yield members' indices in the order of a key, each once."""
+        size = len(self._hashes)
+        start = bisect.bisect_left(self._hashes, key)
+        seen: set[int] = set()
+        for step in range(size):
+            owner = self._owners[(start + step) % size]
+            if owner not in seen:
+                seen.add(owner)
+                yield owner
+
+
+def make_ring(names: Sequence[str], weights: Sequence[float]) -> Ring:
+    """Return a ring with points in proportion to weights."""
+    mean = sum(weights) / len(weights) if weights else 1
+    points = []
+    for owner, name in enumerate(names):
+        count = round(_POINTS * weights[owner] / mean)
+        numbers = range(min(max(count, 1), _MOST_POINTS))
+        points.extend((_hash(f'{name}#{num}'), owner) for num in numbers)
+    points.sort()
+    return Ring(
+        array('Q', [point[0] for point in points]),
+        array('L', [point[1] for point in points]),
+    )
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/balsamreach/routing/state.py
@@ -0,0 +1,95 @@
+"""What this router knows of one target's load and health."""
+
+from collections import deque
+
+import attrs
+
+from balsamreach.routing.adaptive import AdaptiveLimit
+from balsamreach.routing.breaker import Breaker
+from balsamreach.targets.registry import LoadReport, Target
+
+#: Own requests are remembered in steps of this many seconds.
+_STEP = 0.05
+_STEPS = 128
+
+
+@attrs.define(eq=False)
+class TargetState:
+    """One target as the choice sees it.
+
+    Parameters
+    ----------
+    target : Target
+        The target in the registry.
+    held : int
+        Slots that requests of this router hold, sent or about to be.
+    alone : str
+        Fingerprint of the suspect that it is kept free for, if any.
+    """
+
+    target: Target
+    breaker: Breaker
+    limit: AdaptiveLimit = attrs.field(factory=AdaptiveLimit)
+    held: int = 0
+    alone: str = ''
+    _others: int = 0
+    _read: LoadReport | None = None
+    _past: deque[tuple[float, int]] = attrs.field(
+        factory=lambda: deque(maxlen=_STEPS),
+    )
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.target.name
+
+    def take(self, now: float) -> None:
+        """Hold a slot."""
+        self.held += 1
+        self.breaker.begin()
+        self._note(now)
+
+    def free(self, now: float) -> None:
+        """Give a slot back."""
+        self.held -= 1
+        self._note(now)
+
+    def load(self) -> int:
+        """Return own requests plus those of others at the last report.
+
+        A report is late, and counts this router's requests of that moment.
+        They are taken off, so that neither requests sent since the report
+        are missed nor those that ended since are counted.
+        """
+        report = self.target.report
+        if report is not self._read:
+            self._read = report
+            reported = report.running + report.queued
+            own = self._held_at(report.taken_at)
+            self._others = max(0, reported - own)
+        return self.held + self._others
+
+    def has_room(self, now: float) -> bool:
+        """Return whether it may be sent one more request."""
+        most = min(self.target.row.concurrency, int(self.limit.limit))
+        return self.held < max(1, most) and self.is_usable(now)
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether it may be sent requests at all."""
+        target = self.target
+        if self.alone or target.leaving or target.suspended_until > now:
+            return False
+        return self.breaker.passes(now)
+
+    def _note(self, now: float) -> None:
+        past = self._past
+        if past and now - past[-1][0] < _STEP:
+            past[-1] = (past[-1][0], self.held)
+        else:
+            past.append((now, self.held))
+
+    def _held_at(self, moment: float) -> int:
+        for noted_at, held in reversed(self._past):
+            if noted_at <= moment:
+                return held
+        return 0
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -77,10 +77,14 @@
     """All targets by name."""
 
     by_name: dict[str, Target] = attrs.field(factory=dict)
+    revision: int = 0
 
     def update(self, rows: Iterable[TargetRow]) -> None:
         """Bring the rows in force into the registry."""
         wanted = {row.name: row for row in rows}
+        known_rows = {name: old.row for name, old in self.by_name.items()}
+        # Indexes over the targets are rebuilt when this number changes.
+        self.revision += known_rows != wanted
         for name in set(self.by_name) - set(wanted):
             self.by_name.pop(name)
         for name, row in wanted.items():
