Refuse packed messages of several segments before the library sees them

Cause: a long fuzz run (30,000 examples a test) ended the process: for a packed message of several segments pycapnp reads the later ones lazily, and if they are cut off, throws from a destructor, which calls std::terminate. Any peer could have ended any router. Change: messages are sent in one segment; the decoder refuses others by their first byte. Measured: the new test ends the interpreter without the check and passes with it. Conclusion: single-segment messages are read before the constructor returns, where the library's exceptions are caught.

--- a/src/balsamreach/wire/codec.py
+++ b/src/balsamreach/wire/codec.py
@@ -26,6 +26,9 @@
 # end in an error, not in a full memory.
 _MOST_WORDS = 2 * MOST_BYTES // _WORD
 _MOST_NESTING = 8
+# The first packed byte tells which bytes of the first word aren't zero, and
+# the word's first four bytes hold the number of segments less one.
+_SEGMENTS_MASK = 0b1111
 _DECODE_ERRORS = (capnp.KjException, AttributeError, TypeError, ValueError)
 _ENCODE_ERRORS = (*_DECODE_ERRORS, OverflowError)
 
@@ -64,7 +67,7 @@
         TOO_LARGE if there are too many.
     """
     try:
-        packed = _pack(envelope)
+        packed = _pack_in_one_segment(envelope)
     except _ENCODE_ERRORS as exc:
         return MALFORMED.because(_first_line(exc))
     if len(packed) > MOST_BYTES:
@@ -89,6 +92,12 @@
     if len(packed) > MOST_BYTES:
         size = len(packed)
         return TOO_LARGE.because(f'message of {size} bytes')
+    if not packed or _has_segments(packed):
+        # The library reads further segments late. If they are cut off, it
+        # throws from a destructor, which ends the whole process: a router
+        # would vanish with 'terminate called' as its last line. Messages of
+        # ours have one segment, which is read before anything else.
+        return MALFORMED.because('empty, or of more than one segment')
     try:
         return _unpack(packed)
     except _DECODE_ERRORS as exc:
@@ -101,8 +110,19 @@
     return {kind_label(kind): kind for kind in Message.__subclasses__()}
 
 
-def _pack(envelope: Envelope) -> bytes:
-    builder = load_schema().Envelope.new_message()
+def _pack_in_one_segment(envelope: Envelope) -> bytes:
+    packed = _pack(envelope)
+    if _has_segments(packed):
+        return _pack(envelope, _MOST_WORDS)
+    return packed
+
+
+def _has_segments(packed: bytes) -> bool:
+    return bool(packed[0] & _SEGMENTS_MASK)
+
+
+def _pack(envelope: Envelope, first_words: int | None = None) -> bytes:
+    builder = load_schema().Envelope.new_message(first_words)
     builder.ask = envelope.ask
     builder.answers = envelope.answers
     struct = builder.init(kind_label(type(envelope.message)))
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -139,3 +139,23 @@
         builder = load_schema().Envelope.new_message()
         builder.init('members').init('members', MOST_ELEMENTS + 1)
         self.assertEqual(decode(builder.to_bytes_packed()), MALFORMED)
+
+    def test_message_cut_off_in_a_later_segment_is_refused(self):
+        """The library would end the process over such bytes.
+
+        Symptom: the router is gone, its last line reads 'terminate called'.
+        Sequence: a peer sends a packed message of several segments whose
+        last one is cut off. Cause: the library reads it in a destructor and
+        throws there. (Found by the fuzz test with 30,000 examples.)
+        """
+        builder = load_schema().Envelope.new_message(1)
+        rows = builder.init('tableRows').init('rows', 5)
+        rows[0].key = 'key'
+        octets = builder.to_bytes_packed()
+        for length in range(len(octets) + 1):
+            self.assertEqual(decode(octets[:length]), MALFORMED)
+
+    def test_large_message_is_sent_in_one_segment(self):
+        rows = (messages.TableRow('key', 1, 'x' * 1000),) * 500
+        envelope = Envelope(messages.TableRows(0, 1, rows))
+        self.assertEqual(decode(encode(envelope)), envelope)
