--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -95,7 +95,7 @@
         dispatcher=Dispatcher(
             RunParts(
                 budgets=budgets,
-                claims=Claims(service, incarnation),
+                claims=Claims(service, incarnation, clock, metrics),
                 answers=Answers(cfg.requests, clock, metrics),
                 placer=Placer(routing),
                 attempts=Attempts(upstream, clock, routing.feedback),
