Watch targets: load reports, health, leaving marks, cache events

Cause: routers chose targets without knowing their load, kept sending to hosts on their way out, and nothing told a dead target from a dead pooled connection. Change: each target of a zone is polled by one router, found by rendezvous hashing, which tells its zone; the time between rounds grows with the zone so that sharing stays within share_rate. A failed poll is repeated once on a new connection; only then is the target suspended, with growing pauses, and its share grows slowly once it answers. Host list, target and peers mark a start as leaving, one way; late reports and marks of an earlier start do not affect the next. Cache events feed a bounded block set per target; gaps drop as many of the oldest blocks. GET /targets shows all of it. The stand-in engine tells cache events late and with gaps, and refuses orders that name another start.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -10,6 +10,7 @@
 
 from balsamreach.config import units, views
 from balsamreach.config.listeners import Listener, key
+from balsamreach.config.target_settings import PowerSettings, TargetsSettings
 
 #: Names of the policies that choose among targets.
 POLICY_NAMES = (
@@ -124,16 +125,6 @@
     snapshot_interval: float = key(units.read_duration)
 
 
-@attrs.frozen
-class PowerSettings:
-    """Section ``[power]``: whether idle targets are let rest."""
-
-    enabled: bool = key(units.read_flag)
-    idle: float = key(units.read_duration)
-    step: int = key(units.read_count)
-    step_interval: float = key(units.read_duration)
-
-
 @attrs.frozen
 class TelemetrySettings:
     """Section ``[telemetry]``: logs and traces."""
@@ -157,6 +148,7 @@
     requests: RequestsSettings
     routing: RoutingSettings
     table: TableSettings
+    targets: TargetsSettings
     power: PowerSettings
     telemetry: TelemetrySettings
 
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -8,11 +8,13 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
+from balsamreach.daemon.target_watch import TargetWatch, open_watch
 from balsamreach.dispatch.attempts import Attempts
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.run import RunParts
 from balsamreach.gateway.curl_upstream import CurlUpstream
+from balsamreach.peers.alone import make_alone
 from balsamreach.platform.base import TableService
 from balsamreach.platform.http import PlatformClient, TlsSettings
 from balsamreach.platform.table_http import HttpTableService
@@ -52,6 +54,7 @@
     budgets: Budgets
     upstream: CurlUpstream
     dispatcher: Dispatcher
+    watch: TargetWatch
 
 
 def make_parts(cfg: Settings) -> Parts:
@@ -70,11 +73,11 @@
     """
     clock = SystemClock()
     rng = random.Random()
+    metrics = Metrics()
     incarnation = uuid.uuid4().hex
     service = HttpTableService(platform_client(cfg, cfg.platform.table))
     view = TableView()
-    metrics = Metrics()
-    targets = Targets()
+    targets = Targets(warm_time=cfg.power.warm_time)
     budgets = Budgets(service, incarnation, cfg.budget, clock)
     upstream = CurlUpstream(cfg)
     routing = make_routing(cfg, targets, clock, rng, metrics)
@@ -102,6 +105,14 @@
                 clock=clock,
             ),
         ),
+        watch=open_watch(
+            cfg,
+            targets,
+            make_alone(cfg, incarnation, clock.wall()),
+            platform_client(cfg, cfg.platform.hosts),
+            clock,
+            metrics,
+        ),
     )
 
 
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -17,6 +17,10 @@
 )
 from balsamreach.gateway.operators import OperatorContext, make_operators_app
 from balsamreach.gateway.operators_quarantine import quarantine_handlers
+from balsamreach.gateway.operators_targets import (
+    TargetsContext,
+    TargetsHandler,
+)
 from balsamreach.table.faults import TableFault
 from balsamreach.telemetry.logs import log_event
 
@@ -62,6 +66,7 @@
             asyncio.create_task(self._follow_table()),
             asyncio.create_task(self.parts.budgets.run()),
             asyncio.create_task(self.parts.routing.run()),
+            asyncio.create_task(self.parts.watch.run()),
         ]
         log_event(
             _logger,
@@ -128,6 +133,9 @@
             budgets=parts.budgets,
         )
         app = make_operators_app(context)
+        watched = TargetsContext(parts.targets, parts.clock)
+        arguments = {'context': context, 'watched': watched}
+        app.add_handlers('.*', [('/targets', TargetsHandler, arguments)])
         app.add_handlers(
             '.*',
             quarantine_handlers(context, parts.routing.quarantine),
--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -63,6 +63,11 @@
         DispatchFault or None
             None if the answer is whole.
         """
+        if attempt.target.leaving:
+            # A slot can be held for seconds while a claim is recorded. A
+            # target marked meanwhile may be counted as idle already, and a
+            # request sent now would be cut when its host is switched off.
+            return faults.OVERLOADED.because('the target began to leave')
         left = attempt.call.deadline - self.clock.now()
         attempt.target.in_flight += 1
         if _shows_queueing(attempt.call):
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -170,9 +170,9 @@
         if fault is None or self.answer.status:
             return False
         if not self.call.idempotent:
-            # Only where no connection was made is the single run of a
-            # non-idempotent request certainly unused.
-            return slot.verdict == Verdict.REFUSED
+            # Only where nothing was sent or no connection was made is the
+            # single run of a non-idempotent request certainly unused.
+            return slot.verdict in {Verdict.UNUSED, Verdict.REFUSED}
         return fault.ran == faults.NOT_RUN or fault == faults.ANSWER_BROKEN
 
     def _refuse(self, fault: DispatchFault) -> None:
--- /dev/null
+++ b/src/balsamreach/gateway/target_client.py
@@ -0,0 +1,174 @@
+"""Asks targets for reports and sends them orders over HTTP."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import Settings
+from balsamreach.targets.client import (
+    CacheEvent,
+    CacheEvents,
+    Order,
+    TargetClient,
+)
+from balsamreach.targets.faults import (
+    NO_ANSWER,
+    ODD_ANSWER,
+    REFUSED,
+    UNREACHABLE,
+    TargetFault,
+)
+from balsamreach.targets.reports import LoadReport, read_report
+
+_MAX_CLIENTS = 64
+_CONNECTION_AGE_S = 30
+_FIRST_ERROR = 400
+_STORED = 'stored'
+_NO_CONNECTION = frozenset(
+    (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST),
+)
+
+
+class HttpTargetClient(TargetClient):
+    """Client on pooled connections of bounded age.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The longest wait for an answer.
+    clock : Clock
+        Source of the moments at which reports were asked for.
+    """
+
+    def __init__(self, cfg: Settings, clock: Clock) -> None:
+        self._timeout = cfg.targets.poll_timeout
+        self._clock = clock
+        self._client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=_MAX_CLIENTS,
+        )
+
+    async def load(
+        self,
+        address: str,
+        *,
+        fresh: bool = False,
+    ) -> LoadReport | TargetFault:
+        """Ask for a load report."""
+        asked_at = self._clock.now()
+        prepare = _prepare_fresh if fresh else _prepare
+        body = await self._fetch(
+            HTTPRequest(
+                f'http://{address}/load',
+                prepare_curl_callback=prepare,
+                **self._timeouts(),
+            ),
+        )
+        if isinstance(body, TargetFault):
+            return body
+        return read_report(body, asked_at)
+
+    async def cache_events(
+        self,
+        address: str,
+        since: int,
+    ) -> CacheEvents | TargetFault:
+        """Ask for cache events from a sequence number on."""
+        body = await self._fetch(
+            HTTPRequest(
+                f'http://{address}/cache-events?since={since}',
+                prepare_curl_callback=_prepare,
+                **self._timeouts(),
+            ),
+        )
+        if isinstance(body, TargetFault):
+            return body
+        return _read_events(body)
+
+    async def order(self, address: str, order: Order) -> TargetFault | None:
+        """Send an order once, on a new connection.
+
+        A pooled connection that closes unanswered makes curl send again by
+        itself; a doubled order is harmless, but it would not be counted.
+        """
+        fields = {
+            'order': order.kind,
+            'fence': order.fence,
+            'incarnation': order.incarnation,
+            'model': order.model,
+        }
+        body = await self._fetch(
+            HTTPRequest(
+                f'http://{address}/orders',
+                method='POST',
+                headers={'Content-Type': 'application/json'},
+                body=json.dumps(fields),
+                prepare_curl_callback=_prepare_fresh,
+                **self._timeouts(),
+            ),
+        )
+        return body if isinstance(body, TargetFault) else None
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def _timeouts(self) -> dict[str, Any]:
+        return {
+            'connect_timeout': self._timeout,
+            'request_timeout': self._timeout,
+            'follow_redirects': False,
+        }
+
+    async def _fetch(
+        self,
+        request: HTTPRequest,
+    ) -> Mapping[str, Any] | TargetFault:
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except CurlError as exc:
+            refused = exc.errno in _NO_CONNECTION
+            fault = UNREACHABLE if refused else NO_ANSWER
+            return fault.because(str(exc))
+        if response.code >= _FIRST_ERROR:
+            return REFUSED.because(f'the target answered {response.code}')
+        try:
+            return json.loads(response.body)
+        except ValueError:
+            return ODD_ANSWER.because('the answer is not JSON')
+
+
+def _prepare(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_AGE_S)
+    curl.setopt(pycurl.NOPROXY, '*')
+    # The handle is pooled: what the last request asked for would stick.
+    curl.setopt(pycurl.FRESH_CONNECT, 0)
+    curl.setopt(pycurl.FORBID_REUSE, 0)
+
+
+def _prepare_fresh(curl: pycurl.Curl) -> None:
+    _prepare(curl)
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _read_events(body: Mapping[str, Any]) -> CacheEvents | TargetFault:
+    try:
+        return CacheEvents(
+            next_seq=int(body['next']),
+            events=tuple(map(_read_event, body['events'])),
+        )
+    except (KeyError, TypeError, ValueError) as exc:
+        return ODD_ANSWER.because(f'not cache events: {exc!r}')
+
+
+def _read_event(event: Mapping[str, Any]) -> CacheEvent:
+    return CacheEvent(
+        seq=int(event['seq']),
+        block=str(event['block']),
+        stored=event['kind'] == _STORED,
+    )
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -72,6 +72,7 @@
     def has_room(self, now: float) -> bool:
         """Return whether it may be sent one more request."""
         most = min(self.target.row.concurrency, int(self.limit.limit))
+        most = int(most * self.target.warm_share(now))
         return self.held < max(1, most) and self.is_usable(now)
 
     def is_usable(self, now: float) -> bool:
--- a/src/balsamreach/standins/engine.py
+++ b/src/balsamreach/standins/engine.py
@@ -50,7 +50,11 @@
 
     def __attrs_post_init__(self) -> None:
         """Size the parts after the settings."""
-        self.cache = PrefixCache(self.cfg.cache_blocks)
+        self.cache = PrefixCache(
+            self.cfg.cache_blocks,
+            self.clock.now,
+            self._loses_event,
+        )
         self.slots = Slots(self.cfg.slots, self.cfg.queue_limit)
         self.orders = OrderBook(self.cfg)
         self.generations = Generations(self.clock, self.counters)
@@ -61,6 +65,11 @@
         """Draw whether this request is one of those answered 500."""
         return self._rng.random() < self.cfg.fail_share
 
+    def cache_events(self, since: int) -> dict[str, Any]:
+        """Return the cache events that are old enough to be told."""
+        until = self.clock.now() - self.cfg.events_lag_s
+        return self.cache.events(since, until)
+
     def start(self, generation: Generation) -> None:
         """Run a generation in a task of its own."""
         self.generations.add(generation)
@@ -117,6 +126,10 @@
         generation.finish(reason)
         self.counters['finished'] += 1
 
+    def _loses_event(self) -> bool:
+        share = self.cfg.events_lost
+        return share > 0 and self._rng.random() < share
+
     def _measured(self) -> dict[str, Any]:
         return {
             'running': self.slots.running,
--- a/src/balsamreach/standins/engine_cache.py
+++ b/src/balsamreach/standins/engine_cache.py
@@ -2,6 +2,8 @@
 
 import collections
 import hashlib
+import math
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -23,6 +25,15 @@
     return tuple(names)
 
 
+@attrs.frozen
+class _Logged:
+    """An event with its time, and whether it is told at all."""
+
+    at: float
+    event: dict[str, Any]
+    lost: bool
+
+
 @attrs.define
 class PrefixCache:
     """Least-recently-used blocks, and what was stored and evicted.
@@ -31,13 +42,19 @@
     ----------
     limit : int
         Blocks that fit.
+    now : callable
+        Time that events are stamped with.
+    loses : callable
+        Draws whether an event is never told.
     """
 
     limit: int
+    now: Callable[[], float] = float
+    loses: Callable[[], bool] = bool
     _blocks: collections.OrderedDict[str, None] = attrs.Factory(
         collections.OrderedDict
     )
-    _log: collections.deque[dict[str, Any]] = attrs.Factory(
+    _log: collections.deque[_Logged] = attrs.Factory(
         lambda: collections.deque(maxlen=_LOG_LENGTH)
     )
     _next_seq: int = 1
@@ -62,10 +79,20 @@
         self._blocks.clear()
         self._log.clear()
 
-    def events(self, since: int) -> dict[str, Any]:
-        """Return the logged events from a sequence number on."""
-        newer = [event for event in self._log if event['seq'] >= since]
-        return {'next': self._next_seq, 'events': newer}
+    def events(
+        self,
+        since: int,
+        until: float = math.inf,
+    ) -> dict[str, Any]:
+        """Return the events from a sequence number on, up to a time."""
+        seen = [logged for logged in self._log if logged.at <= until]
+        newer = [
+            logged.event
+            for logged in seen
+            if logged.event['seq'] >= since and not logged.lost
+        ]
+        late = len(self._log) - len(seen)
+        return {'next': self._next_seq - late, 'events': newer}
 
     def _store(self, block: str) -> None:
         if block in self._blocks:
@@ -79,5 +106,5 @@
 
     def _note(self, kind: str, block: str) -> None:
         event = {'seq': self._next_seq, 'kind': kind, 'block': block}
-        self._log.append(event)
+        self._log.append(_Logged(self.now(), event, self.loses()))
         self._next_seq += 1
--- a/src/balsamreach/standins/engine_http.py
+++ b/src/balsamreach/standins/engine_http.py
@@ -201,7 +201,7 @@
     def get(self) -> None:
         """Return what was stored and evicted."""
         since = int(self.get_query_argument('since', '0'))
-        self.reply(200, self.engine.cache.events(since))
+        self.reply(200, self.engine.cache_events(since))
 
 
 class OrdersHandler(EngineHandler):
--- a/src/balsamreach/standins/engine_orders.py
+++ b/src/balsamreach/standins/engine_orders.py
@@ -22,10 +22,14 @@
     taken: list[dict[str, Any]] = attrs.Factory(list)
 
     def take(self, order: dict[str, Any]) -> bool:
-        """Carry an order out; False where its fencing number is old."""
+        """Carry an order out; False where it is old or for another start."""
         fence = order.get('fence', 0)
         if self.cfg.honour_fences and fence < self.fence:
             return False
+        # An order that names no start is meant for whoever gets it.
+        start = order.get('incarnation') or self.cfg.incarnation
+        if self.cfg.honour_incarnations and start != self.cfg.incarnation:
+            return False
         self.fence = max(self.fence, fence)
         self.taken.append(order)
         self._carry_out(order)
--- a/src/balsamreach/standins/engine_settings.py
+++ b/src/balsamreach/standins/engine_settings.py
@@ -20,6 +20,12 @@
         Bounds of the running batch, the queue and the prefix cache.
     honour_fences : bool
         Whether orders with an older fencing number are refused.
+    honour_incarnations : bool
+        Whether orders that name another start are refused.
+    events_lag_s : float
+        Age from which cache events are told.
+    events_lost : float
+        Share of cache events that are never told.
     load_lag_s : float
         How old the load report may be.
     usage : str
@@ -41,6 +47,9 @@
     queue_limit: int = 64
     cache_blocks: int = 1024
     honour_fences: bool = True
+    honour_incarnations: bool = True
+    events_lag_s: float = 0
+    events_lost: float = 0
     load_lag_s: float = 0
     silent: bool = False
     leaving: bool = False
--- /dev/null
+++ b/src/balsamreach/targets/host_follower.py
@@ -0,0 +1,57 @@
+"""Reads the platform's host list for hosts of targets that leave."""
+
+import logging
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import Settings
+from balsamreach.peers.base import PeerNet
+from balsamreach.platform.base import HostEntry, HostList
+from balsamreach.platform.faults import PlatformFault
+from balsamreach.targets.marks import Marks
+from balsamreach.telemetry.logs import log_event
+
+_HOME_KEY = 'host-list'
+_logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class HostFollower:
+    """Reads the list where this router is its zone's reader.
+
+    Parameters
+    ----------
+    hosts : HostList
+        The platform's list.
+    latest : tuple of HostEntry
+        What the list showed last, empty before.
+    """
+
+    cfg: Settings
+    hosts: HostList
+    marks: Marks
+    net: PeerNet
+    clock: Clock
+    latest: tuple[HostEntry, ...] = ()
+
+    async def run(self) -> None:
+        """Read the list round after round."""
+        while True:
+            if self.net.home(_HOME_KEY) == self.net.me:
+                await self.read_once()
+            await self.clock.sleep(self.cfg.targets.host_list_interval)
+
+    async def read_once(self) -> None:
+        """Read the list and mark the starts that it shows as leaving."""
+        listed = await self.hosts.hosts()
+        if isinstance(listed, PlatformFault):
+            log_event(
+                _logger,
+                logging.WARNING,
+                'host_list_not_read',
+                reason=listed.reason or listed.code,
+            )
+            return
+        self.latest = listed
+        self.marks.take_hosts(listed)
--- /dev/null
+++ b/src/balsamreach/targets/poller.py
@@ -0,0 +1,138 @@
+"""Asks targets for their load."""
+
+import asyncio
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import Settings
+from balsamreach.targets.client import TargetClient
+from balsamreach.targets.faults import UNHEALTHY, TargetFault
+from balsamreach.targets.health import Health
+from balsamreach.targets.marks import FROM_TARGET, Marks
+from balsamreach.targets.registry import Target
+from balsamreach.targets.reports import LoadReport
+from balsamreach.targets.sharing import LoadSharing
+from balsamreach.telemetry.metrics import Metrics
+
+#: Bytes of one report in a message between routers, as measured.
+LOAD_BYTES = 76
+
+
+@attrs.frozen(kw_only=True)
+class PollerParts:
+    """What the poller works with."""
+
+    cfg: Settings
+    client: TargetClient
+    clock: Clock
+    health: Health
+    marks: Marks
+    metrics: Metrics
+    sharing: LoadSharing
+
+
+@attrs.define(eq=False)
+class LoadPoller:
+    """Polls the targets whose home this router is.
+
+    Each target of the zone has one router that polls it, found by
+    rendezvous hashing; the others learn its report from there. Targets of
+    other zones are polled while requests of this router run on them.
+    """
+
+    parts: PollerParts
+
+    async def run(self) -> None:
+        """Poll round after round."""
+        while True:
+            await self.poll_once()
+            self.parts.marks.catch_up()
+            await self.parts.clock.sleep(self.interval())
+
+    def interval(self) -> float:
+        """Return seconds between rounds, longer in zones of many targets.
+
+        Every router of a zone receives all the zone's reports. Without the
+        bound a zone of hundreds of targets would fill the bytes that a
+        daemon may spend on control.
+        """
+        cfg = self.parts.cfg.targets
+        local = sum(map(self._is_local, self._all()))
+        share_time = local * LOAD_BYTES / max(1, cfg.share_rate)
+        return max(cfg.poll_interval, share_time)
+
+    async def poll_once(self) -> None:
+        """Poll what is due and share what was learnt."""
+        now = self.parts.clock.now()
+        due = [target for target in self._all() if self._is_due(target, now)]
+        self.parts.sharing.confirm.clear()
+        await asyncio.gather(*map(self.poll, due))
+        self.parts.sharing.share(filter(self._is_mine, due))
+
+    async def poll(self, target: Target) -> None:
+        """Poll one target, on a new connection where the pooled one fails."""
+        outcome = await self._ask(target, fresh=False)
+        if outcome in UNHEALTHY:
+            # Something between the two ends may have lost track of a pooled
+            # connection that both believe in. A target is called dead only
+            # when a new connection fails as well.
+            outcome = await self._ask(target, fresh=True)
+            if outcome not in UNHEALTHY:
+                self._count('balsamreach_target_stale_connections_total')
+        if outcome in UNHEALTHY:
+            self.parts.health.fail(target)
+        else:
+            self.parts.health.recover(target)
+        if isinstance(outcome, LoadReport):
+            self._take(target, outcome)
+
+    def _all(self) -> tuple[Target, ...]:
+        targets = self.parts.marks.targets
+        return tuple(targets.by_name.values())
+
+    def _is_local(self, target: Target) -> bool:
+        zone = self.parts.cfg.host.zone
+        return target.row.zone == zone
+
+    def _is_mine(self, target: Target) -> bool:
+        net = self.parts.marks.net
+        home = net.home(f'load/{target.name}')
+        return self._is_local(target) and home == net.me
+
+    def _is_due(self, target: Target, now: float) -> bool:
+        cfg = self.parts.cfg.targets
+        if target.failures and target.suspended_until > now:
+            return False
+        if target.hold is not None and target.hold.down:
+            return False
+        unsure = bool(target.left) and not target.report.incarnation
+        named = target.name in self.parts.sharing.confirm
+        if target.failures or unsure or named or self._is_mine(target):
+            return True
+        if self._is_local(target):
+            # Its home may be cut off from this router, or gone; then this
+            # router's own reports are all it has.
+            return now - target.report.taken_at > cfg.report_age
+        return target.in_flight > 0
+
+    async def _ask(
+        self,
+        target: Target,
+        *,
+        fresh: bool,
+    ) -> LoadReport | TargetFault:
+        self._count('balsamreach_target_polls_total')
+        return await self.parts.client.load(target.row.address, fresh=fresh)
+
+    def _take(self, target: Target, report: LoadReport) -> None:
+        now = self.parts.clock.now()
+        if not target.take_report(report, now):
+            self._count('balsamreach_target_late_reports_total')
+            return
+        self._count('balsamreach_target_reports_total', source='own')
+        if report.leaving:
+            self.parts.marks.mark(target, report.incarnation, FROM_TARGET)
+
+    def _count(self, name: str, **labels: str) -> None:
+        self.parts.metrics.count(name, **labels)
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -1,34 +1,19 @@
 """The state of every target as this router sees it."""
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 
 import attrs
 
 from balsamreach.table.rows import ACTIVE, TargetRow
+from balsamreach.targets.blocks import BlockSet
+from balsamreach.targets.holds import Hold
+from balsamreach.targets.reports import LoadReport
 
-
-@attrs.frozen
-class LoadReport:
-    """A target's own lagging report.
-
-    Parameters
-    ----------
-    running, queued, slots : int
-        Requests running, waiting, and able to run at once.
-    incarnation : str
-        The target's start that reports.
-    leaving : bool
-        Whether the target says that it is leaving.
-    taken_at : float
-        Monotonic seconds at which the report held true.
-    """
-
-    running: int = 0
-    queued: int = 0
-    slots: int = 0
-    incarnation: str = ''
-    leaving: bool = False
-    taken_at: float = 0
+_LEAST_SHARE = 0.1
+_PAST_STARTS = 16
+_RETIRED = 1024
+_WARM_TIME = 30.0
 
 
 @attrs.define(eq=False)
@@ -47,6 +32,14 @@
         Incarnations that were marked as leaving; a mark is never undone.
     suspended_until : float
         Monotonic seconds until which no request is sent after failures.
+    failures : int
+        Polls in a row that failed also on a new connection.
+    warm_from : float
+        Monotonic seconds at which its share of requests began to grow.
+    warm_time : float
+        Seconds until it gets its whole weight.
+    hold : Hold or None
+        What the power row in force says of its host.
     """
 
     row: TargetRow
@@ -54,6 +47,14 @@
     report: LoadReport = attrs.field(factory=LoadReport)
     left: set[str] = attrs.field(factory=set)
     suspended_until: float = 0
+    failures: int = 0
+    warm_from: float = float('-inf')
+    warm_time: float = _WARM_TIME
+    hold: Hold | None = None
+    blocks: BlockSet = attrs.field(factory=BlockSet)
+    _past: deque[str] = attrs.field(
+        factory=lambda: deque(maxlen=_PAST_STARTS),
+    )
 
     @property
     def name(self) -> str:
@@ -63,21 +64,91 @@
     @property
     def leaving(self) -> bool:
         """Whether it must get no new work."""
-        if self.row.state != ACTIVE:
+        if self.row.state != ACTIVE or self.marked:
             return True
+        return self.hold is not None and self.hold.keeps_off(self.report)
+
+    @property
+    def marked(self) -> bool:
+        """Whether the start believed to be running is leaving."""
+        if not self.report.incarnation:
+            # With marks but no report yet, this router, perhaps just
+            # restarted, cannot tell which start it would send to. The
+            # first report, a second away, decides.
+            return self.report.leaving or bool(self.left)
         return self.report.leaving or self.report.incarnation in self.left
 
-    def mark_leaving(self, incarnation: str) -> None:
-        """Mark one start of the target as leaving, for good."""
+    def mark_leaving(self, incarnation: str) -> bool:
+        """Mark one start as leaving, for good; True if that is news."""
+        if not incarnation or incarnation in self.left:
+            return False
         self.left.add(incarnation)
+        if len(self.left) > 2 * _PAST_STARTS:
+            self.left &= {self.report.incarnation, incarnation, *self._past}
+        return True
+
+    def has_left(self, incarnation: str) -> bool:
+        """Return whether this start gets nothing more from this router."""
+        same = self.report.incarnation == incarnation
+        return same and incarnation in self.left
+
+    def take_report(self, report: LoadReport, now: float) -> bool:
+        """Take a report in; False if it is out of date.
+
+        A report of an earlier start that arrives late, such as through a
+        peer that was paused, would bring that start's leaving mark back
+        over its successor. It shows as a host that stays unused after its
+        restart; starts that were succeeded are remembered to prevent it.
+        """
+        known = self.report
+        if report.incarnation in self._past:
+            return False
+        if report.incarnation != known.incarnation:
+            self._succeed(known.incarnation, now)
+        elif report.taken_at < known.taken_at:
+            return False
+        self.report = report
+        if report.leaving:
+            self.mark_leaving(report.incarnation)
+        return True
+
+    def effective_weight(self, now: float) -> float:
+        """Return its weight, reduced while it warms up."""
+        return self.row.weight * self.warm_share(now)
+
+    def warm_share(self, now: float) -> float:
+        """Return the share of its capacity that it may use, at most 1."""
+        if self.warm_time <= 0:
+            return 1
+        share = (now - self.warm_from) / self.warm_time
+        return min(1, max(_LEAST_SHARE, share))
+
+    def _succeed(self, incarnation: str, now: float) -> None:
+        if incarnation:
+            self._past.append(incarnation)
+        # The very first report, soon after this router's own start, says
+        # nothing about how long the target has been running.
+        if incarnation or self.hold is not None:
+            self.warm_from = now
+        self.blocks.clear()
 
 
 @attrs.define
 class Targets:
-    """All targets by name."""
+    """All targets by name.
+
+    Parameters
+    ----------
+    by_name : dict of str to Target
+        Targets in force.
+    warm_time : float
+        Seconds in which the share of a new or recovered target grows.
+    """
 
     by_name: dict[str, Target] = attrs.field(factory=dict)
     revision: int = 0
+    warm_time: float = _WARM_TIME
+    _retired: list[Target] = attrs.field(factory=list)
 
     def update(self, rows: Iterable[TargetRow]) -> None:
         """Bring the rows in force into the registry."""
@@ -86,15 +157,18 @@
         # Indexes over the targets are rebuilt when this number changes.
         self.revision += known_rows != wanted
         for name in set(self.by_name) - set(wanted):
-            self.by_name.pop(name)
+            self._retired.append(self.by_name.pop(name))
         for name, row in wanted.items():
             known = self.by_name.get(name)
             # A target that moved to another address is another process: its
             # load and leaving marks say nothing of the new one.
-            if known is None or known.row.address != row.address:
-                self.by_name[name] = Target(row)
-            else:
+            if known is not None and known.row.address == row.address:
                 known.row = row
+                continue
+            if known is not None:
+                self._retired.append(known)
+            self.by_name[name] = self._make(row)
+        self._forget_retired()
 
     def among(self, rows: Iterable[TargetRow]) -> Iterator[Target]:
         """Yield the targets of some rows that may get new work."""
@@ -102,3 +176,36 @@
             target = self.by_name.get(row.name)
             if target is not None and not target.leaving and row.weight > 0:
                 yield target
+
+    def at_address(self, address: str) -> tuple[Target, ...]:
+        """Return the targets in force that one host carries."""
+        return tuple(
+            target
+            for target in self.by_name.values()
+            if target.row.address == address
+        )
+
+    def in_flight_at(self, address: str) -> int:
+        """Return own requests at a host, through rows now gone as well."""
+        every = (*self.by_name.values(), *self._retired)
+        return sum(
+            target.in_flight
+            for target in every
+            if target.row.address == address
+        )
+
+    def _forget_retired(self) -> None:
+        # One with requests in progress stays however old it is: forgotten,
+        # its host would look idle and be switched off under them.
+        busy = [target for target in self._retired if target.in_flight]
+        idle = [target for target in self._retired if not target.in_flight]
+        self._retired = busy + idle[-_RETIRED:]
+
+    def _make(self, row: TargetRow) -> Target:
+        made = Target(row, warm_time=self.warm_time)
+        # A row that is deleted and written again within a minute must not
+        # bring work back to a start that was on its way out.
+        for old in self._retired:
+            if old.row.address == row.address:
+                made.left |= old.left
+        return made
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -36,6 +36,9 @@
     targetMark @25 :TargetMark;
     inFlightAsk @26 :InFlightAsk;
     inFlight @27 :InFlight;
+    targetLoad @28 :TargetLoad;
+    targetLoads @29 :TargetLoads;
+    powerRows @30 :PowerRows;
   }
 }
 
@@ -195,3 +198,22 @@
   requests @1 :UInt64;
   closed @2 :Bool;
 }
+
+struct TargetLoad {
+  target @0 :Text;
+  incarnation @1 :Text;
+  running @2 :UInt32;
+  queued @3 :UInt32;
+  slots @4 :UInt32;
+  leaving @5 :Bool;
+  age @6 :Float64;
+  reachable @7 :Bool;
+}
+
+struct TargetLoads {
+  loads @0 :List(TargetLoad);
+}
+
+struct PowerRows {
+  rows @0 :List(TableRow);
+}
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -338,6 +338,42 @@
     closed: bool = False
 
 
+@attrs.frozen
+class TargetLoad(Message):
+    """One target's load as its home router saw it.
+
+    Parameters
+    ----------
+    age : float
+        Seconds between the report and the sending of this message.
+    reachable : bool
+        Whether the home router reaches the target.
+    """
+
+    target: str
+    incarnation: str
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    leaving: bool = False
+    age: float = 0
+    reachable: bool = False
+
+
+@attrs.frozen
+class TargetLoads(Message):
+    """Loads told to the routers of the zone."""
+
+    loads: tuple[TargetLoad, ...] = ()
+
+
+@attrs.frozen
+class PowerRows(Message):
+    """Power rows that the sender read or wrote."""
+
+    rows: tuple[TableRow, ...] = ()
+
+
 @attrs.frozen
 class Done(Message):
     """Answers a message that asks for nothing but to be taken."""
--- /dev/null
+++ b/tests/fake_targets.py
@@ -0,0 +1,186 @@
+"""Targets and a clock in one process, under the test's control."""
+
+import asyncio
+import heapq
+import itertools
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.targets.client import (
+    LEAVE,
+    LOAD_MODEL,
+    POWER_OFF,
+    CacheEvents,
+    Order,
+    TargetClient,
+)
+from balsamreach.targets.faults import (
+    NO_ANSWER,
+    REFUSED,
+    UNREACHABLE,
+    TargetFault,
+)
+from balsamreach.targets.reports import LoadReport
+
+
+@attrs.define(eq=False)
+class VirtualClock(Clock):
+    """Time that stands still until it is advanced."""
+
+    time: float = 1000
+    _sleepers: list = attrs.field(factory=list)
+    _order: itertools.count = attrs.field(factory=itertools.count)
+
+    def now(self) -> float:
+        """Return the virtual time."""
+        return self.time
+
+    def wall(self) -> float:
+        """Return the virtual time."""
+        return self.time
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait until the time was advanced that far."""
+        turn = asyncio.get_running_loop().create_future()
+        entry = (self.time + seconds, next(self._order), turn)
+        heapq.heappush(self._sleepers, entry)
+        await turn
+
+    async def advance(self, seconds: float) -> None:
+        """Let time pass and wake, in order, whoever slept until then."""
+        end = self.time + seconds
+        await settle()
+        while self._sleepers and self._sleepers[0][0] <= end:
+            wake_at, _, turn = heapq.heappop(self._sleepers)
+            self.time = wake_at
+            if not turn.done():
+                turn.set_result(None)
+            await settle()
+        self.time = end
+
+
+async def settle() -> None:
+    """Let all tasks run until they wait for something."""
+    for _ in range(30):
+        await asyncio.sleep(0)
+
+
+@attrs.define(eq=False)
+class FakeHost:
+    """A host of one target and what runs on it.
+
+    Parameters
+    ----------
+    start : int
+        How often it was started; 0 and ``up`` False before the first time.
+    cut : int
+        Requests that a power-off cut.
+    """
+
+    address: str
+    up: bool = True
+    start: int = 1
+    running: int = 0
+    queued: int = 0
+    slots: int = 4
+    leaving: bool = False
+    models: tuple[str, ...] = ('model-a',)
+    honours_fences: bool = False
+    checks_incarnation: bool = True
+    obeys_leave: bool = True
+    fence: int = 0
+    cut: int = 0
+    orders: list[Order] = attrs.field(factory=list)
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of the present start."""
+        return f'{self.address}-{self.start}'
+
+    def switch(self, *, on: bool) -> None:
+        """Switch it on or off at once."""
+        if on and not self.up:
+            self.start += 1
+            self.leaving = False
+            self.running = 0
+            self.queued = 0
+        if not on:
+            self.cut += self.running + self.queued
+            self.running = 0
+            self.queued = 0
+        self.up = on
+
+    def take(self, order: Order) -> TargetFault | None:
+        """Obey an order, or refuse it where the host checks."""
+        self.orders.append(order)
+        if self.honours_fences and order.fence < self.fence:
+            return REFUSED
+        self.fence = max(self.fence, order.fence)
+        if self.checks_incarnation and order.incarnation != self.incarnation:
+            return REFUSED
+        if order.kind == LEAVE and self.obeys_leave:
+            self.leaving = True
+        elif order.kind == LOAD_MODEL:
+            self.models = (*self.models, order.model)
+        elif order.kind == POWER_OFF:
+            self.switch(on=False)
+        return None
+
+
+@attrs.define(eq=False)
+class FakeTargets(TargetClient):
+    """Client of hosts in this process.
+
+    ``stale`` names addresses whose pooled connection swallows everything.
+    """
+
+    clock: VirtualClock
+    hosts: dict[str, FakeHost] = attrs.field(factory=dict)
+    stale: set[str] = attrs.field(factory=set)
+    asked: list[tuple[str, bool]] = attrs.field(factory=list)
+    events: dict[str, CacheEvents] = attrs.field(factory=dict)
+    answers_lost: int = 0
+    cut: set[str] = attrs.field(factory=set)
+
+    async def load(
+        self,
+        address: str,
+        *,
+        fresh: bool = False,
+    ) -> LoadReport | TargetFault:
+        """Report a host's load as it is."""
+        self.asked.append((address, fresh))
+        host = self.hosts.get(address)
+        if host is None or not host.up or address in self.cut:
+            return UNREACHABLE
+        if address in self.stale and not fresh:
+            return NO_ANSWER
+        return LoadReport(
+            running=host.running,
+            queued=host.queued,
+            slots=host.slots,
+            incarnation=host.incarnation,
+            leaving=host.leaving,
+            taken_at=self.clock.now(),
+            models=host.models,
+        )
+
+    async def cache_events(
+        self,
+        address: str,
+        since: int,
+    ) -> CacheEvents | TargetFault:
+        """Return what the test laid ready."""
+        return self.events.get(address, REFUSED)
+
+    async def order(self, address: str, order: Order) -> TargetFault | None:
+        """Carry an order to a host."""
+        host = self.hosts.get(address)
+        if host is None or not host.up or address in self.cut:
+            return UNREACHABLE
+        outcome = host.take(order)
+        if self.answers_lost:
+            self.answers_lost -= 1
+            return NO_ANSWER
+        return outcome
--- /dev/null
+++ b/tests/test_gateway_target_client.py
@@ -0,0 +1,51 @@
+"""Tests of the HTTP client of targets against the stand-in engine."""
+
+import unittest
+
+from balsamreach.clock import SystemClock
+from balsamreach.config.reader import read_settings
+from balsamreach.gateway.target_client import HttpTargetClient
+from balsamreach.standins.engine_settings import EngineSettings
+from balsamreach.standins.serve import start_engine
+from balsamreach.targets.client import LEAVE, POWER_OFF, CacheEvent, Order
+from balsamreach.targets.faults import NO_ANSWER, REFUSED, UNREACHABLE
+
+
+class HttpTargetClientTest(unittest.IsolatedAsyncioTestCase):
+    """One engine on a free port."""
+
+    async def asyncSetUp(self) -> None:
+        cfg = EngineSettings(first_ms=0, pace_ms=0, load_lag_s=0)
+        self.running = await start_engine(cfg)
+        self.addAsyncCleanup(self.running.stop)
+        cfg = read_settings(
+            None, ('host.zone=zone-a', 'targets.poll_timeout=300ms')
+        )
+        self.client = HttpTargetClient(cfg, SystemClock())
+        self.addCleanup(self.client.close)
+        self.engine = self.running.core
+
+    async def test_report_orders_and_events(self) -> None:
+        address = self.running.address
+        report = await self.client.load(address)
+        self.assertEqual((report.slots, report.incarnation), (8, 'first'))
+        self.assertEqual(report.models, ('model-a',))
+        old = Order(LEAVE, 3, 'another start')
+        self.assertEqual(await self.client.order(address, old), REFUSED)
+        self.assertIsNone(
+            await self.client.order(address, Order(LEAVE, 5, 'first'))
+        )
+        late = Order(POWER_OFF, 4, 'first')
+        self.assertEqual(await self.client.order(address, late), REFUSED)
+        self.assertTrue((await self.client.load(address, fresh=True)).leaving)
+        self.engine.cache.use(('x',))
+        events = await self.client.cache_events(address, 0)
+        self.assertEqual(events.events, (CacheEvent(1, 'x', stored=True),))
+        self.assertEqual(events.next_seq, 2)
+
+    async def test_silent_and_gone(self) -> None:
+        self.engine.set_silent(silent=True)
+        address = self.running.address
+        self.assertEqual(await self.client.load(address), NO_ANSWER)
+        self.engine.set_silent(silent=False)
+        self.assertEqual(await self.client.load('127.0.0.1:1'), UNREACHABLE)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -7,7 +7,7 @@
 
 PACKAGE = 'balsamreach'
 #: Packages that only decide: clock, randomness and platform reach them.
-DECISIONS = ('budget', 'requests', 'routing', 'targets', 'table')
+DECISIONS = ('budget', 'requests', 'routing', 'targets', 'table', 'power')
 #: What a decision package may not reach, not even through another module.
 TRANSPORTS = frozenset(('tornado', 'capnp', 'pycapnp', 'pycurl'))
 #: What no module may import: a process of the product starts no other one.
