Join routers over TCP, with heartbeats, deaths and mutual TLS

Cause: routers knew nothing of each other. Change: TcpPeerNet: one task per connection and per peer, written straight down. Links greet with version and fleet, send heartbeats, pair answers with asks by number, bound their queues. A link that ends or goes silent is tried once anew before its peer is called dead. Upkeep opens the chosen links, probes addresses of the host list, the seeds and the dead, so that partitions heal. Both ends of TLS check the other's certificate. New keys [peers] fleet and seeds; GET /peers; serve prints its peers' address.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -53,6 +53,8 @@
 class PeersSettings(Listener):
     """Section ``[peers]``: the listener for other routers."""
 
+    fleet: str = key(views.read_name)
+    seeds: tuple[str, ...] = key(views.read_endpoints)
     max_peers: int = key(units.read_count)
     heartbeat: float = key(units.read_duration)
     gap_timeout: float = key(units.read_duration)
--- a/src/balsamreach/config/views.py
+++ b/src/balsamreach/config/views.py
@@ -123,6 +123,28 @@
     )
 
 
+def read_endpoints(text: str) -> tuple[str, ...] | ConfigFault:
+    """Read pairs of IP number and port, separated by commas or white space.
+
+    Parameters
+    ----------
+    text : str
+        Any number of pairs like ``127.0.0.1:8082``.
+
+    Returns
+    -------
+    tuple of str or ConfigFault
+        The pairs in their order.
+    """
+    endpoints = tuple(text.replace(',', ' ').split())
+    for endpoint in endpoints:
+        address, _, port = endpoint.rpartition(':')
+        for outcome in (read_address(address), read_port(port)):
+            if isinstance(outcome, ConfigFault):
+                return BAD_VALUE.because('write pairs like 127.0.0.1:8082')
+    return endpoints
+
+
 @attrs.frozen
 class Choice:
     """View of a key that takes one of a few words."""
--- /dev/null
+++ b/src/balsamreach/daemon/net.py
@@ -0,0 +1,58 @@
+"""Puts a router's net of peers together from its settings."""
+
+import random
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import Settings
+from balsamreach.daemon.clients import platform_client
+from balsamreach.peers.discovery import Discovery
+from balsamreach.peers.net import TcpPeerNet
+from balsamreach.platform.hosts_http import HttpHostList
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import Member
+
+
+def make_net(
+    cfg: Settings,
+    incarnation: str,
+    clock: Clock,
+    rng: random.Random,
+    metrics: Metrics,
+) -> TcpPeerNet:
+    """Make the net of a router; nothing is opened yet.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The router's settings.
+    incarnation : str
+        Identity of this start.
+    clock : Clock
+        Source of time.
+    rng : random.Random
+        Source of randomness.
+    metrics : Metrics
+        Where peers are counted.
+
+    Returns
+    -------
+    TcpPeerNet
+        The net; its address has no port before it starts.
+    """
+    hosts = HttpHostList(platform_client(cfg, cfg.platform.hosts))
+    address = cfg.peers.address or cfg.host.address
+    me = Member(
+        incarnation=incarnation,
+        host=cfg.host.name,
+        address=f'{address}:{cfg.peers.port}',
+        zone=cfg.host.zone,
+        started=clock.wall(),
+    )
+    return TcpPeerNet(
+        me=me,
+        cfg=cfg,
+        clock=clock,
+        rng=rng,
+        metrics=metrics,
+        discovery=Discovery(hosts, cfg.peers.seeds),
+    )
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -8,15 +8,16 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
+from balsamreach.daemon.clients import platform_client
+from balsamreach.daemon.net import make_net
 from balsamreach.daemon.target_watch import TargetWatch, open_watch
 from balsamreach.dispatch.attempts import Attempts
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.run import RunParts
 from balsamreach.gateway.curl_upstream import CurlUpstream
-from balsamreach.peers.alone import make_alone
+from balsamreach.peers.net import TcpPeerNet
 from balsamreach.platform.base import TableService
-from balsamreach.platform.http import PlatformClient, TlsSettings
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.registry import Answers
@@ -45,6 +46,7 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
+    net: TcpPeerNet
     service: TableService
     view: TableView
     reader: TableReader
@@ -71,22 +73,28 @@
         Parts that share one clock, one source of randomness and one
         incarnation; nothing is started or sent yet.
     """
-    clock = SystemClock()
-    rng = random.Random()
-    metrics = Metrics()
-    incarnation = uuid.uuid4().hex
+    net = make_net(
+        cfg,
+        uuid.uuid4().hex,
+        SystemClock(),
+        random.Random(),
+        Metrics(),
+    )
+    clock = net.clock
+    metrics = net.metrics
     service = HttpTableService(platform_client(cfg, cfg.platform.table))
     view = TableView()
     targets = Targets(warm_time=cfg.power.warm_time)
-    budgets = Budgets(service, incarnation, cfg.budget, clock)
+    budgets = Budgets(service, net.me.incarnation, cfg.budget, clock)
     upstream = CurlUpstream(cfg)
-    routing = make_routing(cfg, targets, clock, rng, metrics)
+    routing = make_routing(cfg, targets, clock, net.rng, metrics)
     return Parts(
         cfg=cfg,
-        incarnation=incarnation,
+        incarnation=net.me.incarnation,
         clock=clock,
-        rng=rng,
+        rng=net.rng,
         metrics=metrics,
+        net=net,
         service=service,
         view=view,
         reader=TableReader(service, view),
@@ -98,7 +106,7 @@
         dispatcher=Dispatcher(
             RunParts(
                 budgets=budgets,
-                claims=Claims(service, incarnation, clock, metrics),
+                claims=Claims(service, net.me.incarnation, clock, metrics),
                 answers=Answers(cfg.requests, clock, metrics),
                 placer=Placer(routing),
                 attempts=Attempts(upstream, clock, routing.feedback),
@@ -108,19 +116,9 @@
         watch=open_watch(
             cfg,
             targets,
-            make_alone(cfg, incarnation, clock.wall()),
+            net,
             platform_client(cfg, cfg.platform.hosts),
             clock,
             metrics,
         ),
     )
-
-
-def platform_client(cfg: Settings, base_url: str) -> PlatformClient:
-    """Return a sender for one of the platform's services."""
-    return PlatformClient(
-        base_url,
-        cfg.platform.connect_timeout,
-        cfg.platform.request_timeout,
-        TlsSettings(ca_certs=cfg.platform.tls_ca or None),
-    )
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -16,6 +16,7 @@
     ReadyHandler,
 )
 from balsamreach.gateway.operators import OperatorContext, make_operators_app
+from balsamreach.gateway.operators_peers import peers_handlers
 from balsamreach.gateway.operators_quarantine import quarantine_handlers
 from balsamreach.gateway.operators_targets import (
     TargetsContext,
@@ -52,6 +53,9 @@
     async def start(self) -> None:
         """Open the listeners and begin to follow the table."""
         self.parts = make_parts(self.cfg)
+        # The command has read the TLS files before; nothing else can fail.
+        fault = await self.parts.net.start()
+        assert fault is None, fault
         self.callers = open_listener(
             self.cfg,
             self.cfg.callers,
@@ -79,14 +83,19 @@
         """Finish the requests in progress, record their bills and stop."""
         self.state = LEAVING
         self.callers.stop()
+        await self.parts.net.leave()
         await self.parts.dispatcher.drain()
         await self._flush_last()
+        await self.parts.net.stop()
+        await self._close()
+        log_event(_logger, logging.INFO, 'router_left')
+
+    async def _close(self) -> None:
         self.operators.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.parts.upstream.close()
-        log_event(_logger, logging.INFO, 'router_left')
 
     async def _flush_last(self) -> None:
         for _ in range(_LAST_FLUSHES):
@@ -140,6 +149,7 @@
             '.*',
             quarantine_handlers(context, parts.routing.quarantine),
         )
+        app.add_handlers('.*', peers_handlers(context, parts.net))
         self._add_health(app)
         return app
 
--- /dev/null
+++ b/src/balsamreach/peers/greeter.py
@@ -0,0 +1,38 @@
+"""What a router says of itself on its connections."""
+
+import attrs
+
+from balsamreach.peers.membership import Membership
+from balsamreach.wire.messages import PROTOCOL_VERSION, Heartbeat, Hello
+
+
+@attrs.define(eq=False)
+class Greeter:
+    """Makes greetings and heartbeats as of now.
+
+    Parameters
+    ----------
+    fleet : str
+        Name of the fleet; others are strangers.
+    membership : Membership
+        Knows this router.
+    table_version : int
+        Version of the table in force here.
+    """
+
+    fleet: str
+    membership: Membership
+    table_version: int = 0
+
+    def hello(self) -> Hello:
+        """Return the greeting."""
+        return Hello(
+            PROTOCOL_VERSION,
+            self.fleet,
+            self.membership.me,
+            self.table_version,
+        )
+
+    def heartbeat(self) -> Heartbeat:
+        """Return the heartbeat."""
+        return Heartbeat(self.table_version)
--- a/src/balsamreach/peers/membership.py
+++ b/src/balsamreach/peers/membership.py
@@ -1,6 +1,7 @@
 """Which routers there are, as far as this one knows."""
 
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 import xxhash
@@ -110,14 +111,22 @@
         self._store(attrs.evolve(known, dead=True))
         return True
 
-    def change_me(self, *, leaving: bool = True, dead: bool = False) -> Member:
-        """Mark this router as leaving or gone; neither is taken back."""
-        self.me = attrs.evolve(
-            self.me,
-            leaving=leaving,
-            dead=dead,
-            revision=self.me.revision + 1,
-        )
+    def change_me(self, **changes: Any) -> Member:
+        """Change what this router says of itself.
+
+        Parameters
+        ----------
+        **changes : Any
+            Attributes of the member. Peers never take back that it leaves.
+
+        Returns
+        -------
+        Member
+            This router from now on.
+        """
+        self._holders.leave(self.me)
+        revision = self.me.revision + 1
+        self.me = attrs.evolve(self.me, revision=revision, **changes)
         self._store(self.me)
         return self.me
 
--- /dev/null
+++ b/src/balsamreach/peers/upkeep.py
@@ -0,0 +1,141 @@
+"""What a router does for its net at every heartbeat."""
+
+import random
+
+import attrs
+
+from balsamreach.config.settings import PeersSettings
+from balsamreach.peers import counters
+from balsamreach.peers.discovery import Discovery
+from balsamreach.peers.faults import PeerFault
+from balsamreach.peers.keeper import Keeper
+from balsamreach.peers.link import Link
+from balsamreach.peers.neighbours import choose
+from balsamreach.wire.messages import Member
+
+#: Seconds between two comparisons with some neighbour.
+COMPARE_EVERY = 10
+#: Seconds between two tries of an address where nobody is known to live.
+PROBE_EVERY = 10
+#: Seconds between two reads of the host list while links stand.
+LIST_EVERY = 30
+#: Seconds after which an unwanted link without traffic is given up.
+IDLE_AFTER = 60
+
+
+@attrs.define(eq=False)
+class Upkeep:
+    """Opens wanted links, parts from unwanted ones, heals partitions.
+
+    Parameters
+    ----------
+    cfg : PeersSettings
+        Bounds and intervals.
+    keeper : Keeper
+        Opens and serves links.
+    discovery : Discovery
+        Addresses to try.
+    rng : random.Random
+        Picks neighbours and addresses.
+    """
+
+    cfg: PeersSettings
+    keeper: Keeper
+    discovery: Discovery
+    rng: random.Random
+    _chosen: tuple[Member, ...] = ()
+    _chosen_at: int = 0
+    _compare_at: float = 0
+    _probe_at: float = 0
+    _list_at: float = 0
+
+    async def run(self) -> None:
+        """Do what is due, heartbeat after heartbeat, until cancelled."""
+        clock = self.keeper.connector.context.clock
+        while True:
+            self.turn(clock.now())
+            await clock.sleep(self.cfg.heartbeat)
+
+    def turn(self, now: float) -> None:
+        """Do what is due now."""
+        self.keeper.membership.forget()
+        self.keeper.gossip.flush()
+        self._open_wanted()
+        self._part_unwanted(now)
+        lonely = not self.keeper.links.every()
+        if lonely or now >= self._probe_at:
+            self._probe_at = now + self._jittered(PROBE_EVERY)
+            self._probe()
+        if lonely or now >= self._list_at:
+            self._list_at = now + self._jittered(LIST_EVERY)
+            self.keeper.start(self.refresh())
+        if now >= self._compare_at:
+            self._compare_at = now + self._jittered(COMPARE_EVERY)
+            self._compare()
+        self._measure()
+
+    async def refresh(self) -> PeerFault | None:
+        """Read the host list."""
+        return await self.discovery.refresh()
+
+    def _open_wanted(self) -> None:
+        membership = self.keeper.membership
+        if self._chosen_at != membership.version:
+            self._chosen_at = membership.version
+            self._chosen = choose(
+                membership.me,
+                membership.alive(),
+                self.cfg.max_peers,
+            )
+        for member in self._chosen:
+            if self.keeper.links.best(member.incarnation) is None:
+                self.keeper.start(self.keeper.reach(member))
+
+    def _part_unwanted(self, now: float) -> None:
+        chosen = {member.incarnation for member in self._chosen}
+        surplus = self.keeper.links.surplus()
+        for link in self.keeper.links.every():
+            unwanted = link.dialled and link.peer.incarnation not in chosen
+            idle = now - link.used_at > IDLE_AFTER
+            if link in surplus or (unwanted and idle):
+                link.part()
+
+    def _probe(self) -> None:
+        """Try one address where nobody is known to live.
+
+        After a partition each side holds the other for dead. Nobody would
+        ever look again, and the fleet would stay in two.
+        """
+        membership = self.keeper.membership
+        dead = [member.address for member in membership.told() if member.dead]
+        addresses = [
+            address
+            for address in (*self.discovery.addresses(), *dead)
+            if membership.holder(address) is None
+        ]
+        if addresses:
+            address = self.rng.choice(addresses)
+            self.keeper.start(self._try(address))
+
+    async def _try(self, address: str) -> None:
+        link = await self.keeper.connector.dial(address)
+        if isinstance(link, Link):
+            await self.keeper.serve(link)
+
+    def _compare(self) -> None:
+        peers = self.keeper.links.peers()
+        if peers:
+            peer = self.rng.choice(peers)
+            gossip = self.keeper.gossip
+            self.keeper.start(gossip.compare(peer.incarnation))
+
+    def _measure(self) -> None:
+        context = self.keeper.connector.context
+        metrics = context.tally.metrics
+        links = self.keeper.links.every()
+        metrics.gauge(counters.LINKS, len(links))
+        alive = self.keeper.membership.alive()
+        metrics.gauge(counters.MEMBERS, len(alive))
+
+    def _jittered(self, seconds: float) -> float:
+        return seconds * (0.5 + self.rng.random())
--- a/src/balsamreach/trial/plan.py
+++ b/src/balsamreach/trial/plan.py
@@ -46,6 +46,12 @@
         """Return the peers' port of a router."""
         return _PEERS_PORT + self.shift + number
 
+    def seeds(self) -> str:
+        """Return the peers' listeners of all routers."""
+        return ' '.join(
+            f'{_IP}:{self.peers(number)}' for number in range(self.routers)
+        )
+
     @property
     def platform(self) -> int:
         """Port of the stand-in platform."""
@@ -83,6 +89,7 @@
             f'operators.port={self.operators(number)}',
             f'operators.keys={hash_key(self.operator_key)}',
             f'peers.port={self.peers(number)}',
+            f'peers.seeds={self.seeds()}',
             f'platform.table={url}',
             f'platform.objects={url}',
             f'platform.hosts={url}',
--- a/src/balsamreach/ui/serve.py
+++ b/src/balsamreach/ui/serve.py
@@ -10,8 +10,11 @@
 from balsamreach.config.reader import check_ports, read_settings
 from balsamreach.daemon.router import Router
 from balsamreach.daemon.run import run_until_stopped
+from balsamreach.peers.faults import PeerFault
+from balsamreach.peers.tls import load_tls
 from balsamreach.telemetry.logs import set_up_logging
-from balsamreach.ui.errors import settings_error
+from balsamreach.ui import exit_codes
+from balsamreach.ui.errors import CommandError, settings_error
 
 
 @click.command('serve')
@@ -37,6 +40,9 @@
     taken = check_ports(cfg)
     if taken is not None:
         raise settings_error(taken)
+    tls = load_tls(cfg.peers)
+    if isinstance(tls, PeerFault):
+        raise CommandError('read the TLS files', tls, exit_codes.USAGE)
     set_up_logging(cfg)
     router = Router(cfg)
     asyncio.run(run_until_stopped(partial(_start, router), router.leave))
@@ -48,5 +54,6 @@
     started = {
         'callers': router.callers.address,
         'operators': router.operators.address,
+        'peers': router.parts.net.me.address,
     }
     click.echo(json.dumps(started))
--- a/tests/test_peers_membership.py
+++ b/tests/test_peers_membership.py
@@ -102,7 +102,7 @@
 
     def test_own_leaving_is_not_refuted_away(self):
         membership = _membership()
-        membership.change_me()
+        membership.change_me(leaving=True)
         membership.merge(attrs.evolve(_ME, revision=4, dead=True))
         self.assertTrue(membership.me.leaving)
         self.assertFalse(membership.me.dead)
