Bring about the failures between routers in tests, and mend what broke

Cause: the net stood without tests of silence, deaths, partitions, strangers, TLS. They found, and this mends: a router held to be dead could not be told so over a standing link, so partitions did not heal; probes that overlap closed each other's links; answers waited 40 ms for an acknowledgement (no TCP_NODELAY on accepted connections), where TLS made it visible; a way broken between only two routers made deaths and refutations without end (now paused from 5 s up to 5 min). Addresses are IP numbers, so no resolver thread is used any more.

--- a/src/balsamreach/peers/connector.py
+++ b/src/balsamreach/peers/connector.py
@@ -1,11 +1,13 @@
 """Opens connections to routers and lets in those that they open."""
 
+import asyncio
+import ipaddress
 import logging
+import socket
 from collections.abc import Callable
 
 import attrs
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from balsamreach.peers.faults import NOT_CONNECTED, STRANGER, PeerFault
 from balsamreach.peers.greeting import Refusal, greet, welcome
@@ -38,7 +40,6 @@
     context: LinkContext
     hello: Callable[[], Hello]
     tls: TlsContexts = attrs.field(factory=TlsContexts)
-    _client: TCPClient = attrs.field(factory=TCPClient)
 
     async def dial(self, address: str) -> Link | PeerFault:
         """Open a connection and greet whoever answers there.
@@ -63,6 +64,9 @@
 
     async def accept(self, stream: IOStream, address: str) -> Link | None:
         """Let a router in that opened a connection, or refuse it."""
+        # Small answers would wait for the acknowledgement of what was sent
+        # before them, some 40 ms each time.
+        stream.set_nodelay(True)
         gap = self.context.cfg.gap_timeout
         hello = await within(
             self.context.clock,
@@ -78,20 +82,24 @@
 
     async def _dial(self, address: str) -> Link | PeerFault:
         host, _, port = address.rpartition(':')
+        stream = _new_stream(host)
         try:
-            stream = await self._client.connect(
-                host,
-                int(port),
-                ssl_options=self.tls.client,
-                max_buffer_size=_MOST_BUFFER,
-            )
-        except (OSError, StreamClosedError, ValueError) as exc:
+            await stream.connect((host, int(port)))
+            if self.tls.client is not None:
+                stream = await stream.start_tls(False, self.tls.client)
+        except (OSError, StreamClosedError) as exc:
             return NOT_CONNECTED.because(f'{address}: {exc}')
+        except asyncio.CancelledError:
+            stream.close()
+            raise
+        return await self._greet(stream)
+
+    async def _greet(self, stream: IOStream) -> Link | PeerFault:
         try:
             hello = await greet(stream, self.hello())
-        except BaseException:
-            # Cancelled for lack of time: a connection left open would be
-            # held for a live one by the other end.
+        except asyncio.CancelledError:
+            # Out of time: left open, the connection would be held for a
+            # live one by the other end.
             stream.close()
             raise
         if isinstance(hello, PeerFault):
@@ -109,3 +117,13 @@
             code=code,
             address=address,
         )
+
+
+def _new_stream(host: str) -> IOStream:
+    # Addresses are IP numbers, so no resolver and none of its threads.
+    version = ipaddress.ip_address(host).version
+    family = socket.AF_INET if version == 4 else socket.AF_INET6
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    stream = IOStream(sock, max_buffer_size=_MOST_BUFFER)
+    stream.set_nodelay(True)
+    return stream
--- a/src/balsamreach/peers/keeper.py
+++ b/src/balsamreach/peers/keeper.py
@@ -3,12 +3,11 @@
 import asyncio
 import logging
 import random
-from collections.abc import Coroutine
-from typing import Any
 
 import attrs
 
 from balsamreach.peers import counters
+from balsamreach.peers.backoff import Backoff
 from balsamreach.peers.connector import Connector
 from balsamreach.peers.faults import (
     LINK_PARTED,
@@ -20,6 +19,7 @@
 from balsamreach.peers.link import Link, LinkContext
 from balsamreach.peers.links import Links
 from balsamreach.peers.membership import Membership
+from balsamreach.peers.tasks import Tasks
 from balsamreach.peers.waiting import within
 from balsamreach.telemetry.logs import log_event
 from balsamreach.wire.messages import Member
@@ -52,14 +52,16 @@
     gossip: Gossip
     rng: random.Random
     stopping: bool = False
+    tasks: Tasks = attrs.field(factory=Tasks)
+    backoff: Backoff = attrs.field(init=False)
     _dialling: dict[str, asyncio.Task] = attrs.field(factory=dict)
-    _tasks: set[asyncio.Task] = attrs.field(factory=set)
     _comparing: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     _alone: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Begin without a link."""
         self._alone.set()
+        self.backoff = Backoff(self.connector.context.clock)
 
     async def reach(self, member: Member, tries: int = 2) -> Link | PeerFault:
         """Return a link to a router, opening one if there is none.
@@ -79,34 +81,48 @@
         best = self.links.best(member.incarnation)
         if best is not None:
             return best
+        if self.backoff.waits(member.incarnation):
+            return NOT_CONNECTED.because('it failed a moment ago')
         dialling = self._dialling.get(member.incarnation)
         if dialling is None:
-            dialling = self.start(self._dial(member, tries))
+            dialling = self.tasks.start(self._dial(member, tries))
             self._dialling[member.incarnation] = dialling
             dialling.add_done_callback(
                 lambda _: self._dialling.pop(member.incarnation),
             )
         return await asyncio.shield(dialling)
 
+    async def reach_by_name(self, incarnation: str) -> Link | PeerFault:
+        """Return a link to an incarnation, opening one if there is none."""
+        # A link counts more than a mark of death: over it the router learns
+        # that it is held to be dead, and takes that back.
+        link = self.links.best(incarnation)
+        if link is not None:
+            return link
+        member = self.membership.find(incarnation)
+        if member is None or member.dead:
+            return NOT_CONNECTED.because('no such router is known')
+        return await self.reach(member)
+
     async def serve(self, link: Link) -> None:
         """Serve a link to its end, and then see to the peer."""
         peer = link.peer
         self._add(link)
-        self.start(self._compare(peer))
+        self.tasks.start(self._compare(peer))
         try:
             ended = await link.run()
         finally:
-            self._remove(link)
+            self.links.remove(link)
+            if not self.links.every():
+                self._alone.set()
         _count(link.context, counters.ENDED, reason=ended.code)
         _log(logging.INFO, 'peer_down', peer, ended.reason or ended.code)
         await self._after(peer, ended)
 
-    def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
-        """Run work in a task that ends with the keeper."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+    def forget(self) -> None:
+        """Drop what is too old to matter."""
+        self.membership.forget()
+        self.backoff.forget()
 
     async def stop(self) -> None:
         """Part from all peers, and end whatever goes on."""
@@ -119,24 +135,17 @@
         # would take to call it silent.
         gap = context.cfg.gap_timeout
         await within(context.clock, gap, self._alone.wait())
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.tasks.cancel()
 
     def _add(self, link: Link) -> None:
         peer = link.peer
         self.links.add(link)
+        self.backoff.succeeded(peer.incarnation)
         self._alone.clear()
         if self.membership.met(peer):
             self.gossip.tell(self.membership.find(peer.incarnation) or peer)
         _log(logging.INFO, 'peer_up', peer, '')
 
-    def _remove(self, link: Link) -> None:
-        self.links.remove(link)
-        if not self.links.every():
-            self._alone.set()
-
     async def _compare(self, peer: Member) -> None:
         # One after the other: a router that starts would otherwise load the
         # whole list from all its first neighbours at once.
@@ -167,13 +176,15 @@
                 return self._accept_dialled(member, link)
             if link == STRANGER:
                 # Somebody lives there who doesn't let this router in.
+                self.backoff.failed(member.incarnation)
                 return link
             fault = link
+        self.backoff.failed(member.incarnation)
         self._bury(member, fault)
         return fault
 
     def _accept_dialled(self, member: Member, link: Link) -> Link | PeerFault:
-        self.start(self.serve(link))
+        self.tasks.start(self.serve(link))
         if link.peer.incarnation == member.incarnation:
             return link
         self._bury(member, NOT_CONNECTED.because('its address has another'))
--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -57,7 +57,7 @@
     heartbeat: Callable[[], Heartbeat] = Heartbeat
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, repr=False)
 class Link:
     """A connection that both ends have greeted each other on.
 
--- a/src/balsamreach/peers/links.py
+++ b/src/balsamreach/peers/links.py
@@ -25,11 +25,15 @@
     _links: list[Link] = attrs.field(factory=list)
 
     def add(self, link: Link) -> None:
-        """Take a new link; a dead one of the same making is closed."""
+        """Take a new link, and part from the one that it replaces.
+
+        Whoever dials again has given the earlier link up, or didn't know of
+        it yet. Just closed, it would look like a loss to a peer that has
+        not seen the new one stand, and the peer would dial once more.
+        """
         for other in self._to(link.peer.incarnation):
             if other.dialled == link.dialled:
-                # Whoever dials again has given the earlier link up.
-                other.stream.close()
+                other.part()
         self._links.append(link)
 
     def remove(self, link: Link) -> None:
@@ -64,12 +68,12 @@
     def _to(self, incarnation: str) -> list[Link]:
         return [
             link
-            for link in self._links
+            for link in reversed(self._links)
             if link.peer.incarnation == incarnation and not link.stream.closed()
         ]
 
-    def _preference(self, link: Link) -> tuple[bool, bool, float]:
+    def _preference(self, link: Link) -> tuple[bool, bool]:
         heartbeat = link.context.cfg.heartbeat
         silent = link.context.clock.now() - link.heard_at > 2 * heartbeat
         smaller = link.dialled == (self.own < link.peer.incarnation)
-        return (not silent, smaller, link.heard_at)
+        return (not silent, smaller)
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -10,7 +10,7 @@
 from balsamreach.peers.base import PeerNet, Taker
 from balsamreach.peers.connector import Connector
 from balsamreach.peers.discovery import Discovery
-from balsamreach.peers.faults import NOT_CONNECTED, PeerFault
+from balsamreach.peers.faults import PeerFault
 from balsamreach.peers.gossip import Gossip
 from balsamreach.peers.greeter import Greeter
 from balsamreach.peers.homes import home_of
@@ -105,10 +105,7 @@
 
         A connection is opened if none stands.
         """
-        member = self.keeper.membership.find(incarnation)
-        if member is None or member.dead:
-            return NOT_CONNECTED.because('no such router is known')
-        link = await self.keeper.reach(member)
+        link = await self.keeper.reach_by_name(incarnation)
         if isinstance(link, PeerFault):
             return link
         return await link.ask(message)
@@ -123,7 +120,7 @@
             return link.tell(message)
         member = self.keeper.membership.find(incarnation)
         if member is not None and not member.dead:
-            self.keeper.start(self.keeper.reach(member))
+            self.keeper.tasks.start(self.keeper.reach(member))
         return False
 
     def spread(self, message: Message, besides: str = '') -> None:
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -1,5 +1,6 @@
 """What a router does for its net at every heartbeat."""
 
+import asyncio
 import random
 
 import attrs
@@ -45,6 +46,7 @@
     rng: random.Random
     _chosen: tuple[Member, ...] = ()
     _chosen_at: int = 0
+    _probing: asyncio.Task | None = None
     _compare_at: float = 0
     _probe_at: float = 0
     _list_at: float = 0
@@ -58,7 +60,7 @@
 
     def turn(self, now: float) -> None:
         """Do what is due now."""
-        self.keeper.membership.forget()
+        self.keeper.forget()
         self.keeper.gossip.flush()
         self._open_wanted()
         self._part_unwanted(now)
@@ -68,7 +70,7 @@
             self._probe()
         if lonely or now >= self._list_at:
             self._list_at = now + self._jittered(LIST_EVERY)
-            self.keeper.start(self.refresh())
+            self.keeper.tasks.start(self.refresh())
         if now >= self._compare_at:
             self._compare_at = now + self._jittered(COMPARE_EVERY)
             self._compare()
@@ -89,7 +91,7 @@
             )
         for member in self._chosen:
             if self.keeper.links.best(member.incarnation) is None:
-                self.keeper.start(self.keeper.reach(member))
+                self.keeper.tasks.start(self.keeper.reach(member))
 
     def _part_unwanted(self, now: float) -> None:
         chosen = {member.incarnation for member in self._chosen}
@@ -113,21 +115,21 @@
             for address in (*self.discovery.addresses(), *dead)
             if membership.holder(address) is None
         ]
-        if addresses:
+        if addresses and (self._probing is None or self._probing.done()):
             address = self.rng.choice(addresses)
-            self.keeper.start(self._try(address))
+            self._probing = self.keeper.tasks.start(self._try(address))
 
     async def _try(self, address: str) -> None:
         link = await self.keeper.connector.dial(address)
         if isinstance(link, Link):
-            await self.keeper.serve(link)
+            self.keeper.tasks.start(self.keeper.serve(link))
 
     def _compare(self) -> None:
         peers = self.keeper.links.peers()
         if peers:
             peer = self.rng.choice(peers)
             gossip = self.keeper.gossip
-            self.keeper.start(gossip.compare(peer.incarnation))
+            self.keeper.tasks.start(gossip.compare(peer.incarnation))
 
     def _measure(self) -> None:
         context = self.keeper.connector.context
--- /dev/null
+++ b/tests/test_peers_tls.py
@@ -0,0 +1,98 @@
+"""Tests of mutual TLS between routers."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import trustme
+from parameterized import parameterized
+
+from balsamreach.config.reader import read_settings
+from balsamreach.peers.faults import BAD_TLS
+from balsamreach.peers.tls import load_tls
+from balsamreach.wire.messages import InFlight, InFlightAsk
+from tests.peers_rig import Rig, linked, names
+
+_CA = trustme.CA()
+_OTHER_CA = trustme.CA()
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """Only holders of a certificate of the fleet's CA get in."""
+
+    async def asyncSetUp(self):
+        self.rig = Rig()
+        self.addAsyncCleanup(self.rig.stop)
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name)
+
+    async def answer_seven(self, _member, message):
+        return InFlight(message.target, 7)
+
+    def write(self, name, issuer, authority=_CA):
+        """Write a router's files and return the settings that name them."""
+        cert = issuer.issue_cert('127.0.0.1')
+        places = {
+            'certificate': self.path / f'{name}.pem',
+            'key': self.path / f'{name}.key',
+            'ca': self.path / f'{name}.ca',
+        }
+        cert.cert_chain_pems[0].write_to_path(places['certificate'])
+        cert.private_key_pem.write_to_path(places['key'])
+        authority.cert_pem.write_to_path(places['ca'])
+        return [f'peers.tls_{key}={path}' for key, path in places.items()]
+
+    async def test_routers_of_one_ca_talk(self):
+        one = await self.rig.start('one', *self.write('one', _CA))
+        one.on(InFlightAsk, self.answer_seven)
+        seed = f'peers.seeds={one.me.address}'
+        two = await self.rig.start('two', seed, *self.write('two', _CA))
+        await self.rig.until(lambda: linked(two) == {'one'})
+        self.assertEqual(
+            await two.ask('one', InFlightAsk('engine-0')),
+            InFlight('engine-0', 7),
+        )
+
+    @parameterized.expand((('plain',), ('other_ca',), ('other_certificate',)))
+    async def test_stranger_stays_out(self, kind):
+        """A process without a certificate of the CA connects.
+
+        Symptom: messages from outside the fleet. Sequence: it connects in
+        plain text, or with another CA's certificate. Cause: a listener that
+        doesn't verify its clients.
+        """
+        one = await self.rig.start('one', *self.write('one', _CA))
+        tls = {
+            'plain': [],
+            'other_ca': self.write('two', _OTHER_CA, _OTHER_CA),
+            'other_certificate': self.write('two', _OTHER_CA),
+        }
+        seed = f'peers.seeds={one.me.address}'
+        two = await self.rig.start('two', seed, *tls[kind])
+        await self.rig.steps(15)
+        self.assertEqual((names(one), names(two)), ({'one'}, {'two'}))
+
+    async def test_reload_keeps_links_and_serves_new_ones(self):
+        """Certificates are renewed while the routers run."""
+        files = self.write('one', _CA)
+        one = await self.rig.start('one', *files)
+        seed = f'peers.seeds={one.me.address}'
+        two = await self.rig.start('two', seed, *self.write('two', _CA))
+        await self.rig.until(lambda: linked(one) == {'two'})
+        await self.rig.until(lambda: linked(two) == {'one'})
+        link = one.keeper.links.best('two')
+        self.write('one', _OTHER_CA, _OTHER_CA)
+        self.assertIsNone(one.reload_tls())
+        new = self.write('three', _OTHER_CA, _OTHER_CA)
+        await self.rig.start('three', seed, *new)
+        await self.rig.until(lambda: linked(one) == {'two', 'three'})
+        self.assertIs(one.keeper.links.best('two'), link)
+        self.assertIn('one', linked(two))
+
+    @parameterized.expand((('ca',), ('key',)))
+    def test_missing_file_is_a_fault(self, missing):
+        files = self.write('one', _CA)
+        (self.path / f'one.{missing}').unlink()
+        cfg = read_settings(None, ('host.zone=zone-a', *files))
+        self.assertEqual(load_tls(cfg.peers), BAD_TLS)
