--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 # memory file system; SHIV_ROOT in the environment overrides it.
 BINARY_ROOT = /dev/shm/balsamreach
 SOURCES = $(shell find src -name '*.py' -o -name '*.ini' -o -name '*.capnp')
-CHECKED = src tests tools
+CHECKED = src tests tools bench
 
-.PHONY: venv trial test test-binary lint format binary
+.PHONY: bench venv trial test test-binary lint format binary
 
 venv: $(STAMP)
 
@@ -27,6 +27,12 @@
 test-binary: $(STAMP) $(BINARY)
 	$(VENV)/bin/python tools/run_tests.py tests/binary
 
+# All scenarios, or one: make bench SCENARIO=relay SEED=2
+SCENARIO ?=
+SEED ?= 1
+bench: $(STAMP)
+	PYTHONPATH=. $(VENV)/bin/python -m bench $(SCENARIO) --seed $(SEED)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check $(CHECKED)
 	$(VENV)/bin/ruff check $(CHECKED)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,167 @@
+"""The processes of one run: platform, targets and routers."""
+
+import asyncio
+import json
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from balsamreach.clock import SystemClock
+from balsamreach.platform.http import PlatformClient
+from balsamreach.platform.table_http import HttpTableService
+from balsamreach.table.editor import Edit, Editor
+from balsamreach.table.faults import TableFault
+from balsamreach.table.rows import TargetRow, TeamRow, encode
+from balsamreach.table.view import hash_key
+from bench.processes import Process, start
+
+SECRET = 'bench-key'
+OPERATOR = 'bench-operator'
+ENOUGH = 1_000_000_000
+_READY_TRIES = 400
+_READY_STEP_S = 0.05
+
+
+def secret_of(team: str) -> str:
+    """Return the key of a team."""
+    return f'{SECRET}-{team}'
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Starts processes as a scenario asks for them and ends all.
+
+    Parameters
+    ----------
+    platform_url : str
+        Where routers find the platform, maybe through a link.
+    """
+
+    platform: Process
+    platform_url: str
+    table: HttpTableService
+    processes: list[Process] = attrs.field(factory=list)
+    routers: list[Process] = attrs.field(factory=list)
+    ended_cpu_s: float = 0
+
+    async def engine(self, *options: str) -> Process:
+        """Start a stand-in engine."""
+        arguments = ('balsamreach', 'standin', 'engine', *options)
+        return await self.start('engine', *arguments)
+
+    async def service(self, *options: str) -> Process:
+        """Start a stand-in plain service."""
+        arguments = ('balsamreach', 'standin', 'service', *options)
+        return await self.start('service', *arguments)
+
+    async def start(self, name: str, *arguments: str) -> Process:
+        """Start any process of the run."""
+        process = await start(name, *arguments)
+        self.processes.append(process)
+        return process
+
+    async def router(self, zone: str = 'zone-a', **settings: Any) -> Process:
+        """Start a router and wait until it has read the table."""
+        name = f'router-{len(self.routers)}'
+        chosen = _defaults(self.platform_url, name, zone) | settings
+        options = [
+            f'--set={key.replace("__", ".")}={text}'
+            for key, text in chosen.items()
+        ]
+        router = await self.start(name, 'balsamreach', 'serve', *options)
+        self.routers.append(router)
+        await wait_until(lambda: _is_ready(router))
+        return router
+
+    async def put(self, *rows: TeamRow | TargetRow) -> None:
+        """Write rows of the table as an operator would."""
+        editor = Editor(self.table, SystemClock())
+        for row in rows:
+            fields = encode(row)
+            edit = Edit(f'bench-{row.name}', 'bench', row.key, -1, fields)
+            outcome = await editor.apply(edit)
+            assert not isinstance(outcome, TableFault), outcome
+
+    async def stop(self) -> None:
+        """End every process, routers first."""
+        routers = [router.leave() for router in self.routers]
+        await asyncio.gather(*routers)
+        others = [process.leave() for process in reversed(self.processes)]
+        await asyncio.gather(*others)
+
+
+async def start_fleet() -> Fleet:
+    """Start the platform; everything else is added by the scenario."""
+    platform = await start('platform', 'balsamreach', 'standin', 'platform')
+    url = f'http://{platform.address}'
+    fleet = Fleet(platform, url, HttpTableService(PlatformClient(url)))
+    fleet.processes.append(platform)
+    return fleet
+
+
+def team(name: str, prepaid: int = ENOUGH, **fields: Any) -> TeamRow:
+    """Return the row of a team whose key is known."""
+    hashes = (hash_key(secret_of(name)),)
+    return TeamRow(name=name, prepaid=prepaid, key_hashes=hashes, **fields)
+
+
+def engine_row(name: str, address: str, **fields: Any) -> TargetRow:
+    """Return the row of an engine of the one model."""
+    given = {
+        'zone': 'zone-a',
+        'service': 'llm',
+        'models': ('model-a',),
+        'concurrency': 1000,
+    }
+    return TargetRow(name=name, address=address, **given | fields)
+
+
+async def fetch(url: str, secret: str = '', body: Any = None) -> Any:
+    """Call a JSON interface; None where it can't be reached or refuses."""
+    request = HTTPRequest(
+        url,
+        method='GET' if body is None else 'POST',
+        body=None if body is None else json.dumps(body),
+        headers={'Authorization': f'Bearer {secret}'},
+    )
+    try:
+        reply = await AsyncHTTPClient().fetch(request, raise_error=False)
+    except OSError:
+        return None
+    return json.loads(reply.body or b'null') if reply.code < 300 else None
+
+
+async def wait_until(check: Any, tries: int = _READY_TRIES) -> bool:
+    """Ask a coroutine function again and again until it returns true."""
+    for _ in range(tries):
+        if await check():
+            return True
+        await asyncio.sleep(_READY_STEP_S)
+    return False
+
+
+async def _is_ready(router: Process) -> bool:
+    url = f'http://{router.started["operators"]}/readyz'
+    try:
+        reply = await AsyncHTTPClient().fetch(url, raise_error=False)
+    except OSError:
+        return False
+    return reply.code == 200
+
+
+def _defaults(platform: str, name: str, zone: str) -> dict[str, Any]:
+    return {
+        'host.name': name,
+        'host.zone': zone,
+        'callers.port': 0,
+        'operators.port': 0,
+        'operators.keys': hash_key(OPERATOR),
+        'peers.port': 0,
+        'platform.table': platform,
+        'platform.objects': platform,
+        'platform.hosts': platform,
+        'platform.weights': platform,
+        'telemetry.traces': 'off',
+        'telemetry.log_level': 'error',
+    }
--- /dev/null
+++ b/bench/readers.py
@@ -0,0 +1,165 @@
+"""Reads many stamped streams at once, run as a process.
+
+It is told on the command line where, how many and how long, and prints one
+line of JSON when it begins and one with the latencies when it is done.
+"""
+
+import asyncio
+import functools
+import json
+import re
+import sys
+import time
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+_STAMP = re.compile(rb'"content":"(\d{20})"')
+_ACCEPTED = b'HTTP/1.1 200'
+_EVENT_END = b'}\n\n'
+_DONE = b'data: [DONE]'
+#: This part of a stream's tokens is left out at its beginning and end.
+_EDGE = 5
+_LONGEST_US = 60_000_000
+_NS_PER_US = 1000
+
+
+@attrs.define
+class Tally:
+    """What all streams of the process met."""
+
+    latencies: HdrHistogram = attrs.field(
+        factory=lambda: HdrHistogram(1, _LONGEST_US, 3),
+    )
+    chunks: int = 0
+    whole: int = 0
+    short: int = 0
+    refused: int = 0
+
+    def take(self, stamps: list[bytes]) -> None:
+        """Note how long stamped tokens were on their way."""
+        now = time.monotonic_ns()
+        for stamp in stamps:
+            late_us = (now - int(stamp)) // _NS_PER_US
+            self.latencies.record_value(max(1, late_us))
+            self.chunks += 1
+
+    def as_json(self) -> dict[str, Any]:
+        """Return counts and quantiles in milliseconds."""
+        quantile = self.latencies.get_value_at_percentile
+        return {
+            'chunks': self.chunks,
+            'whole': self.whole,
+            'short': self.short,
+            'refused': self.refused,
+            'p50_ms': quantile(50) / 1000,
+            'p99_ms': quantile(99) / 1000,
+        }
+
+
+class Reader(asyncio.Protocol):
+    """Sends one request and reads its answer."""
+
+    def __init__(self, request: bytes, tokens: int, tally: Tally) -> None:
+        self._request = request
+        self._tokens = tokens
+        self._left = tokens
+        self._edge = tokens // _EDGE
+        self._tally = tally
+        self._tail = b''
+        self._begun = False
+        self.ended = asyncio.get_running_loop().create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        self._transport = transport
+        transport.write(self._request)
+
+    def data_received(self, received: bytes) -> None:
+        """Take in tokens; close after the end mark."""
+        if not self._begun:
+            self._begun = True
+            if not received.startswith(_ACCEPTED):
+                self._tally.refused += 1
+                self._transport.close()
+        # A chunk cut in two by the network would hide its stamp.
+        received = self._tail + received
+        cut = received.rfind(_EVENT_END) + 1
+        self._tail = received[cut:]
+        stamps = _STAMP.findall(received, 0, cut)
+        self._left -= len(stamps)
+        # All streams begin and end together, which callers don't; the
+        # tokens near either end would tell of that burst alone.
+        if self._edge < self._left < self._tokens - self._edge:
+            self._tally.take(stamps)
+        if _DONE in received:
+            self._note(whole=self._left == 0)
+            self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Count an answer without end mark as short."""
+        self._note(whole=False)
+
+    def _note(self, *, whole: bool) -> None:
+        if self.ended.done():
+            return
+        self._tally.whole += whole
+        self._tally.short += not whole
+        self.ended.set_result(None)
+
+
+def make_request(secret: str, tokens: int) -> bytes:
+    """Return the bytes of one streaming request."""
+    body = json.dumps(
+        {
+            'model': 'model-a',
+            'stream': True,
+            'max_tokens': tokens,
+            'messages': [{'role': 'user', 'content': 'quote'}],
+        },
+    )
+    return (
+        'POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n'
+        f'Authorization: Bearer {secret}\r\n'
+        'Content-Type: application/json\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+async def read_all(
+    address: str,
+    streams: int,
+    tokens: int,
+    secret: str,
+) -> Tally:
+    """Read a number of streams at once to their ends."""
+    tally = Tally()
+    request = make_request(secret, tokens)
+    ip, port = address.split(':')
+    loop = asyncio.get_running_loop()
+    make_reader = functools.partial(Reader, request, tokens, tally)
+    readers = []
+    for _ in range(streams):
+        connected = await loop.create_connection(make_reader, ip, int(port))
+        readers.append(connected[1])
+    await asyncio.wait([reader.ended for reader in readers])
+    return tally
+
+
+async def main() -> None:
+    """Read as told and print the latencies."""
+    address, streams, tokens, secret = sys.argv[1:]
+    _print({'address': address})
+    tally = await read_all(address, int(streams), int(tokens), secret)
+    _print(tally.as_json())
+
+
+def _print(line: dict[str, Any]) -> None:
+    text = json.dumps(line)
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,84 @@
+"""What a scenario found, and which promises it saw broken."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+#: Keys that must be zero in every run, by the promise behind them.
+PROMISES = {
+    'overspend_tokens': "a team's spend stays within its prepaid budget",
+    'double_bills': 'each request is billed once',
+    'missing_bills': 'each request is billed',
+    'wrong_answers': 'a caller gets its own whole answer',
+    'ran_though_refused': 'what is called not run was not run',
+    'cut_by_shutdown': 'a graceful shutdown cuts off no request',
+    'late_work': 'a leaving target gets no new work after seconds',
+}
+_MOST_RUNS = 'non_idempotent_max_runs'
+
+
+@attrs.define
+class Report:
+    """Figures of one scenario.
+
+    Parameters
+    ----------
+    scenario : str
+        Its name.
+    seed : int
+        Seed of its randomness.
+    figures : dict
+        Figures by the keys that the documents use.
+    baseline : dict
+        The same of the baseline in the same run.
+    """
+
+    scenario: str
+    seed: int
+    figures: dict[str, Any] = attrs.field(factory=dict)
+    baseline: dict[str, Any] = attrs.field(factory=dict)
+
+    def broken(self) -> list[str]:
+        """Return the promises that the run saw broken."""
+        found = [
+            f'{promise}: {key} = {self.figures[key]}'
+            for key, promise in PROMISES.items()
+            if self.figures.get(key)
+        ]
+        runs = self.figures.get(_MOST_RUNS, 0)
+        if runs > 1:
+            found.append(f'a non-idempotent request ran {runs} times')
+        return found
+
+    def as_json(self) -> dict[str, Any]:
+        """Return everything that the file holds."""
+        head = {'scenario': self.scenario, 'seed': self.seed}
+        return head | self.figures | {'baseline': self.baseline}
+
+    def write(self, directory: Path) -> Path:
+        """Write the JSON file and return its path."""
+        directory.mkdir(parents=True, exist_ok=True)
+        path = directory / f'{self.scenario}.json'
+        text = json.dumps(self.as_json(), indent=2)
+        path.write_text(f'{text}\n')
+        return path
+
+    def table(self) -> str:
+        """Return the figures as lines of a table."""
+        keys = [*self.figures, *(self.baseline.keys() - self.figures.keys())]
+        lines = [f'{self.scenario:<28}{"measured":>14}{"baseline":>14}']
+        for key in keys:
+            measured = _show(self.figures.get(key))
+            lines.append(f'  {key:<26}{measured:>14}{self._based(key):>14}')
+        return '\n'.join(lines)
+
+    def _based(self, key: str) -> str:
+        return _show(self.baseline.get(key))
+
+
+def _show(figure: Any) -> str:
+    if figure is None:
+        return ''
+    return f'{figure:.2f}' if isinstance(figure, float) else str(figure)
--- /dev/null
+++ b/bench/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The scenarios, one module each with a coroutine ``run``."""
