Leave out heartbeats on busy links; measure what peers cost

Cause: with links to all routers of a zone, heartbeats alone would come near the 6 KB/s that control may cost a daemon.

--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -20,6 +20,7 @@
 )
 from balsamreach.peers.incoming import Incoming, MessageTaker
 from balsamreach.peers.outbox import Outbox
+from balsamreach.peers.pulse import Pulse
 from balsamreach.peers.tally import Tally
 from balsamreach.wire.codec import MOST_BYTES, Envelope, decode, encode
 from balsamreach.wire.faults import CLOSED, UNKNOWN_KIND, WireFault
@@ -82,6 +83,7 @@
     _outbox: Outbox = attrs.field(factory=Outbox)
     _asks: Asks = attrs.field(factory=Asks)
     _incoming: Incoming = attrs.field(init=False)
+    _pulse: Pulse = attrs.field(factory=Pulse)
 
     def __attrs_post_init__(self) -> None:
         """Count silence and idleness from now."""
@@ -129,6 +131,7 @@
         if self.stream.closed() or not self._outbox.put(frame(packed)):
             self.context.tally.dropped('queue_full')
             return NO_ANSWER.because('the queue to the peer is full')
+        self._pulse.sent(envelope.message)
         self.context.tally.message('out', envelope.message, len(packed))
         return None
 
@@ -184,7 +187,9 @@
         heartbeat = self.context.cfg.heartbeat
         while True:
             before = clock.now()
-            self.send(Envelope(self.context.heartbeat()))
+            beat = self.context.heartbeat()
+            if self._pulse.due(beat):
+                self.send(Envelope(beat))
             await clock.sleep(heartbeat)
             now = clock.now()
             if now - before > _PAUSE_FACTOR * heartbeat:
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -213,6 +213,24 @@
         await self.pass_heartbeat()
         self.assertEqual(await self.running, LINK_SILENT)
 
+    async def test_other_messages_take_the_place_of_heartbeats(self):
+        await self.settle()
+        self.assertEqual(self.beats(), 1)
+        await self.pass_heartbeat()
+        self.assertEqual(self.beats(), 2)
+        self.link.tell(Done())
+        await self.pass_heartbeat()
+        self.assertEqual(self.beats(), 2)
+        await self.pass_heartbeat()
+        self.assertEqual(self.beats(), 3)
+
+    def beats(self):
+        return self.metrics.counted(
+            counters.MESSAGES,
+            way='out',
+            kind='Heartbeat',
+        )
+
     async def test_own_pause_is_not_the_peers_silence(self):
         """The process stands still and goes on.
 
--- /dev/null
+++ b/tools/measure_links.py
@@ -0,0 +1,157 @@
+"""Measure CPU per message and memory per member and link of the peers layer.
+
+Two routers in one process talk over loopback, so the CPU is that of both
+ends together. Prints one JSON line.
+"""
+
+import asyncio
+import gc
+import json
+import random
+import socket
+import sys
+import time
+import tracemalloc
+
+from tornado.iostream import IOStream
+
+from balsamreach.clock import SystemClock
+from balsamreach.config.reader import read_settings
+from balsamreach.config.settings import Settings
+from balsamreach.peers.link import Link, LinkContext
+from balsamreach.peers.membership import Membership
+from balsamreach.peers.takers import Takers
+from balsamreach.peers.tally import Tally
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import (
+    InFlight,
+    InFlightAsk,
+    Member,
+    Message,
+    RunNote,
+)
+
+_MEMBERS = 910
+_LINKS = 100
+_TELLS = 20000
+_ASKS = 5000
+_BATCH = 500
+_MICRO = 1_000_000
+_NOTE = RunNote('team', 'key-1', 'f' * 64, 'a' * 32, '10.0.0.1:8080')
+
+
+class Counting:
+    """Takes messages and counts them."""
+
+    def __init__(self):
+        self.count = 0
+        self.batch = asyncio.Event()
+
+    async def answer(self, _: Member, message: Message) -> Message:
+        """Answer an ask."""
+        return InFlight('engine-0', 1)
+
+    async def take(self, _: Member, message: Message) -> None:
+        """Count a told message."""
+        self.count += 1
+        if self.count % _BATCH == 0:
+            self.batch.set()
+
+
+def make_member(number: int, rng: random.Random) -> Member:
+    """Return a member with texts of its own."""
+    return Member(
+        incarnation=f'{rng.getrandbits(128):032x}',
+        host=f'router-{number}',
+        address=f'10.0.{number // 250}.{number % 250}:8082',
+        zone=f'zone-{number % 27:02}',
+        started=float(number),
+    )
+
+
+def measure_members() -> float:
+    """Return bytes per member of a list."""
+    rng = random.Random(1)
+    tracemalloc.start()
+    membership = Membership(make_member(0, rng), SystemClock())
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(1, _MEMBERS):
+        membership.merge(make_member(number, rng))
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / _MEMBERS
+
+
+def make_links(cfg: Settings, counting: Counting) -> tuple[Link, Link]:
+    """Return both ends of a link over loopback."""
+    takers = Takers()
+    takers.on(InFlightAsk, counting.answer)
+    takers.on(RunNote, counting.take)
+    context = LinkContext(
+        cfg=cfg.peers,
+        clock=SystemClock(),
+        tally=Tally(Metrics()),
+        take=takers.take,
+    )
+    near, far = socket.socketpair()
+    peer = make_member(1, random.Random(1))
+    return (
+        Link(context, IOStream(near), peer, dialled=True),
+        Link(context, IOStream(far), peer, dialled=False),
+    )
+
+
+async def measure_link_memory(cfg: Settings) -> float:
+    """Return bytes per end of a running link."""
+    counting = Counting()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    pairs = [make_links(cfg, counting) for _ in range(_LINKS)]
+    tasks = [asyncio.create_task(link.run()) for pair in pairs for link in pair]
+    await asyncio.sleep(cfg.peers.heartbeat)
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return (after - before) / len(tasks)
+
+
+async def measure_messages(cfg: Settings) -> tuple[float, float]:
+    """Return CPU seconds per told message and per ask with its answer."""
+    counting = Counting()
+    near, far = make_links(cfg, counting)
+    tasks = [asyncio.create_task(link.run()) for link in (near, far)]
+    started = time.process_time()
+    for _ in range(_TELLS // _BATCH):
+        for _ in range(_BATCH):
+            near.tell(_NOTE)
+        await counting.batch.wait()
+        counting.batch.clear()
+    told = time.process_time()
+    for _ in range(_ASKS):
+        await near.ask(InFlightAsk('engine-0'))
+    asked = time.process_time()
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    return (told - started) / _TELLS, (asked - told) / _ASKS
+
+
+async def run() -> dict[str, float]:
+    """Return all figures."""
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    assert isinstance(cfg, Settings), cfg
+    tell, ask = await measure_messages(cfg)
+    return {
+        'cpu_us_per_told_message_both_ends': round(tell * _MICRO, 1),
+        'cpu_us_per_ask_and_answer_both_ends': round(ask * _MICRO, 1),
+        'bytes_per_member': round(measure_members()),
+        'bytes_per_link_end': round(await measure_link_memory(cfg)),
+    }
+
+
+if __name__ == '__main__':
+    report = json.dumps(asyncio.run(run()))
+    sys.stdout.write(f'{report}\n')
