--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -10,6 +10,11 @@
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.clients import platform_client
 from balsamreach.daemon.net import make_net
+from balsamreach.daemon.table_parts import (
+    TableNeeds,
+    TableParts,
+    make_table_parts,
+)
 from balsamreach.daemon.target_watch import TargetWatch, open_watch
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.run import RunParts
@@ -17,13 +22,11 @@
 from balsamreach.gateway.curl_upstream import CurlUpstream
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.platform.base import TableService
+from balsamreach.platform.objects_http import HttpObjectStore
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.registry import Answers
 from balsamreach.routing.routing import Routing, make_routing
-from balsamreach.table.editor import Editor
-from balsamreach.table.reader import TableReader
-from balsamreach.table.view import TableView
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
 
@@ -47,9 +50,7 @@
     metrics: Metrics
     net: TcpPeerNet
     service: TableService
-    view: TableView
-    reader: TableReader
-    editor: Editor
+    table: TableParts
     targets: Targets
     routing: Routing
     budgets: Budgets
@@ -82,7 +83,18 @@
     clock = net.clock
     metrics = net.metrics
     service = HttpTableService(platform_client(cfg, cfg.platform.table))
-    view = TableView()
+    table = make_table_parts(
+        TableNeeds(
+            cfg=cfg,
+            service=service,
+            objects=HttpObjectStore(platform_client(cfg, cfg.platform.objects)),
+            net=net,
+            clock=clock,
+            rng=net.rng,
+            metrics=metrics,
+        ),
+    )
+    net.greeter.table_version = table.follower.announced
     targets = Targets(warm_time=cfg.power.warm_time)
     budgets = Budgets(service, net.me.incarnation, cfg.budget, clock)
     upstream = CurlUpstream(cfg)
@@ -95,9 +107,7 @@
         metrics=metrics,
         net=net,
         service=service,
-        view=view,
-        reader=TableReader(service, view),
-        editor=Editor(service, clock),
+        table=table,
         targets=targets,
         routing=routing,
         budgets=budgets,
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -22,7 +22,8 @@
     TargetsContext,
     TargetsHandler,
 )
-from balsamreach.table.faults import TableFault
+from balsamreach.platform.base import Row
+from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
 
 STARTING = 'starting'
@@ -104,26 +105,27 @@
             await self.parts.clock.sleep(self.cfg.budget.flush_interval)
 
     async def _follow_table(self) -> None:
+        table = self.parts.table
+        table.view.watchers.append(self._take_rows)
+        table.status.start()
+        table.follower.start()
         while True:
-            outcome = await self.parts.reader.refresh()
-            if isinstance(outcome, TableFault):
-                log_event(
-                    _logger,
-                    logging.WARNING,
-                    'table_not_read',
-                    reason=outcome.reason,
-                )
-            elif self.state == STARTING:
+            await table.follower.step()
+            if self.state == STARTING and table.view.complete:
                 self.state = READY
-            self.parts.targets.update(self.parts.view.targets.values())
-            await self.parts.clock.sleep(self.cfg.table.poll_interval)
+            await table.follower.pause()
+
+    def _take_rows(self, fresh: tuple[Row, ...]) -> None:
+        if any(row.key.startswith(TARGET_PREFIX) for row in fresh):
+            view = self.parts.table.view
+            self.parts.targets.update(view.targets.values())
 
     def _callers_app(self) -> Application:
         parts = self.parts
         app = make_callers_app(
             CallerContext(
                 cfg=self.cfg,
-                view=parts.view,
+                view=parts.table.view,
                 dispatcher=parts.dispatcher,
                 clock=parts.clock,
                 rng=parts.rng,
@@ -136,10 +138,11 @@
         parts = self.parts
         context = OperatorContext(
             cfg=self.cfg,
-            view=parts.view,
+            view=parts.table.view,
             service=parts.service,
-            editor=parts.editor,
+            editor=parts.table.editor,
             budgets=parts.budgets,
+            status=parts.table.status,
         )
         app = make_operators_app(context)
         watched = TargetsContext(parts.targets, parts.clock)
--- /dev/null
+++ b/src/balsamreach/daemon/table_parts.py
@@ -0,0 +1,68 @@
+"""Puts together what follows, edits and reports the table."""
+
+import random
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.config.settings import Settings
+from balsamreach.peers.base import PeerNet
+from balsamreach.platform.base import ObjectStore, TableService
+from balsamreach.table.editor import Editor
+from balsamreach.table.exchange import TableExchange
+from balsamreach.table.follower import TableFollower
+from balsamreach.table.reader import TableReader
+from balsamreach.table.snapshots import Snapshots
+from balsamreach.table.status import TableStatus
+from balsamreach.table.view import TableView
+from balsamreach.telemetry.metrics import Metrics
+
+
+@attrs.frozen(kw_only=True)
+class TableNeeds:
+    """What the table's parts are made of."""
+
+    cfg: Settings
+    service: TableService
+    objects: ObjectStore
+    net: PeerNet
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+
+
+@attrs.frozen(kw_only=True)
+class TableParts:
+    """The parts of one router that have to do with the table."""
+
+    view: TableView
+    follower: TableFollower
+    editor: Editor
+    status: TableStatus
+
+
+def make_table_parts(needs: TableNeeds) -> TableParts:
+    """Make the parts; nothing is started or sent yet."""
+    view = TableView()
+    follower = TableFollower(
+        cfg=needs.cfg,
+        reader=TableReader(needs.service, view),
+        exchange=TableExchange(needs.net, view, needs.metrics),
+        snapshots=Snapshots(needs.objects, needs.clock, needs.metrics),
+        clock=needs.clock,
+        rng=needs.rng,
+        metrics=needs.metrics,
+    )
+    editor = Editor(
+        needs.service,
+        needs.clock,
+        needs.rng,
+        needs.metrics,
+        follower.publish,
+    )
+    return TableParts(
+        view=view,
+        follower=follower,
+        editor=editor,
+        status=TableStatus(follower, needs.clock),
+    )
--- a/src/balsamreach/peers/greeter.py
+++ b/src/balsamreach/peers/greeter.py
@@ -1,5 +1,7 @@
 """What a router says of itself on its connections."""
 
+from collections.abc import Callable
+
 import attrs
 
 from balsamreach.peers.membership import Membership
@@ -16,13 +18,13 @@
         Name of the fleet; others are strangers.
     membership : Membership
         Knows this router.
-    table_version : int
-        Version of the table in force here.
+    table_version : callable
+        Returns the version of the table in force here.
     """
 
     fleet: str
     membership: Membership
-    table_version: int = 0
+    table_version: Callable[[], int] = int
 
     def hello(self) -> Hello:
         """Return the greeting."""
@@ -30,9 +32,9 @@
             PROTOCOL_VERSION,
             self.fleet,
             self.membership.me,
-            self.table_version,
+            self.table_version(),
         )
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat."""
-        return Heartbeat(self.table_version)
+        return Heartbeat(self.table_version())
--- a/src/balsamreach/table/editor.py
+++ b/src/balsamreach/table/editor.py
@@ -1,87 +1,95 @@
 """Operators' edits as conditional commits that are found again by their id."""
 
-from typing import Any
+import random
+from collections.abc import Callable
 
 import attrs
 
-from balsamreach.budget.account import account_key, decode_account, encode
 from balsamreach.clock import Clock
-from balsamreach.platform.base import (
-    ABSENT,
-    Check,
-    Commit,
-    Row,
-    TableService,
-    Write,
+from balsamreach.platform.base import Commit, Row, TableService
+from balsamreach.platform.faults import (
+    CONFLICT,
+    INVALID,
+    UNKNOWN,
+    PlatformFault,
+)
+from balsamreach.table.edits import (
+    Accepted,
+    Edit,
+    Planned,
+    Stored,
+    check_reuse,
+    plan,
 )
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
-from balsamreach.table import rows
 from balsamreach.table.faults import (
     BAD_ROW,
-    BELOW_TAKEN,
     EDIT_UNKNOWN,
-    NO_ROW,
-    STALE_EDIT,
     TABLE_AWAY,
     TableFault,
 )
-from balsamreach.table.rows import TableRow, TeamRow
+from balsamreach.telemetry.metrics import Metrics
 
-EDIT_PREFIX = 'edit/'
-#: Expected version of an edit that takes whatever version there is.
-ANY_VERSION = -1
-_ATTEMPTS = 8
+#: Most edits committed together.
+LARGEST_BATCH = 100
+_ATTEMPTS = 16
+#: After so many conflicts a batch goes on in halves.
+_WHOLE_ATTEMPTS = 2
+_FIRST_PAUSE_S = 0.005
+_LONGEST_PAUSE_S = 0.2
 
+Outcome = Accepted | TableFault
 
-@attrs.frozen
-class Edit:
-    """One operator's change of one row.
 
-    Parameters
-    ----------
-    edit_id : str
-        Chosen by the client and used again when it repeats the edit.
-    author : str
-        Who edits, for the history.
-    key : str
-        Key of the row.
-    version : int
-        Version that the operator saw; 0 for a new row.
-    fields : dict or None
-        Fields to change, the others stay; None deletes the row.
-    """
+@attrs.define
+class _Batch:
+    """Edits on their way, and what has become of them."""
+
+    edits: tuple[Edit, ...]
+    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
+    #: Whether a commit was sent that may still take effect.
+    sent: bool = False
+
+    def pending(self) -> tuple[Edit, ...]:
+        """Return the edits whose outcome is open."""
+        return tuple(
+            edit for edit in self.edits if edit.edit_id not in self.outcomes
+        )
 
-    edit_id: str
-    author: str
-    key: str
-    version: int
-    fields: dict[str, Any] | None
+    def fail(self, fault: TableFault) -> None:
+        """Give up on what is pending."""
+        if self.sent:
+            fault = EDIT_UNKNOWN.because(
+                f'{fault.reason}; ask again with the same edit id',
+            )
+        for edit in self.pending():
+            self.outcomes[edit.edit_id] = fault
 
 
-@attrs.frozen
-class Accepted:
-    """An edit that is committed.
+@attrs.define
+class Editor:
+    """Commits edits to the table.
 
     Parameters
     ----------
-    version : int
-        Version of the row from now on.
-    row : dict or None
-        The row as committed.
+    service : TableService
+        Where the table is kept.
+    clock : Clock
+        Time for the history and for pauses between attempts.
+    rng : random.Random
+        Spreads the attempts of editors that collide.
+    metrics : Metrics
+        Counts edits by their outcome.
+    publish : callable
+        Takes rows that were just committed, to bring them into force.
     """
 
-    version: int
-    row: dict[str, Any] | None
-
-
-@attrs.define
-class Editor:
-    """Commits edits to the table."""
-
     service: TableService
     clock: Clock
+    rng: random.Random = attrs.field(factory=random.Random)
+    metrics: Metrics = attrs.field(factory=Metrics)
+    publish: Callable[[tuple[Row, ...]], None] | None = None
 
-    async def apply(self, edit: Edit) -> Accepted | TableFault:
+    async def apply(self, edit: Edit) -> Outcome:
         """Commit an edit if the row still has the version it names.
 
         Parameters
@@ -92,106 +100,136 @@
         Returns
         -------
         Accepted or TableFault
-            STALE_EDIT, BELOW_TAKEN, BAD_ROW and NO_ROW mean that nothing
-            changed, EDIT_UNKNOWN that asking again with the same edit id
-            tells.
+            TABLE_AWAY and whatever names a flaw mean that nothing changed,
+            EDIT_UNKNOWN that asking again with the same edit id tells.
         """
-        for _ in range(_ATTEMPTS):
-            stored = await self._read(edit)
-            if isinstance(stored, PlatformFault):
-                return TABLE_AWAY.because(f'table service: {stored.code}')
-            row, account, earlier = stored
-            # An edit whose answer was lost is sent again with the same id;
-            # its own record, written in the same commit, tells that it was
-            # accepted, also if others changed the row since.
-            if earlier.value is not None:
-                return Accepted(earlier.version, earlier.value['after'])
-            change = self._change(edit, row, account)
-            if isinstance(change, TableFault):
-                return change
-            outcome = await self.service.commit(change)
-            if not isinstance(outcome, PlatformFault):
-                return Accepted(outcome, change.writes[0].value)
-            if outcome not in {CONFLICT, UNKNOWN}:
-                return TABLE_AWAY.because(f'table service: {outcome.code}')
-        return EDIT_UNKNOWN.because('ask again with the same edit id')
-
-    async def _read(self, edit: Edit) -> tuple[Row, ...] | PlatformFault:
-        name = edit.key.rsplit('/', 1)[-1]
-        return await self.service.read(
-            (edit.key, account_key(name), EDIT_PREFIX + edit.edit_id),
-        )
+        outcomes = await self.apply_all((edit,))
+        return outcomes[0]
 
-    def _change(
-        self,
-        edit: Edit,
-        row: Row,
-        account: Row,
-    ) -> Commit | TableFault:
-        if edit.version not in {ANY_VERSION, _live_version(row)}:
-            return STALE_EDIT.because(
-                f'{edit.key} is at version {_live_version(row)}',
-            )
-        after = _merge(edit, row)
-        if isinstance(after, TableFault):
-            return after
-        encoded = None if after is None else rows.encode(after)
-        writes = [Write(edit.key, encoded), self._record(edit, row, encoded)]
-        checks = [
-            Check(edit.key, _live_version(row)),
-            Check(EDIT_PREFIX + edit.edit_id, ABSENT),
-        ]
-        if isinstance(after, TeamRow):
-            funded = _fund(after, account)
-            if isinstance(funded, TableFault):
-                return funded
-            writes.append(funded)
-            checks.append(Check(account.key, _live_version(account)))
-        return Commit(tuple(writes), tuple(checks))
-
-    def _record(
-        self,
-        edit: Edit,
-        row: Row,
-        after: dict[str, Any] | None,
-    ) -> Write:
-        return Write(
-            EDIT_PREFIX + edit.edit_id,
-            {
-                'key': edit.key,
-                'author': edit.author,
-                'at': self.clock.wall(),
-                'before': row.value,
-                'after': after,
-            },
-        )
+    async def apply_all(self, edits: tuple[Edit, ...]) -> tuple[Outcome, ...]:
+        """Commit edits of different rows, in as few commits as possible.
 
+        Each edit stands for itself: one that is refused keeps none of the
+        others from being accepted.
 
-def _live_version(row: Row) -> int:
-    return ABSENT if row.value is None else row.version
-
+        Parameters
+        ----------
+        edits : tuple of Edit
+            At most ``LARGEST_BATCH`` edits, each id and row only once.
 
-def _merge(edit: Edit, row: Row) -> TableRow | TableFault | None:
-    if edit.fields is None:
-        if row.value is None:
-            return NO_ROW.because(f'there is no row {edit.key}')
+        Returns
+        -------
+        tuple of Accepted or TableFault
+            What became of each edit, in the order given.
+        """
+        batch = _Batch(edits)
+        await self._settle(batch)
+        outcomes = tuple(batch.outcomes[edit.edit_id] for edit in edits)
+        for outcome in outcomes:
+            self._count(outcome)
+        self._publish(edits, outcomes)
+        return outcomes
+
+    async def _settle(self, batch: _Batch) -> None:
+        for attempt in range(_ATTEMPTS):
+            planned = await self._plan(batch)
+            if not planned:
+                return
+            fault = await self._commit(batch, planned)
+            if fault is None:
+                return
+            retried = fault in {CONFLICT, UNKNOWN}
+            if len(planned) > 1 and (attempt >= _WHOLE_ATTEMPTS or not retried):
+                await self._settle_halves(batch)
+                return
+            if not retried:
+                batch.fail(_from_platform(fault))
+                return
+            await self._pause(attempt)
+        batch.fail(TABLE_AWAY.because('others keep changing the same rows'))
+
+    async def _settle_halves(self, batch: _Batch) -> None:
+        # One busy account would otherwise hold up all edits that were sent
+        # along with it.
+        pending = batch.pending()
+        middle = len(pending) // 2
+        for part in (pending[:middle], pending[middle:]):
+            half = _Batch(part, batch.outcomes, batch.sent)
+            await self._settle(half)
+
+    async def _plan(self, batch: _Batch) -> dict[str, Planned]:
+        """Plan what is pending; note what is decided already."""
+        pending = batch.pending()
+        keys = tuple(key for edit in pending for key in edit.deciding())
+        read = await self.service.read(keys)
+        if isinstance(read, PlatformFault):
+            batch.fail(TABLE_AWAY.because(f'table service: {read.code}'))
+            return {}
+        planned: dict[str, Planned] = {}
+        for edit, *stored in zip(
+            pending, read[::3], read[1::3], read[2::3], strict=True
+        ):
+            outcome = await self._decide(edit, Stored(*stored))
+            if isinstance(outcome, Planned):
+                planned[edit.edit_id] = outcome
+            else:
+                batch.outcomes[edit.edit_id] = outcome
+        return planned
+
+    async def _decide(self, edit: Edit, stored: Stored) -> Planned | Outcome:
+        # An edit whose answer was lost is sent again with the same id; its
+        # own record, written in the same commit, tells that it was
+        # accepted, also if others changed the row since.
+        earlier = stored.earlier
+        if earlier.value is None:
+            return plan(edit, stored, self.clock.wall())
+        reused = check_reuse(edit, earlier)
+        if reused is not None:
+            return reused
+        read = await self.service.read((earlier.value['history'],))
+        if isinstance(read, PlatformFault):
+            return EDIT_UNKNOWN.because('ask again with the same edit id')
+        entry = read[0].value or {}
+        return Accepted(earlier.version, entry.get('after'))
+
+    async def _commit(
+        self,
+        batch: _Batch,
+        planned: dict[str, Planned],
+    ) -> PlatformFault | None:
+        writes = tuple(w for part in planned.values() for w in part.writes)
+        checks = tuple(c for part in planned.values() for c in part.checks)
+        outcome = await self.service.commit(Commit(writes, checks))
+        if isinstance(outcome, PlatformFault):
+            batch.sent = batch.sent or outcome == UNKNOWN
+            return outcome
+        for edit_id, part in planned.items():
+            batch.outcomes[edit_id] = Accepted(outcome, part.after)
         return None
-    if not _is_row_key(edit.key):
-        return BAD_ROW.because('a key is team/NAME or target/NAME')
-    return rows.decode(edit.key, {**(row.value or {}), **edit.fields})
-
 
-def _is_row_key(key: str) -> bool:
-    return key.startswith((rows.TEAM_PREFIX, rows.TARGET_PREFIX))
+    async def _pause(self, attempt: int) -> None:
+        longest = min(_FIRST_PAUSE_S * 2**attempt, _LONGEST_PAUSE_S)
+        await self.clock.sleep(self.rng.uniform(0, longest))
 
+    def _count(self, outcome: Outcome) -> None:
+        code = outcome.code if isinstance(outcome, TableFault) else 'accepted'
+        self.metrics.count('balsamreach_table_edits_total', outcome=code)
 
-def _fund(team: TeamRow, account: Row) -> Write | TableFault:
-    stored = decode_account(account.value)
-    # Tokens that routers hold may be spent already without our knowing, so
-    # a budget below what was handed out could be passed.
-    if team.prepaid < stored.taken:
-        return BELOW_TAKEN.because(
-            f'{stored.taken} tokens of {team.name} are spent or allotted',
+    def _publish(
+        self,
+        edits: tuple[Edit, ...],
+        outcomes: tuple[Outcome, ...],
+    ) -> None:
+        rows = tuple(
+            Row(edit.key, outcome.version, outcome.row)
+            for edit, outcome in zip(edits, outcomes, strict=True)
+            if isinstance(outcome, Accepted)
         )
-    funded = attrs.evolve(stored, prepaid=team.prepaid)
-    return Write(account.key, encode(funded))
+        if rows and self.publish is not None:
+            self.publish(rows)
+
+
+def _from_platform(fault: PlatformFault) -> TableFault:
+    if fault == INVALID:
+        return BAD_ROW.because('the table service calls the edit malformed')
+    return TABLE_AWAY.because(f'table service: {fault.code}')
--- a/src/balsamreach/table/reader.py
+++ b/src/balsamreach/table/reader.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Page, Scan, TableService
+from balsamreach.platform.base import Page, Row, Scan, TableService
 from balsamreach.platform.faults import PlatformFault
 from balsamreach.table.faults import TABLE_AWAY, TableFault
 from balsamreach.table.rows import TABLE_PREFIX
@@ -13,53 +13,86 @@
 
 @attrs.define
 class TableReader:
-    """Reads what changed in the table since the version in force."""
+    """Reads what changed in the table since the version in force.
+
+    Parameters
+    ----------
+    service : TableService
+        Where the table is kept.
+    view : TableView
+        What is brought up to date.
+    """
 
     service: TableService
     view: TableView
+    # The log counts all commits, most of which are draws and bills. The
+    # view's version moves with rows of the table alone, so that routers with
+    # the same rows have the same version and need not ask each other; how
+    # far the log was read without finding any is known here only.
+    _read_to: int = 0
+    _first_version: int = 0
+    _after: str = ''
 
-    async def refresh(self) -> int | TableFault:
+    async def refresh(self) -> tuple[Row, ...] | TableFault:
         """Apply all rows written since the view's version.
 
         Returns
         -------
-        int or TableFault
-            The version now in force, or TABLE_AWAY; the view keeps what it
-            had then.
+        tuple of Row or TableFault
+            The rows that were new here, or TABLE_AWAY; the view keeps what
+            it had then.
         """
-        if self.view.version == 0:
+        if self.view.version == 0 and self._read_to == 0:
             return await self._read_all()
         return await self._read_changes()
 
-    async def _read_all(self) -> int | TableFault:
-        page = await self._page(Scan(TABLE_PREFIX, limit=_PAGE_ROWS))
-        # A full read takes several pages, and rows may change between them.
-        # Only the first page's version is sure to be covered by the whole
-        # read, so the next read of changes starts there.
-        first_version = page.version if isinstance(page, Page) else 0
-        while isinstance(page, Page):
-            self.view.apply(page.rows, 0)
-            if not page.more:
-                self.view.apply((), first_version)
-                return first_version
-            after = page.rows[-1].key
+    async def _read_all(self) -> tuple[Row, ...] | TableFault:
+        fresh: list[Row] = []
+        more = True
+        while more:
             page = await self._page(
-                Scan(TABLE_PREFIX, after=after, limit=_PAGE_ROWS),
+                Scan(TABLE_PREFIX, after=self._after, limit=_PAGE_ROWS),
             )
-        return page
+            if isinstance(page, TableFault):
+                return page
+            # A full read takes several pages, and rows may change between
+            # them. Only the first page's version is sure to be covered by
+            # the whole read, so the next read of changes starts there. A
+            # refused page is asked for again later, not the whole table:
+            # under a rate limit no start would ever get to the end.
+            self._first_version = self._first_version or page.version
+            fresh.extend(self.view.apply(page.rows, 0))
+            more = page.more
+            self._after = page.rows[-1].key if more else ''
+        self._read_to = self._first_version
+        self.view.apply((), self._first_version)
+        return tuple(fresh)
 
-    async def _read_changes(self) -> int | TableFault:
+    async def _read_changes(self) -> tuple[Row, ...] | TableFault:
+        fresh: list[Row] = []
         more = True
         while more:
+            since = max(self.view.version, self._read_to)
             page = await self._page(
-                Scan(TABLE_PREFIX, since=self.view.version, limit=_PAGE_ROWS),
+                Scan(TABLE_PREFIX, since=since, limit=_PAGE_ROWS),
             )
             if isinstance(page, TableFault):
                 return page
             more = page.more
-            last = page.rows[-1].version if more else page.version
-            self.view.apply(page.rows, last)
-        return self.view.version
+            fresh.extend(self._take(page))
+        return tuple(fresh)
+
+    def _take(self, page: Page) -> tuple[Row, ...]:
+        if not page.rows:
+            self._read_to = max(self._read_to, page.version)
+            return ()
+        last = page.rows[-1].version
+        fresh = self.view.apply(page.rows, last)
+        self._read_to = max(
+            self._read_to,
+            last if page.more else page.version,
+        )
+        return fresh
 
     async def _page(self, scan: Scan) -> Page | TableFault:
         page = await self.service.scan(scan)
--- a/src/balsamreach/table/rows.py
+++ b/src/balsamreach/table/rows.py
@@ -1,10 +1,12 @@
 """Typed rows of the table and their form in the table service."""
 
+import re
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
+from balsamreach.table import checks
 from balsamreach.table.faults import BAD_ROW, TableFault
 
 TEAM_PREFIX = 'table/team/'
@@ -22,32 +24,6 @@
 #: The model name with which a caller leaves the choice to the team's row.
 ANY_MODEL = 'auto'
 
-_NAME_LIMIT = 128
-
-
-def _positive(row: Any, field: attrs.Attribute, number: Any) -> None:
-    if isinstance(number, bool) or not isinstance(number, (int, float)):
-        raise TypeError(f'{field.name} must be a number')
-    if number < 0:
-        raise ValueError(f'{field.name} must not be negative')
-
-
-def _name(row: Any, field: attrs.Attribute, text: Any) -> None:
-    if not isinstance(text, str) or not 0 < len(text) <= _NAME_LIMIT:
-        raise ValueError(f'{field.name} must be a short text')
-    if '/' in text or not text.isprintable():
-        raise ValueError(f'{field.name} must not hold a slash')
-
-
-def _weights(raw: Any) -> dict[str, float]:
-    if isinstance(raw, (list, tuple)):
-        return dict.fromkeys(raw, 1.0)
-    return dict(raw)
-
-
-def _one_of(*choices: str) -> Any:
-    return attrs.validators.in_(choices)
-
 
 @attrs.frozen(kw_only=True)
 class TeamRow:
@@ -78,20 +54,28 @@
         SHA-256 of the team's keys in hex.
     """
 
-    name: str = attrs.field(validator=_name)
-    prepaid: int = attrs.field(default=0, validator=_positive)
-    weight: float = attrs.field(default=1, validator=_positive)
-    priority: int = attrs.field(default=0, validator=_positive)
-    concurrency: int = attrs.field(default=0, validator=_positive)
-    requests_per_minute: int = attrs.field(default=0, validator=_positive)
-    tokens_per_minute: int = attrs.field(default=0, validator=_positive)
-    models: dict[str, float] = attrs.field(factory=dict, converter=_weights)
-    max_tokens: int = attrs.field(default=512, validator=_positive)
+    name: str = attrs.field(validator=checks.name)
+    prepaid: int = attrs.field(default=0, validator=checks.count)
+    weight: float = attrs.field(default=1, validator=checks.number)
+    priority: int = attrs.field(default=0, validator=checks.count)
+    concurrency: int = attrs.field(default=0, validator=checks.count)
+    requests_per_minute: int = attrs.field(default=0, validator=checks.count)
+    tokens_per_minute: int = attrs.field(default=0, validator=checks.count)
+    models: dict[str, float] = attrs.field(
+        factory=dict,
+        converter=checks.read_weights,
+        validator=checks.weights,
+    )
+    max_tokens: int = attrs.field(default=512, validator=checks.count)
     state: str = attrs.field(
         default=ACTIVE,
-        validator=_one_of(ACTIVE, PAUSED),
+        validator=checks.one_of(ACTIVE, PAUSED),
+    )
+    key_hashes: tuple[str, ...] = attrs.field(
+        default=(),
+        converter=checks.read_texts,
+        validator=checks.digests,
     )
-    key_hashes: tuple[str, ...] = attrs.field(default=(), converter=tuple)
 
     @property
     def key(self) -> str:
@@ -133,24 +117,32 @@
         ``active``, ``leaving`` or ``off``.
     """
 
-    name: str = attrs.field(validator=_name)
-    address: str
-    zone: str
-    service: str = attrs.field(validator=_name)
+    name: str = attrs.field(validator=checks.name)
+    address: str = attrs.field(validator=checks.address)
+    zone: str = attrs.field(validator=checks.name)
+    service: str = attrs.field(validator=checks.name)
     kind: str = attrs.field(
         default=ENGINE,
-        validator=_one_of(ENGINE, PLAIN_SERVICE),
+        validator=checks.one_of(ENGINE, PLAIN_SERVICE),
+    )
+    models: dict[str, float] = attrs.field(
+        factory=dict,
+        converter=checks.read_weights,
+        validator=checks.weights,
+    )
+    weight: float = attrs.field(default=1, validator=checks.number)
+    concurrency: int = attrs.field(default=64, validator=checks.count)
+    price: int = attrs.field(default=1, validator=checks.count)
+    non_idempotent: tuple[str, ...] = attrs.field(
+        default=(),
+        converter=checks.read_texts,
+        validator=checks.texts,
     )
-    models: dict[str, float] = attrs.field(factory=dict, converter=_weights)
-    weight: float = attrs.field(default=1, validator=_positive)
-    concurrency: int = attrs.field(default=64, validator=_positive)
-    price: int = attrs.field(default=1, validator=_positive)
-    non_idempotent: tuple[str, ...] = attrs.field(default=(), converter=tuple)
-    trusted_refusals: bool = True
-    honours_fences: bool = False
+    trusted_refusals: bool = attrs.field(default=True, validator=checks.flag)
+    honours_fences: bool = attrs.field(default=False, validator=checks.flag)
     state: str = attrs.field(
         default=ACTIVE,
-        validator=_one_of(ACTIVE, LEAVING, OFF),
+        validator=checks.one_of(ACTIVE, LEAVING, OFF),
     )
 
     @property
@@ -161,6 +153,8 @@
 
 TableRow = TeamRow | TargetRow
 
+_MISSING = re.compile(r'missing \d+ required .*arguments?: (.+)')
+
 _KINDS: Mapping[str, type[TeamRow] | type[TargetRow]] = {
     TEAM_PREFIX: TeamRow,
     TARGET_PREFIX: TargetRow,
@@ -187,13 +181,27 @@
     TeamRow, TargetRow or TableFault
         The row, or BAD_ROW with the field that is wrong.
     """
+    if not isinstance(fields, Mapping):
+        return BAD_ROW.because(f'{key}: a row must be a JSON object')
     for prefix, kind in _KINDS.items():
         if key.startswith(prefix):
             return _build(kind, key, {'name': key[len(prefix) :], **fields})
     return BAD_ROW.because(f'{key}: keys begin with team/ or target/')
 
 
+def fields_of(key: str) -> tuple[str, ...]:
+    """Return the names of the fields of a row of this key's kind."""
+    for prefix, kind in _KINDS.items():
+        if key.startswith(prefix):
+            return tuple(field.name for field in attrs.fields(kind))
+    return ()
+
+
 def _build(kind: Any, key: str, fields: Mapping[str, Any]) -> Any:
+    known = {field.name for field in attrs.fields(kind)}
+    for name in fields:
+        if name not in known:
+            return BAD_ROW.because(f'{key}: {name}: there is no such field')
     try:
         row = kind(**fields)
     except (TypeError, ValueError) as exc:
@@ -205,7 +213,8 @@
 
 def _plain(exc: Exception) -> str:
     text = str(exc.args[0]) if exc.args else 'a field has a wrong form'
-    return text.replace('TeamRow.__init__() got an ', '').replace(
-        'TargetRow.__init__() got an ',
-        '',
-    )
+    missing = _MISSING.search(text)
+    if missing is None:
+        return text
+    fields = missing.group(1).replace("'", '')
+    return f'{fields}: must be given'
--- a/src/balsamreach/table/view.py
+++ b/src/balsamreach/table/view.py
@@ -1,19 +1,19 @@
 """The table in force at one router, indexed for requests."""
 
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
 import attrs
 
 from balsamreach.platform.base import Row
+from balsamreach.table import rows
 from balsamreach.table.faults import TableFault
-from balsamreach.table.rows import (
-    ENGINE,
-    TableRow,
-    TargetRow,
-    TeamRow,
-    decode,
-)
+from balsamreach.table.index import Indexes
+from balsamreach.table.row_versions import RowVersions
+from balsamreach.table.rows import TargetRow, TeamRow
+
+#: Called with the rows that just came into force.
+Watcher = Callable[[tuple[Row, ...]], None]
 
 
 def hash_key(secret: str) -> str:
@@ -21,101 +21,144 @@
     return hashlib.sha256(secret.encode()).hexdigest()
 
 
+@attrs.frozen
+class Rejected:
+    """A row that could not be read here, kept for others who may."""
+
+    row: Row
+    fault: TableFault
+
+
 @attrs.define
 class TableView:
     """Rows in force, never older than any this router has applied before.
 
+    Every key whose last commit is at or below ``version`` stands here as
+    that commit left it. Newer rows may be in force as well, ahead of the
+    log, where an edit came straight from the router that accepted it.
+
     Parameters
     ----------
     version : int
         Position in the table service's log up to which rows are applied.
-    rejected : dict of str to TableFault
+    complete : bool
+        Whether the whole table has been read once, so that a missing row
+        means that there is none.
+    rejected : dict of str to Rejected
         Rows that could not be read; the version before stays in force.
+    watchers : list of callable
+        Called after rows came into force.
+    versions : RowVersions
+        Version of each row, and of rows that were deleted.
     """
 
     version: int = 0
-    teams: dict[str, TeamRow] = attrs.field(factory=dict)
-    targets: dict[str, TargetRow] = attrs.field(factory=dict)
-    rejected: dict[str, TableFault] = attrs.field(factory=dict)
-    _versions: dict[str, int] = attrs.field(factory=dict)
-    _by_hash: dict[str, str] = attrs.field(factory=dict)
-
-    def apply(self, rows: Iterable[Row], version: int) -> None:
+    complete: bool = False
+    rejected: dict[str, Rejected] = attrs.field(factory=dict)
+    watchers: list[Watcher] = attrs.field(factory=list)
+    versions: RowVersions = attrs.field(factory=RowVersions)
+    _indexes: Indexes = attrs.field(factory=Indexes)
+
+    @property
+    def teams(self) -> dict[str, TeamRow]:
+        """Teams by name."""
+        return self._indexes.teams.by_name
+
+    @property
+    def targets(self) -> dict[str, TargetRow]:
+        """Targets by name."""
+        return self._indexes.targets.by_name
+
+    def apply(self, changed: Iterable[Row], version: int) -> tuple[Row, ...]:
         """Bring rows into force, each only if newer than the one here.
 
         Parameters
         ----------
-        rows : iterable of Row
+        changed : iterable of Row
             Changed rows in any order; deleted ones have no value.
         version : int
-            Log position the rows reach up to.
+            Log position the rows reach up to; 0 for rows ahead of the log.
+
+        Returns
+        -------
+        tuple of Row
+            The rows that were new.
         """
-        for row in rows:
-            # Two readers and several peers deliver rows in any order. An
-            # older copy applied late would revert an accepted edit; the row
-            # version shows it, and the comparison keeps it out.
-            if row.version > self._versions.get(row.key, 0):
-                self._versions[row.key] = row.version
-                self._put(row)
+        # Two readers and several peers deliver rows in any order. An older
+        # copy applied late would revert an accepted edit or bring a deleted
+        # row back; what the log position covers is known here already, so
+        # only a row beyond it can be news.
+        fresh = tuple(
+            row
+            for row in changed
+            if row.version > max(self.version, self.versions.of(row.key))
+        )
+        self._put_all(fresh)
         self.version = max(self.version, version)
+        return fresh
+
+    def adopt(self, other: 'TableView') -> None:
+        """Take over a whole view that was read anew and is no older.
 
-    def row_version(self, key: str) -> int:
-        """Return the version in force of a row, 0 if there is none."""
-        return self._versions.get(key, 0)
+        Rows that the other view lacks were deleted by the time it covers.
+        """
+        if other.version < self.version:
+            return
+        gone = tuple(
+            Row(key, other.version, None)
+            for key in self.versions.up_to(other.version)
+            if not other.versions.of(key)
+        )
+        self._put_all(gone)
+        self.apply(other.rows_since(0), other.version)
+        self.versions.floor = max(self.versions.floor, other.versions.floor)
+
+    def rows_since(self, version: int) -> Iterator[Row]:
+        """Yield rows written after a version, deleted ones too, in order."""
+        for key in self.versions.since(version):
+            yield Row(key, self.versions.of(key), self._value_of(key))
 
     def team_by_secret(self, secret: str) -> TeamRow | None:
         """Return the team that a caller's key belongs to."""
-        name = self._by_hash.get(hash_key(secret))
-        return None if name is None else self.teams.get(name)
+        return self._indexes.teams.by_digest(hash_key(secret))
 
     def engines_for(self, model: str) -> Iterator[TargetRow]:
         """Yield the engines whose row lists a model."""
-        for target in self.targets.values():
-            if target.kind == ENGINE and model in target.models:
-                yield target
+        yield from self._indexes.targets.by_model.get(model, {}).values()
 
     def workers_of(self, service: str) -> Iterator[TargetRow]:
         """Yield the targets of one service."""
-        for target in self.targets.values():
-            if target.service == service:
-                yield target
+        yield from self._indexes.targets.by_service.get(service, {}).values()
 
     def models(self) -> tuple[str, ...]:
         """Return the names of all models that some engine serves."""
-        names: set[str] = set()
-        for target in self.targets.values():
-            if target.kind == ENGINE:
-                names.update(target.models)
-        return tuple(sorted(names))
+        return tuple(sorted(self._indexes.targets.by_model))
+
+    def _value_of(self, key: str) -> Mapping[str, object] | None:
+        if key in self.rejected:
+            return self.rejected[key].row.value
+        index = self._indexes.of(key)
+        row = index.by_name.get(_name_of(key))
+        return None if row is None else rows.encode(row)
+
+    def _put_all(self, fresh: tuple[Row, ...]) -> None:
+        for row in fresh:
+            self._put(row)
+        for watcher in self.watchers if fresh else ():
+            watcher(fresh)
 
     def _put(self, row: Row) -> None:
+        self.rejected.pop(row.key, None)
+        self.versions.note(row)
         if row.value is None:
-            self._forget(row.key)
+            self._indexes.of(row.key).remove(_name_of(row.key))
             return
-        typed = decode(row.key, row.value)
+        typed = rows.decode(row.key, row.value)
         if isinstance(typed, TableFault):
-            self.rejected[row.key] = typed
+            self.rejected[row.key] = Rejected(row, typed)
             return
-        self.rejected.pop(row.key, None)
-        self._index(typed)
+        self._indexes.of(row.key).put(typed)
 
-    def _index(self, row: TableRow) -> None:
-        if isinstance(row, TargetRow):
-            self.targets[row.name] = row
-            return
-        self._forget_keys(row.name)
-        self.teams[row.name] = row
-        self._by_hash.update(dict.fromkeys(row.key_hashes, row.name))
-
-    def _forget(self, key: str) -> None:
-        name = key.rsplit('/', 1)[-1]
-        if key.startswith('table/team/'):
-            self._forget_keys(name)
-            self.teams.pop(name, None)
-        else:
-            self.targets.pop(name, None)
-
-    def _forget_keys(self, team: str) -> None:
-        known = self.teams.get(team)
-        for digest in known.key_hashes if known else ():
-            self._by_hash.pop(digest, None)
+
+def _name_of(key: str) -> str:
+    return key.rpartition('/')[-1]
--- a/src/balsamreach/trial/fleet.py
+++ b/src/balsamreach/trial/fleet.py
@@ -20,7 +20,8 @@
     start_service,
 )
 from balsamreach.standins.service import ServiceSettings
-from balsamreach.table.editor import Edit, Editor
+from balsamreach.table.editor import Editor
+from balsamreach.table.edits import Edit
 from balsamreach.table.faults import TableFault
 from balsamreach.table.rows import encode
 from balsamreach.trial.plan import MODEL, Plan
--- /dev/null
+++ b/tests/table_fleet.py
@@ -0,0 +1,204 @@
+"""Routers' table parts over the fake net, for the tests of the table."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+
+from balsamreach.config.reader import read_settings
+from balsamreach.daemon.table_parts import (
+    TableNeeds,
+    TableParts,
+    make_table_parts,
+)
+from balsamreach.platform.base import (
+    Commit,
+    ObjectStore,
+    Row,
+    Scan,
+    TableService,
+)
+from balsamreach.platform.faults import UNREACHABLE
+from balsamreach.standins.memory import MemoryPlatform
+from balsamreach.table.edits import Edit
+from balsamreach.table.rows import TeamRow
+from balsamreach.table.view import TableView
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import Heartbeat
+from tests.fake_net import FakeNet, FakePeerNet
+from tests.test_standins_memory import ManualClock
+
+_ROUNDS = 4
+TEAM = 'table/team/winders'
+
+
+def row(version: int, name: str = 'winders', **fields: Any) -> Row:
+    """Return a team's row."""
+    return Row(f'table/team/{name}', version, fields)
+
+
+def gone(version: int, name: str = 'winders') -> Row:
+    """Return the row of a deleted team."""
+    return Row(f'table/team/{name}', version, None)
+
+
+def edit(edit_id: str, version: int = -1, **fields: Any) -> Edit:
+    """Return an edit of the team."""
+    return Edit(edit_id, 'anna', TEAM, version, fields)
+
+
+@attrs.define
+class OwnWay(TableService, ObjectStore):
+    """One router's way to the platform, which may be cut.
+
+    ``between`` is called once, after the next page of a scan.
+    """
+
+    platform: MemoryPlatform
+    table_cut: bool = False
+    objects_cut: bool = False
+    between: Callable[[], Awaitable[Any]] | None = None
+
+    @property
+    def cut(self) -> bool:
+        """Whether nothing of the platform is reached."""
+        return self.table_cut and self.objects_cut
+
+    @cut.setter
+    def cut(self, cut: bool) -> None:
+        self.table_cut = cut
+        self.objects_cut = cut
+
+    async def commit(self, change: Commit) -> Any:
+        """Commit unless cut off."""
+        if self.table_cut:
+            return UNREACHABLE
+        return await self.platform.table.commit(change)
+
+    async def read(self, keys: tuple[str, ...]) -> Any:
+        """Read unless cut off."""
+        if self.table_cut:
+            return UNREACHABLE
+        return await self.platform.table.read(keys)
+
+    async def scan(self, scan: Scan) -> Any:
+        """Scan unless cut off."""
+        if self.table_cut:
+            return UNREACHABLE
+        page = await self.platform.table.scan(scan)
+        if self.between is not None:
+            meanwhile = self.between()
+            self.between = None
+            await meanwhile
+        return page
+
+    async def put(self, name: str, body: bytes) -> Any:
+        """Store unless cut off."""
+        if self.objects_cut:
+            return UNREACHABLE
+        return await self.platform.objects.put(name, body)
+
+    async def get(self, name: str) -> Any:
+        """Fetch unless cut off."""
+        if self.objects_cut:
+            return UNREACHABLE
+        return await self.platform.objects.get(name)
+
+    async def names(self, prefix: str) -> Any:
+        """List unless cut off."""
+        if self.objects_cut:
+            return UNREACHABLE
+        return await self.platform.objects.names(prefix)
+
+    async def delete(self, name: str) -> Any:
+        """Delete unless cut off."""
+        if self.objects_cut:
+            return UNREACHABLE
+        return await self.platform.objects.delete(name)
+
+
+@attrs.define
+class Station:
+    """One router's table parts, its net and its way to the platform."""
+
+    net: FakePeerNet
+    parts: TableParts
+    way: OwnWay
+    metrics: Metrics
+
+    @property
+    def view(self) -> TableView:
+        """The router's view of the table."""
+        return self.parts.view
+
+    def team(self, name: str = 'winders') -> TeamRow | None:
+        """Return a team's row in force."""
+        return self.view.teams.get(name)
+
+    def prepaid(self, name: str = 'winders') -> int | None:
+        """Return what the view says a team has prepaid."""
+        team = self.team(name)
+        return team and team.prepaid
+
+    async def step(self) -> None:
+        """Let the router read once."""
+        await self.parts.follower.step()
+
+
+@attrs.define
+class TableFleet:
+    """Routers on one platform that each may be cut off from it."""
+
+    clock: ManualClock = attrs.field(factory=ManualClock)
+    fabric: FakeNet = attrs.field(factory=FakeNet)
+    stations: list[Station] = attrs.field(factory=list)
+    platform: MemoryPlatform = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start the platform."""
+        self.platform = MemoryPlatform.start(self.clock)
+
+    def join(self, incarnation: str, zone: str = 'zone-a') -> Station:
+        """Add a router."""
+        net = self.fabric.join(incarnation, zone)
+        way = OwnWay(self.platform)
+        metrics = Metrics()
+        parts = make_table_parts(
+            TableNeeds(
+                cfg=read_settings(None, ('host.zone=zone-a',)),
+                service=way,
+                objects=way,
+                net=net,
+                clock=self.clock,
+                rng=random.Random(incarnation),
+                metrics=metrics,
+            ),
+        )
+        parts.follower.start()
+        parts.status.start()
+        station = Station(net, parts, way, metrics)
+        self.stations.append(station)
+        return station
+
+    async def started(self, *incarnations: str) -> list[Station]:
+        """Add routers and let each read the table."""
+        joined = [self.join(name) for name in incarnations]
+        for station in joined:
+            await station.step()
+        return joined
+
+    async def settle(self) -> None:
+        """Deliver all messages and let all catching up end."""
+        for _ in range(_ROUNDS):
+            await self.fabric.settle()
+            for station in self.stations:
+                tasks = station.parts.follower.exchange.tasks
+                await asyncio.gather(*tasks)
+
+    async def beat(self) -> None:
+        """Let every router tell its version to the others."""
+        for station in self.stations:
+            station.net.spread(Heartbeat(station.view.version))
+        await self.settle()
--- a/tests/test_targets_leaving.py
+++ b/tests/test_targets_leaving.py
@@ -24,7 +24,7 @@
         recorded and the request sent.
         Cause: only requests already sent are counted.
         """
-        row = TargetRow(name='t', address='x:1', zone='z', service='s')
+        row = TargetRow(name='t', address='127.0.0.1:1', zone='z', service='s')
         target = Target(row, report=LoadReport(incarnation='a'))
         attempts = Attempts(mock.Mock(), mock.Mock(), mock.Mock())
         slot = Slot(mock.Mock(target=target), mock.Mock(), mock.Mock(), 0)
--- a/tests/test_targets_poller.py
+++ b/tests/test_targets_poller.py
@@ -27,7 +27,7 @@
 def _row(number):
     return TargetRow(
         name=f'engine-{number}',
-        address=f'127.0.0.1:{number}',
+        address=f'127.0.0.1:{8000 + number}',
         zone='zone-a',
         service='llm',
     )
@@ -80,7 +80,7 @@
             await self.round()
         polls = len(self.client.asked)
         self.client.asked.clear()
-        self.client.hosts['127.0.0.1:3'].running = 3
+        self.client.hosts['127.0.0.1:8003'].running = 3
         await self.round()
         self.assertEqual(len(self.client.asked), len(self.rows))
         self.assertLessEqual(polls, 2 * 20 * len(self.rows))
@@ -95,7 +95,7 @@
         time out.
         Cause: one try on a new connection tells this from a dead target.
         """
-        self.client.stale.add('127.0.0.1:0')
+        self.client.stale.add('127.0.0.1:8000')
         await self.round()
         self.assertEqual(self.target(0).failures, 0)
         name = 'balsamreach_target_stale_connections_total'
@@ -103,7 +103,7 @@
 
     async def test_dead_target_is_suspended_then_warmed(self):
         await self.round()
-        host = self.client.hosts['127.0.0.1:0']
+        host = self.client.hosts['127.0.0.1:8000']
         host.up = False
         await self.round()
         await self.round()
@@ -131,27 +131,27 @@
         Cause: the age in a message leaves out how long it was under way.
         """
         await self.round()
-        self.client.hosts['127.0.0.1:0'].start = 2
+        self.client.hosts['127.0.0.1:8000'].start = 2
         await self.round()
         await self.round()
         watch = self.watches[0]
-        stale = TargetLoad('engine-0', '127.0.0.1:0-1', 9, reachable=True)
+        stale = TargetLoad('engine-0', '127.0.0.1:8000-1', 9, reachable=True)
         peer = self.net.nets['r1'].me
         sharing = watch.loads.parts.sharing
         await sharing.take_loads(peer, TargetLoads((stale,)))
         report = self.target(0).report
-        self.assertEqual(report.incarnation, '127.0.0.1:0-2')
+        self.assertEqual(report.incarnation, '127.0.0.1:8000-2')
         self.assertEqual(report.running, 0)
 
     async def test_host_list_target_and_peer_each_mark_everywhere(self):
         await self.round()
         await self.round()
         entry = HostEntry(
-            '127.0.0.1:1', 'llm', 'zone-a', 'leaving', '127.0.0.1:1-1'
+            '127.0.0.1:8001', 'llm', 'zone-a', 'leaving', '127.0.0.1:8001-1'
         )
         self.platform.hosts.replace((entry,))
         await self.watches[0].hosts.read_once()
-        self.client.hosts['127.0.0.1:2'].leaving = True
+        self.client.hosts['127.0.0.1:8002'].leaving = True
         await self.round()
         await self.net.settle()
         for router in range(3):
@@ -171,11 +171,11 @@
         Cause: marks name the start.
         """
         await self.round()
-        self.client.hosts['127.0.0.1:1'].start = 2
+        self.client.hosts['127.0.0.1:8001'].start = 2
         await self.round()
         await self.round()
         entry = HostEntry(
-            '127.0.0.1:1', 'llm', 'zone-a', 'leaving', '127.0.0.1:1-1'
+            '127.0.0.1:8001', 'llm', 'zone-a', 'leaving', '127.0.0.1:8001-1'
         )
         nameless = attrs.evolve(entry, incarnation='')
         self.watches[0].marks.take_hosts((entry, nameless))
@@ -192,7 +192,7 @@
         """
         await self.round()
         self.watches[0].marks.catch_up()
-        self.watches[0].marks.mark(self.target(0), '127.0.0.1:0-1', 'test')
+        self.watches[0].marks.mark(self.target(0), '127.0.0.1:8000-1', 'test')
         self.net.kill('r1')
         await self.net.settle()
         self.watches[0].marks.catch_up()
@@ -214,12 +214,12 @@
         """
         await self.round()
         await self.round()
-        ask = TargetMark('engine-0', '127.0.0.1:0-2')
+        ask = TargetMark('engine-0', '127.0.0.1:8000-2')
         net = self.net.nets['r0']
         self.assertEqual(
             await net.ask('r1', ask), InFlight('engine-0', 0, closed=False)
         )
-        self.client.hosts['127.0.0.1:0'].start = 2
+        self.client.hosts['127.0.0.1:8000'].start = 2
         for _ in range(3):
             await self.round()
         self.target(1).in_flight = 2
