Bound affinity by load, trust old reports less, refuse early

Change: others' load in a report shrinks to the mean as the report ages; affinity keeps within the mean load and 0.5; the adaptive limit follows the queue that reports tell, cutting once for each report newer than the last cut; a queue takes no more than half of what a deadline leaves, and a request that would end late is refused at its turn; a refused connection opens a breaker at once, probed by idempotent requests only.

--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,55 @@
+"""Measure the routing decisions in virtual time: ``python -m bench.routing``.
+
+Prints one table per scenario and seed, and all rows as JSON at the end.
+"""
+
+import json
+import time
+
+import click
+
+from bench import routing_scenarios as scenarios
+from bench.routing_cpu import measure_cpu
+
+_ALL = {
+    'choice': scenarios.measure_choice,
+    'overload': scenarios.measure_overload,
+    'fairness': scenarios.measure_fairness,
+    'failures': scenarios.measure_failures,
+    'shares': scenarios.measure_shares,
+    'cpu': measure_cpu,
+}
+
+
+@click.command()
+@click.option('--seed', 'seeds', multiple=True, type=int, default=(1,))
+@click.option('--only', multiple=True, type=click.Choice(tuple(_ALL)))
+def main(seeds: tuple[int, ...], only: tuple[str, ...]) -> None:
+    """Run the scenarios with each seed."""
+    every = []
+    for name in only or _ALL:
+        for seed in seeds:
+            began = time.monotonic()
+            rows = [{**row, 'seed': seed} for row in _ALL[name](seed)]
+            _print_table(rows)
+            took = time.monotonic() - began
+            click.echo(f'({name}, seed {seed}: {took:.1f} s)\n')
+            every.extend(rows)
+    click.echo(json.dumps(every))
+
+
+def _print_table(rows: list[dict]) -> None:
+    names = list(rows[0])
+    lines = [names, *([_shown(row[name]) for name in names] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    for line in lines:
+        cells = zip(line, widths, strict=True)
+        click.echo('  '.join(text.ljust(width) for text, width in cells))
+
+
+def _shown(cell: object) -> str:
+    return f'{cell:.4g}' if isinstance(cell, float) else str(cell)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/routing_cpu.py
@@ -0,0 +1,95 @@
+"""Processor time of one placement at 10,000 targets."""
+
+import asyncio
+import random
+import time
+
+from balsamreach.config.reader import read_settings
+from balsamreach.routing.ask import Ask
+from balsamreach.routing.routing import make_routing
+from balsamreach.routing.slot import Verdict
+from balsamreach.table.rows import ENGINE, TargetRow
+from balsamreach.targets.registry import Targets
+from balsamreach.telemetry.metrics import Metrics
+from bench.routing_loop import LoopClock
+
+_TARGETS = 10_000
+_MODELS = 30
+_PLACEMENTS = 5000
+_MICRO = 1_000_000
+_PREFIX = 2048
+
+
+def measure_cpu(seed: int) -> list[dict]:
+    """Time placements of all policies that a fleet may be set to."""
+    return [
+        asyncio.run(_measure(policy, seed))
+        for policy in ('two_choices', 'affinity', 'least_requests')
+    ]
+
+
+async def _measure(policy: str, seed: int) -> dict:
+    rng = random.Random(seed)
+    cfg = read_settings(None, ('host.zone=zone-0', f'routing.policy={policy}'))
+    targets = Targets()
+    rows = [
+        TargetRow(
+            name=f'engine-{number}',
+            address=f'127.0.0.1:{number}',
+            zone=f'zone-{number % 27}',
+            service='llm',
+            models=(f'model-{number % _MODELS}',),
+        )
+        for number in range(_TARGETS)
+    ]
+    targets.update(rows)
+    routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
+    await _place(routing, _MODELS * 4, rng)
+    began = time.process_time()
+    await _place(routing, _PLACEMENTS, rng)
+    took = time.process_time() - began
+    rows[0] = TargetRow(**{**_fields(rows[0]), 'weight': 2})
+    targets.update(rows)
+    rebuild = time.process_time()
+    routing.admission.picker.pools.find((ENGINE, 'model-1'))
+    rebuild = time.process_time() - rebuild
+    return {
+        'scenario': 'cpu',
+        'policy': policy,
+        'targets': _TARGETS,
+        'microseconds_per_request': took / _PLACEMENTS * _MICRO,
+        'microseconds_per_edit': rebuild * _MICRO,
+    }
+
+
+def _fields(row: TargetRow) -> dict:
+    return {
+        'name': row.name,
+        'address': row.address,
+        'zone': row.zone,
+        'service': row.service,
+        'models': row.models,
+    }
+
+
+async def _place(routing, placements: int, rng: random.Random) -> None:
+    held = []
+    for number in range(placements):
+        ask = Ask(
+            team='team',
+            pool=(ENGINE, f'model-{number % _MODELS}'),
+            fingerprint=str(number),
+            deadline=routing.clock.now() + 60,
+            prefix=rng.randbytes(_PREFIX),
+        )
+        slot = await routing.enter(ask)
+        routing.feedback.sent(slot)
+        slot.first_byte_came()
+        held.append(slot)
+        if len(held) > 1000:
+            ended = held.pop(0)
+            ended.verdict = Verdict.GOOD
+            routing.leave(ended)
+    for slot in held:
+        slot.verdict = Verdict.GOOD
+        routing.leave(slot)
--- /dev/null
+++ b/bench/routing_fleet.py
@@ -0,0 +1,285 @@
+"""Fake targets and routers for measuring routing in virtual time."""
+
+import asyncio
+import random
+from collections import OrderedDict, deque
+
+import attrs
+
+from balsamreach.config.reader import read_settings
+from balsamreach.routing.ask import Ask
+from balsamreach.routing.faults import RoutingFault
+from balsamreach.routing.routing import Routing, make_routing
+from balsamreach.routing.slot import Slot, Verdict
+from balsamreach.table.rows import ENGINE, TargetRow
+from balsamreach.targets.registry import LoadReport, Targets
+from balsamreach.telemetry.metrics import Metrics
+from bench.routing_loop import LoopClock
+
+MODEL = 'model-a'
+BLOCK = 64
+REPORT_INTERVAL = 0.5
+PREFILL = 0.003
+OVERHEAD = 0.02
+
+
+@attrs.define(eq=False)
+class FakeTarget:
+    """Slots, a first-come queue and a prefix cache.
+
+    Parameters
+    ----------
+    name : str
+        Name of its row.
+    slots : int
+        Requests run at once.
+    cache_blocks : int
+        Blocks its cache holds.
+    fails : str
+        How it fails: empty, ``refuses`` or ``errors``.
+    """
+
+    name: str
+    slots: int = 8
+    cache_blocks: int = 512
+    fails: str = ''
+    running: int = 0
+    hits: int = 0
+    misses: int = 0
+    served: int = 0
+    _queue: deque = attrs.field(factory=deque)
+    _cache: OrderedDict = attrs.field(factory=OrderedDict)
+
+    def report(self, now: float) -> LoadReport:
+        """Return its load now."""
+        return LoadReport(
+            running=self.running,
+            queued=len(self._queue),
+            slots=self.slots,
+            incarnation=f'{self.name}-1',
+            taken_at=now,
+        )
+
+    async def serve(self, outcome: 'Outcome', slot: Slot) -> Verdict:
+        """Run one request."""
+        if self.fails == 'refuses':
+            return Verdict.REFUSED
+        if self.fails == 'errors':
+            await asyncio.sleep(OVERHEAD)
+            return Verdict.FAILED
+        await self._enter()
+        try:
+            await self._run(outcome, slot)
+        finally:
+            self._leave()
+        self.served += 1
+        return Verdict.GOOD
+
+    async def _run(self, outcome: 'Outcome', slot: Slot) -> None:
+        missed = self._fill(outcome.work.blocks)
+        await asyncio.sleep(OVERHEAD + PREFILL * missed)
+        slot.first_byte_came()
+        outcome.first = slot.first_at - outcome.work.at
+        await asyncio.sleep(outcome.work.decode)
+
+    async def _enter(self) -> None:
+        if self.running < self.slots:
+            self.running += 1
+            return
+        turn = asyncio.get_running_loop().create_future()
+        self._queue.append(turn)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if turn.done() and not turn.cancelled():
+                self._leave()
+            else:
+                self._queue.remove(turn)
+            raise
+
+    def _leave(self) -> None:
+        while self._queue:
+            turn = self._queue.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+        self.running -= 1
+
+    def _fill(self, blocks) -> int:
+        held = 0
+        for block in blocks:
+            if block not in self._cache:
+                break
+            held += 1
+        for block in blocks:
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.cache_blocks:
+            self._cache.popitem(last=False)
+        self.hits += held
+        self.misses += len(blocks) - held
+        return len(blocks) - held
+
+
+@attrs.frozen
+class Work:
+    """One request of a scenario."""
+
+    at: float
+    team: str
+    prefix: bytes
+    blocks: tuple
+    decode: float
+    deadline: float
+    router: int
+    idempotent: bool = True
+
+
+@attrs.define
+class Outcome:
+    """What became of one request."""
+
+    work: Work
+    first: float = 0
+    total: float = 0
+    attempts: int = 0
+    fault: str = ''
+    retry_after: float = 0
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Targets and routers joined by lagging reports.
+
+    Parameters
+    ----------
+    targets : list of FakeTarget
+        The targets.
+    policy : str
+        Setting ``[routing] policy``.
+    lag : float
+        Age of reports as they arrive, in seconds.
+    seed : int
+        Seed of the routers' randomness.
+    """
+
+    targets: list[FakeTarget]
+    policy: str
+    lag: float
+    seed: int
+    routers: int = 4
+    weights: dict[str, float] = attrs.field(factory=dict)
+    options: tuple[str, ...] = ()
+    admits: bool = True
+    nodes: list[tuple[Routing, Targets]] = attrs.field(factory=list)
+    by_name: dict[str, FakeTarget] = attrs.field(factory=dict)
+
+    def start(self) -> list[asyncio.Task]:
+        """Make the routers and start what runs by itself."""
+        cfg = read_settings(
+            None,
+            (
+                'host.zone=zone-a',
+                f'routing.policy={self.policy}',
+                *self.options,
+            ),
+        )
+        self.by_name = {target.name: target for target in self.targets}
+        tasks = []
+        for number in range(self.routers):
+            targets = Targets()
+            targets.update(self._row(target) for target in self.targets)
+            routing = make_routing(
+                cfg,
+                targets,
+                LoopClock(),
+                random.Random(self.seed * 100 + number),
+                Metrics(),
+            )
+            self.nodes.append((routing, targets))
+            tasks.append(asyncio.create_task(routing.run()))
+        tasks.append(asyncio.create_task(self._report()))
+        return tasks
+
+    async def run(self, work: Work) -> Outcome:
+        """Run one request from its arrival to its end."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(work.at - loop.time())
+        outcome = Outcome(work)
+        routing, _targets = self.nodes[work.router]
+        ask = Ask(
+            team=work.team,
+            pool=(ENGINE, MODEL),
+            fingerprint=f'{work.team}-{work.at}',
+            deadline=work.at + work.deadline,
+            prefix=work.prefix,
+            idempotent=work.idempotent,
+        )
+        try:
+            async with asyncio.timeout(work.deadline):
+                await self._attempts(routing, ask, outcome)
+        except TimeoutError:
+            outcome.fault = 'timeout'
+        outcome.total = loop.time() - work.at
+        return outcome
+
+    async def _attempts(self, routing, ask, outcome) -> None:
+        slot = await routing.enter(ask)
+        tried = set()
+        while not isinstance(slot, RoutingFault):
+            tried.add(slot.target.name)
+            verdict = await self._send(routing, slot, outcome)
+            outcome.fault = '' if verdict == Verdict.GOOD else verdict.value
+            again = ask.idempotent or verdict == Verdict.REFUSED
+            if not outcome.fault or not again or len(tried) > 2:
+                return
+            slot = await routing.again(ask, frozenset(tried))
+        outcome.fault = outcome.fault or slot.code
+        outcome.retry_after = slot.retry_after
+
+    async def _send(self, routing, slot: Slot, outcome) -> Verdict:
+        outcome.attempts += 1
+        routing.feedback.sent(slot)
+        slot.target.in_flight += 1
+        try:
+            target = self.by_name[slot.target.name]
+            slot.verdict = await target.serve(outcome, slot)
+        finally:
+            slot.target.in_flight -= 1
+            routing.leave(slot)
+        return slot.verdict
+
+    async def _report(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            now = loop.time()
+            reports = {
+                target.name: target.report(now) for target in self.targets
+            }
+            loop.call_later(self.lag, self._deliver, reports)
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    def _deliver(self, reports) -> None:
+        for _routing, targets in self.nodes:
+            for name, report in reports.items():
+                targets.by_name[name].report = report
+
+    def _row(self, target: FakeTarget) -> TargetRow:
+        return TargetRow(
+            name=target.name,
+            address='127.0.0.1:1',
+            zone='zone-a',
+            service='llm',
+            models=(MODEL,),
+            weight=self.weights.get(target.name, 1),
+        )
+
+
+async def run_all(fleet: Fleet, works: list[Work]) -> list[Outcome]:
+    """Run every request of a scenario and return what became of them."""
+    background = fleet.start()
+    outcomes = await asyncio.gather(*(fleet.run(work) for work in works))
+    for task in background:
+        task.cancel()
+    await asyncio.gather(*background, return_exceptions=True)
+    return outcomes
--- /dev/null
+++ b/bench/routing_scenarios.py
@@ -0,0 +1,181 @@
+"""Scenarios that measure choice, overload, fairness, retries and shares."""
+
+from collections import Counter
+
+from bench.routing_fleet import FakeTarget, Fleet, Outcome, run_all
+from bench.routing_loop import run_virtually
+from bench.routing_works import Traffic, capacity, make_works
+
+POLICIES = (
+    'random',
+    'round_robin',
+    'least_requests',
+    'two_choices',
+    'affinity',
+)
+TARGETS = 16
+SLOTS = 8
+ROUTERS = 4
+SECONDS = 120.0
+P95 = 0.95
+WARM_UP = 20.0
+TWICE = 2.0
+
+
+def _targets() -> list[FakeTarget]:
+    return [FakeTarget(f'engine-{num}', SLOTS) for num in range(TARGETS)]
+
+
+def _quantile(numbers: list[float], share: float) -> float:
+    ordered = sorted(numbers)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _run(fleet: Fleet, streams: list[Traffic], seed: int) -> list[Outcome]:
+    works = [
+        work
+        for stream in streams
+        for work in make_works(stream, fleet.routers, seed)
+    ]
+    return run_virtually(run_all(fleet, works))
+
+
+def measure_choice(seed: int) -> list[dict]:
+    """Compare policies at equal load: cache hits and first token."""
+    rate = 0.75 * capacity(TARGETS, SLOTS)
+    rows = []
+    for lag in (0.0, 2.0):
+        for policy in POLICIES:
+            fleet = Fleet(_targets(), policy, lag, seed, ROUTERS)
+            outcomes = _run(fleet, [Traffic('team', rate, SECONDS)], seed)
+            hits = sum(target.hits for target in fleet.targets)
+            misses = sum(target.misses for target in fleet.targets)
+            firsts = [out.first for out in outcomes if not out.fault]
+            rows.append(
+                {
+                    'scenario': 'choice',
+                    'policy': policy,
+                    'report_lag_s': lag,
+                    'requests': len(outcomes),
+                    'hit_rate': hits / (hits + misses),
+                    'ttft_p50': _quantile(firsts, 0.5),
+                    'ttft_p95': _quantile(firsts, P95),
+                    'not_answered': len(outcomes) - len(firsts),
+                },
+            )
+    return rows
+
+
+def measure_overload(seed: int) -> list[dict]:
+    """Compare useful work at twice the capacity with that at capacity."""
+    rows = []
+    for load in (0.9, 1.0, 1.1, 2.0, 3.0):
+        rate = load * capacity(TARGETS, SLOTS)
+        fleet = Fleet(_targets(), 'affinity', 0.5, seed, ROUTERS)
+        traffic = Traffic('team', rate, SECONDS, deadline=10)
+        outcomes = _run(fleet, [traffic], seed)
+        useful = sum(not out.fault for out in outcomes)
+        rows.append(
+            {
+                'scenario': 'overload',
+                'load': load,
+                'requests': len(outcomes),
+                'useful_per_s': useful / SECONDS,
+                'faults': dict(Counter(out.fault for out in outcomes)),
+                'limits': _limits(fleet),
+            },
+        )
+    best = max(row['useful_per_s'] for row in rows if row['load'] < TWICE)
+    for row in rows:
+        row['of_best_at_capacity'] = row['useful_per_s'] / best
+    return rows
+
+
+def _limits(fleet: Fleet) -> float:
+    """Return the mean over targets of all routers' limits together."""
+    pools = [node[0].admission.picker.pools for node in fleet.nodes]
+    limits = [
+        state.limit.limit for pool in pools for state in pool.states.values()
+    ]
+    return sum(limits) / len(fleet.targets)
+
+
+def measure_fairness(seed: int) -> list[dict]:
+    """Compare a quiet team's latency alone and beside a flood."""
+    rows = [
+        _beside(name, flood, seed)
+        for name, flood in (('alone', 0), ('half', 0.5), ('flood', 2.0))
+    ]
+    for row in rows:
+        row['p95_ratio'] = row['total_p95'] / rows[0]['total_p95']
+    return rows
+
+
+def _beside(name: str, flood: float, seed: int) -> dict:
+    full = capacity(TARGETS, SLOTS)
+    streams = [Traffic('quiet', 0.2 * full, SECONDS, deadline=30)]
+    if flood:
+        streams.append(Traffic('flood', flood * full, SECONDS, deadline=30))
+    fleet = Fleet(_targets(), 'affinity', 0.5, seed, ROUTERS)
+    outcomes = _run(fleet, streams, seed)
+    mine = [out for out in outcomes if out.work.team == 'quiet']
+    mine = [out for out in mine if out.work.at > WARM_UP]
+    served = [out for out in mine if not out.fault]
+    return {
+        'scenario': 'fairness',
+        'beside': name,
+        'requests': len(mine),
+        'refused': len(mine) - len(served),
+        'ttft_p95': _quantile([out.first for out in served], P95),
+        'total_p95': _quantile([out.total for out in served], P95),
+    }
+
+
+def measure_failures(seed: int) -> list[dict]:
+    """Count attempts while a third of the targets fail."""
+    rows = []
+    for fails in ('refuses', 'errors'):
+        targets = _targets()
+        for target in targets[: TARGETS // 3 + 1]:
+            target.fails = fails
+        rate = 0.5 * capacity(TARGETS, SLOTS)
+        fleet = Fleet(targets, 'affinity', 0.5, seed, ROUTERS)
+        traffic = Traffic('team', rate, SECONDS, idempotent_share=0.8)
+        outcomes = _run(fleet, [traffic], seed)
+        attempts = sum(out.attempts for out in outcomes)
+        single = [out for out in outcomes if not out.work.idempotent]
+        rows.append(
+            {
+                'scenario': 'failures',
+                'third': fails,
+                'requests': len(outcomes),
+                'attempts_per_request': attempts / len(outcomes),
+                'not_answered': sum(bool(out.fault) for out in outcomes),
+                'single_most_attempts': max(out.attempts for out in single),
+            },
+        )
+    return rows
+
+
+def measure_shares(seed: int) -> list[dict]:
+    """Compare targets' shares of requests with their weights."""
+    return [_shares(policy, seed) for policy in POLICIES]
+
+
+def _shares(policy: str, seed: int) -> dict:
+    targets = _targets()
+    for number, target in enumerate(targets):
+        target.slots = SLOTS * (1 + number % 3)
+    weights = {one.name: one.slots / SLOTS for one in targets}
+    rate = 0.5 * capacity(sum(weights.values()), SLOTS)
+    fleet = Fleet(targets, policy, 0.5, seed, ROUTERS, weights)
+    outcomes = _run(fleet, [Traffic('team', rate, SECONDS)], seed)
+    fair = len(outcomes) / sum(weights.values())
+    errors = [abs(one.served / fair / weights[one.name] - 1) for one in targets]
+    return {
+        'scenario': 'shares',
+        'policy': policy,
+        'requests': len(outcomes),
+        'mean_error': sum(errors) / len(errors),
+        'largest_error': max(errors),
+    }
--- /dev/null
+++ b/bench/routing_works.py
@@ -0,0 +1,70 @@
+"""Requests of the scenarios, drawn from a seed."""
+
+import itertools
+import random
+
+import attrs
+
+from bench.routing_fleet import BLOCK, OVERHEAD, PREFILL, Work
+
+SHARED_BLOCKS = 24
+OWN_BLOCKS = 6
+GROUPS = 240
+DECODE = 1.0
+
+
+@attrs.frozen
+class Traffic:
+    """A stream of requests of one team.
+
+    Parameters
+    ----------
+    team : str
+        Its name.
+    rate : float
+        Requests a second.
+    seconds : float
+        How long it lasts.
+    deadline : float
+        Seconds each request may take.
+    """
+
+    team: str
+    rate: float
+    seconds: float
+    deadline: float = 60.0
+    idempotent_share: float = 1.0
+
+
+def make_works(traffic: Traffic, routers: int, seed: int) -> list[Work]:
+    """Return requests with shared prompt prefixes of uneven popularity."""
+    rng = random.Random(f'{seed}-{traffic.team}')
+    popularity = [1 / (rank + 4) for rank in range(GROUPS)]
+    steps = list(itertools.accumulate(popularity))
+    works = []
+    at = rng.expovariate(traffic.rate)
+    while at < traffic.seconds:
+        group = rng.choices(range(GROUPS), cum_weights=steps)[0]
+        own = rng.getrandbits(64)
+        names = [f'{group}.{number}' for number in range(SHARED_BLOCKS)]
+        names += [f'{own}.{number}' for number in range(OWN_BLOCKS)]
+        works.append(
+            Work(
+                at=at,
+                team=traffic.team,
+                prefix=''.join(name.ljust(BLOCK) for name in names).encode(),
+                blocks=tuple(names),
+                decode=min(5, rng.expovariate(1 / DECODE)),
+                deadline=traffic.deadline,
+                router=rng.randrange(routers),
+                idempotent=rng.random() < traffic.idempotent_share,
+            ),
+        )
+        at += rng.expovariate(traffic.rate)
+    return works
+
+
+def capacity(targets: int, slots: int) -> float:
+    """Return the requests a second that targets manage without a cache."""
+    blocks = SHARED_BLOCKS + OWN_BLOCKS
+    return targets * slots / (OVERHEAD + PREFILL * blocks + DECODE)
--- a/src/balsamreach/routing/adaptive.py
+++ b/src/balsamreach/routing/adaptive.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from balsamreach.targets.registry import LoadReport
+
 _START = 16
 _LEAST = 1
 #: Requests whose fastest first byte is taken for one measurement.
@@ -12,6 +14,9 @@
 _TOLERANCE = 2
 _SLACK = 0.005
 _CUT = 0.9
+_DEEPEST_CUT = 0.5
+#: Growth for each report that shows no queue although the limit was met.
+_STEP = 0.25
 #: The best latency forgets this share with each window, so that a target
 #: which became slower for good is not held down for ever.
 _FORGET = 0.02
@@ -38,6 +43,7 @@
     _taken: int = 0
     _was_full: bool = False
     _cut_at: float = 0
+    _told: bool = False
 
     def observe(self, first_byte: float, busy: int, now: float) -> None:
         """Take the time to the first byte of a request that ended well.
@@ -54,31 +60,56 @@
         self._fastest = min(self._fastest, first_byte)
         self._was_full = self._was_full or busy + 1 >= self.limit
         self._taken += 1
-        if self._taken < _WINDOW:
+        if self._told or self._taken < _WINDOW:
             return
         self._judge(now)
         self._taken = 0
         self._fastest = math.inf
         self._was_full = False
 
+    def reported(self, report: LoadReport, now: float) -> None:
+        """Take a target's own word on its queue, which beats guessing.
+
+        Parameters
+        ----------
+        report : LoadReport
+            A new report.
+        now : float
+            Monotonic seconds.
+        """
+        self._told = report.slots > 0
+        # A report taken before the last cut shows the queue that the cut was
+        # meant for. Cutting again for it would take the limit to the floor
+        # the later reports come, and leave the target half idle.
+        if not self._told or report.taken_at <= self._cut_at:
+            return
+        if report.queued:
+            busy = report.running + report.queued
+            self._cut(report.running / busy, now)
+        elif self._was_full:
+            self.limit += _STEP
+        self._was_full = False
+
     def overloaded(self, now: float) -> None:
         """Take a target's word that it is full."""
-        self._cut(self.best, now)
+        if now - self._cut_at >= self.best:
+            self._cut(_CUT, now)
 
     def _judge(self, now: float) -> None:
         if not self.best or self._fastest < self.best:
             self.best = self._fastest
         else:
             self.best += (self._fastest - self.best) * _FORGET
-        if self._fastest > _TOLERANCE * self.best + _SLACK:
-            self._cut(self._fastest, now)
-        elif self._was_full:
-            self.limit += 1
-
-    def _cut(self, period: float, now: float) -> None:
-        # All requests that stood in one queue come back slow together. If
-        # each of them cut the limit, one burst would take it to the floor;
-        # so one latency's time must pass between two cuts.
-        if now - self._cut_at >= period:
-            self._cut_at = now
-            self.limit = max(_LEAST, self.limit * _CUT)
+        most = _TOLERANCE * self.best + _SLACK
+        if self._fastest <= most:
+            self.limit += self._was_full
+        elif now - self._cut_at >= self._fastest:
+            # All requests that stood in one queue come back slow together.
+            # If each of them cut the limit, one burst would take it to the
+            # floor; so one latency's time must pass between two cuts.
+            self._cut(most / self._fastest, now)
+
+    def _cut(self, part: float, now: float) -> None:
+        self._cut_at = now
+        part = min(_CUT, max(_DEEPEST_CUT, part))
+        self.limit = max(_LEAST, self.limit * part)
--- a/src/balsamreach/routing/admission.py
+++ b/src/balsamreach/routing/admission.py
@@ -22,6 +22,9 @@
 _WAITED = 'balsamreach_queue_wait_seconds'
 _REFUSALS = 'balsamreach_admission_refusals_total'
 
+#: Part of the time left that a new request may be expected to wait.
+_QUEUE_PART = 0.5
+
 Outcome = TargetState | RoutingFault
 
 
@@ -143,6 +146,9 @@
         pool = self.picker.pools.find(line.key)
         waiter = line.queue.peek()
         while waiter is not None and pool is not None:
+            if self._is_late(waiter, line):
+                waiter = line.queue.peek()
+                continue
             state = self.picker.pick(waiter.ask, pool)
             if state is None:
                 return
@@ -150,6 +156,20 @@
             line.grants[waiter].set_result(state)
             waiter = line.queue.peek()
 
+    def _is_late(self, waiter: Waiter, line: Line) -> bool:
+        """Refuse a request that would not end in time if it began now."""
+        left = waiter.ask.deadline - self.clock.now()
+        if left >= line.pacing.seconds:
+            return False
+        line.queue.remove(waiter)
+        line.grants[waiter].set_result(
+            faults.DEADLINE_UNMEETABLE.after(
+                max(1, line.pacing.wait(line.queue.waiting)),
+                'too little time is left to answer the request',
+            ),
+        )
+        return True
+
     def _refuse_early(
         self,
         ask: Ask,
@@ -158,8 +178,11 @@
     ) -> RoutingFault | None:
         now = self.clock.now()
         wait = line.pacing.wait(line.queue.ahead(ask))
-        left = ask.deadline - now - line.pacing.seconds
-        if wait > min(left, self.cfg.deadline):
+        left = ask.deadline - now - line.pacing.needed()
+        # The estimate strays, and a request that is refused after a long
+        # wait is worse off than one refused at once; so the queue is kept
+        # well within what would just do.
+        if wait > _QUEUE_PART * min(left, self.cfg.deadline):
             return faults.DEADLINE_UNMEETABLE.after(
                 line.pacing.wait(line.queue.waiting),
                 'the queue is too long for the deadline',
@@ -195,9 +218,11 @@
         line.grants[waiter] = grant
         line.queue.push(waiter)
         self.metrics.gauge(_WAITING, line.queue.waiting, pool=line.key[1])
-        outcome = await self._await_grant(grant, left, line)
-        line.queue.remove(waiter)
-        line.grants.pop(waiter)
+        try:
+            outcome = await self._await_grant(grant, left, line)
+        finally:
+            line.queue.remove(waiter)
+            line.grants.pop(waiter)
         waited = self.clock.now() - began
         self.metrics.observe(_WAITED, waited, pool=line.key[1])
         if isinstance(outcome, RoutingFault):
@@ -213,7 +238,12 @@
         try:
             await asyncio.wait((grant,), timeout=left)
         except asyncio.CancelledError:
-            self._return_grant(grant)
+            # A caller can go away in the moment between the grant and this
+            # task running. The slot would be held for ever and the target
+            # would seem ever fuller, until it got nothing more.
+            if grant.done() and isinstance(grant.result(), TargetState):
+                self.picker.release(grant.result(), None, self.clock.now())
+                self.pump(grant.result())
             raise
         if grant.done():
             return grant.result()
@@ -223,15 +253,6 @@
             'no target had room in time',
         )
 
-    def _return_grant(self, grant: asyncio.Future) -> None:
-        # A caller can go away in the moment between the grant and this task
-        # running. The slot would be held for ever and the target would seem
-        # ever fuller, until it got nothing more.
-        if grant.done() and isinstance(grant.result(), TargetState):
-            state = grant.result()
-            self.picker.release(state, None, self.clock.now())
-            self.pump(state)
-
     def _line(self, key: PoolKey) -> Line:
         line = self.lines.get(key)
         if line is None:
--- a/src/balsamreach/routing/affinity.py
+++ b/src/balsamreach/routing/affinity.py
@@ -6,8 +6,9 @@
 import attrs
 import xxhash
 
-from balsamreach.routing.choice import Choice, Chooser, TwoChoices, Want
+from balsamreach.routing.choice import Choice, Chooser, TwoChoices
 from balsamreach.routing.pools import Group
+from balsamreach.routing.want import Want
 
 #: Bytes of prompt that one block of an engine's cache holds.
 BLOCK_BYTES = 64
@@ -16,10 +17,10 @@
 #: Blocks that decide a prompt's place on the ring.
 _ROOT = 4
 #: A member may carry this much more than the mean before others are asked.
-_BOUND = 1.25
-_SLACK = 2.0
+_BOUND = 1.0
+_SLACK = 0.5
 _MOST_STEPS = 4
-_MOST_HINTS = 100_000
+_MOST_HINTS = 20_000
 
 
 def hash_blocks(prefix: bytes) -> list[int]:
@@ -86,10 +87,10 @@
         blocks = hash_blocks(want.prefix)
         if not blocks:
             return self._spread.choose(want, group, now)
-        bound = _BOUND * group.mean_load(self.rng) + _SLACK
+        bound = _BOUND * group.mean_load(self.rng, now) + _SLACK
         for index in self._candidates(blocks, group):
-            open_now = group.is_open(index, now, want.tried)
-            if open_now and group.load(index) <= bound:
+            open_now = group.is_open(index, now, want)
+            if open_now and group.load(index, now) <= bound:
                 self._remember(blocks, group, index)
                 return index
         return self._spread.choose(want, group, now)
--- a/src/balsamreach/routing/breaker.py
+++ b/src/balsamreach/routing/breaker.py
@@ -48,9 +48,25 @@
         self.opened = 0
         self._probing = False
 
-    def fail(self, now: float, rng: random.Random) -> bool:
-        """Take note of a failure; True if it opened the breaker anew."""
-        self.failures += 1
+    def fail(
+        self,
+        now: float,
+        rng: random.Random,
+        *,
+        certain: bool = False,
+    ) -> bool:
+        """Take note of a failure; True if it opened the breaker anew.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        rng : random.Random
+            Source of the jitter.
+        certain : bool
+            Whether one failure is enough, as where nobody listens.
+        """
+        self.failures += self.threshold if certain else 1
         if self.opened and not self._probing:
             # Requests that were under way when the breaker opened tell
             # nothing new; counting them would stretch the pause needlessly.
--- a/src/balsamreach/routing/choice.py
+++ b/src/balsamreach/routing/choice.py
@@ -6,30 +6,12 @@
 import attrs
 
 from balsamreach.routing.pools import Group
+from balsamreach.routing.want import Want
 
 #: A choice among members of a group: an index, or None if all are full.
 Choice = int | None
 
 
-@attrs.frozen
-class Want:
-    """What a choice is made for.
-
-    Parameters
-    ----------
-    model : str
-        Model, or name of the plain service.
-    prefix : bytes
-        Leading part of the prompt; empty for plain services.
-    tried : frozenset of str
-        Names of targets that must not be chosen.
-    """
-
-    model: str
-    prefix: bytes = b''
-    tried: frozenset[str] = frozenset()
-
-
 @attrs.define
 class Chooser(abc.ABC):
     """A policy of choice."""
@@ -47,7 +29,7 @@
 
     def choose(self, want: Want, group: Group, now: float) -> Choice:
         """Return a member drawn by weight."""
-        return group.draw_open(self.rng, now, want.tried)
+        return group.draw_open(self.rng, now, want)
 
 
 @attrs.define
@@ -59,7 +41,7 @@
         size = len(group.members)
         for step in range(size):
             index = (group.turn + step) % size
-            if group.is_open(index, now, want.tried):
+            if group.is_open(index, now, want):
                 group.turn = index + 1
                 return index
         return None
@@ -71,11 +53,11 @@
 
     def choose(self, want: Want, group: Group, now: float) -> Choice:
         """Return the member of the least load per weight."""
-        able = list(group.open_ones(now, want.tried))
+        able = list(group.open_ones(now, want))
         # Ties go to a random member, so that routers without news do not
         # all send to the first row of the table.
         self.rng.shuffle(able)
-        return min(able, key=group.load, default=None)
+        return min(able, key=lambda one: group.load(one, now), default=None)
 
 
 @attrs.define
@@ -84,10 +66,10 @@
 
     def choose(self, want: Want, group: Group, now: float) -> Choice:
         """Return the less loaded of two draws."""
-        first = group.draw_open(self.rng, now, want.tried)
+        first = group.draw_open(self.rng, now, want)
         if first is None:
             return None
         second = group.draw(self.rng)
-        if not group.is_open(second, now, want.tried):
+        if not group.is_open(second, now, want):
             return first
-        return min(first, second, key=group.load)
+        return min(first, second, key=lambda one: group.load(one, now))
--- a/src/balsamreach/routing/feedback.py
+++ b/src/balsamreach/routing/feedback.py
@@ -86,7 +86,11 @@
             breaker.succeed()
         elif slot.verdict not in _FAILURES:
             breaker.let_go()
-        elif breaker.fail(self.clock.now(), self.rng):
+        elif breaker.fail(
+            self.clock.now(),
+            self.rng,
+            certain=slot.verdict == Verdict.REFUSED,
+        ):
             self.metrics.count(_SUSPENSIONS)
             log_event(
                 _logger,
--- a/src/balsamreach/routing/pacing.py
+++ b/src/balsamreach/routing/pacing.py
@@ -5,6 +5,9 @@
 #: Ends are counted over windows of this many seconds.
 _WINDOW = 1.0
 _SMOOTH = 0.3
+_SLOW = 0.05
+#: Most requests end within the mean and this many spreads.
+_SPREADS = 2
 _LONGEST = 60.0
 
 
@@ -16,11 +19,14 @@
     ----------
     seconds : float
         Smoothed time that a request holds its slot.
+    spread : float
+        Smoothed distance of single times from it.
     rate : float
         Smoothed ends a second; 0 before the first window is over.
     """
 
     seconds: float = 0
+    spread: float = 0
     rate: float = 0
     _ended: int = 0
     _since: float | None = None
@@ -28,7 +34,9 @@
     def left(self, seconds: float, now: float) -> None:
         """Take note of a request that gave its slot back."""
         if self.seconds:
-            self.seconds += (seconds - self.seconds) * _SMOOTH / 2
+            strayed = abs(seconds - self.seconds)
+            self.spread += (strayed - self.spread) * _SLOW
+            self.seconds += (seconds - self.seconds) * _SLOW
         else:
             self.seconds = seconds
         if self._since is None:
@@ -43,6 +51,10 @@
         self._ended = 0
         self._since = now
 
+    def needed(self) -> float:
+        """Return the seconds within which most requests end."""
+        return self.seconds + _SPREADS * self.spread
+
     def wait(self, ahead: int) -> float:
         """Return the seconds until a number of requests have ended."""
         if not self.rate or not ahead:
--- a/src/balsamreach/routing/picking.py
+++ b/src/balsamreach/routing/picking.py
@@ -6,9 +6,10 @@
 
 from balsamreach.clock import Clock
 from balsamreach.routing.ask import Ask
-from balsamreach.routing.choice import Chooser, Want
+from balsamreach.routing.choice import Chooser
 from balsamreach.routing.pools import Pool, Pools
 from balsamreach.routing.state import TargetState
+from balsamreach.routing.want import Want
 
 #: Load over the mean of all zones from which a request leaves its zone.
 _SPILL = 1.5
@@ -45,7 +46,7 @@
     ) -> TargetState | None:
         """Return a target with a slot taken, None if none has room."""
         now = self.clock.now()
-        want = Want(ask.pool[1], ask.prefix, tried)
+        want = Want(ask.prefix, tried, ask.idempotent)
         state = self._choose(want, pool, now)
         if state is not None:
             state.take(now)
@@ -70,12 +71,12 @@
     ) -> TargetState | None:
         if pool.near is not None:
             index = self.chooser.choose(want, pool.near, now)
-            if index is not None and not self._spills(pool, index):
+            if index is not None and not self._spills(pool, index, now):
                 return pool.near.members[index]
         index = self.chooser.choose(want, pool.everyone, now)
         return None if index is None else pool.everyone.members[index]
 
-    def _spills(self, pool: Pool, index: int) -> bool:
+    def _spills(self, pool: Pool, index: int, now: float) -> bool:
         assert pool.near is not None
-        mean = pool.everyone.mean_load(self.rng)
-        return pool.near.load(index) > _SPILL * mean + _SPILL_SLACK
+        mean = pool.everyone.mean_load(self.rng, now)
+        return pool.near.load(index, now) > _SPILL * mean + _SPILL_SLACK
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -11,12 +11,15 @@
 from balsamreach.routing.breaker import Breaker
 from balsamreach.routing.ring import Ring, make_ring
 from balsamreach.routing.state import TargetState
+from balsamreach.routing.want import Want
 from balsamreach.table.rows import ENGINE, TargetRow
 from balsamreach.targets.registry import Targets
 
 _DRAWS = 8
 #: Members looked at for the mean load of a large group.
 _SAMPLE = 16
+#: Others' mean load is worked out anew after this many seconds.
+_MEAN_AGE = 0.25
 
 #: Kind and name: ('engine', model) or ('service', service).
 PoolKey = tuple[str, str]
@@ -40,6 +43,8 @@
     turn: int = 0
     _steps: list[float] = attrs.field(init=False)
     _places: dict[str, int] = attrs.field(init=False)
+    _mean: float = 0
+    _mean_at: float = float('-inf')
 
     def __attrs_post_init__(self) -> None:
         names = [state.name for state in self.members]
@@ -61,41 +66,58 @@
         self,
         rng: random.Random,
         now: float,
-        tried: frozenset[str],
+        want: Want,
     ) -> int | None:
         """Return the index of a member with room, drawn by weight."""
         for _ in range(_DRAWS):
             index = self.draw(rng)
-            if self.is_open(index, now, tried):
+            if self.is_open(index, now, want):
                 return index
-        able = self.open_ones(now, tried)
+        able = self.open_ones(now, want)
         if not able:
             return None
         weights = [self.weights[index] for index in able]
         return rng.choices(able, weights)[0]
 
-    def open_ones(self, now: float, tried: frozenset[str]) -> Sequence[int]:
+    def open_ones(self, now: float, want: Want) -> Sequence[int]:
         """Return the indices of all members with room."""
         everyone = range(len(self.members))
-        return [index for index in everyone if self.is_open(index, now, tried)]
+        return [index for index in everyone if self.is_open(index, now, want)]
 
-    def is_open(self, index: int, now: float, tried: frozenset[str]) -> bool:
-        """Return whether a member has room and was not tried yet."""
+    def is_open(self, index: int, now: float, want: Want) -> bool:
+        """Return whether a member has room and may be chosen."""
         state = self.members[index]
-        return state.has_room(now) and state.name not in tried
-
-    def load(self, index: int) -> float:
-        """Return a member's load in relation to its weight."""
-        return self.members[index].load() / self.weights[index]
-
-    def mean_load(self, rng: random.Random) -> float:
+        if state.name in want.tried:
+            return False
+        if state.breaker.open and not want.probes:
+            return False
+        return state.has_room(now)
+
+    def load(self, index: int, now: float) -> float:
+        """Return a member's likely load in relation to its weight."""
+        weight = self.weights[index]
+        mean = self._mean_others(now) * weight
+        return self.members[index].likely_load(mean, now) / weight
+
+    def mean_load(self, rng: random.Random, now: float) -> float:
         """Return the load per weight, of a sample where there are many."""
+        sample = self._sample(rng)
+        held = sum(self.members[index].held for index in sample)
+        weight = sum(self.weights[index] for index in sample)
+        return held / weight + self._mean_others(now)
+
+    def _sample(self, rng: random.Random) -> Sequence[int]:
         size = len(self.members)
         if size <= _SAMPLE:
-            total = sum(state.load() for state in self.members)
-            return total / self._steps[-1]
-        draws = [self.load(self.draw(rng)) for _ in range(_SAMPLE)]
-        return sum(draws) / _SAMPLE
+            return range(size)
+        return rng.sample(range(size), _SAMPLE)
+
+    def _mean_others(self, now: float) -> float:
+        if now - self._mean_at >= _MEAN_AGE:
+            self._mean_at = now
+            others = sum(state.others for state in self.members)
+            self._mean = others / self._steps[-1]
+        return self._mean
 
 
 @attrs.define(eq=False)
--- a/src/balsamreach/routing/retries.py
+++ b/src/balsamreach/routing/retries.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-_RESERVE = 3
+_RESERVE = 10
 _MOST = 100
 _FIRST_DELAY = 0.05
 _LONGEST_DELAY = 1.0
--- a/src/balsamreach/routing/ring.py
+++ b/src/balsamreach/routing/ring.py
@@ -7,7 +7,7 @@
 import attrs
 import xxhash
 
-_POINTS = 32
+_POINTS = 64
 _MOST_POINTS = 512
 
 
@@ -45,7 +45,7 @@
     points.sort()
     return Ring(
         array('Q', [point[0] for point in points]),
-        array('L', [point[1] for point in points]),
+        array('I', [point[1] for point in points]),
     )
 
 
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -1,5 +1,6 @@
 """What this router knows of one target's load and health."""
 
+import math
 from collections import deque
 
 import attrs
@@ -11,6 +12,8 @@
 #: Own requests are remembered in steps of this many seconds.
 _STEP = 0.05
 _STEPS = 128
+#: Age in seconds at which a report has lost most of its worth.
+_TRUST = 1.5
 
 
 @attrs.define(eq=False)
@@ -25,6 +28,8 @@
         Slots that requests of this router hold, sent or about to be.
     alone : str
         Fingerprint of the suspect that it is kept free for, if any.
+    others : int
+        Requests of other routers at the newest report.
     """
 
     target: Target
@@ -32,7 +37,7 @@
     limit: AdaptiveLimit = attrs.field(factory=AdaptiveLimit)
     held: int = 0
     alone: str = ''
-    _others: int = 0
+    others: int = 0
     _read: LoadReport | None = None
     _past: deque[tuple[float, int]] = attrs.field(
         factory=lambda: deque(maxlen=_STEPS),
@@ -54,23 +59,38 @@
         self.held -= 1
         self._note(now)
 
-    def load(self) -> int:
+    def load(self, now: float) -> float:
         """Return own requests plus those of others at the last report.
 
         A report is late, and counts this router's requests of that moment.
         They are taken off, so that neither requests sent since the report
         are missed nor those that ended since are counted.
         """
-        report = self.target.report
-        if report is not self._read:
-            self._read = report
-            reported = report.running + report.queued
-            own = self._held_at(report.taken_at)
-            self._others = max(0, reported - own)
-        return self.held + self._others
+        self._follow_report(now)
+        return self.held + self.others
+
+    def likely_load(self, mean_others: float, now: float) -> float:
+        """Return the load, trusting an old report less than a new one.
+
+        What others had there some seconds ago has mostly ended by now, and
+        other routers have gone where it was quiet. The older the report,
+        the more the mean over all targets is the better guess.
+
+        Parameters
+        ----------
+        mean_others : float
+            Others' requests at a target of this weight on average.
+        now : float
+            Monotonic seconds.
+        """
+        self._follow_report(now)
+        age = now - self.target.report.taken_at
+        trust = math.exp(-age / _TRUST)
+        return self.held + mean_others + (self.others - mean_others) * trust
 
     def has_room(self, now: float) -> bool:
         """Return whether it may be sent one more request."""
+        self._follow_report(now)
         most = min(self.target.row.concurrency, int(self.limit.limit))
         most = int(most * self.target.warm_share(now))
         return self.held < max(1, most) and self.is_usable(now)
@@ -82,6 +102,16 @@
             return False
         return self.breaker.passes(now)
 
+    def _follow_report(self, now: float) -> None:
+        report = self.target.report
+        if report is self._read:
+            return
+        self._read = report
+        reported = report.running + report.queued
+        own = self._held_at(report.taken_at)
+        self.others = max(0, reported - own)
+        self.limit.reported(report, now)
+
     def _note(self, now: float) -> None:
         past = self._past
         if past and now - past[-1][0] < _STEP:
