Ignore suspensions where every target of a pool is suspended

Cause: test_dispatch_run's TruthTest failed: with every worker's connection refused once, a non-idempotent request could probe none of them, and the pool would have stayed shut to such traffic for good. Conclusion: a suspension spares requests only while others can serve them.

--- a/src/balsamreach/routing/picking.py
+++ b/src/balsamreach/routing/picking.py
@@ -73,8 +73,15 @@
             index = self.chooser.choose(want, pool.near, now)
             if index is not None and not self._spills(pool, index, now):
                 return pool.near.members[index]
-        index = self.chooser.choose(want, pool.everyone, now)
-        return None if index is None else pool.everyone.members[index]
+        group = pool.everyone
+        index = self.chooser.choose(want, group, now)
+        if index is None and group.all_suspended():
+            # With every target suspended there is nothing left to spare, and
+            # a pool whose requests may not be used as probes would never
+            # find out that its targets are back.
+            desperate = attrs.evolve(want, desperate=True)
+            index = self.chooser.choose(desperate, group, now)
+        return None if index is None else group.members[index]
 
     def _spills(self, pool: Pool, index: int, now: float) -> bool:
         assert pool.near is not None
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -89,9 +89,15 @@
         state = self.members[index]
         if state.name in want.tried:
             return False
+        if want.desperate:
+            return state.has_slot(now)
         if state.breaker.open and not want.probes:
             return False
-        return state.has_room(now)
+        return state.has_slot(now) and state.breaker.passes(now)
+
+    def all_suspended(self) -> bool:
+        """Return whether no member is known to work."""
+        return all(state.breaker.open for state in self.members)
 
     def load(self, index: int, now: float) -> float:
         """Return a member's likely load in relation to its weight."""
--- a/src/balsamreach/routing/probation.py
+++ b/src/balsamreach/routing/probation.py
@@ -101,7 +101,7 @@
         key = xxhash.xxh3_64_intdigest(ask.fingerprint.encode())
         for step, index in enumerate(group.ring.walk(key)):
             state = group.members[index]
-            usable = state.is_usable(now) and state.name not in tried
+            usable = state.takes_work(now) and state.name not in tried
             if usable:
                 state.alone = ask.fingerprint
                 return state
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -88,19 +88,18 @@
         trust = math.exp(-age / _TRUST)
         return self.held + mean_others + (self.others - mean_others) * trust
 
-    def has_room(self, now: float) -> bool:
-        """Return whether it may be sent one more request."""
+    def has_slot(self, now: float) -> bool:
+        """Return whether it has room for one more request."""
         self._follow_report(now)
         most = min(self.target.row.concurrency, int(self.limit.limit))
         most = int(most * self.target.warm_share(now))
-        return self.held < max(1, most) and self.is_usable(now)
+        return self.held < max(1, most) and self.takes_work(now)
 
-    def is_usable(self, now: float) -> bool:
-        """Return whether it may be sent requests at all."""
+    def takes_work(self, now: float) -> bool:
+        """Return whether it is there to be sent requests."""
         target = self.target
-        if self.alone or target.leaving or target.suspended_until > now:
-            return False
-        return self.breaker.passes(now)
+        suspended = target.suspended_until > now
+        return not (self.alone or target.leaving or suspended)
 
     def _follow_report(self, now: float) -> None:
         report = self.target.report
--- a/src/balsamreach/routing/want.py
+++ b/src/balsamreach/routing/want.py
@@ -16,8 +16,11 @@
     probes : bool
         Whether it may be sent to a target that has been failing, to find
         out whether it still does.
+    desperate : bool
+        Whether suspensions are ignored, as all targets are suspended.
     """
 
     prefix: bytes = b''
     tried: frozenset[str] = frozenset()
     probes: bool = True
+    desperate: bool = False
