Let duplicates at any router get the answer of the one run

Cause: a retry that the balancer sent to another router ran again; after its router had died a stream ran a second time, and a refusal at the second router said 'not run' of a request that had run at the first. Change: a key's home router knows who runs a request and, for streams, which generation answers it. A duplicate copies the answer from there; a dead router's generation is resumed from its first event, billed once. 'Not run' is told only where the home is sure that nobody ran it; a home is unsure while it may have lost a note. Homes are chosen among all routers as long as everyone has a connection to everyone, since retries come to any zone; beyond that among the zone's. RunNote gained 'sure'. Conclusion: a wrong or missing home costs work, never correctness.

--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -17,6 +17,7 @@
 )
 from balsamreach.daemon.target_watch import TargetWatch, open_watch
 from balsamreach.dispatch.dispatcher import Dispatcher
+from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
 from balsamreach.dispatch.tries import make_try_parts
 from balsamreach.gateway.curl_upstream import CurlUpstream
@@ -112,13 +113,13 @@
         routing=routing,
         budgets=budgets,
         upstream=upstream,
-        dispatcher=Dispatcher(
-            RunParts(
-                budgets=budgets,
-                claims=Claims(service, net.me.incarnation, clock, metrics),
-                answers=Answers(cfg.requests, clock, metrics),
-                tries=make_try_parts(cfg.requests, routing, upstream),
-            ),
+        dispatcher=_make_dispatcher(
+            cfg,
+            net,
+            budgets,
+            routing,
+            targets,
+            upstream,
         ),
         watch=open_watch(
             cfg,
@@ -129,3 +130,26 @@
             metrics,
         ),
     )
+
+
+def _make_dispatcher(
+    cfg: Settings,
+    net: TcpPeerNet,
+    budgets: Budgets,
+    routing: Routing,
+    targets: Targets,
+    upstream: CurlUpstream,
+) -> Dispatcher:
+    clock, metrics = net.clock, net.metrics
+    tries = make_try_parts(cfg.requests, routing, upstream)
+    answers = Answers(cfg.requests, clock, metrics)
+    claims = Claims(budgets.service, net.me.incarnation, clock, metrics)
+    return Dispatcher(
+        RunParts(
+            budgets=budgets,
+            claims=claims,
+            answers=answers,
+            tries=tries,
+            others=make_others(net, answers, tries, targets, cfg),
+        ),
+    )
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -70,6 +70,7 @@
         self._tasks = [
             asyncio.create_task(self._follow_table()),
             asyncio.create_task(self.parts.budgets.run()),
+            asyncio.create_task(self.parts.dispatcher.run()),
             asyncio.create_task(self.parts.routing.run()),
             asyncio.create_task(self.parts.watch.run()),
         ]
--- a/src/balsamreach/dispatch/dispatcher.py
+++ b/src/balsamreach/dispatch/dispatcher.py
@@ -58,7 +58,12 @@
         if task is not None and answer.req.minted and not answer.listeners:
             task.cancel()
 
+    async def run(self) -> None:
+        """Release claims that were not used, until cancelled."""
+        await self.parts.claims.run()
+
     async def drain(self) -> None:
         """Wait until no request is in progress."""
         while self.running:
             await asyncio.wait(list(self.running.values()))
+        await self.parts.claims.release_all()
--- a/src/balsamreach/dispatch/replay.py
+++ b/src/balsamreach/dispatch/replay.py
@@ -55,6 +55,8 @@
         self.status = status
         if not self.answer.status:
             self.answer.start(status, headers)
+        elif self.answer.on_start is not None:
+            self.answer.on_start(headers)
 
     def write(self, chunk: bytes) -> None:
         """Take whole events; those that the caller has must be the same."""
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -26,7 +26,8 @@
 _LARGEST_EVENT = 4 * 1024 * 1024
 _NOT_RUN_HEADER = 'x-not-run'
 _ATTEMPT_HEADER = 'x-attempt-id'
-_GENERATION_HEADER = 'x-engine-request'
+#: Names the generation that answers a request.
+GENERATION_HEADER = 'x-engine-request'
 _PASSED_HEADERS = (
     'cache-control',
     'content-disposition',
@@ -37,7 +38,7 @@
     'last-modified',
     'location',
     'retry-after',
-    _GENERATION_HEADER,
+    GENERATION_HEADER,
 )
 #: A plain answer longer than this is passed on as it comes.
 _LARGEST_PLAIN = 1024 * 1024
@@ -104,7 +105,7 @@
     @property
     def generation(self) -> str:
         """The engine's name for the generation, empty if not known."""
-        return self.headers.get(_GENERATION_HEADER, '')
+        return self.headers.get(GENERATION_HEADER, '')
 
     def halt(self, fault: DispatchFault) -> None:
         """Take no more of the answer."""
@@ -364,7 +365,7 @@
         self.headers = headers
         # The attempt that is echoed is the one that began the generation,
         # maybe another router's; the generation's name is what must match.
-        named = headers.get(_GENERATION_HEADER, self._generation)
+        named = headers.get(GENERATION_HEADER, self._generation)
         self.foreign = named != self._generation
         self.lost = status != _RESUMED or not self._is_stream()
         self._passes = not (self.foreign or self.lost or self.closed)
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -1,6 +1,7 @@
 """One request's way: admit, reserve, claim, try targets, bill."""
 
 import asyncio
+import functools
 import logging
 import uuid
 
@@ -12,6 +13,7 @@
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.billing import make_bill
 from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.elsewhere import Elsewhere, Others
 from balsamreach.dispatch.faults import DispatchFault
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.replies import PlainReply, Reply
@@ -39,6 +41,7 @@
     claims: Claims
     answers: Answers
     tries: TryParts
+    others: Others
 
     @property
     def placer(self) -> Placer:
@@ -71,16 +74,34 @@
     call: Call
     answer: Answer
     used_tokens: int = 0
+    _elsewhere: Elsewhere = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Set up the view of other routers."""
+        self._elsewhere = Elsewhere(
+            self.parts.others,
+            self.call,
+            self.answer,
+        )
 
     async def run(self) -> None:
         """Run the request; the answer is ended when this returns."""
         fault: DispatchFault | None = faults.CANCELLED
         try:
-            fault = await self._admit()
+            fault = await self._answer()
         finally:
             # Whatever ends the task, callers must not wait for good.
             self._end(fault)
 
+    async def _answer(self) -> DispatchFault | None:
+        misuse = await self._elsewhere.look_up()
+        if misuse is not None:
+            return misuse
+        followed = await self._elsewhere.follow()
+        if followed is not None:
+            return followed.fault
+        return await self._admit()
+
     async def _admit(self) -> DispatchFault | None:
         refusal = self.parts.placer.enter(self.call)
         if refusal is not None:
@@ -98,10 +119,19 @@
         if isinstance(reservation, BudgetFault):
             return _turn_budget(reservation)
         try:
-            return await self._place(reservation)
+            return await self._take_up(reservation)
         finally:
             self.parts.budgets.release(reservation)
 
+    async def _take_up(self, reservation: Reservation) -> DispatchFault | None:
+        resumed = await self._elsewhere.resume()
+        if resumed is not None and resumed.fault is None:
+            self._bill(resumed.reply, reservation)
+            return None
+        if not self._elsewhere.may_go_on():
+            return faults.ANSWER_BROKEN.because('it broke off elsewhere')
+        return await self._place(reservation)
+
     async def _place(self, reservation: Reservation) -> DispatchFault | None:
         # The slot comes after the reservation: a draw from the platform can
         # take seconds, and a slot held meanwhile would leave its target idle.
@@ -109,12 +139,20 @@
         if isinstance(slot, DispatchFault):
             return slot
         claim = await self._claim_for(slot)
-        if isinstance(claim, DispatchFault):
-            self.parts.placer.leave(slot)
-            return claim
-        return await self._try(slot, claim, reservation)
-
-    async def _claim_for(self, slot: Slot) -> Claim | DispatchFault | None:
+        if claim is None or isinstance(claim, Claim):
+            return await self._try(slot, claim, reservation)
+        self.parts.placer.leave(slot)
+        if isinstance(claim, RequestFault):
+            return turn_request(claim)
+        followed = await self._elsewhere.follow(claim.holder)
+        if followed is not None:
+            return followed.fault
+        return faults.OUTCOME_UNKNOWN.because('it was dispatched before')
+
+    async def _claim_for(
+        self,
+        slot: Slot,
+    ) -> Claim | Held | RequestFault | None:
         # A key that this router minted is known to nobody else, so no other
         # router can run the request and no durable claim is needed.
         if self.call.idempotent or self.call.req.minted:
@@ -127,9 +165,9 @@
         except asyncio.CancelledError:
             self.parts.placer.leave(slot)
             raise
-        if isinstance(claim, Held):
-            return faults.OUTCOME_UNKNOWN.because('it was dispatched before')
-        return turn_request(claim) if isinstance(claim, RequestFault) else claim
+        if isinstance(claim, Claim):
+            self._elsewhere.claimed()
+        return claim
 
     async def _try(
         self,
@@ -138,6 +176,11 @@
         reservation: Reservation,
     ) -> DispatchFault | None:
         tries = Tries(self.parts.tries, self.call, self.answer)
+        if not self.call.req.minted:
+            self.answer.on_start = functools.partial(
+                self._elsewhere.tell,
+                tries,
+            )
         try:
             fault = await tries.run(slot)
         except asyncio.CancelledError:
@@ -179,15 +222,18 @@
         self.parts.budgets.bill(reservation, bill)
 
     def _end(self, fault: DispatchFault | None) -> None:
-        end = End(whole=fault is None, fault=fault)
-        self.parts.answers.finish(self.answer, end)
+        answers = self.parts.answers
         if fault is None:
+            answers.finish(self.answer, End(whole=True))
             return
         if fault.ran == faults.NOT_RUN:
             # A refused request leaves nothing behind, so that its key can
             # be sent again.
-            self.parts.answers.drop(self.answer)
+            fault = self._elsewhere.refuse(fault)
+            answers.finish(self.answer, End(whole=False, fault=fault))
+            answers.drop(self.answer)
             return
+        answers.finish(self.answer, End(whole=False, fault=fault))
         self.parts.metrics.count(UNKNOWN_OUTCOMES, code=fault.code)
         log_event(
             _logger,
--- a/src/balsamreach/dispatch/tries.py
+++ b/src/balsamreach/dispatch/tries.py
@@ -78,6 +78,8 @@
         Where the answer goes.
     reply : Reply or None
         The newest attempt's, for the bill.
+    target : str
+        Name of the target it went to.
     may_have_run : bool
         Whether any attempt may have reached a target that ran it.
     """
@@ -86,6 +88,7 @@
     call: Call
     answer: Answer
     reply: Reply | None = None
+    target: str = ''
     may_have_run: bool = False
     _tried: set[str] = attrs.field(factory=set)
 
@@ -117,7 +120,8 @@
         return fault
 
     async def _try(self, slot: Slot) -> DispatchFault | None:
-        self._tried.add(slot.target.name)
+        self.target = slot.target.name
+        self._tried.add(self.target)
         attempt = Attempt(uuid.uuid4().hex, self._kept(), slot.target)
         output = self._output()
         reply = make_reply(self.call, output, attempt.attempt_id)
--- a/src/balsamreach/requests/answers.py
+++ b/src/balsamreach/requests/answers.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -81,6 +82,10 @@
         Whether this router has billed the request.
     status : int
         HTTP status, 0 until the head has come.
+    copied : bool
+        Whether it is being fetched from another router.
+    on_start : callable or None
+        Called with the headers of each head that a target sends.
     """
 
     req: RequestId
@@ -90,6 +95,8 @@
     status: int = 0
     headers: dict[str, str] = attrs.field(factory=dict)
     ended_at: float = 0
+    copied: bool = False
+    on_start: Callable[[dict[str, str]], None] | None = None
     _sinks: list[Sink] = attrs.field(factory=list)
     _end: asyncio.Future = attrs.field(init=False)
 
@@ -116,11 +123,19 @@
         """Bytes that wait for the fastest of the callers attached."""
         return min((sink.backlog for sink in self._sinks), default=0)
 
-    def attach(self, sink: Sink) -> None:
-        """Send a caller what there is so far and then the rest."""
-        if self.status:
+    def attach(self, sink: Sink, *, from_now: bool = False) -> None:
+        """Send a caller what there is so far and then the rest.
+
+        Parameters
+        ----------
+        sink : Sink
+            Where to send it.
+        from_now : bool
+            Whether to leave out what there is so far.
+        """
+        if self.status and not from_now:
             sink.start(self.status, self.headers)
-        if self.body.size:
+        if self.body.size and not from_now:
             sink.write(self.body.read(0))
         self._sinks.append(sink)
 
@@ -133,6 +148,8 @@
         """Set the head; called once."""
         self.status = status
         self.headers = headers
+        if self.on_start is not None:
+            self.on_start(headers)
         for sink in self._sinks:
             sink.start(status, headers)
 
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -144,6 +144,7 @@
   target @5 :Text;
   generation @6 :Text;
   ended @7 :Bool;
+  sure @8 :Bool;
 }
 
 struct RunAsk {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -227,6 +227,9 @@
         Target and its name for the generation, to resume it there.
     ended : bool
         Whether the answer is complete and kept by that router.
+    sure : bool
+        In an answer that names no router, whether it is certain that none
+        ran the request.
     """
 
     team: str
@@ -237,6 +240,7 @@
     target: str = ''
     generation: str = ''
     ended: bool = False
+    sure: bool = False
 
 
 @attrs.frozen
--- a/tests/fake_upstream.py
+++ b/tests/fake_upstream.py
@@ -18,6 +18,7 @@
 ENDLESS = 'endless'
 OTHER_WORDS = 'other words'
 _CUT = 'cut'
+_PAUSE = 'pause'
 _WORDS = 5
 
 
@@ -26,6 +27,11 @@
     return f'{_CUT} {events}'
 
 
+def pause(events):
+    """Return the fault of a stream that waits after some events."""
+    return f'{_PAUSE} {events}'
+
+
 @attrs.define
 class FakeUpstream(Upstream):
     """Engines and services that answer by plan.
@@ -41,6 +47,8 @@
     cancelled: list = attrs.field(factory=list)
     generations: dict = attrs.field(factory=dict)
     cut_resumes: int = 0
+    began: asyncio.Event = attrs.field(factory=asyncio.Event)
+    go_on: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def plan(self, target, *faults):
         """Add to what a target does next."""
@@ -57,6 +65,7 @@
             return NOT_SENT
         if not is_run:
             return await self._resume(attempt, intake)
+        self.began.set()
         self.sent.append((name, attempt.call.req.key, attempt.attempt_id))
         if fault != DECLINE:
             self.runs[attempt.call.req.key] += 1
@@ -86,6 +95,11 @@
         shown = len(events)
         if fault.startswith(_CUT):
             shown = int(fault.split()[1])
+        if fault.startswith(_PAUSE):
+            first = int(fault.split()[1])
+            await self._show(intake, events[:first], whole=events)
+            await self.go_on.wait()
+            events = events[first:]
         return await self._show(intake, events[:shown], whole=events)
 
     async def _resume(self, attempt, intake):
--- a/tests/small_router.py
+++ b/tests/small_router.py
@@ -9,6 +9,7 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.dispatcher import Dispatcher
+from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
 from balsamreach.dispatch.tries import make_try_parts
 from balsamreach.platform.base import Commit, Write
@@ -20,6 +21,7 @@
 from balsamreach.table.rows import TargetRow, TeamRow
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
+from tests.fake_net import FakeNet
 from tests.support import FakeClock
 
 TEAM = TeamRow(name='team', prepaid=10**6)
@@ -89,11 +91,15 @@
         rng = random.Random(self.seed)
         routing = make_routing(cfg, self.targets, self.clock, rng, metrics)
         service = self.platform.table
+        answers = Answers(cfg.requests, self.clock, metrics)
+        tries = make_try_parts(cfg.requests, routing, self.upstream)
+        net = self.net or FakeNet().join(self.name)
         parts = RunParts(
             budgets=Budgets(service, self.name, cfg.budget, self.clock),
             claims=Claims(service, self.name, self.clock, metrics),
-            answers=Answers(cfg.requests, self.clock, metrics),
-            tries=make_try_parts(cfg.requests, routing, self.upstream),
+            answers=answers,
+            tries=tries,
+            others=make_others(net, answers, tries, self.targets, cfg),
         )
         self.dispatcher = Dispatcher(parts)
 
