Spread news over lasting links only

Cause: an ask opens a link to any router, so with requests flowing links stand to a whole zone, and each piece of news went over all of them. And who gave up an idle link took the peer's close for a loss and dialled again, so such links stood for ever. Change: Rings works out who chooses whom once per change of the list; both ends know which links last. neighbours() and spread() mean those. A link that this end parted from ends as parted.

--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -30,7 +30,11 @@
 
     @abc.abstractmethod
     def neighbours(self) -> tuple[Member, ...]:
-        """Return the routers to which a connection stands."""
+        """Return the routers to which a lasting connection stands.
+
+        They are few, and news spread to them reaches everyone; ``ask`` and
+        ``tell`` reach others as well.
+        """
 
     @abc.abstractmethod
     def home(self, key: str) -> Member:
--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -83,6 +83,7 @@
     _outbox: Outbox = attrs.field(factory=Outbox)
     _asks: Asks = attrs.field(factory=Asks)
     _incoming: Incoming = attrs.field(init=False)
+    _parted: bool = False
     _pulse: Pulse = attrs.field(factory=Pulse)
 
     def __attrs_post_init__(self) -> None:
@@ -137,6 +138,7 @@
 
     def part(self) -> None:
         """Tell the peer that this connection isn't needed any more."""
+        self._parted = True
         self.send(Envelope(Refused(PARTED, 'not needed any more')))
 
     async def _serve(self) -> PeerFault:
@@ -155,7 +157,9 @@
         # A peer's last words may still wait behind a slower message.
         gap = self.context.cfg.gap_timeout
         await self._incoming.finish(self.context.clock, gap)
-        return done.pop().result()
+        # The peer closes when it is parted from. Taken for a loss, that
+        # would make this end dial at once what it has just given up.
+        return LINK_PARTED if self._parted else done.pop().result()
 
     async def _write(self) -> PeerFault:
         while True:
--- a/src/balsamreach/peers/links.py
+++ b/src/balsamreach/peers/links.py
@@ -19,9 +19,12 @@
     ----------
     own : str
         This router's incarnation.
+    lasting : frozenset of str
+        Incarnations that links are to last to; others stand for a while.
     """
 
     own: str
+    lasting: frozenset[str] = frozenset()
     _links: list[Link] = attrs.field(factory=list)
 
     def add(self, link: Link) -> None:
@@ -57,6 +60,18 @@
         peers = {link.peer.incarnation: link.peer for link in self._links}
         return tuple(peers.values())
 
+    def lasting_peers(self) -> tuple[Member, ...]:
+        """Return the peers to spread news to: all while none lasts."""
+        peers = self.peers()
+        lasting = tuple(
+            peer for peer in peers if peer.incarnation in self.lasting
+        )
+        return lasting or peers
+
+    def lasts(self, link: Link) -> bool:
+        """Return whether a link is to last."""
+        return link.peer.incarnation in self.lasting
+
     def surplus(self) -> tuple[Link, ...]:
         """Return the links to part from that this router dialled."""
         return tuple(
--- a/src/balsamreach/peers/neighbours.py
+++ b/src/balsamreach/peers/neighbours.py
@@ -1,4 +1,4 @@
-"""Which routers a router opens connections to.
+"""Which routers a router opens lasting connections to.
 
 Two rings of all routers in the order of a hash, one per availability zone
 and one of all zones, and on each ring the routers at certain distances.
@@ -7,7 +7,9 @@
 ones.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
+
+import attrs
 
 from balsamreach.peers.homes import weigh
 from balsamreach.wire.messages import Member
@@ -16,70 +18,112 @@
 _FAR_SHARE = 3
 
 
-def choose(
-    me: Member,
-    members: Sequence[Member],
-    max_peers: int,
-) -> tuple[Member, ...]:
-    """Return the routers to open connections to.
+@attrs.define(eq=False)
+class Ring:
+    """Routers in the order of a hash.
+
+    Parameters
+    ----------
+    members : list of Member
+        The routers in order.
+    places : dict
+        Place on the ring by incarnation.
+    """
+
+    members: list[Member]
+    places: dict[str, int]
+
+    def steps(
+        self,
+        incarnation: str,
+        distances: Iterable[int],
+    ) -> list[Member]:
+        """Return the routers at distances from one that is on the ring."""
+        start = self.places[incarnation]
+        size = len(self.members)
+        steps = [
+            self.members[(start + distance) % size] for distance in distances
+        ]
+        return [step for step in steps if step.incarnation != incarnation]
+
+
+@attrs.define(eq=False)
+class Rings:
+    """The rings of a fleet, made once for each change of the list.
 
     Parameters
     ----------
-    me : Member
-        The router that chooses.
-    members : sequence of Member
-        Routers held to be alive; those that leave aren't chosen.
+    members : iterable of Member
+        Routers held to be alive; those that leave aren't chosen, but may
+        still choose.
     max_peers : int
-        Most connections a router is to have, those opened by others
-        included.
-
-    Returns
-    -------
-    tuple of Member
-        At most half of ``max_peers``, except that in a fleet no larger than
-        that everyone has a connection with everyone.
+        Most lasting connections a router is to have, those opened by
+        others included.
     """
-    staying = [
-        member
-        for member in members
-        if not member.leaving or member.incarnation == me.incarnation
-    ]
-    if len(staying) <= max_peers + 1:
-        return tuple(
-            member for member in staying if member.incarnation > me.incarnation
-        )
-    return _choose_on_rings(me, staying, max_peers // 2)
-
-
-def _choose_on_rings(
-    me: Member,
-    members: list[Member],
-    most: int,
-) -> tuple[Member, ...]:
-    ring = sorted(members, key=_position)
-    zone_ring = [member for member in ring if member.zone == me.zone]
-    near = _steps(me, zone_ring, _doubling(len(zone_ring)))
-    far = _steps(me, ring, _spaced(len(ring), most))
-    least_far = max(1, most // _FAR_SHARE)
-    chosen: dict[str, Member] = {}
-    for member in (*near[: most - least_far], *far):
-        if len(chosen) < most:
-            chosen[member.incarnation] = member
-    return tuple(chosen.values())
-
-
-def _steps(
-    me: Member,
-    ring: list[Member],
-    distances: Iterable[int],
-) -> tuple[Member, ...]:
-    size = len(ring)
-    names = [member.incarnation for member in ring]
-    start = names.index(me.incarnation)
-    steps = (ring[(start + distance) % size] for distance in distances)
-    return tuple(
-        member for member in steps if member.incarnation != me.incarnation
-    )
+
+    members: tuple[Member, ...] = attrs.field(converter=tuple)
+    max_peers: int
+    _whole: Ring = attrs.field(init=False)
+    _zones: dict[str, Ring] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the routers in order."""
+        ordered = sorted(self.members, key=_position)
+        self._whole = _make_ring(ordered)
+        zones = {member.zone for member in ordered}
+        for zone in zones:
+            self._zones[zone] = _make_ring(
+                member for member in ordered if member.zone == zone
+            )
+
+    def choose(self, me: Member) -> tuple[Member, ...]:
+        """Return the routers that one opens lasting connections to.
+
+        Parameters
+        ----------
+        me : Member
+            The router that chooses; it is on the rings itself.
+
+        Returns
+        -------
+        tuple of Member
+            At most half of ``max_peers``, except that in a fleet no larger
+            than that everyone has a connection with everyone.
+        """
+        if len(self.members) <= self.max_peers + 1:
+            return tuple(
+                member
+                for member in self.members
+                if member.incarnation > me.incarnation and not member.leaving
+            )
+        return self._choose_by_distance(me, self.max_peers // 2)
+
+    def chooses(self, one: Member, other: Member) -> bool:
+        """Return whether one router chooses another."""
+        chosen = self.choose(one)
+        return any(member.incarnation == other.incarnation for member in chosen)
+
+    def _choose_by_distance(
+        self,
+        me: Member,
+        most: int,
+    ) -> tuple[Member, ...]:
+        least_far = max(1, most // _FAR_SHARE)
+        zone = self._zones[me.zone]
+        near = zone.steps(me.incarnation, _doubling(len(zone.members)))
+        size = len(self._whole.members)
+        far = self._whole.steps(me.incarnation, _spaced(size, most))
+        chosen: dict[str, Member] = {}
+        for member in (*near[: most - least_far], *far):
+            if len(chosen) < most and not member.leaving:
+                chosen[member.incarnation] = member
+        return tuple(chosen.values())
+
+
+def _make_ring(members: Iterable[Member]) -> Ring:
+    ordered = list(members)
+    places = {member.incarnation: place for place, member in enumerate(ordered)}
+    return Ring(ordered, places)
 
 
 def _doubling(size: int) -> tuple[int, ...]:
@@ -90,10 +134,10 @@
 
 
 def _spaced(size: int, most: int) -> tuple[int, ...]:
-    """Return 1, then distances spread over the ring."""
+    """Return 1, then distances spread over the ring, then near ones."""
     least = max(1, most // _FAR_SHARE)
     spread = (round(size ** (step / least)) for step in range(least))
-    more = range(2, most + 2)
+    more = range(2, 2 * most)
     return tuple(dict.fromkeys((*spread, *more)))
 
 
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -83,9 +83,9 @@
         return self.keeper.membership.alive()
 
     def neighbours(self) -> tuple[Member, ...]:
-        """Return the routers to which a connection stands."""
+        """Return the routers to which a lasting connection stands."""
         find = self.keeper.membership.find
-        peers = self.keeper.links.peers()
+        peers = self.keeper.links.lasting_peers()
         return tuple(find(peer.incarnation) or peer for peer in peers)
 
     def home(self, key: str) -> Member:
@@ -125,7 +125,7 @@
 
     def spread(self, message: Message, besides: str = '') -> None:
         """Send to all neighbours except the incarnation given."""
-        for member in self.keeper.links.peers():
+        for member in self.keeper.links.lasting_peers():
             if member.incarnation != besides:
                 self.tell(member.incarnation, message)
 
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -11,7 +11,7 @@
 from balsamreach.peers.faults import PeerFault
 from balsamreach.peers.keeper import Keeper
 from balsamreach.peers.link import Link
-from balsamreach.peers.neighbours import choose
+from balsamreach.peers.neighbours import Rings
 from balsamreach.wire.messages import Member
 
 #: Seconds between two comparisons with some neighbour.
@@ -45,7 +45,8 @@
     discovery: Discovery
     rng: random.Random
     _chosen: tuple[Member, ...] = ()
-    _chosen_at: int = 0
+    _rings: Rings | None = None
+    _rings_at: int = 0
     _probing: asyncio.Task | None = None
     _compare_at: float = 0
     _probe_at: float = 0
@@ -62,8 +63,7 @@
         """Do what is due now."""
         self.keeper.forget()
         self.keeper.gossip.flush()
-        self._open_wanted()
-        self._part_unwanted(now)
+        self._see_to_links(now)
         lonely = not self.keeper.links.every()
         if lonely or now >= self._probe_at:
             self._probe_at = now + self._jittered(PROBE_EVERY)
@@ -80,24 +80,43 @@
         """Read the host list."""
         return await self.discovery.refresh()
 
+    def _see_to_links(self, now: float) -> None:
+        self._open_wanted()
+        self._mark_lasting()
+        self._part_unwanted(now)
+
     def _open_wanted(self) -> None:
         membership = self.keeper.membership
-        if self._chosen_at != membership.version:
-            self._chosen_at = membership.version
-            self._chosen = choose(
-                membership.me,
-                membership.alive(),
-                self.cfg.max_peers,
-            )
+        if self._rings_at != membership.version:
+            self._rings_at = membership.version
+            self._rings = Rings(membership.alive(), self.cfg.max_peers)
+            self._chosen = self._rings.choose(membership.me)
         for member in self._chosen:
             if self.keeper.links.best(member.incarnation) is None:
                 self.keeper.tasks.start(self.keeper.reach(member))
 
+    def _mark_lasting(self) -> None:
+        """Tell the links to those that chose this router, or it chose.
+
+        Links that were opened for a single ask stand as well, to up to all
+        routers of a zone. Spread over them too, each piece of news would be
+        sent several times as often as it takes to reach everyone.
+        """
+        membership = self.keeper.membership
+        lasting = {member.incarnation for member in self._chosen}
+        for peer in self.keeper.links.peers():
+            known = membership.find(peer.incarnation)
+            if known is None or known.dead or self._rings is None:
+                continue
+            if self._rings.chooses(known, membership.me):
+                lasting.add(known.incarnation)
+        self.keeper.links.lasting = frozenset(lasting)
+
     def _part_unwanted(self, now: float) -> None:
-        chosen = {member.incarnation for member in self._chosen}
-        surplus = self.keeper.links.surplus()
-        for link in self.keeper.links.every():
-            unwanted = link.dialled and link.peer.incarnation not in chosen
+        links = self.keeper.links
+        surplus = links.surplus()
+        for link in links.every():
+            unwanted = link.dialled and not links.lasts(link)
             idle = now - link.used_at > IDLE_AFTER
             if link in surplus or (unwanted and idle):
                 link.part()
@@ -125,7 +144,7 @@
             self.keeper.tasks.start(self.keeper.serve(link))
 
     def _compare(self) -> None:
-        peers = self.keeper.links.peers()
+        peers = self.keeper.links.lasting_peers()
         if peers:
             peer = self.rng.choice(peers)
             gossip = self.keeper.gossip
--- a/tests/peers_rig.py
+++ b/tests/peers_rig.py
@@ -48,6 +48,7 @@
 
     clock: SteppedClock = attrs.field(factory=SteppedClock)
     hosts: ListedHosts = attrs.field(factory=ListedHosts)
+    pace: float = _STEP
     nets: list[TcpPeerNet] = attrs.field(factory=list)
 
     async def start(
@@ -95,13 +96,13 @@
 
     async def step(self) -> None:
         """Move the clock a little and let everything that follows happen."""
-        self.clock.advance(_STEP)
+        self.clock.advance(self.pace)
         for _ in range(_PASSES):
             await asyncio.sleep(0)
 
     async def steps(self, seconds: float) -> None:
         """Move the clock step by step."""
-        for _ in range(round(seconds / _STEP)):
+        for _ in range(round(seconds / self.pace)):
             await self.step()
 
     async def until(self, check) -> None:
--- a/tests/test_peers_neighbours.py
+++ b/tests/test_peers_neighbours.py
@@ -7,7 +7,7 @@
 import attrs
 from parameterized import parameterized
 
-from balsamreach.peers.neighbours import choose
+from balsamreach.peers.neighbours import Rings
 from balsamreach.wire.messages import Member
 
 _MAX_PEERS = 16
@@ -32,8 +32,9 @@
 
 def _links(members):
     links = {member.incarnation: set() for member in members}
+    rings = Rings(members, _MAX_PEERS)
     for member in members:
-        for other in choose(member, members, _MAX_PEERS):
+        for other in rings.choose(member):
             links[member.incarnation].add(other.incarnation)
             links[other.incarnation].add(member.incarnation)
     return links
@@ -106,19 +107,29 @@
 
     def test_order_of_the_list_does_not_matter(self):
         members = _members(64, 4)
-        chosen = choose(members[0], members, _MAX_PEERS)
+        chosen = Rings(members, _MAX_PEERS).choose(members[0])
         shuffled = random.Random(1).sample(members, len(members))
-        self.assertEqual(choose(members[0], shuffled, _MAX_PEERS), chosen)
+        self.assertEqual(Rings(shuffled, _MAX_PEERS).choose(members[0]), chosen)
         self.assertEqual(len(chosen), _MAX_PEERS // 2)
 
+    def test_both_ends_know_which_links_last(self):
+        members = _members(64, 4)
+        rings = Rings(members, _MAX_PEERS)
+        links = _links(members)
+        for one in members:
+            for other in members:
+                lasts = rings.chooses(one, other) or rings.chooses(other, one)
+                linked = other.incarnation in links[one.incarnation]
+                self.assertEqual(lasts, linked)
+
     def test_leaving_routers_are_not_chosen(self):
         members = _members(64, 4)
-        first = choose(members[0], members, _MAX_PEERS)[0]
+        first = Rings(members, _MAX_PEERS).choose(members[0])[0]
         members = [
             attrs.evolve(member, leaving=member == first) for member in members
         ]
         names = {
             member.incarnation
-            for member in choose(members[0], members, _MAX_PEERS)
+            for member in Rings(members, _MAX_PEERS).choose(members[0])
         }
         self.assertNotIn(first.incarnation, names)
--- a/tests/test_peers_net.py
+++ b/tests/test_peers_net.py
@@ -38,12 +38,12 @@
     async def until_linked(self, net, *wanted):
         await self.rig.until(lambda: linked(net) == set(wanted))
 
-    async def start(self, *wanted, **options):
+    async def start(self, *wanted, overrides=()):
         """Start routers that know the first one as their seed."""
         nets = []
         for name in wanted:
             seeds = [f'peers.seeds={net.me.address}' for net in nets[:1]]
-            nets.append(await self.rig.start(name, *seeds, **options))
+            nets.append(await self.rig.start(name, *seeds, *overrides))
         await self.rig.until(
             lambda: all(names(net) == set(wanted) for net in nets),
         )
@@ -107,6 +107,33 @@
             self.assertEqual([link.dialled for link in links], [net is one])
             self.assertEqual(net.metrics.counted(counters.DEATHS), 0)
 
+    async def test_link_for_one_ask_spreads_no_news_and_is_given_up(self):
+        """Symptom: control takes several times its bytes.
+
+        Sequence: asks open links to all routers of a zone, and each piece
+        of news goes over all of them, for ever. Cause: taking each link for
+        a lasting one.
+        """
+        self.rig.pace = 1
+        slow = ['peers.heartbeat=2s', 'peers.gap_timeout=8s']
+        wanted = [f'r{number}' for number in range(6)]
+        nets = await self.start(
+            *wanted,
+            overrides=['peers.max_peers=2', *slow],
+        )
+        one = nets[0]
+        await self.rig.steps(10)
+        near = linked(one) | {'r0'}
+        other = next(net for net in nets if net.me.incarnation not in near)
+        other.on(InFlightAsk, self.answer_seven)
+        name = other.me.incarnation
+        await self.ask_seven(one, name)
+        await self.rig.step()
+        self.assertIsNotNone(one.keeper.links.best(name))
+        self.assertNotIn(name, linked(one))
+        await self.rig.until(lambda: one.keeper.links.best(name) is None)
+        self.assertIn(name, names(one))
+
     async def test_leaving_router_is_told_and_is_no_death(self):
         one, two, three = await self.start('one', 'two', 'three')
         await two.leave()
--- a/tools/measure_gossip.py
+++ b/tools/measure_gossip.py
@@ -20,7 +20,7 @@
 from balsamreach.peers.gossip import Gossip
 from balsamreach.peers.homes import home_of
 from balsamreach.peers.membership import Membership
-from balsamreach.peers.neighbours import choose
+from balsamreach.peers.neighbours import Rings
 from balsamreach.peers.upkeep import COMPARE_EVERY
 from balsamreach.wire.codec import Envelope, encode
 from balsamreach.wire.framing import HEAD
@@ -84,11 +84,11 @@
 
     def connect(self) -> None:
         """Let everyone choose its neighbours anew."""
-        members = tuple(net.me for net in self.nets.values())
+        rings = Rings((net.me for net in self.nets.values()), _MAX_PEERS)
         for net in self.nets.values():
             net.linked = {}
         for net in self.nets.values():
-            for other in choose(net.me, members, _MAX_PEERS):
+            for other in rings.choose(net.me):
                 net.linked[other.incarnation] = other
                 self.nets[other.incarnation].linked[net.me.incarnation] = net.me
 
