Test routing by its failures; foretell waits by Little's law

Cause: routing had no tests of its own. Writing them showed that the rate of past ends, by which waits were foretold, was that of demand while a pool is quiet: a burst after a lull would have been refused. Breaks at four targets within two seconds count as the network's, so that a cut zone sends nobody to run alone. The net of routers reaches the routing. Conclusion: refusals come early without a rate that a lull distorts.

--- a/bench/routing_cpu.py
+++ b/bench/routing_cpu.py
@@ -35,7 +35,7 @@
     rows = [
         TargetRow(
             name=f'engine-{number}',
-            address=f'127.0.0.1:{number}',
+            address=f'127.0.0.1:{number + 1}',
             zone=f'zone-{number % 27}',
             service='llm',
             models=(f'model-{number % _MODELS}',),
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -99,7 +99,7 @@
     targets = Targets(warm_time=cfg.power.warm_time)
     budgets = Budgets(service, net.me.incarnation, cfg.budget, clock)
     upstream = CurlUpstream(cfg)
-    routing = make_routing(cfg, targets, clock, net.rng, metrics)
+    routing = make_routing(cfg, targets, clock, net.rng, metrics, net)
     return Parts(
         cfg=cfg,
         incarnation=net.me.incarnation,
--- a/src/balsamreach/routing/admission.py
+++ b/src/balsamreach/routing/admission.py
@@ -97,20 +97,6 @@
         self.metrics.count(_REFUSALS, why=refusal.code)
         return refusal
 
-    def again(self, ask: Ask, tried: frozenset[str]) -> Outcome:
-        """Return another target for a request that failed at some.
-
-        A retry does not queue: while others wait, it would only take the
-        place of a request that has not run at all.
-        """
-        pool = self.picker.pools.find(ask.pool)
-        if pool is None:
-            return faults.NO_TARGET
-        state = self.picker.pick(ask, pool, tried)
-        if state is None:
-            return faults.ALL_BUSY.because('no other target has room')
-        return state
-
     def leave(self, state: TargetState, ask: Ask, seconds: float) -> None:
         """Give a slot back and let those who wait have it.
 
@@ -125,7 +111,7 @@
         """
         now = self.clock.now()
         self.picker.release(state, ask, now)
-        self._line(ask.pool).pacing.left(seconds, now)
+        self._line(ask.pool).pacing.left(seconds)
         self.pump(state)
 
     def pump(self, state: TargetState) -> None:
@@ -164,7 +150,7 @@
         line.queue.remove(waiter)
         line.grants[waiter].set_result(
             faults.DEADLINE_UNMEETABLE.after(
-                max(1, line.pacing.wait(line.queue.waiting)),
+                max(1, self._wait_for(line, line.queue.waiting)),
                 'too little time is left to answer the request',
             ),
         )
@@ -177,14 +163,14 @@
         pool: Pool,
     ) -> RoutingFault | None:
         now = self.clock.now()
-        wait = line.pacing.wait(line.queue.ahead(ask))
+        wait = self._wait_for(line, line.queue.ahead(ask))
         left = ask.deadline - now - line.pacing.needed()
         # The estimate strays, and a request that is refused after a long
         # wait is worse off than one refused at once; so the queue is kept
         # well within what would just do.
         if wait > _QUEUE_PART * min(left, self.cfg.deadline):
             return faults.DEADLINE_UNMEETABLE.after(
-                line.pacing.wait(line.queue.waiting),
+                self._wait_for(line, line.queue.waiting),
                 'the queue is too long for the deadline',
             )
         most = self.cfg.queue_limit * len(pool.everyone.members)
@@ -194,7 +180,7 @@
 
     def _make_room(self, ask: Ask, line: Line) -> RoutingFault | None:
         """Refuse the newest request of the team that waits the most."""
-        wait = line.pacing.wait(line.queue.waiting)
+        wait = self._wait_for(line, line.queue.waiting)
         fault = faults.QUEUE_FULL.after(max(wait, 1), 'the queue is full')
         victim = line.queue.longest()
         own = line.queue.backlog(ask.team) / ask.weight
@@ -247,12 +233,18 @@
             raise
         if grant.done():
             return grant.result()
-        wait = line.pacing.wait(line.queue.waiting)
+        wait = self._wait_for(line, line.queue.waiting)
         return faults.DEADLINE_UNMEETABLE.after(
             max(wait, 1),
             'no target had room in time',
         )
 
+    def _wait_for(self, line: Line, ahead: int) -> float:
+        pool = self.picker.pools.find(line.key)
+        members = pool.everyone.members if pool is not None else ()
+        held = sum(state.held for state in members)
+        return line.pacing.wait(ahead, held)
+
     def _line(self, key: PoolKey) -> Line:
         line = self.lines.get(key)
         if line is None:
--- a/src/balsamreach/routing/crashes.py
+++ b/src/balsamreach/routing/crashes.py
@@ -1,6 +1,6 @@
 """Broken connections until it is known whether their target crashed."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 
@@ -9,6 +9,10 @@
 _SETTLING = 10.0
 #: A refused connection explains breaks that are no older than this.
 _EXPLAINED = 60.0
+#: Breaks at this many targets within so many seconds are the network's.
+_MANY = 4
+_AT_ONCE = 2.0
+_MOST_RECENT = 256
 _MOST_TARGETS = 2000
 _MOST_BREAKS = 256
 
@@ -38,6 +42,9 @@
     _running: dict[str, dict[str, int]] = attrs.field(factory=dict)
     _survivors: dict[str, set[str]] = attrs.field(factory=dict)
     _targets: dict[str, set[str]] = attrs.field(factory=dict)
+    _recent: deque[tuple[float, str]] = attrs.field(
+        factory=lambda: deque(maxlen=_MOST_RECENT),
+    )
 
     def started(self, fingerprint: str, target: str) -> None:
         """Take note that a request is sent."""
@@ -58,6 +65,7 @@
     def broke(self, broken: Break) -> None:
         """Take note of a break."""
         target = broken.target
+        self._recent.append((broken.at, target))
         breaks = self._breaks.setdefault(target, [])
         if not breaks:
             # Whoever is in progress now and ends well proves that the target
@@ -70,6 +78,12 @@
         if len(self._breaks) > _MOST_TARGETS:
             self._forget(next(iter(self._breaks)))
 
+    def many_at_once(self, now: float) -> bool:
+        """Return whether connections to many targets broke of late."""
+        while self._recent and now - self._recent[0][0] > _AT_ONCE:
+            self._recent.popleft()
+        return len({target for _at, target in self._recent}) >= _MANY
+
     def confirm(self, target: str, now: float) -> tuple[Break, ...]:
         """Return the breaks that a crash of the target explains."""
         breaks = self._forget(target)
--- a/src/balsamreach/routing/pacing.py
+++ b/src/balsamreach/routing/pacing.py
@@ -1,11 +1,8 @@
-"""How fast a pool's requests end, and so how long one waits in its queue."""
+"""How long requests hold their slots, and so how long one waits."""
 
 import attrs
 
-#: Ends are counted over windows of this many seconds.
-_WINDOW = 1.0
-_SMOOTH = 0.3
-_SLOW = 0.05
+_SMOOTH = 0.05
 #: Most requests end within the mean and this many spreads.
 _SPREADS = 2
 _LONGEST = 60.0
@@ -13,50 +10,44 @@
 
 @attrs.define
 class Pacing:
-    """Smoothed rate of requests that end, and how long each takes.
+    """Smoothed times that a pool's requests hold their slots.
 
     Parameters
     ----------
     seconds : float
-        Smoothed time that a request holds its slot.
+        Smoothed time; 0 before the first request has ended.
     spread : float
         Smoothed distance of single times from it.
-    rate : float
-        Smoothed ends a second; 0 before the first window is over.
     """
 
     seconds: float = 0
     spread: float = 0
-    rate: float = 0
-    _ended: int = 0
-    _since: float | None = None
 
-    def left(self, seconds: float, now: float) -> None:
+    def left(self, seconds: float) -> None:
         """Take note of a request that gave its slot back."""
-        if self.seconds:
-            strayed = abs(seconds - self.seconds)
-            self.spread += (strayed - self.spread) * _SLOW
-            self.seconds += (seconds - self.seconds) * _SLOW
-        else:
+        if not self.seconds:
             self.seconds = seconds
-        if self._since is None:
-            self._since = now
-        self._ended += 1
-        passed = now - self._since
-        if passed < _WINDOW:
             return
-        rate = self._ended / passed
-        smooth = _SMOOTH if self.rate else 1
-        self.rate += (rate - self.rate) * smooth
-        self._ended = 0
-        self._since = now
+        strayed = abs(seconds - self.seconds)
+        self.spread += (strayed - self.spread) * _SMOOTH
+        self.seconds += (seconds - self.seconds) * _SMOOTH
 
     def needed(self) -> float:
         """Return the seconds within which most requests end."""
         return self.seconds + _SPREADS * self.spread
 
-    def wait(self, ahead: int) -> float:
-        """Return the seconds until a number of requests have ended."""
-        if not self.rate or not ahead:
-            return 0
-        return min(_LONGEST, ahead / self.rate)
+    def wait(self, ahead: int, held: int) -> float:
+        """Return the seconds until a number of requests have had slots.
+
+        By Little's law slots come free at their number over the time each
+        is held. A rate counted from past ends would show the demand of a
+        quiet pool, and a burst would be refused that it could well take.
+
+        Parameters
+        ----------
+        ahead : int
+            Requests that go first.
+        held : int
+            Slots held now, while nobody else can have one.
+        """
+        return min(_LONGEST, ahead * self.seconds / max(1, held))
--- a/src/balsamreach/routing/quarantine.py
+++ b/src/balsamreach/routing/quarantine.py
@@ -90,6 +90,11 @@
         """Return whether it may run only at a target that runs no other."""
         if self.suspects.is_suspect(fingerprint):
             return True
+        # Where connections to many targets break at once, it was the network
+        # or a zone. To run each request alone then would close most targets
+        # to all others; it would show as a wave of overloaded refusals.
+        if self.crashes.many_at_once(self.clock.now()):
+            return False
         return bool(self.crashes.targets_broken(fingerprint))
 
     def finished(self, fingerprint: str, target: str) -> None:
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -91,7 +91,7 @@
         if self.quarantine.must_run_alone(ask.fingerprint):
             state = await self._run_alone(ask, tried)
         else:
-            state = self.admission.again(ask, tried)
+            state = self._pick_other(ask, tried)
         if isinstance(state, TargetState):
             self.metrics.count(_RETRIES)
         else:
@@ -128,6 +128,20 @@
                 self.quarantine.reported(name, incarnation)
         self.admission.pump_all()
 
+    def _pick_other(
+        self,
+        ask: Ask,
+        tried: frozenset[str],
+    ) -> TargetState | RoutingFault:
+        # A retry does not queue: while others wait, it would only take the
+        # place of a request that has not run at all.
+        picker = self.admission.picker
+        pool = picker.pools.find(ask.pool)
+        state = None if pool is None else picker.pick(ask, pool, tried)
+        if state is None:
+            return faults.ALL_BUSY.because('no other target has room')
+        return state
+
     async def _run_alone(
         self,
         ask: Ask,
--- /dev/null
+++ b/tests/routing_node.py
@@ -0,0 +1,79 @@
+"""One router's routing over a few targets, for tests of its parts."""
+
+import random
+
+from balsamreach.config.reader import read_settings
+from balsamreach.routing.ask import Ask
+from balsamreach.routing.routing import make_routing
+from balsamreach.routing.slot import Verdict
+from balsamreach.table.rows import ENGINE, TargetRow
+from balsamreach.targets.registry import Targets
+from balsamreach.telemetry.metrics import Metrics
+from tests.support import FakeClock
+
+MODEL = 'model-a'
+
+
+def make_rows(count=4, zone='zone-a', **fields):
+    """Return rows of engines that serve one model."""
+    return [
+        TargetRow(
+            name=f'{zone}-engine-{number}',
+            address=f'127.0.0.1:{9000 + number}',
+            zone=zone,
+            service='llm',
+            models=(MODEL,),
+            **fields,
+        )
+        for number in range(count)
+    ]
+
+
+class Node:
+    """One router's routing, its clock and its targets."""
+
+    def __init__(self, rows=None, net=None, clock=None, options=()):
+        self.clock = clock or FakeClock()
+        self.targets = Targets()
+        self.targets.update(make_rows() if rows is None else rows)
+        self.metrics = Metrics()
+        self.routing = make_routing(
+            read_settings(None, ('host.zone=zone-a', *options)),
+            self.targets,
+            self.clock,
+            random.Random(7),
+            self.metrics,
+            net,
+        )
+
+    @property
+    def picker(self):
+        """What chooses targets."""
+        return self.routing.admission.picker
+
+    @property
+    def quarantine(self):
+        """What keeps requests from running."""
+        return self.routing.quarantine
+
+    def ask(self, fingerprint='a', team='team', **fields):
+        """Return a request."""
+        fields.setdefault('deadline', self.clock.now() + 60)
+        return Ask(team, (ENGINE, MODEL), fingerprint, **fields)
+
+    async def send(self, **fields):
+        """Return the slot of a request that has been sent."""
+        slot = await self.routing.enter(self.ask(**fields))
+        self.routing.feedback.sent(slot)
+        return slot
+
+    def end(self, slot, verdict=Verdict.GOOD):
+        """End a request's exchange."""
+        slot.verdict = verdict
+        self.routing.leave(slot)
+
+    def state(self, name):
+        """Return the state of a target."""
+        pools = self.picker.pools
+        pools.find((ENGINE, MODEL))
+        return pools.states[name]
