Switch hosts on and off by demand, and only when provably idle

Cause: spare hosts had to be switched by hand, and any order that comes late or twice cuts requests on targets that check no fencing number. Change: one decider per service and zone holds a row power/<service>/ <zone>; each commit raises its fencing number, and each order follows a commit of the same step within order_valid. A host leaves by a durable record, is stopped only when every router known reports nothing there and sends nothing more, or when it says so itself twice, and the order goes out a step after the commit, with the proof made again. Nothing is switched on until order_settle after an order to switch it off, unless the platform checks numbers. Routers hold hosts that the rows name, and all of them until they have read the rows. Operators' states are left alone. Demand: utilisation, forecast over the start time, saturation, and a window of `idle` before it falls.

--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -15,7 +15,11 @@
     TableParts,
     make_table_parts,
 )
-from balsamreach.daemon.target_watch import TargetWatch, open_watch
+from balsamreach.daemon.target_watch import (
+    WatchNeeds,
+    WatchRunner,
+    open_watch,
+)
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
@@ -23,6 +27,7 @@
 from balsamreach.gateway.curl_upstream import CurlUpstream
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.platform.base import TableService
+from balsamreach.platform.hosts_http import HttpHostList, HttpWeightStore
 from balsamreach.platform.objects_http import HttpObjectStore
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.requests.claims import Claims
@@ -57,7 +62,7 @@
     budgets: Budgets
     upstream: CurlUpstream
     dispatcher: Dispatcher
-    watch: TargetWatch
+    watch: WatchRunner
 
 
 def make_parts(cfg: Settings) -> Parts:
@@ -122,12 +127,18 @@
             upstream,
         ),
         watch=open_watch(
-            cfg,
-            targets,
-            net,
-            platform_client(cfg, cfg.platform.hosts),
-            clock,
-            metrics,
+            WatchNeeds(
+                cfg=cfg,
+                targets=targets,
+                net=net,
+                hosts=HttpHostList(platform_client(cfg, cfg.platform.hosts)),
+                weights=HttpWeightStore(
+                    platform_client(cfg, cfg.platform.weights),
+                ),
+                service=service,
+                clock=clock,
+                metrics=metrics,
+            ),
         ),
     )
 
--- a/src/balsamreach/daemon/target_watch.py
+++ b/src/balsamreach/daemon/target_watch.py
@@ -1,36 +1,88 @@
-"""Puts together what watches the targets of one router."""
+"""Puts together what watches targets and what powers their hosts."""
 
+import asyncio
 import random
 
+import attrs
+
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.gateway.target_client import HttpTargetClient
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.hosts_http import HttpHostList
-from balsamreach.platform.http import PlatformClient
+from balsamreach.platform.base import HostList, TableService, WeightStore
+from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.targets.registry import Targets
 from balsamreach.targets.watch import TargetWatch, WatchParts, make_watch
 from balsamreach.telemetry.metrics import Metrics
 
 
-def open_watch(
-    cfg: Settings,
-    targets: Targets,
-    net: PeerNet,
-    hosts: PlatformClient,
-    clock: Clock,
-    metrics: Metrics,
-) -> TargetWatch:
-    """Return watchers that speak HTTP to targets and to the host list."""
-    return make_watch(
+@attrs.frozen(kw_only=True)
+class WatchNeeds:
+    """What watching and powering targets needs."""
+
+    cfg: Settings
+    targets: Targets
+    net: PeerNet
+    hosts: HostList
+    weights: WeightStore
+    service: TableService
+    clock: Clock
+    metrics: Metrics
+
+
+@attrs.frozen
+class WatchRunner:
+    """The watchers, and power where it is enabled.
+
+    Parameters
+    ----------
+    watch : TargetWatch
+        Load reports, marks, cache events and the host list.
+    power : PowerManager or None
+        None where power is not enabled.
+    """
+
+    watch: TargetWatch
+    power: PowerManager | None
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        tasks = [self.watch.run()]
+        if self.power is not None:
+            tasks.extend((self.power.follower.run(), self.power.run()))
+        await asyncio.gather(*tasks)
+
+
+def open_watch(needs: WatchNeeds) -> WatchRunner:
+    """Return watchers that speak HTTP to targets."""
+    cfg, clock, metrics = needs.cfg, needs.clock, needs.metrics
+    rng = random.Random()
+    client = HttpTargetClient(cfg, clock)
+    watch = make_watch(
         WatchParts(
             cfg=cfg,
-            targets=targets,
-            client=HttpTargetClient(cfg, clock),
-            net=net,
-            hosts=HttpHostList(hosts),
+            targets=needs.targets,
+            client=client,
+            net=needs.net,
+            hosts=needs.hosts,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        ),
+    )
+    if not cfg.power.enabled:
+        return WatchRunner(watch, None)
+    power = make_power(
+        PowerParts(
+            cfg=cfg,
+            marks=watch.marks,
+            client=client,
+            hosts=needs.hosts,
+            weights=needs.weights,
+            service=needs.service,
             clock=clock,
-            rng=random.Random(),
+            rng=rng,
             metrics=metrics,
         ),
     )
+    return WatchRunner(watch, power)
--- /dev/null
+++ b/src/balsamreach/power/__init__.py
@@ -0,0 +1,1 @@
+"""Switches hosts of targets on and off by demand, without cutting anyone."""
--- a/src/balsamreach/targets/holds.py
+++ b/src/balsamreach/targets/holds.py
@@ -8,6 +8,11 @@
 LEAVING = 'leaving'
 STOPPING = 'stopping'
 OFF = 'off'
+#: The power rows have not been read yet.
+UNREAD = 'unread'
+
+#: States whose recorded start must get nothing more.
+GOING = (LEAVING, STOPPING, OFF)
 
 
 @attrs.frozen
@@ -35,7 +40,7 @@
 
     def keeps_off(self, report: LoadReport) -> bool:
         """Return whether the host must get no new work."""
-        if self.down:
+        if self.down or self.state == UNREAD:
             # Whatever start answers there, an order to switch it off may
             # still be on its way to a host that checks nothing.
             return True
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -7,7 +7,7 @@
 
 from balsamreach.table.rows import ACTIVE, TargetRow
 from balsamreach.targets.blocks import BlockSet
-from balsamreach.targets.holds import Hold
+from balsamreach.targets.holds import GOING, UNREAD, Hold
 from balsamreach.targets.reports import LoadReport
 
 _LEAST_SHARE = 0.1
@@ -92,6 +92,12 @@
         same = self.report.incarnation == incarnation
         return same and incarnation in self.left
 
+    def take_hold(self, hold: Hold | None) -> None:
+        """Bring what the power row says of the host into force."""
+        self.hold = hold
+        if hold is not None and hold.state in GOING:
+            self.mark_leaving(hold.incarnation)
+
     def take_report(self, report: LoadReport, now: float) -> bool:
         """Take a report in; False if it is out of date.
 
@@ -128,7 +134,8 @@
             self._past.append(incarnation)
         # The very first report, soon after this router's own start, says
         # nothing about how long the target has been running.
-        if incarnation or self.hold is not None:
+        held = self.hold is not None and self.hold.state != UNREAD
+        if incarnation or held:
             self.warm_from = now
         self.blocks.clear()
 
@@ -149,6 +156,25 @@
     revision: int = 0
     warm_time: float = _WARM_TIME
     _retired: list[Target] = attrs.field(factory=list)
+    _holds: dict[str, Hold] = attrs.field(factory=dict)
+    _unread: Hold | None = None
+
+    def hold_all(self) -> None:
+        """Give no target work until ``release`` is called."""
+        self._unread = Hold(UNREAD)
+        self.apply_holds({})
+
+    def release(self, holds: dict[str, Hold]) -> None:
+        """Let targets work again, except those held by name."""
+        if self._unread is not None:
+            self._unread = None
+            self.apply_holds(holds)
+
+    def apply_holds(self, holds: dict[str, Hold]) -> None:
+        """Bring what the power rows say of hosts into force."""
+        self._holds = holds
+        for target in self.by_name.values():
+            target.take_hold(holds.get(target.name, self._unread))
 
     def update(self, rows: Iterable[TargetRow]) -> None:
         """Bring the rows in force into the registry."""
@@ -203,6 +229,7 @@
 
     def _make(self, row: TargetRow) -> Target:
         made = Target(row, warm_time=self.warm_time)
+        made.take_hold(self._holds.get(row.name, self._unread))
         # A row that is deleted and written again within a minute must not
         # bring work back to a start that was on its way out.
         for old in self._retired:
--- a/src/balsamreach/targets/sharing.py
+++ b/src/balsamreach/targets/sharing.py
@@ -38,8 +38,11 @@
         if not loads:
             return
         me = self.net.me
-        for member in self.net.neighbours():
-            if member.zone == me.zone:
+        # Not all routers of a large zone are neighbours. Passed on from one
+        # neighbour to the next, each report would arrive once over every
+        # connection; told directly, it arrives once.
+        for member in self.net.members():
+            if member.zone == me.zone and member != me:
                 self.net.tell(member.incarnation, TargetLoads(loads))
 
     async def take_loads(self, member: Member, loads: TargetLoads) -> None:
