--- a/tests/test_peers_net.py
+++ b/tests/test_peers_net.py
@@ -220,6 +220,8 @@
         again. Cause: nobody looks for the dead any more.
         """
         one, near, two, far = await self.start_pair()
+        # Neither seeds nor the host list name the other any more.
+        two.discovery.seeds = ()
         for proxy in (near, far):
             proxy.swallow()
             proxy.refusing = True
