Pick out the routers of the zone once per change of the list

Cause: home() went through all 910 members for each request. Change: Homes keeps the zone's members until the list changes.

--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -13,7 +13,7 @@
 from balsamreach.peers.faults import PeerFault
 from balsamreach.peers.gossip import Gossip
 from balsamreach.peers.greeter import Greeter
-from balsamreach.peers.homes import home_of
+from balsamreach.peers.homes import Homes
 from balsamreach.peers.keeper import Keeper
 from balsamreach.peers.link import LinkContext
 from balsamreach.peers.links import Links
@@ -52,6 +52,7 @@
     discovery: Discovery
     greeter: Greeter = attrs.field(init=False)
     keeper: Keeper = attrs.field(init=False)
+    _homes: Homes = attrs.field(init=False)
     _takers: Takers = attrs.field(factory=Takers, init=False)
     _listener: PeersListener = attrs.field(init=False)
     _upkeep: asyncio.Task | None = attrs.field(default=None, init=False)
@@ -59,6 +60,7 @@
     def __attrs_post_init__(self) -> None:
         """Put the parts together; nothing is opened yet."""
         membership = Membership(self.me, self.clock)
+        self._homes = Homes(membership)
         self.greeter = Greeter(self.cfg.peers.fleet, membership)
         context = LinkContext(
             cfg=self.cfg.peers,
@@ -90,7 +92,7 @@
 
     def home(self, key: str) -> Member:
         """Return the router of this zone that a key belongs to."""
-        return home_of(key, self.members(), self.me.zone) or self.me
+        return self._homes.find(key)
 
     def on(self, kind: type[Message], taker: Taker) -> None:
         """Name who takes messages of a kind; one taker for each kind."""
