--- a/src/balsamreach/config/reader.py
+++ b/src/balsamreach/config/reader.py
@@ -16,6 +16,7 @@
 )
 from balsamreach.config.parsing import parse_ini
 from balsamreach.config.settings import Settings
+from balsamreach.config.tls import check_listener
 
 _OVERRIDES = 'override'
 
@@ -72,6 +73,27 @@
     return check_listeners(dict(_listeners(settings)))
 
 
+def check_certificates(settings: Settings) -> ConfigFault | None:
+    """Try to load the PEM files of every listener.
+
+    Parameters
+    ----------
+    settings : Settings
+        Settings whose listeners are not yet bound.
+
+    Returns
+    -------
+    ConfigFault or None
+        Every file that can't be used, by section and key.
+    """
+    problems: list[str] = []
+    for section, listener in _listeners(settings):
+        problems.extend(check_listener(section, listener))
+    if problems:
+        return BAD_SETTINGS.listing(tuple(problems))
+    return None
+
+
 def default_text() -> str:
     """Return the documented file of all keys and their defaults."""
     package = resources.files('balsamreach.config')
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -40,6 +40,10 @@
     header_timeout: float = key(units.read_duration)
     body_timeout: float = key(units.read_duration)
     idle_timeout: float = key(units.read_duration)
+    most_completion: int = key(units.read_count)
+    part_tokens: int = key(units.read_count)
+    leave_delay: float = key(units.read_duration)
+    leave_timeout: float = key(units.read_duration)
 
 
 @attrs.frozen
--- a/src/balsamreach/daemon/clients.py
+++ b/src/balsamreach/daemon/clients.py
@@ -1,7 +1,12 @@
 """Makes the senders that speak to the platform's services."""
 
+from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
+from balsamreach.platform.base import TableService
 from balsamreach.platform.http import PlatformClient, TlsSettings
+from balsamreach.platform.table_http import HttpTableService
+from balsamreach.platform.traced import TracedTableService
+from balsamreach.telemetry.metrics import Metrics
 
 
 def platform_client(cfg: Settings, base_url: str) -> PlatformClient:
@@ -12,3 +17,13 @@
         cfg.platform.request_timeout,
         TlsSettings(ca_certs=cfg.platform.tls_ca or None),
     )
+
+
+def table_service(
+    cfg: Settings,
+    metrics: Metrics,
+    clock: Clock,
+) -> TableService:
+    """Return the table service, its calls measured and traced."""
+    service = HttpTableService(platform_client(cfg, cfg.platform.table))
+    return TracedTableService(service, metrics, clock)
--- a/src/balsamreach/daemon/listeners.py
+++ b/src/balsamreach/daemon/listeners.py
@@ -1,14 +1,21 @@
 """Opens and closes the router's listeners."""
 
-import socket
+import ssl
 
 import attrs
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
-from tornado.web import Application
 
+from balsamreach.config.faults import ConfigFault
 from balsamreach.config.listeners import Listener
 from balsamreach.config.settings import Settings
+from balsamreach.config.tls import server_context
+from balsamreach.gateway.guard import HEADER_SLACK
+
+#: The guard bounds bodies and answers what is too large; the server's own
+#: limit would close the connection without an answer.
+_NO_LIMIT = 1 << 62
 
 
 @attrs.define
@@ -19,22 +26,39 @@
     ----------
     address : str
         ``ip:port`` it is bound to.
+    section : Listener
+        Its section of the settings.
     server : HTTPServer
         The server behind it.
     """
 
     address: str
+    section: Listener
     server: HTTPServer
 
     def stop(self) -> None:
         """Take no more connections; those that are open go on."""
         self.server.stop()
 
+    def reload_tls(self) -> ConfigFault | None:
+        """Load the PEM files again, for connections from now on.
+
+        Returns
+        -------
+        ConfigFault or None
+            The fault of files that can't be used; the old ones stay then.
+        """
+        context = server_context(self.section)
+        if isinstance(context, ConfigFault):
+            return context
+        self.server.ssl_options = context
+        return None
+
 
 def open_listener(
     cfg: Settings,
-    listener: Listener,
-    app: Application,
+    section: Listener,
+    app: HTTPServerConnectionDelegate,
 ) -> OpenListener:
     """Bind and serve one listener.
 
@@ -42,9 +66,9 @@
     ----------
     cfg : Settings
         The router's settings.
-    listener : Listener
-        The listener's section of them.
-    app : Application
+    section : Listener
+        The listener's section of them, its files checked before.
+    app : HTTPServerConnectionDelegate
         What it serves.
 
     Returns
@@ -56,16 +80,21 @@
     ------
     OSError
         If the port was taken since the settings were checked.
+    ssl.SSLError
+        If a PEM file was spoilt since the settings were checked.
     """
-    address = listener.address or cfg.host.address
-    sockets = bind_sockets(listener.port, address, socket.AF_INET)
+    context = server_context(section)
+    if isinstance(context, ConfigFault):
+        raise ssl.SSLError(context.reason)
+    address = section.address or cfg.host.address
+    sockets = bind_sockets(section.port, address)
     server = HTTPServer(
         app,
-        max_body_size=cfg.callers.body_limit,
-        max_header_size=cfg.callers.header_limit,
+        ssl_options=context,
+        max_body_size=_NO_LIMIT,
+        max_header_size=cfg.callers.header_limit * HEADER_SLACK,
         idle_connection_timeout=cfg.callers.idle_timeout,
-        body_timeout=cfg.callers.body_timeout,
     )
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
-    return OpenListener(f'{address}:{port}', server)
+    return OpenListener(f'{address}:{port}', section, server)
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -8,7 +8,7 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
-from balsamreach.daemon.clients import platform_client
+from balsamreach.daemon.clients import platform_client, table_service
 from balsamreach.daemon.net import make_net
 from balsamreach.daemon.table_parts import (
     TableNeeds,
@@ -25,11 +25,11 @@
 from balsamreach.dispatch.run import RunParts
 from balsamreach.dispatch.tries import make_try_parts
 from balsamreach.gateway.curl_upstream import CurlUpstream
+from balsamreach.gateway.traced_upstream import TracedUpstream
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.platform.base import TableService
 from balsamreach.platform.hosts_http import HttpHostList, HttpWeightStore
 from balsamreach.platform.objects_http import HttpObjectStore
-from balsamreach.platform.table_http import HttpTableService
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.registry import Answers
 from balsamreach.routing.routing import Routing, make_routing
@@ -88,7 +88,7 @@
     )
     clock = net.clock
     metrics = net.metrics
-    service = HttpTableService(platform_client(cfg, cfg.platform.table))
+    service = table_service(cfg, metrics, clock)
     table = make_table_parts(
         TableNeeds(
             cfg=cfg,
@@ -152,7 +152,11 @@
     upstream: CurlUpstream,
 ) -> Dispatcher:
     clock, metrics = net.clock, net.metrics
-    tries = make_try_parts(cfg.requests, routing, upstream)
+    tries = make_try_parts(
+        cfg.requests,
+        routing,
+        TracedUpstream(upstream, metrics, clock),
+    )
     answers = Answers(cfg.requests, clock, metrics)
     claims = Claims(budgets.service, net.me.incarnation, clock, metrics)
     return Dispatcher(
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -9,7 +9,9 @@
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.parts import Parts, make_parts
-from balsamreach.gateway.callers import CallerContext, make_callers_app
+from balsamreach.gateway.base import CallerContext
+from balsamreach.gateway.callers import make_callers_app
+from balsamreach.gateway.guard import Guard
 from balsamreach.gateway.health import (
     HealthHandler,
     MetricsHandler,
@@ -25,6 +27,7 @@
 from balsamreach.platform.base import Row
 from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.traces import Tracing
 
 STARTING = 'starting'
 READY = 'ready'
@@ -47,6 +50,8 @@
     cfg: Settings
     state: str = STARTING
     parts: Parts = attrs.field(init=False)
+    tracing: Tracing = attrs.field(init=False)
+    guard: Guard = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
     operators: OpenListener = attrs.field(init=False)
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
@@ -54,18 +59,17 @@
     async def start(self) -> None:
         """Open the listeners and begin to follow the table."""
         self.parts = make_parts(self.cfg)
+        self.tracing = Tracing(self.cfg)
         # The command has read the TLS files before; nothing else can fail.
         fault = await self.parts.net.start()
         assert fault is None, fault
-        self.callers = open_listener(
-            self.cfg,
-            self.cfg.callers,
-            self._callers_app(),
-        )
+        callers, metrics = self.cfg.callers, self.parts.metrics
+        self.guard = Guard(self._callers_app(), callers, metrics)
+        self.callers = open_listener(self.cfg, callers, self.guard)
         self.operators = open_listener(
             self.cfg,
             self.cfg.operators,
-            self._operators_app(),
+            Guard(self._operators_app(), callers, metrics),
         )
         self._tasks = [
             asyncio.create_task(self._follow_table()),
@@ -81,23 +85,60 @@
             reason=f'callers on {self.callers.address}',
         )
 
+    def reload_tls(self) -> None:
+        """Load the PEM files of the listeners again."""
+        for listener in (self.callers, self.operators):
+            fault = listener.reload_tls()
+            event = 'tls_reloaded' if fault is None else 'tls_not_reloaded'
+            log_event(
+                _logger,
+                logging.INFO if fault is None else logging.ERROR,
+                event,
+                reason=None if fault is None else fault.reason,
+                address=listener.address,
+            )
+
     async def leave(self) -> None:
         """Finish the requests in progress, record their bills and stop."""
         self.state = LEAVING
-        self.callers.stop()
+        log_event(_logger, logging.INFO, 'router_leaving')
         await self.parts.net.leave()
-        await self.parts.dispatcher.drain()
+        await self._stop_accepting()
+        await self._drain()
         await self._flush_last()
         await self.parts.net.stop()
         await self._close()
         log_event(_logger, logging.INFO, 'router_left')
 
+    async def _stop_accepting(self) -> None:
+        # A balancer that has not looked at /readyz yet goes on sending. If
+        # the listener closed at once, those callers would see a refused
+        # connection; so it is kept open until the balancer must know.
+        await self.parts.clock.sleep(self.cfg.callers.leave_delay)
+        self.callers.stop()
+        self.guard.leave()
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(self.cfg.callers.leave_timeout):
+                await self.parts.dispatcher.drain()
+        except TimeoutError:
+            log_event(
+                _logger,
+                logging.ERROR,
+                'requests_cut_off',
+                reason='leave_timeout passed',
+                requests=len(self.parts.dispatcher.running),
+            )
+
     async def _close(self) -> None:
+        await self.callers.server.close_all_connections()
         self.operators.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.parts.upstream.close()
+        self.tracing.close()
 
     async def _flush_last(self) -> None:
         for _ in range(_LAST_FLUSHES):
@@ -130,6 +171,8 @@
                 dispatcher=parts.dispatcher,
                 clock=parts.clock,
                 rng=parts.rng,
+                metrics=parts.metrics,
+                tracing=self.tracing,
             ),
         )
         self._add_health(app)
--- a/src/balsamreach/daemon/run.py
+++ b/src/balsamreach/daemon/run.py
@@ -11,6 +11,29 @@
 _SECOND_SIGNAL = 1
 
 
+def _ignore() -> None:
+    """Do nothing on SIGHUP where there is nothing to read again."""
+
+
+@attrs.frozen
+class Role:
+    """What a long-lived process does at the turns of its life.
+
+    Parameters
+    ----------
+    start : callable
+        Starts the role.
+    leave : callable
+        Ends it in order.
+    reload : callable
+        Reads again what SIGHUP asks for.
+    """
+
+    start: Callable[[], Awaitable[None]]
+    leave: Callable[[], Awaitable[None]]
+    reload: Callable[[], None] = _ignore
+
+
 @attrs.define
 class Stop:
     """The wish to end: the first signal asks, the second one ends at once."""
@@ -31,21 +54,21 @@
         self.event.set()
 
 
-async def run_until_stopped(
-    start: Callable[[], Awaitable[None]],
-    leave: Callable[[], Awaitable[None]],
-) -> None:
+async def run_until_stopped(role: Role) -> None:
     """Start a role, wait for a signal, and let the role leave.
 
     Parameters
     ----------
-    start : callable
-        Starts the role.
-    leave : callable
-        Ends it in order.
+    role : Role
+        What to start and end.
     """
     stop = Stop()
     stop.watch()
-    await start()
+    loop = asyncio.get_running_loop()
+    # Until the role has started there is nothing to read again; without a
+    # handler a SIGHUP at that time would end the process.
+    loop.add_signal_handler(signal.SIGHUP, _ignore)
+    await role.start()
+    loop.add_signal_handler(signal.SIGHUP, role.reload)
     await stop.event.wait()
-    await leave()
+    await role.leave()
--- a/src/balsamreach/dispatch/placing.py
+++ b/src/balsamreach/dispatch/placing.py
@@ -12,6 +12,7 @@
 from balsamreach.routing.routing import Routing
 from balsamreach.routing.slot import Slot
 from balsamreach.table.rows import ENGINE
+from balsamreach.telemetry import hops
 
 #: A team of weight 0 gets what the others leave.
 _LEAST_WEIGHT = 0.01
@@ -48,7 +49,8 @@
 
     async def place(self, call: Call) -> Slot | DispatchFault:
         """Return a slot for the first attempt, waiting in fair turn."""
-        slot = await self.routing.enter(_ask(call))
+        with hops.hop('queue'):
+            slot = await self.routing.enter(_ask(call))
         return _turn(slot) if isinstance(slot, RoutingFault) else slot
 
     async def place_again(
--- /dev/null
+++ b/src/balsamreach/dispatch/reserving.py
@@ -0,0 +1,40 @@
+"""Sets a request's worst case aside, in the terms of the dispatch layer."""
+
+from balsamreach.budget.budgets import Budgets
+from balsamreach.budget.faults import EXHAUSTED, BudgetFault
+from balsamreach.budget.ledger import Reservation
+from balsamreach.dispatch import faults
+from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.faults import DispatchFault
+from balsamreach.telemetry import hops
+
+
+async def reserve(
+    budgets: Budgets,
+    call: Call,
+) -> Reservation | DispatchFault:
+    """Reserve the most tokens that a call can use.
+
+    Parameters
+    ----------
+    budgets : Budgets
+        The router's budgets.
+    call : Call
+        The request.
+
+    Returns
+    -------
+    Reservation or DispatchFault
+        A fault means that nothing was set aside.
+    """
+    with hops.hop('allotment', tokens=call.most_tokens):
+        reservation = await budgets.reserve(call.team.name, call.most_tokens)
+    if isinstance(reservation, BudgetFault):
+        return _turn(reservation)
+    return reservation
+
+
+def _turn(fault: BudgetFault) -> DispatchFault:
+    if fault == EXHAUSTED:
+        return faults.BUDGET_EXHAUSTED.because(fault.reason)
+    return faults.BUDGET_UNREACHABLE.because(fault.reason)
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -8,7 +8,6 @@
 import attrs
 
 from balsamreach.budget.budgets import Budgets
-from balsamreach.budget.faults import EXHAUSTED, BudgetFault
 from balsamreach.budget.ledger import Reservation
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.billing import make_bill
@@ -17,6 +16,7 @@
 from balsamreach.dispatch.faults import DispatchFault
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.replies import PlainReply, Reply
+from balsamreach.dispatch.reserving import reserve
 from balsamreach.dispatch.tries import Tries, TryParts
 from balsamreach.requests import faults as request_faults
 from balsamreach.requests.answers import Answer, End
@@ -112,12 +112,9 @@
             self.parts.placer.close(self.call, self.used_tokens)
 
     async def _reserve(self) -> DispatchFault | None:
-        reservation = await self.parts.budgets.reserve(
-            self.call.team.name,
-            self.call.most_tokens,
-        )
-        if isinstance(reservation, BudgetFault):
-            return _turn_budget(reservation)
+        reservation = await reserve(self.parts.budgets, self.call)
+        if isinstance(reservation, DispatchFault):
+            return reservation
         try:
             return await self._take_up(reservation)
         finally:
@@ -264,12 +261,6 @@
 )
 
 
-def _turn_budget(fault: BudgetFault) -> DispatchFault:
-    if fault == EXHAUSTED:
-        return faults.BUDGET_EXHAUSTED.because(fault.reason)
-    return faults.BUDGET_UNREACHABLE.because(fault.reason)
-
-
 _REQUEST_FAULTS = {
     request_faults.OUTCOME_UNKNOWN: faults.OUTCOME_UNKNOWN,
     request_faults.ANSWER_NOT_KEPT: faults.OUTCOME_UNKNOWN,
--- /dev/null
+++ b/src/balsamreach/gateway/bodies.py
@@ -0,0 +1,91 @@
+"""Reads JSON bodies strictly, so that router and target read the same."""
+
+import json
+import math
+from typing import Any
+
+from balsamreach.gateway.refusals import Refusal
+
+#: Nested deeper than any client library writes; engines differ in how deep
+#: they can read, and one of them must not be crashed by it.
+MOST_DEPTH = 64
+
+_BAD_REQUEST = 400
+
+
+def read_json(raw: bytes) -> dict[str, Any] | Refusal:
+    """Read a JSON object.
+
+    Parameters
+    ----------
+    raw : bytes
+        Body as the caller sent it.
+
+    Returns
+    -------
+    dict or Refusal
+        Refused where readers of JSON differ: another encoding than UTF-8,
+        a key that stands twice, or a number that JSON does not know.
+    """
+    try:
+        text = raw.decode('utf-8')
+    except UnicodeDecodeError:
+        return _malformed('the body is not UTF-8')
+    try:
+        body = json.loads(
+            text,
+            object_pairs_hook=_unique,
+            parse_constant=_no_constant,
+            parse_float=_finite,
+        )
+    except RecursionError:
+        return _malformed('the body is nested too deeply')
+    except ValueError as exc:
+        return _malformed(f'the body is not JSON: {exc}')
+    if not isinstance(body, dict):
+        return _malformed('the body must be a JSON object')
+    if _is_deep(body):
+        return _malformed('the body is nested too deeply')
+    return body
+
+
+def _malformed(message: str) -> Refusal:
+    return Refusal(_BAD_REQUEST, 'malformed_json', message)
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    # With a key twice the router may reserve tokens by one of them and the
+    # engine run by the other.
+    body = dict(pairs)
+    if len(body) < len(pairs):
+        raise ValueError('a key stands twice in an object')
+    return body
+
+
+def _no_constant(name: str) -> float:
+    raise ValueError(f'{name} is no number of JSON')
+
+
+def _finite(text: str) -> float:
+    number = float(text)
+    if math.isinf(number):
+        raise ValueError(f'{text} is too large')
+    return number
+
+
+def _is_deep(body: dict[str, Any]) -> bool:
+    level: list[Any] = [body]
+    for _ in range(MOST_DEPTH):
+        level = [
+            inner
+            for outer in level
+            for inner in _inside(outer)
+            if isinstance(inner, (dict, list))
+        ]
+        if not level:
+            return False
+    return True
+
+
+def _inside(outer: Any) -> Any:
+    return outer.values() if isinstance(outer, dict) else outer
--- a/src/balsamreach/gateway/callers.py
+++ b/src/balsamreach/gateway/callers.py
@@ -1,78 +1,66 @@
 """The callers' interface: chat completions, models and plain services."""
 
-import random
+import math
+import posixpath
+from urllib.parse import unquote
 
 import attrs
 from tornado.iostream import StreamClosedError
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
-from balsamreach.clock import Clock
-from balsamreach.config.settings import Settings
 from balsamreach.dispatch.call import Call
-from balsamreach.dispatch.dispatcher import Dispatcher
-from balsamreach.dispatch.faults import DispatchFault
-from balsamreach.gateway.chat import CHAT_PATH, ChatRequest, read_chat
-from balsamreach.gateway.refusals import (
-    Refusal,
-    error_event,
-    from_fault,
-    send_refusal,
+from balsamreach.dispatch.faults import MAYBE_RUN, DispatchFault
+from balsamreach.gateway.base import (
+    CallerContext,
+    NotFoundHandler,
+    ObservedHandler,
+    log_nothing,
 )
-from balsamreach.gateway.sinks import HandlerSink
-from balsamreach.requests.answers import Answer, End
+from balsamreach.gateway.chat import CHAT_PATH, ChatRequest, read_chat
+from balsamreach.gateway.refusals import Refusal, error_event, from_fault
+from balsamreach.requests.answers import End
 from balsamreach.requests.faults import RequestFault
-from balsamreach.requests.identity import (
-    RequestId,
-    check_key,
-    fingerprint,
-    mint_key,
+from balsamreach.requests.identity import RequestId, check_key, fingerprint
+from balsamreach.table.rows import (
+    ENGINE,
+    PAUSED,
+    PLAIN_SERVICE,
+    TargetRow,
+    TeamRow,
 )
-from balsamreach.table.rows import ENGINE, PAUSED, PLAIN_SERVICE, TeamRow
-from balsamreach.table.view import TableView
+from balsamreach.telemetry import hops
 
 _UNAUTHORIZED = 401
 _FORBIDDEN = 403
 _NOT_FOUND = 404
 _BAD_REQUEST = 400
 _UNSUPPORTED = 415
-_BEARER = 'Bearer '
+_BEARER = 'bearer '
 _JSON = 'application/json'
 _KEY_HEADER = 'Idempotency-Key'
+_IDEMPOTENT_HEADER = 'Idempotent'
+_TIMEOUT_HEADER = 'X-Request-Timeout'
+_FLAGS = {'true': True, 'false': False}
+_PASSED = ('Content-Type', 'Accept', 'Accept-Language')
 
 
-@attrs.frozen
-class CallerContext:
-    """What handlers of the callers' interface work with."""
-
-    cfg: Settings
-    view: TableView
-    dispatcher: Dispatcher
-    clock: Clock
-    rng: random.Random
-
-
-class CallerHandler(RequestHandler):
+class CallerHandler(ObservedHandler):
     """Base of the handlers that a team's key opens."""
 
-    def initialize(self, context: CallerContext) -> None:
-        """Take the context that the application was made with."""
-        self.context = context
-        self.answer: Answer | None = None
-        self.sink = HandlerSink(self)
-
     def authenticate(self) -> TeamRow | Refusal:
         """Return the team whose key the request carries."""
         header = self.request.headers.get('Authorization', '')
-        if not header.startswith(_BEARER):
+        if not header.lower().startswith(_BEARER):
             return Refusal(
                 _UNAUTHORIZED,
                 'missing_key',
                 'send the team key as Authorization: Bearer KEY',
             )
-        secret = header.removeprefix(_BEARER).strip()
+        secret = header[len(_BEARER) :].strip()
         team = self.context.view.team_by_secret(secret)
         if team is None:
             return Refusal(_UNAUTHORIZED, 'wrong_key', 'no team has this key')
+        self.team_name = team.name
         if team.state == PAUSED:
             return Refusal(
                 _FORBIDDEN,
@@ -84,10 +72,12 @@
     def identify(self, team: TeamRow) -> RequestId | Refusal:
         """Return the request's identity, minting a key if it has none."""
         given = self.request.headers.get(_KEY_HEADER)
-        key = mint_key() if given is None else given
+        key = self.request_id if given is None else given
         fault = None if given is None else check_key(key)
         if isinstance(fault, RequestFault):
             return Refusal(_BAD_REQUEST, fault.code, fault.reason)
+        self.minted = given is None
+        self.name_request(key)
         digest = fingerprint(
             self.request.method or '',
             self.request.uri or '',
@@ -95,12 +85,35 @@
         )
         return RequestId(team.name, key, given is None, digest)
 
-    async def serve_call(self, call: Call) -> None:
+    def deadline(self) -> float | Refusal:
+        """Return when the answer must be whole, by the caller's wish."""
+        text = self.request.headers.get(_TIMEOUT_HEADER)
+        longest = self.context.cfg.requests.default_deadline
+        if text is None:
+            return self.received + longest
+        seconds = _read_seconds(text)
+        if seconds is None:
+            return _bad_header(_TIMEOUT_HEADER, 'a number of seconds above 0')
+        return self.received + min(seconds, longest)
+
+    def says_idempotent(self) -> bool | Refusal:
+        """Return whether the caller lets the request run more than once."""
+        text = self.request.headers.get(_IDEMPOTENT_HEADER, 'true')
+        flag = _FLAGS.get(text.strip().lower())
+        if flag is None:
+            return _bad_header(_IDEMPOTENT_HEADER, 'true or false')
+        return flag
+
+    async def serve_call(self, call: Call | Refusal) -> None:
         """Run a call and answer with what comes of it."""
-        self.set_header('X-Request-Id', call.req.key)
-        answer = self.context.dispatcher.submit(call)
+        if isinstance(call, Refusal):
+            self.refuse(call)
+            return
+        # The request's task is made in here, so that it inherits the span.
+        with hops.following(self.trail):
+            answer = self.context.dispatcher.submit(call)
         if isinstance(answer, DispatchFault):
-            send_refusal(self, from_fault(answer))
+            self.refuse(from_fault(answer))
             return
         self.answer = answer
         answer.attach(self.sink)
@@ -109,6 +122,7 @@
 
     def on_connection_close(self) -> None:
         """Let go of the answer when the caller has gone."""
+        super().on_connection_close()
         if self.answer is not None:
             self.answer.detach(self.sink)
             self.context.dispatcher.abandon(self.answer)
@@ -119,36 +133,43 @@
         except StreamClosedError:
             self.on_connection_close()
 
+    def _refusal(self, fault: DispatchFault) -> Refusal:
+        refusal = from_fault(fault)
+        if refusal.ran == MAYBE_RUN and self.minted:
+            # The caller gave no key, so that the same words sent again are
+            # a new request: it would run and be billed beside the first.
+            return attrs.evolve(refusal, repeatable=False)
+        return refusal
+
     def _finish_checked(self, end: End) -> None:
         self.sink.flush()
         if end.whole:
             self.finish()
             return
         assert isinstance(end.fault, DispatchFault)
-        refusal = from_fault(end.fault)
+        refusal = self._refusal(end.fault)
         if self.sink.started:
+            self.refusal = refusal
             self.finish(error_event(refusal))
         else:
-            send_refusal(self, refusal)
+            self.refuse(refusal)
 
 
 class ChatHandler(CallerHandler):
     """``POST /v1/chat/completions``."""
 
+    kind = ENGINE
+
     async def post(self) -> None:
         """Run a chat completion."""
-        call = self._read()
-        if isinstance(call, Refusal):
-            send_refusal(self, call)
-            return
-        await self.serve_call(call)
+        await self.serve_call(self._read())
 
     def _read(self) -> Call | Refusal:
         team = self.authenticate()
         if isinstance(team, Refusal):
             return team
         kind = self.request.headers.get('Content-Type', _JSON)
-        if not kind.lower().startswith(_JSON):
+        if kind.partition(';')[0].strip().lower() != _JSON:
             return Refusal(
                 _UNSUPPORTED,
                 'unsupported_content_type',
@@ -161,6 +182,7 @@
             self.request.body,
             team,
             self.context.view.models(),
+            self.context.cfg.callers,
             self.context.rng,
         )
         if isinstance(chat, Refusal):
@@ -172,7 +194,13 @@
         team: TeamRow,
         req: RequestId,
         chat: ChatRequest,
-    ) -> Call:
+    ) -> Call | Refusal:
+        idempotent = self.says_idempotent()
+        if isinstance(idempotent, Refusal):
+            return idempotent
+        deadline = self.deadline()
+        if isinstance(deadline, Refusal):
+            return deadline
         return Call(
             req=req,
             team=team,
@@ -184,37 +212,54 @@
             body=chat.body,
             stream=chat.stream,
             wants_usage=chat.wants_usage,
-            idempotent=_says_idempotent(self, default=True),
+            idempotent=idempotent,
             prefix=chat.prefix,
             most_tokens=chat.most_tokens,
             most_completion=chat.max_tokens,
             prompt_tokens=chat.prompt_tokens,
-            deadline=_deadline(self),
+            deadline=deadline,
+            trace=self.span,
         )
 
 
 class ModelsHandler(CallerHandler):
-    """``GET /v1/models``."""
+    """``GET /v1/models`` and ``GET /v1/models/<name>``."""
+
+    kind = 'models'
 
-    def get(self) -> None:
-        """List the models open to the team."""
+    def get(self, name: str | None = None) -> None:
+        """List the models open to the team, or show one of them."""
         team = self.authenticate()
         if isinstance(team, Refusal):
-            send_refusal(self, team)
+            self.refuse(team)
             return
+        models = [_describe(model) for model in self._names(team)]
+        if name is None:
+            self.finish({'object': 'list', 'data': models})
+            return
+        for model in models:
+            if model['id'] == name:
+                self.finish(model)
+                return
+        self.refuse(
+            Refusal(
+                _NOT_FOUND,
+                'unknown_model',
+                f'no model {name!r} is open to this team',
+            )
+        )
+
+    def _names(self, team: TeamRow) -> tuple[str, ...]:
         names = self.context.view.models()
         if team.models:
-            names = tuple(name for name in names if name in team.models)
-        models = [
-            {'id': name, 'object': 'model', 'owned_by': 'balsamreach'}
-            for name in names
-        ]
-        self.finish({'object': 'list', 'data': models})
+            return tuple(name for name in names if name in team.models)
+        return names
 
 
 class ServiceHandler(CallerHandler):
     """``/services/<name>/<path>``: calls of plain services."""
 
+    kind = PLAIN_SERVICE
     SUPPORTED_METHODS = (
         'GET',
         'HEAD',
@@ -227,18 +272,17 @@
 
     async def prepare(self) -> None:
         """Serve every method alike."""
-        call = self._read(*self.path_args)
-        if isinstance(call, Refusal):
-            send_refusal(self, call)
-            return
-        await self.serve_call(call)
+        await self.serve_call(self._read(*self.path_args))
 
     def _read(self, service: str, path: str) -> Call | Refusal:
         team = self.authenticate()
         if isinstance(team, Refusal):
             return team
-        workers = tuple(self.context.view.workers_of(service))
-        workers = tuple(row for row in workers if row.kind == PLAIN_SERVICE)
+        workers = [
+            row
+            for row in self.context.view.workers_of(service)
+            if row.kind == PLAIN_SERVICE
+        ]
         if not workers:
             return Refusal(
                 _NOT_FOUND,
@@ -248,57 +292,89 @@
         req = self.identify(team)
         if isinstance(req, Refusal):
             return req
-        single = any(
-            path.startswith(start.lstrip('/'))
-            for row in workers
-            for start in row.non_idempotent
-        )
-        query = f'?{self.request.query}' if self.request.query else ''
+        return self._make_call(team, req, workers, path)
+
+    def _make_call(
+        self,
+        team: TeamRow,
+        req: RequestId,
+        workers: list[TargetRow],
+        path: str,
+    ) -> Call | Refusal:
+        idempotent = self.says_idempotent()
+        if isinstance(idempotent, Refusal):
+            return idempotent
+        deadline = self.deadline()
+        if isinstance(deadline, Refusal):
+            return deadline
+        given = self.request.headers
+        passed = {name: given[name] for name in _PASSED if name in given}
         return Call(
             req=req,
             team=team,
             kind=PLAIN_SERVICE,
-            name=service,
+            name=workers[0].service,
             method=self.request.method or '',
-            path=f'/{path}{query}',
-            headers=_passed_headers(self, req),
+            path=_target_path(self.request.uri or ''),
+            headers=passed | {_KEY_HEADER: req.key},
             body=self.request.body,
             stream=False,
-            idempotent=not single and _says_idempotent(self, default=True),
+            idempotent=idempotent and not _runs_once(workers, path),
             most_tokens=max(row.price for row in workers),
-            deadline=_deadline(self),
+            deadline=deadline,
+            trace=self.span,
         )
 
 
-def _passed_headers(
-    handler: RequestHandler,
-    req: RequestId,
-) -> dict[str, str]:
-    names = ('Content-Type', 'Accept', 'Accept-Language')
-    given = handler.request.headers
-    passed = {name: given[name] for name in names if name in given}
-    return passed | {_KEY_HEADER: req.key}
+def _describe(model: str) -> dict[str, object]:
+    return {
+        'id': model,
+        'object': 'model',
+        'created': 0,
+        'owned_by': 'balsamreach',
+    }
 
 
-def _says_idempotent(handler: RequestHandler, *, default: bool) -> bool:
-    header = handler.request.headers.get('Idempotent', '').lower()
-    return default if not header else header != 'false'
+def _target_path(uri: str) -> str:
+    # The path goes on as the caller wrote it: a decoded one could name
+    # something else at the target.
+    _empty, _services, _name, rest = uri.split('/', 3)
+    return f'/{rest}'
 
 
-def _deadline(handler: CallerHandler) -> float:
-    return (
-        handler.context.clock.now()
-        + handler.context.cfg.requests.default_deadline
+def _runs_once(workers: list[TargetRow], path: str) -> bool:
+    # A target takes "//certificate" or "./certificate" for "certificate".
+    # If only the plain spelling counted, another one would run twice.
+    plain = posixpath.normpath(f'/{unquote(path)}').lstrip('/').lower()
+    return any(
+        plain.startswith(start.strip('/').lower())
+        for row in workers
+        for start in row.non_idempotent
     )
 
 
+def _read_seconds(text: str) -> float | None:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
+
+
+def _bad_header(name: str, form: str) -> Refusal:
+    return Refusal(_BAD_REQUEST, 'invalid_header', f'{name}: write {form}')
+
+
 def make_callers_app(context: CallerContext) -> Application:
     """Return the application of the callers' listener."""
     arguments = {'context': context}
     return Application(
         [
             (CHAT_PATH, ChatHandler, arguments),
-            ('/v1/models', ModelsHandler, arguments),
+            ('/v1/models(?:/(.+))?', ModelsHandler, arguments),
             ('/services/([^/]+)/(.*)', ServiceHandler, arguments),
-        ]
+        ],
+        default_handler_class=NotFoundHandler,
+        default_handler_args=arguments,
+        log_function=log_nothing,
     )
--- a/src/balsamreach/gateway/chat.py
+++ b/src/balsamreach/gateway/chat.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+from balsamreach.config.settings import CallersSettings
+from balsamreach.gateway.bodies import read_json
+from balsamreach.gateway.prompts import Prompt, measure_prompt
 from balsamreach.gateway.refusals import Refusal
 from balsamreach.table.rows import ANY_MODEL, TeamRow
 
@@ -14,10 +17,7 @@
 
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
-#: Tokens a chat template may add for each message.
-_MESSAGE_OVERHEAD = 16
-_BYTES_PER_TOKEN = 4
-_PREFIX_LIMIT = 8192
+_MOST_CHOICES = 128
 
 
 @attrs.frozen
@@ -31,13 +31,9 @@
     stream, wants_usage : bool
         What the caller asked for.
     max_tokens : int
-        Completion tokens at most.
-    prompt_bytes : int
-        Length of all message contents.
-    messages : int
-        Number of messages.
-    prefix : bytes
-        Leading part of the prompt.
+        Completion tokens at most, over all choices.
+    prompt : Prompt
+        What the prompt may cost and how it begins.
     body : bytes
         Body to send to the target.
     """
@@ -46,27 +42,30 @@
     stream: bool
     wants_usage: bool
     max_tokens: int
-    prompt_bytes: int
-    messages: int
-    prefix: bytes
+    prompt: Prompt
     body: bytes
 
     @property
     def most_tokens(self) -> int:
-        """Worst case: a token is at least one byte of the prompt."""
-        overhead = _MESSAGE_OVERHEAD * self.messages
-        return self.prompt_bytes + overhead + self.max_tokens
+        """Worst case of prompt and completion together."""
+        return self.prompt.most_tokens + self.max_tokens
 
     @property
     def prompt_tokens(self) -> int:
         """Estimate of the prompt's tokens."""
-        return max(1, self.prompt_bytes // _BYTES_PER_TOKEN)
+        return self.prompt.likely_tokens
+
+    @property
+    def prefix(self) -> bytes:
+        """Leading part of the prompt."""
+        return self.prompt.prefix
 
 
 def read_chat(
     raw: bytes,
     team: TeamRow,
     models: tuple[str, ...],
+    cfg: CallersSettings,
     rng: random.Random,
 ) -> ChatRequest | Refusal:
     """Check a chat completion request and read it.
@@ -79,6 +78,8 @@
         Team that calls.
     models : tuple of str
         Models that some engine serves.
+    cfg : CallersSettings
+        Bounds of what is asked for.
     rng : random.Random
         For sharing ``auto`` requests among the team's models.
 
@@ -93,10 +94,13 @@
     model = _choose_model(body, team, models, rng)
     if isinstance(model, Refusal):
         return model
-    max_tokens = _max_tokens(body, team)
+    max_tokens = _max_tokens(body, team, cfg.most_completion)
     if isinstance(max_tokens, Refusal):
         return max_tokens
-    return _build(body, model, max_tokens)
+    prompt = measure_prompt(body, cfg.part_tokens)
+    if isinstance(prompt, Refusal):
+        return prompt
+    return _build(body, model, max_tokens, prompt)
 
 
 def _bad(message: str, code: str = 'invalid_request') -> Refusal:
@@ -104,14 +108,9 @@
 
 
 def _parse(raw: bytes) -> dict[str, Any] | Refusal:
-    try:
-        body = json.loads(raw)
-    except ValueError:
-        return _bad('the body is not JSON', 'malformed_json')
-    except RecursionError:
-        return _bad('the body is nested too deeply', 'malformed_json')
-    if not isinstance(body, dict):
-        return _bad('the body must be a JSON object', 'malformed_json')
+    body = read_json(raw)
+    if isinstance(body, Refusal):
+        return body
     messages = body.get('messages')
     if not isinstance(messages, list) or not messages:
         return _bad('messages must be a list with at least one message')
@@ -119,6 +118,8 @@
         return _bad('each message must be an object')
     if not isinstance(body.get('stream', False), (bool, type(None))):
         return _bad('stream must be true or false')
+    if not isinstance(body.get('stream_options', {}), (dict, type(None))):
+        return _bad('stream_options must be an object')
     return body
 
 
@@ -146,47 +147,64 @@
     return model
 
 
-def _max_tokens(body: Mapping[str, Any], team: TeamRow) -> int | Refusal:
+def _max_tokens(
+    body: Mapping[str, Any],
+    team: TeamRow,
+    most: int,
+) -> int | Refusal:
     for name in ('max_completion_tokens', 'max_tokens'):
-        number = body.get(name)
-        if number is None:
+        if body.get(name) is not None:
+            return _read_count(body, name, most)
+    return min(team.max_tokens, most)
+
+
+def _choices(body: Mapping[str, Any]) -> int | Refusal:
+    # Every choice is generated whole and billed, also those that an engine
+    # drops in favour of the best.
+    counts = [1]
+    for name in ('n', 'best_of'):
+        if body.get(name) is None:
             continue
-        if isinstance(number, bool) or not isinstance(number, int):
-            return _bad(f'{name} must be a whole number')
-        if number < 1:
-            return _bad(f'{name} must be at least 1')
-        return number
-    return team.max_tokens
+        count = _read_count(body, name, _MOST_CHOICES)
+        if isinstance(count, Refusal):
+            return count
+        counts.append(count)
+    return max(counts)
+
+
+def _read_count(
+    body: Mapping[str, Any],
+    name: str,
+    most: int,
+) -> int | Refusal:
+    number = body[name]
+    if isinstance(number, bool) or not isinstance(number, int):
+        return _bad(f'{name} must be a whole number')
+    if not 1 <= number <= most:
+        return _bad(f'{name} must be from 1 to {most}')
+    return number
 
 
 def _build(
     body: dict[str, Any],
     model: str,
     max_tokens: int,
-) -> ChatRequest:
+    prompt: Prompt,
+) -> ChatRequest | Refusal:
+    choices = _choices(body)
+    if isinstance(choices, Refusal):
+        return choices
     stream = bool(body.get('stream'))
     options = body.get('stream_options') or {}
-    wants_usage = isinstance(options, dict) and options.get('include_usage')
-    prompt = _prompt_text(body['messages'])
     sent = {**body, 'model': model, 'max_tokens': max_tokens}
     sent.pop('max_completion_tokens', None)
     if stream:
-        sent['stream_options'] = {'include_usage': True}
+        sent['stream_options'] = {**options, 'include_usage': True}
     return ChatRequest(
         model=model,
         stream=stream,
-        wants_usage=bool(wants_usage),
-        max_tokens=max_tokens,
-        prompt_bytes=len(prompt),
-        messages=len(body['messages']),
-        prefix=prompt[:_PREFIX_LIMIT],
+        wants_usage=bool(options.get('include_usage')),
+        max_tokens=max_tokens * choices,
+        prompt=prompt,
         body=json.dumps(sent).encode(),
     )
-
-
-def _prompt_text(messages: list[dict[str, Any]]) -> bytes:
-    texts = []
-    for message in messages:
-        content = message.get('content')
-        texts.append(content if isinstance(content, str) else str(content))
-    return '\n'.join(texts).encode('utf-8', 'replace')
--- a/src/balsamreach/gateway/health.py
+++ b/src/balsamreach/gateway/health.py
@@ -2,23 +2,23 @@
 
 from collections.abc import Callable
 
-from tornado.web import RequestHandler
-
-from balsamreach.telemetry.metrics import Metrics
+from balsamreach.gateway.base import JsonErrors
+from balsamreach.telemetry.metrics import CONTENT_TYPE, Metrics
 
 _UNAVAILABLE = 503
-_TEXT = 'text/plain; version=0.0.4; charset=utf-8'
 
 
-class HealthHandler(RequestHandler):
+class HealthHandler(JsonErrors):
     """``GET /healthz``: the process runs its event loop."""
 
     def get(self) -> None:
         """Answer that the process is alive."""
         self.finish({'status': 'ok'})
 
+    head = get
+
 
-class ReadyHandler(RequestHandler):
+class ReadyHandler(JsonErrors):
     """``GET /readyz``: whether new requests should be sent here."""
 
     def initialize(self, state: Callable[[], str]) -> None:
@@ -32,8 +32,10 @@
             self.set_status(_UNAVAILABLE)
         self.finish({'status': state})
 
+    head = get
+
 
-class MetricsHandler(RequestHandler):
+class MetricsHandler(JsonErrors):
     """``GET /metrics``: counters and latencies in Prometheus' text form."""
 
     def initialize(self, metrics: Metrics) -> None:
@@ -42,5 +44,5 @@
 
     def get(self) -> None:
         """Answer with all metrics."""
-        self.set_header('Content-Type', _TEXT)
+        self.set_header('Content-Type', CONTENT_TYPE)
         self.finish(self._metrics.render())
--- a/src/balsamreach/gateway/refusals.py
+++ b/src/balsamreach/gateway/refusals.py
@@ -49,6 +49,8 @@
         ``no`` or ``unknown``.
     retry_after : float
         Seconds until asking again makes sense; 0 for never.
+    repeatable : bool
+        Whether the same request sent again is known for the same.
     """
 
     status: int
@@ -56,6 +58,7 @@
     message: str
     ran: str = faults.NOT_RUN
     retry_after: float = 0
+    repeatable: bool = True
 
     def body(self) -> bytes:
         """Return the JSON body, in the shape OpenAI clients read."""
@@ -76,13 +79,56 @@
         if self.retry_after:
             headers['Retry-After'] = str(math.ceil(self.retry_after))
         # The OpenAI clients send a failed request again by themselves unless
-        # they are told not to. Where asking again cannot help this header
-        # keeps them from it.
-        may_retry = self.retry_after > 0
+        # they are told not to. Where asking again cannot help, or would be
+        # another request and another bill, this header keeps them from it.
+        may_retry = self.retry_after > 0 and self.repeatable
         headers['X-Should-Retry'] = 'true' if may_retry else 'false'
         return headers
 
 
+#: The header passes the limit of the settings.
+HEADER_TOO_LARGE = Refusal(
+    431,
+    'header_too_large',
+    'the header is larger than this router takes',
+)
+#: The body passes the limit of the settings.
+BODY_TOO_LARGE = Refusal(
+    413,
+    'body_too_large',
+    'the body is larger than this router takes',
+)
+#: The body did not come in time.
+BODY_TOO_SLOW = Refusal(
+    408,
+    'body_timeout',
+    'the body did not arrive in time',
+    retry_after=1,
+)
+_BY_STATUS = {
+    404: Refusal(404, 'unknown_path', 'there is nothing at this path'),
+    405: Refusal(405, 'method_not_allowed', 'the path takes another method'),
+}
+
+
+def from_status(status: int, ran: str) -> Refusal:
+    """Return the refusal for an error that the framework met.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status the framework chose.
+    ran : str
+        Whether the request ran.
+    """
+    known = _BY_STATUS.get(status)
+    if known is not None:
+        return known
+    if status < _DEFAULT_STATUS:
+        return Refusal(status, 'bad_request', 'the request is malformed', ran)
+    return Refusal(status, 'internal_error', 'the router met an error', ran)
+
+
 def from_fault(fault: DispatchFault) -> Refusal:
     """Turn a dispatch fault into what the caller is told."""
     status = _STATUS.get(fault, _DEFAULT_STATUS)
--- a/src/balsamreach/gateway/sinks.py
+++ b/src/balsamreach/gateway/sinks.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream, SSLIOStream
 from tornado.web import RequestHandler
 
+from balsamreach.clock import Clock
 from balsamreach.requests.answers import Sink
 
 _BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
@@ -18,10 +19,19 @@
     The first bytes go the handler's way, together with the head. The rest
     is framed here and goes straight to the connection: at one token a
     chunk the handler's own way costs more than all other work on it.
+
+    Parameters
+    ----------
+    handler : RequestHandler
+        Writes the response.
+    clock : Clock
+        Tells when the first byte went out.
     """
 
-    def __init__(self, handler: RequestHandler) -> None:
+    def __init__(self, handler: RequestHandler, clock: Clock) -> None:
         self._handler = handler
+        self._clock = clock
+        self.first_at: float = 0
         self._stream: IOStream | None = None
         self._waiting: list[bytes] = []
         self._waiting_size = 0
@@ -70,6 +80,8 @@
             self._stream.write(framed)
 
     def _write_first(self, chunk: bytes) -> None:
+        if not self.first_at:
+            self.first_at = self._clock.now()
         self._handler.write(chunk)
         written = self._handler.flush()
         connection = self._handler.request.connection
--- a/src/balsamreach/trial/plan.py
+++ b/src/balsamreach/trial/plan.py
@@ -86,6 +86,7 @@
             f'host.address={_IP}',
             f'host.zone={self.zones[number]}',
             f'callers.port={self.callers(number)}',
+            'callers.leave_delay=0s',
             f'operators.port={self.operators(number)}',
             f'operators.keys={hash_key(self.operator_key)}',
             f'peers.port={self.peers(number)}',
--- a/src/balsamreach/ui/check_config.py
+++ b/src/balsamreach/ui/check_config.py
@@ -5,7 +5,11 @@
 import click
 
 from balsamreach.config.faults import ConfigFault
-from balsamreach.config.reader import check_ports, read_settings
+from balsamreach.config.reader import (
+    check_certificates,
+    check_ports,
+    read_settings,
+)
 from balsamreach.ui import exit_codes
 
 
@@ -21,7 +25,7 @@
 @click.option(
     '--ports/--no-ports',
     default=False,
-    help='Also try to bind the listeners; they must not be in use.',
+    help='Also load the certificates and bind the listeners.',
 )
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 def command(
@@ -53,10 +57,11 @@
         return settings.problems
     if not ports:
         return ()
-    fault = check_ports(settings)
-    if fault is None:
-        return ()
-    return tuple(f'{path}: {problem}' for problem in fault.problems)
+    problems: list[str] = []
+    for fault in (check_certificates(settings), check_ports(settings)):
+        if fault is not None:
+            problems.extend(fault.problems)
+    return tuple(f'{path}: {problem}' for problem in problems)
 
 
 def _as_rows(checked: dict[str, tuple[str, ...]]) -> list[dict[str, object]]:
--- a/src/balsamreach/ui/serve.py
+++ b/src/balsamreach/ui/serve.py
@@ -7,9 +7,13 @@
 import click
 
 from balsamreach.config.faults import ConfigFault
-from balsamreach.config.reader import check_ports, read_settings
+from balsamreach.config.reader import (
+    check_certificates,
+    check_ports,
+    read_settings,
+)
 from balsamreach.daemon.router import Router
-from balsamreach.daemon.run import run_until_stopped
+from balsamreach.daemon.run import Role, run_until_stopped
 from balsamreach.peers.faults import PeerFault
 from balsamreach.peers.tls import load_tls
 from balsamreach.telemetry.logs import set_up_logging
@@ -37,15 +41,16 @@
     cfg = read_settings(path, overrides)
     if isinstance(cfg, ConfigFault):
         raise settings_error(cfg)
-    taken = check_ports(cfg)
-    if taken is not None:
-        raise settings_error(taken)
+    for fault in (check_certificates(cfg), check_ports(cfg)):
+        if fault is not None:
+            raise settings_error(fault)
     tls = load_tls(cfg.peers)
     if isinstance(tls, PeerFault):
         raise CommandError('read the TLS files', tls, exit_codes.USAGE)
     set_up_logging(cfg)
     router = Router(cfg)
-    asyncio.run(run_until_stopped(partial(_start, router), router.leave))
+    role = Role(partial(_start, router), router.leave, router.reload_tls)
+    asyncio.run(run_until_stopped(role))
 
 
 async def _start(router: Router) -> None:
--- a/src/balsamreach/ui/standin.py
+++ b/src/balsamreach/ui/standin.py
@@ -6,7 +6,7 @@
 import attrs
 import click
 
-from balsamreach.daemon.run import run_until_stopped
+from balsamreach.daemon.run import Role, run_until_stopped
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.serve import (
     PlatformSettings,
@@ -88,4 +88,4 @@
     settings: PlatformSettings | EngineSettings | ServiceSettings,
 ) -> None:
     standin = _Standin(settings)
-    asyncio.run(run_until_stopped(standin.start, standin.leave))
+    asyncio.run(run_until_stopped(Role(standin.start, standin.leave)))
--- a/src/balsamreach/ui/trial.py
+++ b/src/balsamreach/ui/trial.py
@@ -6,7 +6,7 @@
 
 import click
 
-from balsamreach.daemon.run import run_until_stopped
+from balsamreach.daemon.run import Role, run_until_stopped
 from balsamreach.trial.fleet import Fleet, TrialFault
 from balsamreach.trial.plan import MODEL, Plan
 from balsamreach.ui import exit_codes
@@ -30,7 +30,7 @@
 
 
 async def _run(fleet: Fleet) -> None:
-    await run_until_stopped(partial(_start, fleet), fleet.stop)
+    await run_until_stopped(Role(partial(_start, fleet), fleet.stop))
 
 
 async def _start(fleet: Fleet) -> None:
--- /dev/null
+++ b/tests/test_gateway_callers.py
@@ -0,0 +1,344 @@
+"""Tests of the callers' interface: every refusal, and whole answers."""
+
+import asyncio
+import json
+import unittest
+
+import attrs
+import openai
+from parameterized import parameterized
+
+from balsamreach.gateway.base import ADDED, FIRST_BYTE, REFUSALS, REQUESTS
+from tests.deployment import (
+    MODEL,
+    SECRET,
+    TEAM,
+    Deployment,
+    exchange,
+    parse_answer,
+    request,
+    until,
+)
+
+_CHAT = 'POST /v1/chat/completions'
+_ASK = {'model': MODEL, 'messages': [{'role': 'user', 'content': 'words=2'}]}
+_LIMIT = 2000
+
+
+def _ask(**changes):
+    return json.dumps(_ASK | changes).encode()
+
+
+def _content(part):
+    return _ask(messages=[{'role': 'user', 'content': [part]}])
+
+
+_NEST = 100
+_DEEP = b''.join((b'{"messages": ', b'[' * _NEST, b']' * _NEST, b'}'))
+_TWICE = b'{"model": "model-a", "model": "model-b", "messages": [{}]}'
+_JSON_CODE = 'malformed_json'
+_BODY_CODE = 'invalid_request'
+
+#: Name, body of a chat request, code of its refusal.
+_BAD_BODIES = (
+    ('not_json', b'{', _JSON_CODE),
+    ('no_body', b'', _JSON_CODE),
+    ('not_utf8', b'{"model": "\xff"}', _JSON_CODE),
+    ('no_object', b'[]', _JSON_CODE),
+    ('deep', _DEEP, _JSON_CODE),
+    ('key_twice', _TWICE, _JSON_CODE),
+    ('nan', _ask(temperature=float('nan')), _JSON_CODE),
+    ('infinite', b'{"temperature": 1e999}', _JSON_CODE),
+    ('no_messages', _ask(messages=[]), _BODY_CODE),
+    ('odd_message', _ask(messages=['x']), _BODY_CODE),
+    ('odd_content', _ask(messages=[{'content': 7}]), _BODY_CODE),
+    ('odd_part', _content('x'), _BODY_CODE),
+    ('unknown_part', _content({'type': 'smell'}), _BODY_CODE),
+    ('part_without_text', _content({'type': 'text'}), _BODY_CODE),
+    ('stream_text', _ask(stream='yes'), _BODY_CODE),
+    ('options', _ask(stream_options=[]), _BODY_CODE),
+    ('zero_tokens', _ask(max_tokens=0), _BODY_CODE),
+    ('huge_tokens', _ask(max_tokens=10**9), _BODY_CODE),
+    ('float_tokens', _ask(max_tokens=1.5), _BODY_CODE),
+    ('true_tokens', _ask(max_completion_tokens=True), _BODY_CODE),
+    ('no_choices', _ask(n=0), _BODY_CODE),
+    ('many_choices', _ask(best_of=1000), _BODY_CODE),
+    ('no_model', _ask(model=None), _BODY_CODE),
+)
+
+#: Name, headers of a chat request, status and code of its refusal.
+_BAD_HEADERS = (
+    ('no_key', {'secret': ''}, 401, 'missing_key'),
+    ('wrong_key', {'secret': 'x'}, 401, 'wrong_key'),
+    ('paused', {'secret': 'paused-secret'}, 403, 'team_paused'),
+    ('no_budget', {'secret': 'poor-secret'}, 402, 'budget_exhausted'),
+    ('text', {'Content_Type': 'text/plain'}, 415, 'unsupported_content_type'),
+    ('long', {'Idempotency_Key': 'k' * 300}, 400, 'bad_idempotency_key'),
+    ('empty', {'Idempotency_Key': ''}, 400, 'bad_idempotency_key'),
+    ('flag', {'Idempotent': 'maybe'}, 400, 'invalid_header'),
+    ('negative', {'X_Request_Timeout': '-1'}, 400, 'invalid_header'),
+    ('never', {'X_Request_Timeout': 'nan'}, 400, 'invalid_header'),
+    ('header', {'X_Long': 'x' * 1500}, 431, 'header_too_large'),
+)
+
+#: Name, request line, status and code of its refusal.
+_BAD_LINES = (
+    ('path', 'GET /v2/chat', 404, 'unknown_path'),
+    ('service', 'GET /services/x/y', 404, 'unknown_service'),
+    ('method', 'GET /v1/chat/completions', 405, 'method_not_allowed'),
+    ('odd_method', 'BREW /v1/models', 405, 'method_not_allowed'),
+    ('health', 'DELETE /healthz', 405, 'method_not_allowed'),
+    ('model', 'GET /v1/models/x', 404, 'unknown_model'),
+)
+
+_REFUSED = (
+    *((name, _CHAT, body, {}, 400, code) for name, body, code in _BAD_BODIES),
+    *((row[0], _CHAT, _ask(), *row[1:]) for row in _BAD_HEADERS),
+    *((row[0], row[1], b'', {}, *row[2:]) for row in _BAD_LINES),
+    ('unknown', _CHAT, _ask(model='x'), {}, 404, 'unknown_model'),
+    ('large', _CHAT, b'x' * (_LIMIT + 1), {}, 413, 'body_too_large'),
+)
+
+
+class CallersTest(unittest.IsolatedAsyncioTestCase):
+    """One router before one engine and one plain service."""
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment(
+            (f'callers.body_limit={_LIMIT}B', 'callers.header_limit=1KiB'),
+        )
+        await self.deployment.start()
+        self.router = self.deployment.routers[0]
+        self.metrics = self.router.parts.metrics
+
+    async def asyncTearDown(self):
+        await self.deployment.stop()
+
+    async def send(self, sent):
+        return parse_answer(await exchange(self.deployment.callers, sent))
+
+    async def ask(self, body=None, **headers):
+        return await self.send(request(_CHAT, body or _ask(), **headers))
+
+    @parameterized.expand(_REFUSED)
+    async def test_refusal(self, _, line, body, headers, status, code):
+        with self.assertNoLogs('tornado', 'WARNING'):
+            answer = await self.send(request(line, body, **headers))
+        self.assertEqual(answer.status, status, answer)
+        error = json.loads(answer.body)['error']
+        self.assertEqual(error['code'], code)
+        self.assertEqual(error['ran'], 'no')
+        self.assertTrue(error['message'])
+        self.assertEqual(answer.header('Content-Type'), 'application/json')
+        self.assertEqual(answer.header('X-Balsamreach-Ran'), 'no')
+        self.assertEqual(answer.header('X-Should-Retry'), 'false')
+        self.assertIsNone(answer.header('Server'))
+        self.assertEqual(self.deployment.engine_runs, 0)
+
+    async def test_refusal_is_counted_by_code(self):
+        await self.ask(_ask(model='x'))
+        counted = self.metrics.counted(REFUSALS, code='unknown_model')
+        self.assertEqual(counted, 1)
+
+    async def test_answer_is_measured(self):
+        answer = await self.ask()
+        self.assertEqual(answer.status, 200)
+        outcome = {'kind': 'engine', 'outcome': 'answered'}
+        self.assertEqual(self.metrics.counted(REQUESTS, **outcome), 1)
+        page = self.metrics.render()
+        self.assertIn(f'{ADDED}_count{{kind="engine"}} 1', page)
+        self.assertIn(f'{FIRST_BYTE}_count{{kind="engine"}} 1', page)
+
+    async def test_slow_body_is_refused(self):
+        """Callers that send a byte now and then hold connections.
+
+        Symptom: open connections grow until none is left. Events: a header
+        comes at once, its body never. Cause: no bound on the body's time.
+        """
+        self.router.guard.cfg = _with(self.router, body_timeout=0.01)
+        sent = request(_CHAT, _ask())[:-5]
+        answer = await self.send(sent)
+        self.assertEqual(answer.status, 408)
+        self.assertEqual(json.loads(answer.body)['error']['ran'], 'no')
+        self.assertEqual(answer.header('X-Should-Retry'), 'true')
+        self.assertEqual(answer.header('Retry-After'), '1')
+
+    async def test_slow_header_is_closed(self):
+        """Symptom and cause as above; here the header never ends."""
+        self.router.guard.cfg = _with(self.router, header_timeout=0.01)
+        received = await exchange(self.deployment.callers, b'GET / HT')
+        self.assertEqual(received, b'')
+
+    async def test_chunked_body_is_bounded(self):
+        head = request(_CHAT, Transfer_Encoding='chunked')
+        part = b''.join((b'400\r\n', b'x' * 1024, b'\r\n'))
+        answer = await self.send(head + 3 * part)
+        self.assertEqual(answer.status, 413)
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        first = request('GET /v1/models/x').replace(b'close', b'keep-alive')
+        second = request(f'GET /v1/models/{MODEL}')
+        received = await exchange(self.deployment.callers, first + second)
+        self.assertEqual(received.count(b'HTTP/1.1 '), 2)
+        self.assertLess(received.find(b' 404 '), received.find(b' 200 '))
+
+    @parameterized.expand((('HEAD',), ('PUT',), ('OPTIONS',), ('DELETE',)))
+    async def test_service_takes_any_method(self, method):
+        answer = await self.send(request(f'{method} /services/desk/a?b=c'))
+        self.assertEqual(answer.status, 200)
+        if method != 'HEAD':
+            echoed = json.loads(answer.body)
+            self.assertEqual(
+                (echoed['method'], echoed['path'], echoed['query']),
+                (method, '/a', 'b=c'),
+            )
+
+    @parameterized.expand(
+        (
+            ('certificate/7',),
+            ('/certificate/7',),
+            ('./certificate/7',),
+            ('x/../certificate/7',),
+            ('%63ertificate/7',),
+        )
+    )
+    async def test_spelling_does_not_make_a_call_idempotent(self, path):
+        """A certificate runs twice although its path is marked.
+
+        Symptom: two certificates. Events: a caller writes the path in
+        another way, the first answer is lost, the call is sent again.
+        Cause: the mark was compared with the plain spelling only.
+        """
+        sent = request(f'POST /services/desk/{path}', Idempotency_Key='c-1')
+        await self.send(sent)
+        stored = await self.deployment.store.read((f'claim/{TEAM}/c-1',))
+        self.assertIsNotNone(stored[0].value)
+
+    async def test_request_id_names_the_key(self):
+        named = await self.ask(Idempotency_Key='quote-7')
+        minted = await self.ask()
+        refused = await self.ask(_ask(model='x'))
+        self.assertEqual(named.header('X-Request-Id'), 'quote-7')
+        self.assertRegex(minted.header('X-Request-Id'), '^~[0-9a-f]{32}$')
+        self.assertRegex(refused.header('X-Request-Id'), '^~[0-9a-f]{32}$')
+
+    async def test_key_with_another_body_is_refused(self):
+        await self.ask(Idempotency_Key='quote-7')
+        answer = await self.ask(_ask(n=2), Idempotency_Key='quote-7')
+        self.assertEqual(answer.status, 422)
+
+    async def test_model_is_described(self):
+        answer = await self.send(request(f'GET /v1/models/{MODEL}'))
+        self.assertEqual(json.loads(answer.body)['id'], MODEL)
+
+    async def test_access_log_names_no_key_and_no_prompt(self):
+        logger = 'balsamreach.gateway.base'
+        with self.assertLogs(logger, 'INFO') as logs:
+            await self.ask(Idempotency_Key='quote-7')
+            records = logs.records
+        fields = records[0].event_fields
+        self.assertEqual(fields['request_id'], 'quote-7')
+        self.assertEqual((fields['team'], fields['status']), (TEAM, 200))
+        self.assertNotIn(SECRET, str(fields))
+        self.assertNotIn('words=2', str(fields))
+
+
+def _with(router, **changes):
+    return attrs.evolve(router.cfg.callers, **changes)
+
+
+class OpenaiTest(unittest.IsolatedAsyncioTestCase):
+    """The client library that callers use."""
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        await self.deployment.start()
+        address = self.deployment.callers
+        self.client = openai.AsyncOpenAI(
+            api_key=SECRET,
+            base_url=f'http://{address}/v1',
+            max_retries=2,
+        )
+        self.create = self.client.chat.completions.create
+        engine = self.deployment.engine.core
+        self.engine = engine.cfg
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.deployment.stop()
+
+    async def test_plain(self):
+        answer = await self.create(**_ASK)
+        choice = answer.choices[0]
+        self.assertEqual(choice.finish_reason, 'stop')
+        self.assertEqual(len(choice.message.content.split()), 2)
+        self.assertEqual(answer.usage.completion_tokens, 2)
+
+    @parameterized.expand(((True,), (False,)))
+    async def test_streamed(self, usage):
+        options = {'include_usage': usage}
+        stream = await self.create(**_ASK, stream=True, stream_options=options)
+        chunks = [chunk async for chunk in stream]
+        texts = [
+            choice.delta.content or ''
+            for chunk in chunks
+            for choice in chunk.choices
+        ]
+        self.assertEqual(len(''.join(texts).split()), 2)
+        used = [chunk.usage for chunk in chunks if chunk.usage]
+        self.assertEqual(bool(used), usage)
+
+    async def test_models(self):
+        models = self.client.models
+        names = [model.id async for model in models.list()]
+        self.assertEqual(names, [MODEL])
+        model = await models.retrieve(MODEL)
+        self.assertEqual(model.id, MODEL)
+
+    @parameterized.expand(
+        (
+            ('wrong_key', openai.AuthenticationError, 'x', {}),
+            ('paused', openai.PermissionDeniedError, 'paused-secret', {}),
+            ('unknown_model', openai.NotFoundError, SECRET, {'model': 'x'}),
+            ('bad', openai.BadRequestError, SECRET, {'max_tokens': 0}),
+            ('budget', openai.APIStatusError, 'poor-secret', {}),
+        )
+    )
+    async def test_refusal_is_the_clients_error(self, _, error, secret, body):
+        client = self.client.with_options(api_key=secret)
+        refusal = await self.refusal(error, client, _ASK | body)
+        self.assertEqual(refusal.body['ran'], 'no')
+        self.assertEqual(self.refused(), 1)
+
+    async def test_client_asks_again_only_where_told(self):
+        """The client library repeats a request that may have run.
+
+        Symptom: work is done and billed twice. Events: a target fails after
+        it took the request; the library retries every status from 500 on by
+        itself. Cause: nothing told it not to.
+        """
+        self.engine.fail_share = 1
+        error = openai.InternalServerError
+        refusal = await self.refusal(error, self.client, _ASK)
+        self.assertEqual(refusal.body['ran'], 'unknown')
+        self.assertEqual(self.refused(), 1)
+
+    async def test_client_asks_again_when_it_did_not_run(self):
+        self.engine.leaving = True
+        asked = asyncio.create_task(self.create(**_ASK))
+        self.assertTrue(await until(self.refused))
+        self.engine.leaving = False
+        answer = await asked
+        self.assertEqual(answer.choices[0].finish_reason, 'stop')
+
+    async def refusal(self, error, client, body):
+        completions = client.chat.completions
+        try:
+            await completions.create(**body)
+        except error as exc:
+            return exc
+        return self.fail('the request was not refused')
+
+    def refused(self):
+        outcome = {'kind': 'engine', 'outcome': 'refused'}
+        return self.deployment.counted(REQUESTS, **outcome)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -39,6 +39,7 @@
         overrides = {
             'host.zone': 'zone-a',
             'callers.port': 0,
+            'callers.leave_delay': '0s',
             'operators.port': 0,
             'operators.keys': hash_key(_OPERATOR_KEY),
             'peers.port': 0,
