Prove leaving and TLS by processes and real certificates

Change: tests send SIGTERM to a router process with an open stream, twice, past its bound and during the delay; TLS tests renew and spoil certificates under open connections. Conclusion: the peers listener does not reload its files yet.

--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -123,30 +123,31 @@
 
     def settings(self, name: str):
         """Return the settings of a router."""
-        url = self.platform.url
-        cfg = read_settings(
-            None,
-            (
-                f'host.name={name}',
-                'host.zone=zone-a',
-                'callers.port=0',
-                'callers.leave_delay=0s',
-                'operators.port=0',
-                f'operators.keys={hash_key(OPERATOR_SECRET)}',
-                'peers.port=0',
-                f'platform.table={url}',
-                f'platform.objects={url}',
-                f'platform.hosts={url}',
-                f'platform.weights={url}',
-                'table.poll_interval=5ms',
-                'budget.flush_interval=5ms',
-                'telemetry.traces=off',
-                *self.overrides,
-            ),
-        )
+        cfg = read_settings(None, self.settings_text(name))
         assert not isinstance(cfg, ConfigFault), cfg.reason
         return cfg
 
+    def settings_text(self, name: str) -> tuple[str, ...]:
+        """Return the settings of a router as overrides of the defaults."""
+        url = self.platform.url
+        return (
+            f'host.name={name}',
+            'host.zone=zone-a',
+            'callers.port=0',
+            'callers.leave_delay=0s',
+            'operators.port=0',
+            f'operators.keys={hash_key(OPERATOR_SECRET)}',
+            'peers.port=0',
+            f'platform.table={url}',
+            f'platform.objects={url}',
+            f'platform.hosts={url}',
+            f'platform.weights={url}',
+            'table.poll_interval=5ms',
+            'budget.flush_interval=5ms',
+            'telemetry.traces=off',
+            *self.overrides,
+        )
+
     def rows(self) -> tuple[TableRow, ...]:
         """Return the rows that the table starts with."""
         return (
--- /dev/null
+++ b/tests/test_daemon_listeners.py
@@ -0,0 +1,162 @@
+"""Tests of TLS on the listeners."""
+
+import asyncio
+import contextlib
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+
+import trustme
+from parameterized import parameterized
+
+from balsamreach.config.reader import check_certificates, read_settings
+from tests.deployment import Deployment
+
+_GET = b'GET /healthz HTTP/1.1\r\nHost: router\r\n\r\n'
+_OK = b'"ok"}'
+
+
+class Files:
+    """A CA and a certificate in PEM files that live as long as a test."""
+
+    def __init__(self, directory):
+        root = Path(directory)
+        self.certificate = root / 'certificate.pem'
+        self.key = root / 'key.pem'
+        self.ca = root / 'ca.pem'
+        self.renew()
+
+    def renew(self):
+        """Write files of a new CA, as an operator would."""
+        self.authority = trustme.CA()
+        issued = self.authority.issue_cert('127.0.0.1')
+        self.authority.cert_pem.write_to_path(str(self.ca))
+        issued.private_key_pem.write_to_path(str(self.key))
+        pem = b''.join(blob.bytes() for blob in issued.cert_chain_pems)
+        self.certificate.write_bytes(pem)
+
+    def settings(self, section):
+        """Return the keys of a section that name the files."""
+        return (
+            f'{section}.tls_certificate={self.certificate}',
+            f'{section}.tls_key={self.key}',
+        )
+
+    def client(self):
+        """Return the context of a caller that trusts the CA."""
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        return context
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """A router that speaks TLS to callers and operators."""
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.files = Files(directory.name)
+        self.deployment = Deployment(
+            self.files.settings('callers') + self.files.settings('operators'),
+        )
+        await self.deployment.start()
+        self.router = self.deployment.routers[0]
+
+    async def asyncTearDown(self):
+        await self.deployment.stop()
+
+    async def connect(self, context, address=None):
+        address = address or self.deployment.callers
+        host, port = address.rsplit(':', 1)
+        return await asyncio.open_connection(host, int(port), ssl=context)
+
+    async def is_served(self, connection):
+        reader, writer = connection
+        writer.write(_GET)
+        received = await reader.readuntil(_OK)
+        return received.startswith(b'HTTP/1.1 200')
+
+    async def test_both_listeners_speak_tls(self):
+        for listener in (self.router.callers, self.router.operators):
+            context = self.files.client()
+            connection = await self.connect(context, listener.address)
+            self.assertTrue(await self.is_served(connection))
+            connection[1].close()
+
+    async def test_old_version_is_refused(self):
+        context = self.files.client()
+        context.minimum_version = ssl.TLSVersion.TLSv1
+        context.maximum_version = ssl.TLSVersion.TLSv1_1
+        with self.assertRaises((ssl.SSLError, OSError)):
+            await self.connect(context)
+
+    async def test_plain_text_gets_no_answer(self):
+        reader, writer = await self.connect(None)
+        writer.write(_GET)
+        received = b''
+        with contextlib.suppress(ConnectionResetError):
+            received = await reader.read()
+        self.assertNotIn(b'HTTP', received)
+        writer.close()
+
+    async def test_new_certificate_cuts_nobody_off(self):
+        """A certificate runs out although a new one lies on the host.
+
+        Symptom: callers see an expired certificate, or all connections
+        break when the router is restarted for it. Cause: files were read
+        only at the start.
+        """
+        before = await self.connect(self.files.client())
+        old = self.files.client()
+        self.files.renew()
+        self.router.reload_tls()
+        after = await self.connect(self.files.client())
+        with self.assertRaises(ssl.SSLError):
+            await self.connect(old)
+        for connection in (before, after):
+            self.assertTrue(await self.is_served(connection))
+            connection[1].close()
+
+    async def test_spoilt_file_leaves_the_old_certificate(self):
+        context = self.files.client()
+        self.files.certificate.write_text('spoilt')
+        with self.assertLogs('balsamreach.daemon.router', 'ERROR') as logs:
+            self.router.reload_tls()
+            events = [record.getMessage() for record in logs.records]
+        self.assertEqual(set(events), {'tls_not_reloaded'})
+        connection = await self.connect(context)
+        self.assertTrue(await self.is_served(connection))
+        connection[1].close()
+
+
+class CheckTest(unittest.TestCase):
+    """Files that can't be used are named before anything listens."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.files = Files(directory.name)
+
+    def check(self, *overrides):
+        cfg = read_settings(None, ('host.zone=z', *overrides))
+        fault = check_certificates(cfg)
+        return '' if fault is None else fault.reason
+
+    def test_good_files(self):
+        self.assertEqual(self.check(*self.files.settings('callers')), '')
+
+    @parameterized.expand(
+        (
+            ('no_key', 'tls_key=', 'tls_key: missing'),
+            ('no_certificate', 'tls_certificate=', 'tls_certificate: missing'),
+            ('no_file', 'tls_key=/none.pem', 'tls_key: /none.pem can not'),
+            ('bad_ca', f'tls_ca={__file__}', f'tls_ca: {__file__}: no PEM'),
+            ('bad_key', f'tls_key={__file__}', 'or tls_key is not its key'),
+        )
+    )
+    def test_problem_names_its_key(self, _, override, problem):
+        given = self.files.settings('callers')
+        reason = self.check(*given, f'callers.{override}')
+        self.assertTrue(reason.startswith('[callers] tls_'), reason)
+        self.assertIn(problem, reason)
--- /dev/null
+++ b/tests/test_daemon_run.py
@@ -0,0 +1,168 @@
+"""Tests of leaving: a router process under signals."""
+
+import asyncio
+import contextlib
+import json
+import signal
+import unittest
+
+from tests.deployment import (
+    MODEL,
+    Deployment,
+    exchange,
+    parse_answer,
+    request,
+    until,
+)
+from tests.support import command_line
+
+_SECONDS = 30
+_LOOKS = 3000
+_PAUSE = 0.01
+_SECOND_SIGNAL = 1
+_READY = request('GET /readyz', secret='')
+_ASK = {
+    'model': MODEL,
+    'stream': True,
+    'messages': [{'role': 'user', 'content': 'words=3'}],
+}
+_STREAM = request('POST /v1/chat/completions', json.dumps(_ASK).encode())
+
+
+class SignalTest(unittest.IsolatedAsyncioTestCase):
+    """A router process; its stand-ins run in the test."""
+
+    overrides = ()
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment(self.overrides)
+        await self.deployment.start(routers=0)
+        texts = self.deployment.settings_text('router-0')
+        self.process = await asyncio.create_subprocess_exec(
+            *command_line(),
+            'serve',
+            *(f'--set={text}' for text in texts),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        started = json.loads(await self.process.stdout.readline())
+        self.callers = started['callers']
+        self.operators = started['operators']
+        await self.wait_for('ready')
+
+    async def asyncTearDown(self):
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+        await self.deployment.stop()
+
+    async def ready(self, address):
+        answer = parse_answer(await exchange(address, _READY))
+        return json.loads(answer.body)['status']
+
+    async def wait_for(self, state):
+        for _ in range(_LOOKS):
+            if await self.ready(self.operators) == state:
+                return
+            await asyncio.sleep(_PAUSE)
+        self.fail(f'the router is not {state}')
+
+    async def open_stream(self):
+        """Start a stream that its engine holds after the first events."""
+        engine = self.deployment.engine.core
+        engine.cfg.pace_ms = 200
+        stream = asyncio.create_task(exchange(self.callers, _STREAM))
+        self.assertTrue(await until(lambda: engine.runs))
+        engine.set_silent(silent=True)
+        return stream
+
+    async def exit_code(self):
+        async with asyncio.timeout(_SECONDS):
+            return await self.process.wait()
+
+
+class LeaveTest(SignalTest):
+    """SIGTERM lets requests in progress finish."""
+
+    async def test_open_stream_is_finished(self):
+        """A shutdown cuts an answer off.
+
+        Symptom: a caller's stream ends without its end mark. Events: a
+        stream is open, the host gets SIGTERM, the process ends at once.
+        Cause: the process did not wait for requests in progress.
+        """
+        stream = await self.open_stream()
+        self.process.send_signal(signal.SIGTERM)
+        await self.wait_for('leaving')
+        engine = self.deployment.engine.core
+        engine.set_silent(silent=False)
+        answer = parse_answer(await stream)
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.body.endswith(b'data: [DONE]\n\n'))
+        self.assertEqual(await self.exit_code(), 0)
+
+    async def test_idle_connection_is_closed(self):
+        """Idle connections close while a stream is still going on.
+
+        Symptom: callers send their next request into a router that leaves.
+        Events: a connection is idle, SIGTERM comes, a long stream holds the
+        process up. Cause: only new connections were refused.
+        """
+        stream = await self.open_stream()
+        host, port = self.callers.rsplit(':', 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /healthz HTTP/1.1\r\nHost: router\r\n\r\n')
+        await reader.readuntil(b'"ok"}')
+        self.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(_SECONDS):
+            self.assertEqual(await reader.read(), b'')
+        self.assertFalse(stream.done())
+        writer.close()
+        engine = self.deployment.engine.core
+        engine.set_silent(silent=False)
+        await stream
+        self.assertEqual(await self.exit_code(), 0)
+
+    async def test_second_signal_ends_at_once(self):
+        stream = await self.open_stream()
+        self.process.send_signal(signal.SIGTERM)
+        await self.wait_for('leaving')
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await self.exit_code(), _SECOND_SIGNAL)
+        await asyncio.wait([stream])
+
+    async def test_sighup_without_tls_changes_nothing(self):
+        self.process.send_signal(signal.SIGHUP)
+        self.assertEqual(await self.ready(self.callers), 'ready')
+
+
+class BoundedLeaveTest(SignalTest):
+    """The wait for requests in progress has an end."""
+
+    overrides = ('callers.leave_timeout=50ms',)
+
+    async def test_request_past_the_bound_is_cut(self):
+        stream = await self.open_stream()
+        self.process.send_signal(signal.SIGTERM)
+        self.assertEqual(await self.exit_code(), 0)
+        await asyncio.wait([stream])
+
+
+class DelayedLeaveTest(SignalTest):
+    """The listener stays open until the balancer knows."""
+
+    overrides = ('callers.leave_delay=1h',)
+
+    async def test_leaving_is_told_before_the_listener_closes(self):
+        """Callers meet a closed port while their balancer still sends.
+
+        Symptom: connections refused during each restart. Events: SIGTERM,
+        the listener closes, the balancer asks /readyz only a second later.
+        Cause: the listener closed before it could be known.
+        """
+        self.process.send_signal(signal.SIGTERM)
+        await self.wait_for('leaving')
+        self.assertEqual(await self.ready(self.callers), 'leaving')
+
+
+del SignalTest
