--- a/src/balsamreach/table/checks.py
+++ b/src/balsamreach/table/checks.py
@@ -63,14 +63,6 @@
         raise ValueError(f'{field.name}: must end in a port from 1 to 65535')
 
 
-def read_weights(given: Any) -> Any:
-    """Read weights by name; a plain list weighs all alike."""
-    if isinstance(given, (list, tuple)):
-        names = [entry for entry in given if isinstance(entry, str)]
-        return dict.fromkeys(names, 1) if len(names) == len(given) else given
-    return dict(given) if isinstance(given, dict) else given
-
-
 def weights(row: Any, field: attrs.Attribute, given: Any) -> None:
     """Accept weights by name."""
     if not isinstance(given, dict) or len(given) > _LONGEST_LIST:
@@ -80,11 +72,6 @@
         number(row, field, weight)
 
 
-def read_texts(given: Any) -> Any:
-    """Read a list of texts; a single text is no list of its letters."""
-    return tuple(given) if isinstance(given, (list, tuple)) else given
-
-
 def texts(row: Any, field: attrs.Attribute, given: Any) -> None:
     """Accept a list of printable texts."""
     if not isinstance(given, tuple) or len(given) > _LONGEST_LIST:
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -19,7 +19,7 @@
 
 #: Routers that are no readers of their zone look this much more seldom, in
 #: case their readers or neighbours are cut off from the platform.
-IDLE_FACTOR = 8
+IDLE_FACTOR = 5
 _JITTER = 0.2
 _MOST_DOUBLINGS = 4
 _logger = logging.getLogger(__name__)
@@ -97,7 +97,7 @@
         if not self.view.complete:
             # Routers that all start in an outage must not add their load
             # to it.
-            factor = min(2 ** min(self._tries, _MOST_DOUBLINGS), factor)
+            factor = 2 ** min(self._tries, _MOST_DOUBLINGS)
         elif self.is_reader():
             factor = 1
         spread = self.rng.uniform(1 - _JITTER, 1)
--- a/src/balsamreach/table/index.py
+++ b/src/balsamreach/table/index.py
@@ -16,37 +16,41 @@
     """Teams by name and by the digests of their keys."""
 
     by_name: dict[str, TeamRow] = attrs.field(factory=dict)
-    _by_digest: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    _owner: dict[str, str] = attrs.field(factory=dict)
+    _rivals: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
 
     def put(self, team: TeamRow) -> None:
         """Add a team or replace the one of the same name."""
         self.remove(team.name)
         self.by_name[team.name] = team
         for digest in team.key_hashes:
-            owners = {*self._by_digest.get(digest, ()), team.name}
-            self._by_digest[digest] = tuple(sorted(owners))
+            self._own(digest, {*self._owners(digest), team.name})
 
     def remove(self, name: str) -> None:
         """Remove a team if it is there."""
         team = self.by_name.pop(name, None)
         for digest in team.key_hashes if team else ():
-            self._disown(digest, name)
+            self._own(digest, self._owners(digest) - {name})
 
     def by_digest(self, digest: str) -> TeamRow | None:
         """Return the team that a digest belongs to."""
+        owner = self._owner.get(digest)
+        return None if owner is None else self.by_name[owner]
+
+    def _owners(self, digest: str) -> set[str]:
+        owner = self._owner.get(digest)
+        return set(self._rivals.get(digest, (owner,) if owner else ()))
+
+    def _own(self, digest: str, owners: set[str]) -> None:
         # One key in two teams' rows is a slip of an operator. All routers
         # must then bill the same team whatever order they read the rows
         # in, so the first by name holds.
-        owners = self._by_digest.get(digest, ())
-        return self.by_name[owners[0]] if owners else None
-
-    def _disown(self, digest: str, name: str) -> None:
-        owners = self._by_digest.get(digest, ())
-        left = tuple(owner for owner in owners if owner != name)
-        if left:
-            self._by_digest[digest] = left
-        else:
-            self._by_digest.pop(digest, None)
+        self._owner.pop(digest, None)
+        self._rivals.pop(digest, None)
+        if owners:
+            self._owner[digest] = min(owners)
+        if len(owners) > 1:
+            self._rivals[digest] = tuple(owners)
 
 
 @attrs.define
--- a/src/balsamreach/table/rows.py
+++ b/src/balsamreach/table/rows.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from balsamreach.table import checks
+from balsamreach.table import checks, conversions
 from balsamreach.table.faults import BAD_ROW, TableFault
 
 TEAM_PREFIX = 'table/team/'
@@ -63,17 +63,18 @@
     tokens_per_minute: int = attrs.field(default=0, validator=checks.count)
     models: dict[str, float] = attrs.field(
         factory=dict,
-        converter=checks.read_weights,
+        converter=conversions.read_weights,
         validator=checks.weights,
     )
     max_tokens: int = attrs.field(default=512, validator=checks.count)
     state: str = attrs.field(
         default=ACTIVE,
+        converter=conversions.read_word,
         validator=checks.one_of(ACTIVE, PAUSED),
     )
     key_hashes: tuple[str, ...] = attrs.field(
         default=(),
-        converter=checks.read_texts,
+        converter=conversions.read_texts,
         validator=checks.digests,
     )
 
@@ -119,15 +120,22 @@
 
     name: str = attrs.field(validator=checks.name)
     address: str = attrs.field(validator=checks.address)
-    zone: str = attrs.field(validator=checks.name)
-    service: str = attrs.field(validator=checks.name)
+    zone: str = attrs.field(
+        converter=conversions.read_word,
+        validator=checks.name,
+    )
+    service: str = attrs.field(
+        converter=conversions.read_word,
+        validator=checks.name,
+    )
     kind: str = attrs.field(
         default=ENGINE,
+        converter=conversions.read_word,
         validator=checks.one_of(ENGINE, PLAIN_SERVICE),
     )
     models: dict[str, float] = attrs.field(
         factory=dict,
-        converter=checks.read_weights,
+        converter=conversions.read_weights,
         validator=checks.weights,
     )
     weight: float = attrs.field(default=1, validator=checks.number)
@@ -135,13 +143,14 @@
     price: int = attrs.field(default=1, validator=checks.count)
     non_idempotent: tuple[str, ...] = attrs.field(
         default=(),
-        converter=checks.read_texts,
+        converter=conversions.read_texts,
         validator=checks.texts,
     )
     trusted_refusals: bool = attrs.field(default=True, validator=checks.flag)
     honours_fences: bool = attrs.field(default=False, validator=checks.flag)
     state: str = attrs.field(
         default=ACTIVE,
+        converter=conversions.read_word,
         validator=checks.one_of(ACTIVE, LEAVING, OFF),
     )
 
--- a/tests/test_table_exchange.py
+++ b/tests/test_table_exchange.py
@@ -1,10 +1,11 @@
 """Rows spread between routers, whatever the net does to messages."""
 
+import asyncio
 import unittest
 
 from balsamreach.platform.base import Commit, Write
 from balsamreach.table.edits import Edit
-from balsamreach.wire.messages import TableAsk, TableRow, TableRows
+from balsamreach.wire.messages import Heartbeat, TableAsk, TableRow, TableRows
 from tests.table_fleet import TEAM, TableFleet, edit, gone, row
 
 
@@ -58,12 +59,12 @@
         each heartbeat shows neighbours that are behind. Cause: the
         position in the log is not the version of the table.
         """
-        before = self.a.view.version
-        await self.fleet.platform.table.commit(
-            Commit((Write('bill/x', {}),)),
-        )
-        await self.a.step()
-        self.assertEqual(self.a.view.version, before)
+        edited = await self.edit('w', weight=2)
+        for _ in range(2):
+            draw = Commit((Write('bill/x', {}),))
+            await self.fleet.platform.table.commit(draw)
+            await self.a.step()
+            self.assertEqual(self.a.view.version, edited.version)
 
     async def test_many_rows_are_fetched_not_flooded(self):
         edits = tuple(
@@ -205,6 +206,22 @@
         counted = self.b.metrics.counted('balsamreach_table_copies_total')
         self.assertEqual(counted, 1)
 
+    async def test_one_question_at_a_time(self):
+        self.fleet.fabric.lost[TableRows] = 2
+        await self.edit('w', weight=2)
+        await self.a.step()
+        sent = len(self.fleet.fabric.sent)
+        self.fleet.fabric.held.add(TableAsk)
+        for _ in range(3):
+            self.a.net.tell('b', Heartbeat(self.a.view.version))
+            await self.fleet.fabric.settle()
+            await asyncio.sleep(0)
+        self.fleet.fabric.release()
+        await self.fleet.settle()
+        asked = self.fleet.fabric.sent[sent:]
+        self.assertEqual(sum(isinstance(m, TableAsk) for m in asked), 1)
+        self.assertEqual(self.b.team().weight, 2)
+
     async def test_long_answer_comes_in_pages(self):
         start = self.a.view.version
         rows = [row(start + 1 + n // 3, f't{n}') for n in range(1600)]
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -97,6 +97,22 @@
         await second.step()
         self.assertFalse(first.view.complete or second.view.complete)
 
+    async def test_neighbour_with_a_snapshot_only_is_no_source(self):
+        """Two routers restart while the table service is away.
+
+        Symptom: both would serve the snapshot's old table. Events: each
+        loads the snapshot, then asks the other, which has a table. Cause:
+        that table was not brought up to date by anybody.
+        """
+        self.fleet.fabric.cut('ab', 'xy')
+        first = self.fleet.join('x')
+        second = self.fleet.join('y')
+        for station in (first, second, first):
+            station.way.table_cut = True
+            await station.step()
+        self.assertEqual(first.prepaid(), 100)
+        self.assertFalse(first.view.complete or second.view.complete)
+
     async def test_refused_page_is_not_the_end_of_a_full_read(self):
         """A start under a rate limit reads the table page by page.
 
@@ -234,6 +250,11 @@
         names = await self.fleet.platform.objects.names(PREFIX)
         version = self.a.view.version
         self.assertEqual(names[-1], f'{PREFIX}{version:020d}')
+        written = sum(
+            writer.metrics.counted('balsamreach_table_snapshots_written_total')
+            for writer in self.fleet.stations
+        )
+        self.assertEqual(written, len(names))
         self.fleet.clock.seconds += 61
         await self.a.parts.editor.apply(edit('w', weight=3))
         for station in self.fleet.stations:
--- a/tests/test_table_view.py
+++ b/tests/test_table_view.py
@@ -99,8 +99,8 @@
 
     def test_adopt_takes_nothing_older(self):
         view = TableView()
-        view.apply((row(9, 'a'),), 9)
-        view.adopt(TableView())
+        view.apply((row(3, 'a'),), 9)
+        view.adopt(TableView(version=5))
         self.assertIn('a', view.teams)
 
     def test_tombstones_are_bounded(self):
--- a/tests/test_ui_table.py
+++ b/tests/test_ui_table.py
@@ -242,9 +242,10 @@
         """
         self.change(weight='5')
         self.run_ok('table', 'set', self.key, 'weight=2')
-        ended = self.run_code('table', 'import', str(self.file))
-        self.assertEqual(ended.exit_code, exit_codes.CONFLICT)
-        self.assertIn(f'conflict {self.key}', ended.output)
+        for dry in ((), ('--dry-run',)):
+            ended = self.run_code('table', 'import', str(self.file), *dry)
+            self.assertEqual(ended.exit_code, exit_codes.CONFLICT)
+            self.assertIn(f'conflict {self.key}', ended.output)
         self.assertEqual(self.row()['value']['weight'], 2)
 
     def test_top_up_during_an_import_is_kept(self):
