Measure power on a virtual clock; leave the forecast out

Cause: the forecast of demand over the start time took chance swings for trends and kept hosts on; nothing recorded what scaling costs.

--- /dev/null
+++ b/bench/power.py
@@ -0,0 +1,217 @@
+"""Measures scaling by demand on a virtual clock against two baselines.
+
+Run with ``python -m bench.power --seed 1``.
+"""
+
+import argparse
+import asyncio
+import json
+import logging
+import random
+import sys
+
+import attrs
+
+from tests.fake_targets import FakeHost
+from tests.power_world import World
+
+_HOSTS = 12
+_SLOTS = 4
+_SERVICE_S = 10.0
+_RATE = 0.8
+_PEAK_RATE = 3 * _RATE
+_INTERVAL = 5
+_LENGTH = 1800
+_IDLE = 120
+_START = 20
+_USE = 0.7
+_HIGH, _LOW = 0.7, 0.35
+_P95 = 0.95
+_SETTINGS = (
+    f'power.idle={_IDLE}s',
+    'power.order_settle=60s',
+    f'power.start_time={_START}s',
+    'power.warm_time=0s',
+)
+
+
+def _step(now: int) -> float:
+    """Demand of three times from 300 s to 900 s."""
+    return _PEAK_RATE if 300 <= now < 900 else _RATE
+
+
+def _swing(now: int) -> float:
+    """Demand that changes by three times each minute."""
+    return _PEAK_RATE if now // 60 % 2 else _RATE
+
+
+_SHAPES = {'step': _step, 'swing': _swing}
+
+
+@attrs.define
+class Tally:
+    """What one run came to."""
+
+    policy: str
+    shape: str
+    answered: int = 0
+    cut: int = 0
+    switches: int = 0
+    host_s: int = 0
+    unneeded_s: int = 0
+    longest_idle_s: int = 0
+    to_capacity_s: int = -1
+    waited: list[int] = attrs.field(factory=list)
+
+    def row(self) -> dict[str, float | int | str]:
+        """Return the figures to print."""
+        shown = attrs.asdict(self)
+        waited = sorted(shown.pop('waited'))
+        shown['wait_p95_s'] = waited[int(len(waited) * _P95)]
+        return shown
+
+
+@attrs.define(eq=False)
+class Run:
+    """One run of a policy under a shape of demand."""
+
+    policy: str
+    shape: str
+    rng: random.Random
+    tally: Tally = attrs.field(init=False)
+    world: World = attrs.field(init=False)
+    queue: list[int] = attrs.field(factory=list)
+    ends: list[tuple[int, FakeHost, int, object]] = attrs.field(factory=list)
+    idle: dict[str, int] = attrs.field(factory=dict)
+    calm_since: int = -1
+
+    def __attrs_post_init__(self) -> None:
+        """Put up the world."""
+        self.tally = Tally(self.policy, self.shape)
+        up = _HOSTS if self.policy == 'static' else _SLOTS
+        self.world = World(count=_HOSTS, up=up, overrides=_SETTINGS)
+        self.world.switch.delay = _START
+        self.world.add_router('r0')
+        self.world.add_router('r1')
+
+    async def run(self) -> Tally:
+        """Go through all seconds."""
+        await self.world.rounds(1)
+        for now in range(_LENGTH):
+            self._second(now)
+            if now % _INTERVAL == 0:
+                await self._decide()
+            await self.world.clock.advance(1)
+        self.tally.cut = self.world.cut
+        self.tally.switches = len(self.world.switch.orders)
+        return self.tally
+
+    def _second(self, now: int) -> None:
+        self.world.switch.bring_up()
+        self._finish(now)
+        rate = _SHAPES[self.shape](now)
+        chance = rate / _SLOTS
+        draws = (self.rng.random() < chance for _ in range(_SLOTS))
+        self.queue.extend(now for drawn in draws if drawn)
+        while self.queue and self._place(now):
+            self.tally.waited.append(now - self.queue.pop(0))
+        self._count(now)
+
+    def _finish(self, now: int) -> None:
+        due = [entry for entry in self.ends if entry[0] <= now]
+        self.ends = [entry for entry in self.ends if entry[0] > now]
+        for _, host, start, target in due:
+            target.in_flight -= 1
+            if host.up and host.start == start:
+                host.running -= 1
+                self.tally.answered += 1
+
+    def _place(self, now: int) -> bool:
+        router = self.rng.choice(self.world.routers)
+        able = [
+            (self.world.client.hosts[target.row.address], target)
+            for target in router.targets.among(self.world.rows)
+        ]
+        free = [
+            pair
+            for pair in able
+            if pair[0].up and pair[0].running < _SLOTS and not pair[0].leaving
+        ]
+        if not free:
+            return False
+        host, target = min(free, key=_by_running)
+        target.in_flight += 1
+        host.running += 1
+        length = max(1, round(self.rng.expovariate(1 / _SERVICE_S)))
+        self.ends.append((now + length, host, host.start, target))
+        return True
+
+    def _count(self, now: int) -> None:
+        on = [host for host in self.world.hosts if host.up]
+        busy = sum(host.running for host in on)
+        need = -(-busy // (_SLOTS * _USE)) + 1
+        self.tally.host_s += len(on)
+        self.tally.unneeded_s += int(max(0, len(on) - need))
+        for host in self.world.hosts:
+            alone = host.up and not host.running and len(on) > need
+            length = self.idle.get(host.address, 0) + 1 if alone else 0
+            self.idle[host.address] = length
+            longest = max(self.tally.longest_idle_s, length)
+            self.tally.longest_idle_s = longest
+        self._count_calm(now)
+
+    def _count_calm(self, now: int) -> None:
+        if self.shape != 'step' or now < 300 or self.tally.to_capacity_s >= 0:
+            return
+        if self.queue:
+            self.calm_since = -1
+        elif self.calm_since < 0:
+            self.calm_since = now
+        if self.calm_since >= 0 and now - self.calm_since >= 60:
+            self.tally.to_capacity_s = self.calm_since - 300
+
+    async def _decide(self) -> None:
+        await self.world.poll()
+        if self.policy == 'ours':
+            for router in self.world.routers:
+                await self.world.step(router)
+            await self.world.net.settle()
+        elif self.policy == 'threshold':
+            await self._threshold()
+
+    async def _threshold(self) -> None:
+        """Add or remove one host by present use alone."""
+        on = [host for host in self.world.hosts if host.up]
+        use = sum(host.running for host in on) / (_SLOTS * len(on))
+        off = [host for host in self.world.hosts if not host.up]
+        if use > _HIGH and off:
+            await self.world.switch.power(off[0].address, on=True, fence=0)
+        elif use < _LOW and len(on) > 1:
+            least = min(on, key=_load)
+            await self.world.switch.power(least.address, on=False, fence=0)
+
+
+def _by_running(pair: tuple[FakeHost, object]) -> int:
+    return pair[0].running
+
+
+def _load(host: FakeHost) -> int:
+    return host.running
+
+
+def main() -> None:
+    """Run all policies under all shapes and print one line each."""
+    logging.disable(logging.CRITICAL)
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    seed = parser.parse_args().seed
+    for shape in _SHAPES:
+        for policy in ('ours', 'threshold', 'static'):
+            run = Run(policy, shape, random.Random(seed))
+            tally = asyncio.run(run.run())
+            line = json.dumps(tally.row())
+            sys.stdout.write(f'{line}\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/src/balsamreach/power/demand.py
+++ b/src/balsamreach/power/demand.py
@@ -13,8 +13,6 @@
 _SATURATED = 0.95
 #: Hosts asked for at saturation, in relation to those that are on.
 _GROWTH = 1.5
-#: A forecast never goes beyond this multiple of present demand.
-_MOST_FORECAST = 2.0
 
 
 @attrs.frozen
@@ -46,17 +44,15 @@
 
     cfg: PowerSettings
     _needs: deque[tuple[float, int]] = attrs.field(factory=deque)
-    _loads: deque[tuple[float, int]] = attrs.field(factory=deque)
 
     def begin(self, desired: int, now: float) -> None:
         """Take over what another decider held to be needed."""
         self._needs.clear()
-        self._loads.clear()
         self._needs.append((now, desired))
 
     def desired(self, load: Load, now: float) -> int:
         """Return the number of hosts that should be on."""
-        need = self._need(load, now)
+        need = self._need(load)
         needs = self._needs
         # Only the largest need of the window matters; whatever is smaller
         # and older than a new one can never be the largest again.
@@ -67,23 +63,10 @@
             needs.popleft()
         return needs[0][1]
 
-    def _need(self, load: Load, now: float) -> int:
+    def _need(self, load: Load) -> int:
         per_host = load.slots / load.hosts if load.hosts else _SLOTS
         useful = max(_SLOTS, per_host) * max(0.01, self.cfg.utilisation)
-        hosts = math.ceil(self._forecast(load.busy, now) / useful)
+        hosts = math.ceil(load.busy / useful)
         if load.slots and load.busy >= load.slots * _SATURATED:
             hosts = max(hosts, math.ceil(load.hosts * _GROWTH))
         return max(self.cfg.least, hosts + self.cfg.spare)
-
-    def _forecast(self, busy: int, now: float) -> float:
-        """Return the demand expected once a host ordered now is up."""
-        loads = self._loads
-        loads.append((now, busy))
-        while loads[0][0] < now - self.cfg.start_time:
-            loads.popleft()
-        began, first = loads[0]
-        if now <= began or busy <= first:
-            return busy
-        slope = (busy - first) / (now - began)
-        ahead = busy + slope * min(self.cfg.start_time, now - began)
-        return min(ahead, busy * _MOST_FORECAST)
