--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -25,6 +25,7 @@
     TargetsHandler,
 )
 from balsamreach.platform.base import Row
+from balsamreach.routing.shares import Shares
 from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.traces import Tracing
@@ -170,7 +171,7 @@
                 view=parts.table.view,
                 dispatcher=parts.dispatcher,
                 clock=parts.clock,
-                rng=parts.rng,
+                shares=Shares(),
                 metrics=parts.metrics,
                 tracing=self.tracing,
             ),
--- a/src/balsamreach/gateway/base.py
+++ b/src/balsamreach/gateway/base.py
@@ -1,7 +1,6 @@
 """What the handlers of the callers' listener have in common."""
 
 import logging
-import random
 from typing import Any
 
 import attrs
@@ -15,6 +14,7 @@
 from balsamreach.gateway.sinks import HandlerSink
 from balsamreach.requests.answers import Answer
 from balsamreach.requests.identity import mint_key
+from balsamreach.routing.shares import Shares
 from balsamreach.table.view import TableView
 from balsamreach.telemetry.hops import Trail
 from balsamreach.telemetry.logs import log_event
@@ -40,7 +40,7 @@
     view: TableView
     dispatcher: Dispatcher
     clock: Clock
-    rng: random.Random
+    shares: Shares
     metrics: Metrics
     tracing: Tracing
 
--- a/src/balsamreach/gateway/callers.py
+++ b/src/balsamreach/gateway/callers.py
@@ -183,7 +183,7 @@
             team,
             self.context.view.models(),
             self.context.cfg.callers,
-            self.context.rng,
+            self.context.shares,
         )
         if isinstance(chat, Refusal):
             return chat
--- a/src/balsamreach/gateway/chat.py
+++ b/src/balsamreach/gateway/chat.py
@@ -1,7 +1,6 @@
 """Reads a chat completion request into a call."""
 
 import json
-import random
 from collections.abc import Mapping
 from typing import Any
 
@@ -11,6 +10,7 @@
 from balsamreach.gateway.bodies import read_json
 from balsamreach.gateway.prompts import Prompt, measure_prompt
 from balsamreach.gateway.refusals import Refusal
+from balsamreach.routing.shares import Shares
 from balsamreach.table.rows import ANY_MODEL, TeamRow
 
 CHAT_PATH = '/v1/chat/completions'
@@ -66,7 +66,7 @@
     team: TeamRow,
     models: tuple[str, ...],
     cfg: CallersSettings,
-    rng: random.Random,
+    shares: Shares,
 ) -> ChatRequest | Refusal:
     """Check a chat completion request and read it.
 
@@ -80,7 +80,7 @@
         Models that some engine serves.
     cfg : CallersSettings
         Bounds of what is asked for.
-    rng : random.Random
+    shares : Shares
         For sharing ``auto`` requests among the team's models.
 
     Returns
@@ -91,7 +91,7 @@
     body = _parse(raw)
     if isinstance(body, Refusal):
         return body
-    model = _choose_model(body, team, models, rng)
+    model = _choose_model(body, team, models, shares)
     if isinstance(model, Refusal):
         return model
     max_tokens = _max_tokens(body, team, cfg.most_completion)
@@ -127,17 +127,23 @@
     body: Mapping[str, Any],
     team: TeamRow,
     models: tuple[str, ...],
-    rng: random.Random,
+    shares: Shares,
 ) -> str | Refusal:
     model = body.get('model')
     if not isinstance(model, str) or not model:
         return _bad('model must be a text')
     if model == ANY_MODEL:
-        allowed = dict.fromkeys(models, 1.0) | team.models
-        shares = team.models or allowed
-        if sum(shares.values()) <= 0:
+        weights = team.models or dict.fromkeys(models, 1.0)
+        # A model that no target serves any more would turn its share of the
+        # requests away; the other models take it over.
+        weights = {
+            name: weight
+            for name, weight in weights.items()
+            if name in models and weight > 0
+        }
+        if not weights:
             return _bad('no model is open to the team', 'unknown_model')
-        return rng.choices(list(shares), list(shares.values()))[0]
+        return shares.pick(team.name, weights)
     if model not in models or (team.models and model not in team.models):
         return Refusal(
             _NOT_FOUND,
