Drop rows that a whole reading of the table does not list

A router that began by a full read also answered questions from before it as if it remembered all deletions.

Change: whoever reads a whole table drops the rows at or below its position that it does not list, and remembers that deletions up to there are not known (floor). A view that never read the log takes a peer's table as a whole copy.

--- a/src/balsamreach/table/exchange.py
+++ b/src/balsamreach/table/exchange.py
@@ -8,7 +8,7 @@
 
 from balsamreach.peers.base import PeerNet
 from balsamreach.platform.base import Row
-from balsamreach.table.view import TableView
+from balsamreach.table.view import TableView, adopt
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import (
     Heartbeat,
@@ -125,6 +125,8 @@
     async def _fetch(self, incarnation: str, into: TableView) -> bool:
         while True:
             since = into.version
+            if _needs_copy(into):
+                return await self._copy(incarnation, into)
             answer = await self.net.ask(incarnation, TableAsk(since))
             if not isinstance(answer, TableRows) or not answer.version:
                 return False
@@ -139,13 +141,13 @@
         # whole copy shows them as rows that are missing. A copy into an
         # empty view that still meets a gap is given up, or it would go on
         # for as long as rows are deleted quickly.
-        if into.version == 0:
+        if into is not self.view:
             return False
         copy = TableView()
         if not await self._fetch(incarnation, copy):
             return False
         self.metrics.count('balsamreach_table_copies_total')
-        into.adopt(copy)
+        adopt(into, copy)
         return True
 
     def _bring_in(self, told: TableRows, into: TableView) -> tuple[Row, ...]:
@@ -153,7 +155,7 @@
         # only if nothing between may be missing: a lost message would else
         # hide its edit for good.
         brought = tuple(_unpacked(told.rows))
-        gap = told.since > into.version or len(brought) < len(told.rows)
+        gap = _has_gap(told, into) or len(brought) < len(told.rows)
         fresh = into.apply(brought, 0 if gap else told.version)
         if into is self.view:
             self.metrics.count(
@@ -174,7 +176,7 @@
         return _page(view, since)
 
     async def _take(self, member: Member, message: Message) -> Message | None:
-        gap = message.since > self.view.version
+        gap = _has_gap(message, self.view)
         fresh = self._bring_in(message, self.view)
         # All rows go on, also those known here already: without them a
         # router farther on would move its version past what it never got.
@@ -197,6 +199,18 @@
         task.add_done_callback(self.tasks.discard)
 
 
+def _needs_copy(view: TableView) -> bool:
+    # Rows ahead of the log in a view that never read it may be deleted by
+    # now; only a whole table shows that, as rows that are missing.
+    return view.version == 0 and view.versions.newest > 0
+
+
+def _has_gap(told: TableRows, into: TableView) -> bool:
+    if told.since > into.version:
+        return True
+    return told.version > 0 and _needs_copy(into)
+
+
 def _page(view: TableView, since: int) -> TableRows:
     rows: list[TableRow] = []
     octets = 0
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -128,7 +128,7 @@
         before = self.view.version
         # Rows that all came by way of peers before are not offered again;
         # heartbeats show the version to whoever missed them.
-        if await self._read():
+        if await self._read() and before:
             changed = tuple(self.view.rows_since(before))
             self.exchange.offer(changed, before, self.view.version)
         if self._snapshot_is_due():
--- a/src/balsamreach/table/reader.py
+++ b/src/balsamreach/table/reader.py
@@ -32,6 +32,7 @@
     _read_to: int = 0
     _first_version: int = 0
     _after: str = ''
+    _listed: set[str] = attrs.field(factory=set)
 
     async def refresh(self) -> tuple[Row, ...] | TableFault:
         """Apply all rows written since the view's version.
@@ -62,10 +63,13 @@
             # under a rate limit no start would ever get to the end.
             self._first_version = self._first_version or page.version
             fresh.extend(self.view.apply(page.rows, 0))
+            self._listed.update(row.key for row in page.rows)
             more = page.more
             self._after = page.rows[-1].key if more else ''
         self._read_to = self._first_version
+        self.view.prune(self._listed, self._first_version)
         self.view.apply((), self._first_version)
+        self._listed.clear()
         return tuple(fresh)
 
     async def _read_changes(self) -> tuple[Row, ...] | TableFault:
--- a/src/balsamreach/table/row_versions.py
+++ b/src/balsamreach/table/row_versions.py
@@ -28,6 +28,10 @@
     _live: dict[str, int] = attrs.field(factory=dict)
     _deleted: dict[str, int] = attrs.field(factory=dict)
 
+    def __contains__(self, key: object) -> bool:
+        """Return whether a row of this key is in force."""
+        return key in self._live
+
     def of(self, key: str) -> int:
         """Return the version of a row or its deletion, 0 if not known."""
         return self._live.get(key) or self._deleted.get(key, 0)
--- a/src/balsamreach/table/snapshots.py
+++ b/src/balsamreach/table/snapshots.py
@@ -111,11 +111,13 @@
         header = read_header(body)
         if isinstance(header, TableFault):
             return header
+        listed: set[str] = set()
         for rows in read_rows(body):
             view.apply(rows, 0)
+            listed.update(row.key for row in rows)
             await self.clock.sleep(0)
+        view.prune(listed, header.version)
         view.apply((), header.version)
-        view.versions.floor = max(view.versions.floor, header.version)
         return header.version
 
     def _skip(self, name: str, fault: TableFault) -> None:
--- a/src/balsamreach/table/view.py
+++ b/src/balsamreach/table/view.py
@@ -1,7 +1,7 @@
 """The table in force at one router, indexed for requests."""
 
 import hashlib
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Callable, Container, Iterable, Iterator, Mapping
 
 import attrs
 
@@ -97,21 +97,26 @@
         self.version = max(self.version, version)
         return fresh
 
-    def adopt(self, other: 'TableView') -> None:
-        """Take over a whole view that was read anew and is no older.
+    def prune(self, listed: Container[str], version: int) -> None:
+        """Drop rows that a whole reading of the table does not list.
 
-        Rows that the other view lacks were deleted by the time it covers.
+        Parameters
+        ----------
+        listed : container of str
+            Keys of all rows that there were.
+        version : int
+            Log position of the reading; newer rows stay.
         """
-        if other.version < self.version:
-            return
+        # A row may have come here ahead of the log, and its deletion not at
+        # all. A whole reading shows no deletions: without this the row
+        # would stay in force for good, below a position that covers it.
         gone = tuple(
-            Row(key, other.version, None)
-            for key in self.versions.up_to(other.version)
-            if not other.versions.of(key)
+            Row(key, version, None)
+            for key in self.versions.up_to(version)
+            if key not in listed
         )
         self._put_all(gone)
-        self.apply(other.rows_since(0), other.version)
-        self.versions.floor = max(self.versions.floor, other.versions.floor)
+        self.versions.floor = max(self.versions.floor, version)
 
     def rows_since(self, version: int) -> Iterator[Row]:
         """Yield rows written after a version, deleted ones too, in order."""
@@ -162,3 +167,11 @@
 
 def _name_of(key: str) -> str:
     return key.rpartition('/')[-1]
+
+
+def adopt(view: TableView, other: TableView) -> None:
+    """Bring a view to a whole one that was read anew, unless it is older."""
+    if other.version < view.version:
+        return
+    view.prune(other.versions, other.version)
+    view.apply(other.rows_since(0), other.version)
--- a/tests/test_gateway_operators.py
+++ b/tests/test_gateway_operators.py
@@ -207,6 +207,10 @@
         self.assertEqual(answer.status, 409)
         self.assertEqual(answer.body['row']['value']['weight'], 2)
         self.assertGreater(answer.body['row']['version'], seen)
+        counted = self.station.metrics.counted
+        name = 'balsamreach_table_edits_total'
+        self.assertEqual(counted(name, outcome='accepted'), 2)
+        self.assertEqual(counted(name, outcome='stale_edit'), 1)
 
     def test_top_up_is_idempotent(self):
         top_up = {'top_up': 50, 'edit_id': 'top-1'}
