Close the connection where a long body breaks off

Cause: a plain answer above 1 MiB is passed on as it comes; where it broke, the error event of streams was added to it, so that half a report with an error in it ended like a whole one. The bound on a stream's events left no room for the marks of several choices. Change: a body that is no stream of events ends with its connection. Conclusion: only event streams carry their own error.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -42,8 +42,9 @@
 )
 #: A plain answer longer than this is passed on as it comes.
 _LARGEST_PLAIN = 1024 * 1024
-#: Events of a stream that carry no token: its first and last ones.
-_MARK_EVENTS = 4
+#: Events of a stream that may carry no token: the first and the last one of
+#: each choice, the usage figures and the end mark.
+_MARK_EVENTS = 300
 
 
 @attrs.frozen
--- a/src/balsamreach/gateway/callers.py
+++ b/src/balsamreach/gateway/callers.py
@@ -148,11 +148,20 @@
             return
         assert isinstance(end.fault, DispatchFault)
         refusal = self._refusal(end.fault)
-        if self.sink.started:
-            self.refusal = refusal
+        if not self.sink.started:
+            self.refuse(refusal)
+            return
+        self.refusal = refusal
+        if self._sends_events():
             self.finish(error_event(refusal))
         else:
-            self.refuse(refusal)
+            # An error added to a half body would pass for a part of it. A
+            # connection that closes early is what tells the caller.
+            self.sink.cut()
+
+    def _sends_events(self) -> bool:
+        kind = str(self._headers.get('Content-Type', ''))
+        return kind.startswith('text/event-stream')
 
 
 class ChatHandler(CallerHandler):
