Let a paused holder wake within its deadline and past it

Cause: the test let the holder wake an hour later, past its deadline, and then expected it to dispatch. Change: both cases; the one past the deadline must not dispatch at all. Conclusion: at most one run either way.

--- a/tests/test_dispatch_sharing.py
+++ b/tests/test_dispatch_sharing.py
@@ -258,7 +258,13 @@
         self.assertEqual(again.fault.ran, faults.MAYBE_RUN)
         self.assertEqual(self.targets.runs['key'], 1)
 
-    async def test_holder_that_pauses_between_claim_and_dispatch(self):
+    @parameterized.expand([('short', 30, 1), ('past_deadline', 3600, 0)])
+    async def test_holder_that_pauses_between_claim_and_dispatch(
+        self,
+        _name,
+        pause,
+        runs,
+    ):
         """A late dispatch to a target that checks nothing is the only one.
 
         Symptom: a doubled certificate.
@@ -276,13 +282,13 @@
         late = asyncio.ensure_future(holder.call(**_ONCE))
         await paused.claimed.wait()
         self.fabric.cut(['router-d'], _NAMES)
-        self.clock.advance(3600)
+        self.clock.advance(pause)
         again = await self.theirs.call(**_ONCE)
         paused.wake.set()
         first = await late
         self.assertEqual(again.fault, faults.OUTCOME_UNKNOWN)
-        self.assertTrue(first.end.whole)
-        self.assertEqual(self.targets.runs['key'], 1)
+        self.assertEqual(first.end.whole, bool(runs))
+        self.assertEqual(self.targets.runs['key'], runs)
 
     async def test_refusal_after_a_dead_run_is_not_told_as_not_run(self):
         """What "not run" means is the request, not this router.
