Draw by rate, lend, return, take over and audit budgets

Cause: a router drew the least a request needed, held it for good, lost its bills with its memory, and nobody took over what a dead router held.

Change: draws are sized by each team's rate here and made in rounds, many teams in one commit; idle tokens go back; routers lend to each other when the platform is away or a budget ends, within a durable cap, and the borrower records the loan once. An incarnation enters itself under its address and closes its predecessors' allotments; buddies keep copies of waiting bills and settle them for makers that are gone. A router that was paused reads its rows before it spends. BillCopies says whether its maker has left for good.

--- a/src/balsamreach/budget/account.py
+++ b/src/balsamreach/budget/account.py
@@ -1,8 +1,9 @@
 """The durable records of a budget: accounts, allotments and bills.
 
 A team's account counts what was handed out to routers, and each router's
-allotment counts what it settled out of that. Overspend is impossible as long
-as ``taken <= prepaid`` and ``settled <= granted`` hold in every commit.
+allotment counts what it settled or lent out of that. Recorded spend cannot
+pass the prepaid tokens as long as ``taken <= prepaid`` and
+``settled + lent <= granted`` hold in every commit.
 """
 
 from collections.abc import Mapping
@@ -47,22 +48,47 @@
     Parameters
     ----------
     granted : int
-        Tokens drawn less those handed back, over all time.
+        Tokens drawn or borrowed less those handed back, over all time.
     settled : int
         Tokens of recorded bills.
     seq : int
-        Number of the holder's last commit to this row; after a lost answer
-        the holder sees by it whether its commit took effect.
+        Number of the holder's last draw or return; after a lost answer the
+        holder sees by it which of its attempts took effect.
+    lent : int
+        Tokens of loans that borrowers have recorded, over all time.
+    lendable : int
+        Most tokens the holder may lend over all time. What is not recorded
+        as lent yet may be in a borrower's hands, so a successor that closes
+        the allotment leaves that part in place.
+    closed : bool
+        Whether a successor closed it; only the part that may be in
+        borrowers' hands is left then.
+    at : float
+        Wall time of the holder's last draw or return.
     """
 
     granted: int = 0
     settled: int = 0
     seq: int = 0
+    lent: int = 0
+    lendable: int = 0
+    closed: bool = False
+    at: float = 0
+
+    @property
+    def held(self) -> int:
+        """Tokens that count as taken from the account by this row."""
+        return self.granted - self.lent
 
     @property
     def outstanding(self) -> int:
-        """Tokens granted and not settled yet."""
-        return self.granted - self.settled
+        """Tokens granted and neither settled nor lent yet."""
+        return self.held - self.settled
+
+    @property
+    def maybe_lent(self) -> int:
+        """Outstanding tokens that a borrower may hold unrecorded."""
+        return max(0, min(self.lendable - self.lent, self.outstanding))
 
 
 @attrs.frozen
@@ -79,12 +105,35 @@
         Tokens billed.
     flags : tuple of str
         What was odd about the target's usage figures.
+    ordinal : int
+        Number among the bills of its maker; it tells a bill whose answer
+        was lost from a second bill for the same request.
     """
 
     team: str
     key: str
     tokens: int
     flags: tuple[str, ...] = ()
+    ordinal: int = 0
+
+
+@attrs.frozen
+class Loan:
+    """Tokens that one router lent to another.
+
+    Parameters
+    ----------
+    loan_id : str
+        Chosen by the borrower.
+    lender : str
+        Incarnation whose allotment they come from.
+    tokens : int
+        How many.
+    """
+
+    loan_id: str
+    lender: str
+    tokens: int
 
 
 def account_key(team: str) -> str:
--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -1,24 +1,34 @@
 """The budgets of all teams at one router: reserve, bill, draw and settle."""
 
-import asyncio
+import random
 
 import attrs
 
 from balsamreach.budget.account import Bill
+from balsamreach.budget.book import Book
+from balsamreach.budget.closing import Closer
+from balsamreach.budget.copies import Keeper, Sender
 from balsamreach.budget.draws import Drawer
-from balsamreach.budget.faults import (
-    BILLS_FULL,
-    NO_ALLOTMENT,
-    TAKEN_OVER,
-    BudgetFault,
-)
+from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
+from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.ledger import Ledger, Reservation
-from balsamreach.budget.settling import Settled, Settler
+from balsamreach.budget.loans import Loans
+from balsamreach.budget.obtaining import Obtainer
+from balsamreach.budget.recorder import Recorder
+from balsamreach.budget.settling import Settler
+from balsamreach.budget.sizing import Sizing
+from balsamreach.budget.takeover import Takeover
+from balsamreach.budget.upkeep import PeerParts, Upkeep
+from balsamreach.budget.wakeup import Wakeup
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
+from balsamreach.peers.base import PeerNet
 from balsamreach.platform.base import TableService
+from balsamreach.telemetry.metrics import Metrics
 
-_COMMIT_BILLS = 200
+REFUSALS = 'balsamreach_budget_refusals_total'
+
+_LENIENT = 'lenient'
 
 
 @attrs.define
@@ -34,28 +44,97 @@
     cfg : BudgetSettings
         Sizes and intervals.
     clock : Clock
-        Time for the settling interval.
+        Time for rates and intervals.
+    net : PeerNet or None
+        The other routers.
+    address : str
+        Address that peers reach this router by; empty if it may change.
+    rng : Random
+        Jitter, loan ids and the order of lenders.
+    metrics : Metrics
+        Counts and shows what happens.
     """
 
     service: TableService
     incarnation: str
     cfg: BudgetSettings
     clock: Clock
-    closed: BudgetFault | None = None
-    ledgers: dict[str, Ledger] = attrs.field(factory=dict)
-    repeated_bills: int = 0
-    _draws: dict[str, asyncio.Lock] = attrs.field(factory=dict)
-    _drawer: Drawer = attrs.field(init=False)
-    _settler: Settler = attrs.field(init=False)
+    net: PeerNet | None = attrs.field(default=None, kw_only=True)
+    address: str = attrs.field(default='', kw_only=True)
+    rng: random.Random = attrs.field(factory=random.Random, kw_only=True)
+    metrics: Metrics = attrs.field(factory=Metrics, kw_only=True)
+    book: Book = attrs.field(init=False)
+    recorder: Recorder = attrs.field(init=False)
+    upkeep: Upkeep = attrs.field(init=False)
+    _obtainer: Obtainer = attrs.field(init=False)
+    _wakeup: Wakeup = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._drawer = Drawer(self.service, self.incarnation)
-        self._settler = Settler(self.service, self.incarnation)
+        """Put the parts together."""
+        lenient = self.cfg.posture == _LENIENT
+        incarnations = Incarnations(
+            self.service,
+            self.address,
+            self.incarnation,
+            self.clock.wall(),
+        )
+        self.book = Book(
+            Drawer(self.service, self.incarnation, self.clock, self.rng),
+            incarnations,
+            self.clock,
+            self.metrics,
+            spends_loans=lenient,
+        )
+        sizing = Sizing(self.cfg, self.clock)
+        closer = Closer(self.service)
+        self.recorder = Recorder(
+            self.book,
+            Settler(self.service, self.incarnation),
+            closer,
+            self.metrics,
+        )
+        peers = _peer_parts(self, sizing, closer, incarnations)
+        self.upkeep = Upkeep(
+            self.book,
+            sizing,
+            self.recorder,
+            Takeover(closer, incarnations, self.metrics),
+            peers,
+            self.metrics,
+        )
+        self._obtainer = Obtainer(
+            self.book,
+            sizing,
+            peers.loans if peers else None,
+            self.cfg,
+        )
+        self._wakeup = Wakeup(
+            self.service,
+            self.book,
+            incarnations,
+            self.clock,
+            strict=not lenient,
+        )
+
+    @property
+    def closed(self) -> BudgetFault | None:
+        """Why this router spends nothing any more, None while it does."""
+        return self.book.closed
+
+    @property
+    def ledgers(self) -> dict[str, Ledger]:
+        """Ledgers by team."""
+        return self.book.ledgers
 
     @property
     def waiting(self) -> int:
         """Number of bills that are not recorded yet."""
-        return sum(len(ledger.waiting) for ledger in self.ledgers.values())
+        return self.recorder.waiting
+
+    @property
+    def repeated_bills(self) -> int:
+        """Number of bills for requests that were billed already."""
+        return self.recorder.repeated
 
     async def reserve(
         self, team: str, tokens: int
@@ -72,93 +151,72 @@
         Returns
         -------
         Reservation or BudgetFault
-            A fault means that nothing was set aside.
+            A fault means that nothing was set aside; it comes at once if
+            waiting can't help, and else within ``draw_wait``.
         """
-        refused = self._refusal()
+        refused = self.recorder.refusal(self.cfg.bills_limit)
+        if refused is None and self._wakeup.is_due():
+            refused = await self._wakeup.check() or self.recorder.refusal(
+                self.cfg.bills_limit
+            )
+        if refused is not None:
+            return _refuse(self.metrics, refused)
+        ledger = self.book.ledger(team)
+        reservation = self.recorder.take(ledger, tokens)
+        if reservation is not None:
+            return reservation
+        fault = await self._obtainer.obtain(ledger, tokens)
+        # While this waited, bills may have piled up or a successor may have
+        # taken over; what was true before the wait is looked at again.
+        refused = self.recorder.refusal(self.cfg.bills_limit)
         if refused is not None:
-            return refused
-        ledger = self.ledgers.setdefault(team, Ledger(team))
-        reservation = ledger.reserve(tokens)
+            return _refuse(self.metrics, refused)
+        reservation = self.recorder.take(ledger, tokens)
         if reservation is not None:
             return reservation
-        async with self._draws.setdefault(team, asyncio.Lock()):
-            return await self._draw_and_reserve(ledger, tokens)
+        return _refuse(
+            self.metrics,
+            fault or NO_ALLOTMENT.because('other requests took the draw'),
+        )
 
     def release(self, reservation: Reservation) -> None:
         """Give back what a request that did not run had set aside."""
-        self.ledgers[reservation.team].release(reservation)
+        self.recorder.release(reservation)
 
     def bill(self, reservation: Reservation, bill: Bill) -> None:
         """Bill a request; the rest of its reservation is free again."""
-        self.ledgers[reservation.team].bill(reservation, bill)
+        self.recorder.bill(reservation, bill)
 
     async def flush(self) -> BudgetFault | None:
         """Record waiting bills until none wait or the service is away."""
-        while self.waiting:
-            batch = self._batch()
-            outcome = await self._settler.settle(batch)
-            if isinstance(outcome, BudgetFault):
-                self._note(outcome)
-                return outcome
-            self._recorded(batch, outcome)
-        return None
+        return await self.recorder.flush()
+
+    async def leave(self) -> bool:
+        """Record all bills and give all allotments back, for good."""
+        return await self.upkeep.leave()
 
     async def run(self) -> None:
-        """Record waiting bills at the set interval until cancelled."""
-        while True:
-            await self.clock.sleep(self.cfg.flush_interval)
-            await self.flush()
-
-    def _refusal(self) -> BudgetFault | None:
-        if self.closed is not None:
-            return self.closed
-        if self.waiting >= self.cfg.bills_limit:
-            return BILLS_FULL.because('bills wait for the table service')
+        """Do what is due beside serving requests, until cancelled."""
+        await self.upkeep.run(self.cfg.flush_interval, self._wakeup)
+
+
+def _peer_parts(
+    budgets: Budgets,
+    sizing: Sizing,
+    closer: Closer,
+    incarnations: Incarnations,
+) -> PeerParts | None:
+    net = budgets.net
+    if net is None:
         return None
+    limit = budgets.cfg.bills_limit
+    return PeerParts(
+        Loans(budgets.book, sizing, net, budgets.rng),
+        Sender(net),
+        Keeper(net, closer, incarnations, budgets.metrics, limit),
+    )
 
-    async def _draw_and_reserve(
-        self,
-        ledger: Ledger,
-        tokens: int,
-    ) -> Reservation | BudgetFault:
-        # Others waited for the same draw; what it brought may do for us.
-        reservation = ledger.reserve(tokens)
-        if reservation is not None:
-            return reservation
-        least = tokens - ledger.available
-        drawn = await self._drawer.draw(
-            ledger.team,
-            least,
-            max(least, self.cfg.least_draw),
-        )
-        if isinstance(drawn, BudgetFault):
-            self._note(drawn)
-            return drawn
-        ledger.granted = drawn.granted
-        reservation = ledger.reserve(tokens)
-        if reservation is None:
-            return NO_ALLOTMENT.because('other requests took the draw')
-        return reservation
-
-    def _batch(self) -> tuple[Bill, ...]:
-        bills: list[Bill] = []
-        for ledger in self.ledgers.values():
-            room = _COMMIT_BILLS - len(bills)
-            bills.extend(ledger.waiting[:room])
-        return tuple(bills)
-
-    def _recorded(self, batch: tuple[Bill, ...], outcome: Settled) -> None:
-        done = set(map(id, batch))
-        for ledger in self.ledgers.values():
-            ledger.waiting = [
-                bill for bill in ledger.waiting if id(bill) not in done
-            ]
-        # A request billed by another router already is not billed here
-        # again; the tokens it used here return to the allotment.
-        for bill in outcome.repeated:
-            self.ledgers[bill.team].billed -= bill.tokens
-            self.repeated_bills += 1
-
-    def _note(self, fault: BudgetFault) -> None:
-        if fault == TAKEN_OVER:
-            self.closed = fault
+
+def _refuse(metrics: Metrics, fault: BudgetFault) -> BudgetFault:
+    metrics.count(REFUSALS, reason=fault.code)
+    return fault
--- /dev/null
+++ b/src/balsamreach/budget/copies.py
@@ -0,0 +1,220 @@
+"""Copies of waiting bills, kept by a buddy in case their maker dies."""
+
+import attrs
+
+from balsamreach.budget.account import Bill
+from balsamreach.budget.closing import Closer
+from balsamreach.budget.closing_plan import Closing
+from balsamreach.budget.faults import BudgetFault
+from balsamreach.budget.incarnations import Incarnations
+from balsamreach.peers.base import PeerNet
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import BillCopies, BillCopy, Done, Member
+
+KEPT = 'balsamreach_budget_copies_kept'
+REFUSED = 'balsamreach_budget_copies_refused_total'
+SETTLED_FOR_DEAD = 'balsamreach_budget_bills_settled_for_others_total'
+UNPAID = 'balsamreach_budget_bills_unpaid'
+
+#: Most bills in one message.
+MESSAGE_BILLS = 500
+
+
+@attrs.define
+class Sender:
+    """Sends copies of this router's waiting bills to one buddy.
+
+    Parameters
+    ----------
+    net : PeerNet
+        The other routers.
+    """
+
+    net: PeerNet
+    buddy: str = ''
+    _sent: dict[int, BillCopy] = attrs.field(factory=dict)
+
+    def send(self, waiting: tuple[Bill, ...]) -> None:
+        """Bring the buddy up to date.
+
+        Parameters
+        ----------
+        waiting : tuple of Bill
+            All bills that are not recorded yet.
+        """
+        buddy = self._choose()
+        if buddy != self.buddy:
+            self.buddy = buddy
+            self._sent.clear()
+        if not buddy:
+            return
+        by_ordinal = {bill.ordinal: bill for bill in waiting}
+        recorded = [number for number in self._sent if number not in by_ordinal]
+        fresh = [number for number in by_ordinal if number not in self._sent]
+        gone = [self._sent.pop(number) for number in recorded]
+        for start in range(0, max(len(fresh), len(gone)), MESSAGE_BILLS):
+            part = fresh[start : start + MESSAGE_BILLS]
+            copies = [_copy(by_ordinal[number]) for number in part]
+            self._sent.update(zip(part, copies, strict=True))
+            self.net.tell(
+                buddy,
+                BillCopies(
+                    self.net.me.incarnation,
+                    tuple(copies),
+                    tuple(gone[start : start + MESSAGE_BILLS]),
+                ),
+            )
+
+    async def hand_over(self, waiting: tuple[Bill, ...]) -> bool:
+        """Leave all waiting bills, and the allotments, to the buddy.
+
+        Parameters
+        ----------
+        waiting : tuple of Bill
+            All bills that could not be recorded before the end.
+
+        Returns
+        -------
+        bool
+            Whether the buddy has them all.
+        """
+        self.buddy = self._choose()
+        if not self.buddy:
+            return False
+        maker = self.net.me.incarnation
+        parts = [
+            waiting[start : start + MESSAGE_BILLS]
+            for start in range(0, len(waiting), MESSAGE_BILLS)
+        ]
+        for part in parts or [()]:
+            # The last part alone tells that nothing more will come.
+            last = part == (parts or [()])[-1]
+            copies = tuple(_copy(bill) for bill in part)
+            message = BillCopies(maker, copies, left=last)
+            answer = await self.net.ask(self.buddy, message)
+            if not isinstance(answer, Done):
+                return False
+        return True
+
+    def _choose(self) -> str:
+        members = [
+            member for member in self.net.neighbours() if not member.leaving
+        ]
+        names = {member.incarnation for member in members}
+        if self.buddy in names:
+            return self.buddy
+        # The own zone stays in reach when zones are cut off; the next
+        # incarnation in order spreads makers evenly over buddies.
+        here = [one for one in members if one.zone == self.net.me.zone]
+        ordered = sorted(one.incarnation for one in here or members)
+        after = [name for name in ordered if name > self.net.me.incarnation]
+        return (after or ordered or [''])[0]
+
+
+#: One maker's copies by team and request key.
+_Copies = dict[tuple[str, str], BillCopy]
+
+
+@attrs.define
+class Keeper:
+    """Keeps other routers' copies and settles them if their maker is gone.
+
+    Parameters
+    ----------
+    net : PeerNet
+        The other routers.
+    closer : Closer
+        Settles and closes.
+    incarnations : Incarnations
+        Tells who is gone.
+    metrics : Metrics
+        Counts what is kept and settled.
+    limit : int
+        Most copies kept.
+    """
+
+    net: PeerNet
+    closer: Closer
+    incarnations: Incarnations
+    metrics: Metrics
+    limit: int
+    makers: dict[str, Member] = attrs.field(factory=dict)
+    copies: dict[str, _Copies] = attrs.field(factory=dict)
+    left: set[str] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        """Take the copies that other routers send."""
+        self.net.on(BillCopies, self._take)
+
+    @property
+    def kept(self) -> int:
+        """Number of copies kept."""
+        return sum(len(copies) for copies in self.copies.values())
+
+    async def settle_gone(self) -> None:
+        """Settle the copies of makers that are known to be gone."""
+        alive = {member.incarnation for member in self.net.members()}
+        for maker in tuple(self.copies):
+            if maker not in alive or maker in self.left:
+                await self._settle_if_gone(maker)
+        self.metrics.gauge(KEPT, self.kept)
+
+    async def _settle_if_gone(self, maker: str) -> None:
+        gone = maker in self.left or await self.incarnations.is_gone(
+            self.makers[maker].address,
+            maker,
+        )
+        if gone is not True:
+            return
+        teams = await self.closer.teams(maker)
+        if isinstance(teams, BudgetFault):
+            return
+        billed = {copy.team for copy in self.copies[maker].values()}
+        for team in sorted(billed.union(teams)):
+            await self._settle(maker, team)
+        if not self.copies.get(maker):
+            self._forget(maker)
+
+    def _forget(self, maker: str) -> None:
+        self.copies.pop(maker, None)
+        self.makers.pop(maker, None)
+        self.left.discard(maker)
+
+    async def _settle(self, maker: str, team: str) -> None:
+        kept = self.copies.get(maker, {})
+        bills = tuple(
+            Bill(copy.team, copy.key, copy.tokens)
+            for copy in kept.values()
+            if copy.team == team
+        )
+        outcome = await self.closer.close_all(Closing(maker, team), bills)
+        if isinstance(outcome, BudgetFault):
+            return
+        unpaid = {(bill.team, bill.key) for bill in outcome.unpaid}
+        self.metrics.gauge(UNPAID, len(unpaid), maker=maker)
+        for bill in bills:
+            if (bill.team, bill.key) not in unpaid:
+                kept.pop((bill.team, bill.key), None)
+                self.metrics.count(SETTLED_FOR_DEAD)
+
+    async def _take(self, member: Member, message: BillCopies) -> Done:
+        kept = self.copies.setdefault(message.incarnation, {})
+        self.makers[message.incarnation] = member
+        for recorded in message.recorded:
+            kept.pop((recorded.team, recorded.key), None)
+        for copy in message.bills:
+            # Copies are best effort: a buddy that kept them all through a
+            # long outage of the platform would run out of memory itself.
+            if self.kept >= self.limit:
+                self.metrics.count(REFUSED)
+                break
+            kept[copy.team, copy.key] = copy
+        if message.left:
+            self.left.add(message.incarnation)
+        elif not kept:
+            self._forget(message.incarnation)
+        return Done()
+
+
+def _copy(bill: Bill) -> BillCopy:
+    return BillCopy(bill.team, bill.key, bill.tokens)
--- a/src/balsamreach/budget/draws.py
+++ b/src/balsamreach/budget/draws.py
@@ -1,147 +1,175 @@
-"""Draws tokens from a team's account into this router's allotment."""
+"""Moves tokens between accounts and this router's allotments."""
+
+import random
 
 import attrs
 
-from balsamreach.budget.account import (
-    Account,
-    Allotment,
-    account_key,
-    allotment_key,
-    decode_account,
-    decode_allotment,
-    encode,
-)
+from balsamreach.budget.account import account_key, allotment_key
 from balsamreach.budget.faults import (
-    EXHAUSTED,
-    NO_ACCOUNT,
+    CONTENDED,
     NO_ALLOTMENT,
     TAKEN_OVER,
     BudgetFault,
 )
-from balsamreach.platform.base import Check, Commit, Row, TableService, Write
+from balsamreach.budget.moves import Move, Moved, Plan, Records, plan_move
+from balsamreach.clock import Clock
+from balsamreach.platform.base import Commit, Row, TableService
 from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
 
 _ATTEMPTS = 8
+_FIRST_PAUSE_S = 0.01
 
-
-@attrs.frozen
-class Records:
-    """An account and an allotment as read, with their row versions."""
-
-    account: Account
-    allotment: Allotment
-    account_row: Row
-    allotment_row: Row
-
-    def checks(self) -> tuple[Check, ...]:
-        """Return the conditions that make a commit see what was read."""
-        return tuple(
-            Check(row.key, row.version if row.value is not None else 0)
-            for row in (self.account_row, self.allotment_row)
-        )
+Outcomes = dict[str, Moved | BudgetFault]
 
 
 @attrs.define
 class Drawer:
-    """Moves tokens between accounts and one incarnation's allotments."""
+    """Draws and returns for one incarnation, one commit at a time.
+
+    Parameters
+    ----------
+    service : TableService
+        Where accounts and allotments are kept.
+    incarnation : str
+        Whose allotments they are.
+    clock : Clock
+        Time for pauses between attempts.
+    rng : Random
+        Jitter of those pauses.
+    """
 
     service: TableService
     incarnation: str
+    clock: Clock
+    rng: random.Random
+    conflicts: int = 0
+    _number: int = 0
+    _unknown: dict[int, dict[str, Plan]] = attrs.field(factory=dict)
 
-    async def read(self, team: str) -> Records | BudgetFault:
-        """Read the team's account and this incarnation's allotment."""
-        rows = await self.service.read(
-            (account_key(team), allotment_key(self.incarnation, team)),
-        )
-        if isinstance(rows, PlatformFault):
-            return NO_ALLOTMENT.because(f'table service: {rows.code}')
-        account_row, allotment_row = rows
-        if account_row.value is None:
-            return NO_ACCOUNT.because(f'team {team} has no account')
-        # The holder never deletes its own row. One that existed and is gone
-        # was closed by a successor, which gave the rest back to the account:
-        # spending here would spend those tokens a second time.
-        if allotment_row.value is None and allotment_row.version:
-            return TAKEN_OVER.because(f'allotment of {team} was closed')
-        return Records(
-            decode_account(account_row.value),
-            decode_allotment(allotment_row.value),
-            account_row,
-            allotment_row,
-        )
-
-    async def draw(
-        self,
-        team: str,
-        least: int,
-        wanted: int,
-    ) -> Allotment | BudgetFault:
-        """Draw tokens into the allotment.
+    async def move(self, moves: tuple[Move, ...]) -> Outcomes | BudgetFault:
+        """Apply moves of different teams in one commit.
 
         Parameters
         ----------
-        team : str
-            Whose account to draw on.
-        least : int
-            Tokens without which the draw is of no use.
-        wanted : int
-            Tokens to draw if the account has them free.
+        moves : tuple of Move
+            At most one for each team.
 
         Returns
         -------
-        Allotment or BudgetFault
-            The allotment after the draw, or EXHAUSTED, NO_ALLOTMENT,
-            NO_ACCOUNT or TAKEN_OVER; nothing was drawn then.
+        dict or BudgetFault
+            For each team what was moved, or why nothing was. NO_ALLOTMENT
+            if the table service is away and TAKEN_OVER if a successor
+            closed an allotment, CONTENDED if others were always faster;
+            nothing is known to have moved then.
         """
-        records = await self.read(team)
-        for _ in range(_ATTEMPTS):
-            if isinstance(records, BudgetFault):
-                return records
-            amount = min(wanted, records.account.free)
-            if amount < least:
-                return EXHAUSTED.because(
-                    f'team {team} has {records.account.free} tokens free',
-                )
-            outcome = await self._move(records, team, amount)
-            if isinstance(outcome, Allotment):
-                return outcome
+        for attempt in range(_ATTEMPTS):
+            read = await self._read(moves)
+            if isinstance(read, PlatformFault):
+                return NO_ALLOTMENT.because(f'table service: {read.code}')
+            self._number += 1
+            plans = {
+                one.team: plan_move(one, self._records(one, read))
+                for one in moves
+            }
+            if TAKEN_OVER in plans.values():
+                return TAKEN_OVER.because('an allotment was closed')
+            outcome = await self._commit(plans)
+            if not isinstance(outcome, PlatformFault):
+                self._resolve(plans)
+                return _outcomes(plans)
             if outcome not in {CONFLICT, UNKNOWN}:
                 return NO_ALLOTMENT.because(f'table service: {outcome.code}')
-            seq = records.allotment.seq
-            records = await self.read(team)
-            if isinstance(records, Records) and records.allotment.seq > seq:
-                return records.allotment
-        return NO_ALLOTMENT.because(f'account of {team} is contended')
+            await self._pause(attempt)
+        return CONTENDED.because('the accounts are contended')
 
-    async def _move(
+    def is_pending(self, team: str) -> bool:
+        """Return whether an attempt for a team may yet take effect."""
+        return any(team in unknown for unknown in self._unknown.values())
+
+    async def _read(
         self,
-        records: Records,
-        team: str,
-        amount: int,
-    ) -> Allotment | PlatformFault:
-        account = attrs.evolve(
-            records.account,
-            taken=records.account.taken + amount,
-        )
-        allotment = attrs.evolve(
-            records.allotment,
-            granted=records.allotment.granted + amount,
-            seq=records.allotment.seq + 1,
-        )
-        version = await self.service.commit(
-            Commit(
-                (
-                    Write(account_key(team), encode(account)),
-                    Write(
-                        allotment_key(self.incarnation, team),
-                        encode(allotment),
-                    ),
-                ),
-                records.checks(),
+        moves: tuple[Move, ...],
+    ) -> dict[str, Row] | PlatformFault:
+        keys: set[str] = set()
+        for one in moves:
+            keys.add(account_key(one.team))
+            keys.add(allotment_key(self.incarnation, one.team))
+            keys.update(
+                allotment_key(loan.lender, one.team) for loan in one.loans
+            )
+        rows = await self.service.read(tuple(sorted(keys)))
+        if isinstance(rows, PlatformFault):
+            return rows
+        return {row.key: row for row in rows}
+
+    def _records(self, move: Move, read: dict[str, Row]) -> Records:
+        own = read[allotment_key(self.incarnation, move.team)]
+        # An attempt whose answer was lost has left its number in the row if
+        # it took effect. No two attempts share a number, so a loan is not
+        # recorded and a draw not made a second time.
+        number = (own.value or {}).get('seq', 0)
+        landed = self._unknown.get(number, {}).get(move.team)
+        return Records(
+            number=self._number,
+            at=self.clock.wall(),
+            account=read[account_key(move.team)],
+            own=own,
+            lenders=tuple(
+                read[key]
+                for key in sorted(
+                    {
+                        allotment_key(loan.lender, move.team)
+                        for loan in move.loans
+                    }
+                )
             ),
+            landed=landed,
         )
-        # A lost answer leaves open whether the draw took effect. The caller
-        # reads the rows again: only this holder writes the allotment, so a
-        # higher sequence number there means that the draw was applied. A
-        # commit still on its way fails its checks once another one landed.
-        return version if isinstance(version, PlatformFault) else allotment
+
+    async def _commit(
+        self,
+        plans: dict[str, Plan | BudgetFault],
+    ) -> int | PlatformFault:
+        planned = {
+            team: plan for team, plan in plans.items() if isinstance(plan, Plan)
+        }
+        writes = [write for plan in planned.values() for write in plan.writes]
+        checks = [check for plan in planned.values() for check in plan.checks]
+        if not writes:
+            return 0
+        outcome = await self.service.commit(
+            Commit(tuple(writes), tuple(checks)),
+        )
+        if outcome == UNKNOWN:
+            self._unknown[self._number] = planned
+        elif outcome == CONFLICT:
+            self.conflicts += 1
+        return outcome
+
+    def _resolve(self, plans: dict[str, Plan | BudgetFault]) -> None:
+        # An attempt that is still on its way fails once a later commit of
+        # ours stands in the row. Until then it may yet take effect.
+        over = {
+            team
+            for team, plan in plans.items()
+            if isinstance(plan, Plan) and (plan.writes or plan.landed)
+        }
+        for number, unknown in tuple(self._unknown.items()):
+            for team in over.intersection(unknown):
+                unknown.pop(team)
+            if not unknown:
+                self._unknown.pop(number)
+
+    async def _pause(self, attempt: int) -> None:
+        # Many routers draw on a busy team's account. Were they to repeat a
+        # conflicting commit in step, all but one would fail each time; it
+        # would show as many conflicts for each draw.
+        longest = _FIRST_PAUSE_S * 2**attempt
+        await self.clock.sleep(self.rng.uniform(0, longest))
+
+
+def _outcomes(plans: dict[str, Plan | BudgetFault]) -> Outcomes:
+    return {
+        team: plan if isinstance(plan, BudgetFault) else plan.moved
+        for team, plan in plans.items()
+    }
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from balsamreach.budget.account import Bill
+from balsamreach.budget.account import Allotment, Bill, Loan
+from balsamreach.budget.rate import Rate
 
 
 @attrs.define(eq=False)
@@ -28,24 +29,64 @@
 
     Parameters
     ----------
+    rate : Rate
+        Rate of spending here.
     granted : int
         Tokens the durable allotment has granted.
+    seq : int
+        Number of the draw or return that ``granted`` stems from.
     billed : int
         Tokens of all bills made here, recorded or waiting.
     reserved : int
         Tokens set aside for requests in progress.
+    returning : int
+        Tokens of returns whose outcome is not known yet.
+    lent : int
+        Tokens lent, recorded or not, over all time.
+    lendable : int
+        Most that ``lent`` may become, as the durable allotment says.
+    loans : dict of str to int
+        Loans made and not known to be recorded, by loan id.
+    borrowed : dict of str to Loan
+        Loans taken and not recorded yet.
+    waiting : list of Bill
+        Bills that are not recorded yet.
+    spends_loans : bool
+        Whether loans may be spent before they are recorded.
     """
 
     team: str
+    rate: Rate
     granted: int = 0
+    seq: int = 0
     billed: int = 0
     reserved: int = 0
+    returning: int = 0
+    lent: int = 0
+    lendable: int = 0
+    loans: dict[str, int] = attrs.field(factory=dict)
+    borrowed: dict[str, Loan] = attrs.field(factory=dict)
     waiting: list[Bill] = attrs.field(factory=list)
+    spends_loans: bool = True
+    _lendable_before: int = 0
 
     @property
     def available(self) -> int:
         """Tokens that a new request may reserve."""
-        return self.granted - self.billed - self.reserved
+        if self.spends_loans:
+            return self.own + self.unrecorded
+        return self.own
+
+    @property
+    def own(self) -> int:
+        """Tokens that the durable allotment still covers."""
+        gone = self.billed + self.reserved + self.returning + self.lent
+        return self.granted - gone
+
+    @property
+    def unrecorded(self) -> int:
+        """Tokens of loans taken and not recorded yet."""
+        return sum(loan.tokens for loan in self.borrowed.values())
 
     def reserve(self, tokens: int) -> Reservation | None:
         """Set tokens aside, or return None where too few are available."""
@@ -73,3 +114,65 @@
         self.release(reservation)
         self.billed += bill.tokens
         self.waiting.append(bill)
+
+    def adopt(self, allotment: Allotment) -> None:
+        """Take over what the durable allotment says.
+
+        Parameters
+        ----------
+        allotment : Allotment
+            The allotment as read or written; an older one changes nothing.
+        """
+        if allotment.seq < self.seq:
+            return
+        if allotment.seq > self.seq:
+            # A later commit of ours stands in the row, so a return that is
+            # still on its way fails its version check: it either is part
+            # of ``granted`` already or will never be.
+            self.returning = 0
+        self.seq = allotment.seq
+        self.granted = allotment.granted
+        self.lendable = allotment.lendable
+
+    def hold_back(self, tokens: int) -> None:
+        """Set tokens aside that are on their way back to the account.
+
+        Parameters
+        ----------
+        tokens : int
+            Neither spent nor lent from now on, whether the answer to the
+            return arrives or not.
+        """
+        if not self.returning:
+            self._lendable_before = self.lendable
+        self.returning += tokens
+        self.lendable = self.lent
+
+    def undo_return(self) -> None:
+        """Free what was set aside by a return that never took effect."""
+        if self.returning:
+            self.returning = 0
+            self.lendable = self._lendable_before
+
+    def lend(self, loan_id: str, tokens: int) -> int:
+        """Take a loan off and return how many tokens it has.
+
+        Parameters
+        ----------
+        loan_id : str
+            Identity of the loan; asked for again, the same loan is told.
+        tokens : int
+            Tokens asked for.
+        """
+        if loan_id not in self.loans:
+            # Tokens that this router borrowed itself are not lent on: until
+            # both loans are recorded, the row would show too few tokens for
+            # the second one, and its borrower's bills could not be settled.
+            most = min(tokens, self.own, self.lendable - self.lent)
+            self.loans[loan_id] = max(0, most)
+            self.lent += self.loans[loan_id]
+        return self.loans[loan_id]
+
+    def call_off(self, loan_id: str) -> None:
+        """Take back a loan that its borrower says it never received."""
+        self.lent -= self.loans.pop(loan_id, 0)
--- /dev/null
+++ b/src/balsamreach/budget/loans.py
@@ -0,0 +1,160 @@
+"""Loans between routers when a router can't draw what it needs."""
+
+import random
+from collections import OrderedDict
+
+import attrs
+
+from balsamreach.budget.account import Loan
+from balsamreach.budget.book import Book
+from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.sizing import Sizing
+from balsamreach.peers.base import PeerNet
+from balsamreach.peers.faults import NOT_CONNECTED, PeerFault
+from balsamreach.wire.messages import (
+    Done,
+    LoanAsk,
+    LoanGrant,
+    LoanReceipt,
+    Member,
+)
+
+LENT = 'balsamreach_budget_lent_tokens_total'
+BORROWED = 'balsamreach_budget_borrowed_tokens_total'
+CALLED_OFF = 'balsamreach_budget_loans_called_off_total'
+
+#: Receipt of a loan whose grant never arrived and never will be taken.
+NEVER_CAME = ''
+
+_ID_BITS = 128
+_MOST_RECEIPTS = 1000
+_MOST_CALLED_OFF = 10000
+
+
+@attrs.define
+class Loans:
+    """Borrows for this router's requests and lends to its peers.
+
+    Parameters
+    ----------
+    book : Book
+        The ledgers.
+    sizing : Sizing
+        Says how much is worth asking for.
+    net : PeerNet
+        The other routers.
+    rng : Random
+        Loan ids and the order of lenders.
+    """
+
+    book: Book
+    sizing: Sizing
+    net: PeerNet
+    rng: random.Random
+    _receipts: list[tuple[str, LoanReceipt]] = attrs.field(factory=list)
+    _called_off: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+    def __attrs_post_init__(self) -> None:
+        """Take the peers' messages about loans."""
+        self.net.on(LoanAsk, self._take_ask)
+        self.net.on(LoanReceipt, self._take_receipt)
+
+    async def borrow(self, ledger: Ledger, tokens: int) -> None:
+        """Ask peers in turn until a request is covered.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            The team's ledger; loans are entered in it.
+        tokens : int
+            What the request needs.
+        """
+        for member in self._lenders():
+            missing = tokens - ledger.own - ledger.unrecorded
+            if missing <= 0:
+                return
+            wanted = max(missing, self.sizing.ahead(ledger))
+            await self._borrow_from(member, ledger, wanted)
+
+    async def send_receipts(self) -> None:
+        """Tell lenders which loans are recorded or never came."""
+        for loan in self.book.recorded:
+            receipt = LoanReceipt(loan.loan_id, self.net.me.incarnation)
+            self._receipts.append((loan.lender, receipt))
+        self.book.recorded.clear()
+        alive = {member.incarnation for member in self.net.members()}
+        unsent = []
+        for lender, told in self._receipts[-_MOST_RECEIPTS:]:
+            answer = await self.net.ask(lender, told)
+            if isinstance(answer, PeerFault) and lender in alive:
+                unsent.append((lender, told))
+        self._receipts = unsent
+
+    def _lenders(self) -> list[Member]:
+        others = [
+            member for member in self.net.neighbours() if not member.leaving
+        ]
+        self.rng.shuffle(others)
+        # The own zone first: its routers are a shorter way off and are
+        # likely to stay in reach while zones are cut off from each other.
+        others.sort(key=lambda member: member.zone != self.net.me.zone)
+        return others
+
+    async def _borrow_from(
+        self,
+        member: Member,
+        ledger: Ledger,
+        tokens: int,
+    ) -> None:
+        bits = self.rng.getrandbits(_ID_BITS)
+        ask = LoanAsk(f'{bits:032x}', ledger.team, tokens)
+        answer = await self.net.ask(member.incarnation, ask)
+        if isinstance(answer, PeerFault):
+            # The lender may have taken the tokens off already. An answer
+            # that comes later is never taken, and only this side knows that,
+            # so the lender is told; until then the tokens are stranded.
+            if answer != NOT_CONNECTED:
+                receipt = LoanReceipt(ask.loan_id, NEVER_CAME)
+                self._receipts.append((member.incarnation, receipt))
+            return
+        if isinstance(answer, LoanGrant) and answer.tokens > 0:
+            loan = Loan(ask.loan_id, member.incarnation, answer.tokens)
+            ledger.borrowed[ask.loan_id] = loan
+            self.book.metrics.count(BORROWED, loan.tokens)
+
+    async def _take_ask(self, member: Member, ask: LoanAsk) -> LoanGrant:
+        ledger = self.book.ledger(ask.team)
+        if not self._may_lend(ask):
+            return LoanGrant(ask.loan_id, ask.team, 0)
+        short = ask.tokens > min(ledger.lendable - ledger.lent, ledger.own)
+        if ask.loan_id not in ledger.loans and short:
+            await self.book.move(
+                lambda: (self.sizing.for_loan(ledger, ask.tokens),),
+            )
+        # During the await the allotment may have been taken over, or the
+        # borrower may have called the loan off.
+        if not self._may_lend(ask):
+            return LoanGrant(ask.loan_id, ask.team, 0)
+        known = ask.loan_id in ledger.loans
+        tokens = ledger.lend(ask.loan_id, ask.tokens)
+        if not known:
+            self.book.metrics.count(LENT, tokens)
+        return LoanGrant(ask.loan_id, ask.team, tokens)
+
+    def _may_lend(self, ask: LoanAsk) -> bool:
+        # An ask may arrive after the word that it was called off; lending
+        # then would strand the tokens until the allotment is closed.
+        return self.book.closed is None and ask.loan_id not in self._called_off
+
+    async def _take_receipt(self, member: Member, receipt: LoanReceipt) -> Done:
+        for ledger in self.book.ledgers.values():
+            if receipt.incarnation == NEVER_CAME:
+                ledger.call_off(receipt.loan_id)
+            else:
+                ledger.loans.pop(receipt.loan_id, None)
+        if receipt.incarnation == NEVER_CAME:
+            self.book.metrics.count(CALLED_OFF)
+            self._called_off[receipt.loan_id] = None
+            while len(self._called_off) > _MOST_CALLED_OFF:
+                self._called_off.popitem(last=False)
+        return Done()
--- /dev/null
+++ b/src/balsamreach/budget/sizing.py
@@ -0,0 +1,107 @@
+"""Decides how much a router draws, hands back and keeps for itself."""
+
+import attrs
+
+from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.moves import Move
+from balsamreach.clock import Clock
+from balsamreach.config.settings import BudgetSettings
+
+_REFILL_BELOW = 0.5
+_RETURN_ABOVE = 2
+
+
+@attrs.frozen
+class Sizing:
+    """Sizes draws by the rate at which a team spends here.
+
+    Parameters
+    ----------
+    cfg : BudgetSettings
+        Time that a draw covers and bounds of its size.
+    clock : Clock
+        Time for the rates.
+    """
+
+    cfg: BudgetSettings
+    clock: Clock
+
+    def ahead(self, ledger: Ledger) -> int:
+        """Return the tokens that this router expects to need soon."""
+        rate = ledger.rate.per_second(self.clock.now())
+        return int(rate * self.cfg.draw_ahead)
+
+    def target(self, ledger: Ledger) -> int:
+        """Return the tokens that this router wants to hold unspent."""
+        rate = ledger.rate.per_second(self.clock.now())
+        cover = self.cfg.draw_ahead + self.cfg.partition_cover
+        return int(rate * cover)
+
+    def for_request(self, ledger: Ledger, tokens: int) -> Move:
+        """Return the draw for a request that finds too few tokens.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            The team's ledger.
+        tokens : int
+            What the request needs.
+        """
+        least = tokens - ledger.available
+        wanted = self.target(ledger) - ledger.available
+        most = max(least, wanted, self.cfg.least_draw)
+        return self._move(ledger, least=least, most=most)
+
+    def in_background(self, ledger: Ledger) -> Move | None:
+        """Return the move that is due without a request, if any.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            The team's ledger; tokens that go back are held back in it.
+        """
+        target = self.target(ledger)
+        held = ledger.available
+        if held < 0:
+            return self._move(ledger, least=-held, most=target - held)
+        if held < target * _REFILL_BELOW:
+            return self._move(ledger, most=target - held)
+        if held > target * _RETURN_ABOVE + self.cfg.least_draw:
+            return self._hand_back(ledger, min(ledger.own, held - target))
+        if ledger.borrowed:
+            return self._move(ledger)
+        return None
+
+    def for_loan(self, ledger: Ledger, tokens: int) -> Move:
+        """Return the move that makes tokens lendable to another router.
+
+        Parameters
+        ----------
+        ledger : Ledger
+            The team's ledger.
+        tokens : int
+            What the other router asked for.
+        """
+        move = self._move(ledger, most=max(0, tokens - ledger.available))
+        return attrs.evolve(move, lendable=ledger.lent + tokens)
+
+    def for_loans(self, ledger: Ledger) -> Move:
+        """Return the move that only records loans taken."""
+        return self._move(ledger)
+
+    def _hand_back(self, ledger: Ledger, tokens: int) -> Move:
+        move = self._move(ledger)
+        ledger.hold_back(tokens)
+        return attrs.evolve(move, back=tokens, lent=ledger.lent)
+
+    def _move(self, ledger: Ledger, least: int = 0, most: int = 0) -> Move:
+        return Move(
+            team=ledger.team,
+            least=least,
+            most=most,
+            share=self.cfg.largest_share,
+            floor=self.cfg.least_draw,
+            keep=ledger.billed + ledger.reserved + self.ahead(ledger),
+            lent=max(ledger.lent, ledger.lendable),
+            loans=tuple(ledger.borrowed.values()),
+        )
--- /dev/null
+++ b/src/balsamreach/budget/upkeep.py
@@ -0,0 +1,194 @@
+"""What a router does for its budgets beside serving requests."""
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from functools import partial
+
+import attrs
+
+from balsamreach.budget.account import Bill
+from balsamreach.budget.book import Book
+from balsamreach.budget.closing_plan import Closing
+from balsamreach.budget.copies import Keeper, Sender
+from balsamreach.budget.faults import (
+    CONTENDED,
+    LEFT,
+    TAKEN_OVER,
+    BudgetFault,
+)
+from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.loans import Loans
+from balsamreach.budget.moves import Move
+from balsamreach.budget.recorder import OLDEST, WAITING, Recorder
+from balsamreach.budget.settling import Settled
+from balsamreach.budget.sizing import Sizing
+from balsamreach.budget.takeover import Takeover
+from balsamreach.budget.wakeup import BEAT_S, Wakeup
+from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.metrics import Metrics
+
+HELD = 'balsamreach_budget_held_tokens'
+
+_logger = logging.getLogger(__name__)
+_MOST_TEAMS = 50
+#: Rounds for which buddies have time to settle a predecessor's bills.
+_ROUNDS_BEFORE_CLOSING = 3
+
+
+@attrs.frozen
+class PeerParts:
+    """What works with the other routers."""
+
+    loans: Loans
+    sender: Sender
+    keeper: Keeper
+
+
+@attrs.define
+class Upkeep:
+    """Draws ahead, returns, records, lends and takes over, in rounds.
+
+    Parameters
+    ----------
+    book, sizing, recorder, takeover
+        The parts it drives.
+    peers : PeerParts or None
+        None for a router without peers.
+    metrics : Metrics
+        Shows what is held and waiting.
+    """
+
+    book: Book
+    sizing: Sizing
+    recorder: Recorder
+    takeover: Takeover
+    peers: PeerParts | None
+    metrics: Metrics
+    _rounds: int = 0
+    _teams: int = _MOST_TEAMS
+
+    async def round(self) -> None:
+        """Do everything that is due once."""
+        self._rounds += 1
+        await self.book.enter()
+        await self._move_all()
+        await self.recorder.flush()
+        if self._rounds > _ROUNDS_BEFORE_CLOSING:
+            await self.takeover.close_predecessors()
+        if self.peers is not None:
+            await self.peers.loans.send_receipts()
+            await self.peers.keeper.settle_gone()
+        self._show()
+
+    async def run(self, interval: float, wakeup: Wakeup) -> None:
+        """Do rounds and beats until cancelled.
+
+        Parameters
+        ----------
+        interval : float
+            Seconds between two rounds.
+        wakeup : Wakeup
+            Looks at the clock at each beat.
+        """
+        await asyncio.gather(self._run_rounds(interval), self._beat(wakeup))
+
+    def copy_bills(self) -> None:
+        """Bring the buddy's copies of waiting bills up to date."""
+        if self.peers is not None:
+            self.peers.sender.send(self.recorder.bills())
+
+    async def leave(self) -> bool:
+        """Record all bills and give all allotments back.
+
+        Returns
+        -------
+        bool
+            Whether nothing is left behind; else the buddy was asked to
+            finish, and a log line tells whether it could be.
+        """
+        await self.book.move(self._loans_moves)
+        await self.recorder.flush()
+        if self.book.closed is None:
+            # Nothing is spent or lent from here on.
+            self.book.closed = LEFT
+        for ledger in tuple(self.book.ledgers.values()):
+            fault = await self._close_own(ledger)
+            if fault is not None:
+                return await self._hand_over(fault)
+        await self.takeover.incarnations.leave()
+        return True
+
+    async def _run_rounds(self, interval: float) -> None:
+        while True:
+            await self.book.clock.sleep(interval)
+            await self.round()
+
+    async def _beat(self, wakeup: Wakeup) -> None:
+        while True:
+            await self.book.clock.sleep(BEAT_S)
+            wakeup.beat()
+            self.copy_bills()
+
+    async def _move_all(self) -> None:
+        teams = tuple(self.book.ledgers)
+        start = 0
+        while start < len(teams):
+            part = teams[start : start + self._teams]
+            outcome = await self.book.move(partial(self._due, part))
+            if outcome == CONTENDED and len(part) > 1:
+                # One busy account holds up all that share a commit with it,
+                # so fewer share the next one.
+                self._teams = len(part) // 2
+                continue
+            if isinstance(outcome, BudgetFault) and outcome != CONTENDED:
+                return
+            start += len(part)
+            self._teams = min(_MOST_TEAMS, self._teams + 1)
+
+    def _due(self, teams: Iterable[str]) -> tuple[Move, ...]:
+        moves = (
+            self.sizing.in_background(self.book.ledgers[team]) for team in teams
+        )
+        return tuple(move for move in moves if move is not None)
+
+    def _loans_moves(self) -> tuple[Move, ...]:
+        return tuple(
+            self.sizing.for_loans(ledger)
+            for ledger in self.book.ledgers.values()
+            if ledger.borrowed
+        )
+
+    async def _close_own(self, ledger: Ledger) -> BudgetFault | None:
+        closing = Closing(
+            self.takeover.incarnations.incarnation,
+            ledger.team,
+            lent=ledger.lent,
+        )
+        bills = tuple(ledger.waiting)
+        outcome = await self.takeover.closer.close_all(closing, bills)
+        if isinstance(outcome, BudgetFault):
+            return outcome
+        done = tuple(bill for bill in bills if bill not in outcome.unpaid)
+        self.recorder.enter(Settled(done))
+        return None
+
+    async def _hand_over(self, fault: BudgetFault) -> bool:
+        waiting: tuple[Bill, ...] = self.recorder.bills()
+        taken = False
+        if self.peers is not None and self.book.closed != TAKEN_OVER:
+            taken = await self.peers.sender.hand_over(waiting)
+        log_event(
+            _logger,
+            logging.WARNING if taken else logging.ERROR,
+            'bills_handed_over' if taken else 'bills_left_behind',
+            reason=fault.reason,
+            bills=len(waiting),
+        )
+        return False
+
+    def _show(self) -> None:
+        ledgers = self.book.ledgers.values()
+        self.metrics.gauge(HELD, sum(ledger.own for ledger in ledgers))
+        self.metrics.gauge(WAITING, self.recorder.waiting)
+        self.metrics.gauge(OLDEST, self.recorder.oldest_age)
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -85,6 +85,7 @@
     draw_ahead: float = key(units.read_duration)
     least_draw: int = key(units.read_count)
     largest_share: float = key(units.read_share)
+    draw_wait: float = key(units.read_duration)
     flush_interval: float = key(units.read_duration)
     bills_limit: int = key(units.read_count)
     partition_cover: float = key(units.read_duration)
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -102,7 +102,18 @@
     )
     net.greeter.table_version = table.follower.announced
     targets = Targets(warm_time=cfg.power.warm_time)
-    budgets = Budgets(service, net.me.incarnation, cfg.budget, clock)
+    budgets = Budgets(
+        service,
+        net.me.incarnation,
+        cfg.budget,
+        clock,
+        net=net,
+        # With port 0 the next router on this host gets another port, and a
+        # later one on the same port need not be this one's successor.
+        address=net.me.address if cfg.peers.port else '',
+        rng=net.rng,
+        metrics=metrics,
+    )
     upstream = CurlUpstream(cfg)
     routing = make_routing(cfg, targets, clock, net.rng, metrics, net)
     return Parts(
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -36,6 +36,7 @@
 
 _logger = logging.getLogger(__name__)
 _LAST_FLUSHES = 20
+_FLUSH_PAUSE_S = 1
 
 
 @attrs.define(eq=False)
@@ -106,7 +107,7 @@
         await self.parts.net.leave()
         await self._stop_accepting()
         await self._drain()
-        await self._flush_last()
+        await self._leave_budgets()
         await self.parts.net.stop()
         await self._close()
         log_event(_logger, logging.INFO, 'router_left')
@@ -141,11 +142,12 @@
         self.parts.upstream.close()
         self.tracing.close()
 
-    async def _flush_last(self) -> None:
+    async def _leave_budgets(self) -> None:
         for _ in range(_LAST_FLUSHES):
             if await self.parts.budgets.flush() is None:
-                return
-            await self.parts.clock.sleep(self.cfg.budget.flush_interval)
+                break
+            await self.parts.clock.sleep(_FLUSH_PAUSE_S)
+        await self.parts.budgets.leave()
 
     async def _follow_table(self) -> None:
         table = self.parts.table
--- a/src/balsamreach/dispatch/billing.py
+++ b/src/balsamreach/dispatch/billing.py
@@ -9,6 +9,8 @@
 USAGE_MISSING = 'usage_missing'
 USAGE_NEGATIVE = 'usage_negative'
 USAGE_TOO_LARGE = 'usage_too_large'
+#: The request had a claim; an audit looks for it.
+CLAIMED = 'claimed'
 
 
 def make_bill(call: Call, reply: Reply) -> Bill:
@@ -27,13 +29,15 @@
         At most the reserved tokens; odd figures are flagged. An error
         that the target answered with costs nothing.
     """
+    claimed = not (call.idempotent or call.req.minted)
+    due = (CLAIMED,) if claimed else ()
     if call.kind != ENGINE:
         price = 0 if is_failure(reply.status) else call.most_tokens
-        return Bill(call.req.team, call.req.key, price)
+        return Bill(call.req.team, call.req.key, price, due)
     if reply.status >= _FIRST_ERROR:
-        return Bill(call.req.team, call.req.key, 0)
+        return Bill(call.req.team, call.req.key, 0, due)
     tokens, flags = _bounded(call, reply.usage(), reply.events)
-    return Bill(call.req.team, call.req.key, tokens, flags)
+    return Bill(call.req.team, call.req.key, tokens, (*flags, *due))
 
 
 def _bounded(
--- a/src/balsamreach/dispatch/reserving.py
+++ b/src/balsamreach/dispatch/reserving.py
@@ -1,5 +1,7 @@
 """Sets a request's worst case aside, in the terms of the dispatch layer."""
 
+import attrs
+
 from balsamreach.budget.budgets import Budgets
 from balsamreach.budget.faults import EXHAUSTED, BudgetFault
 from balsamreach.budget.ledger import Reservation
@@ -37,4 +39,8 @@
 def _turn(fault: BudgetFault) -> DispatchFault:
     if fault == EXHAUSTED:
         return faults.BUDGET_EXHAUSTED.because(fault.reason)
-    return faults.BUDGET_UNREACHABLE.because(fault.reason)
+    return attrs.evolve(
+        faults.BUDGET_UNREACHABLE,
+        reason=fault.reason,
+        retry_after=fault.retry_after,
+    )
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -116,6 +116,7 @@
   incarnation @0 :Text;
   bills @1 :List(BillCopy);
   recorded @2 :List(BillCopy);
+  left @3 :Bool;
 }
 
 struct LoanAsk {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -180,11 +180,19 @@
 
 @attrs.frozen
 class BillCopies(Message):
-    """Bills to keep until their maker says that they are recorded."""
+    """Bills to keep until their maker says that they are recorded.
+
+    Parameters
+    ----------
+    left : bool
+        Whether the maker has stopped spending for good, so that its buddy
+        may settle its bills and close its allotments.
+    """
 
     incarnation: str
     bills: tuple[BillCopy, ...] = ()
     recorded: tuple[BillCopy, ...] = ()
+    left: bool = False
 
 
 @attrs.frozen
