--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -74,6 +74,8 @@
     ----------
     start : int
         How often it was started; 0 and ``up`` False before the first time.
+    blind : bool
+        Whether it reports that nothing runs, whatever does.
     cut : int
         Requests that a power-off cut.
     """
@@ -89,6 +91,7 @@
     honours_fences: bool = False
     checks_incarnation: bool = True
     obeys_leave: bool = True
+    blind: bool = False
     fence: int = 0
     cut: int = 0
     orders: list[Order] = attrs.field(factory=list)
@@ -157,8 +160,8 @@
         if address in self.stale and not fresh:
             return NO_ANSWER
         return LoadReport(
-            running=host.running,
-            queued=host.queued,
+            running=0 if host.blind else host.running,
+            queued=0 if host.blind else host.queued,
             slots=host.slots,
             incarnation=host.incarnation,
             leaving=host.leaving,
--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -198,6 +198,7 @@
     net: FakeNet = attrs.field(factory=FakeNet)
     metrics: Metrics = attrs.field(factory=Metrics)
     routers: list[WorldRouter] = attrs.field(factory=list)
+    paused: set[str] = attrs.field(factory=set)
     running: list[tuple[Target, FakeHost, int]] = attrs.field(factory=list)
     rows: list[TargetRow] = attrs.field(init=False)
     client: FakeTargets = attrs.field(init=False)
@@ -274,7 +275,7 @@
 
     async def poll(self) -> None:
         """Let all routers poll targets and power rows once."""
-        for router in self.routers:
+        for router in self._awake():
             await router.power.follower.follow_once()
             await router.watch.loads.poll_once()
             router.watch.marks.catch_up()
@@ -284,7 +285,7 @@
         """Poll, decide and let time pass."""
         self.switch.bring_up()
         await self.poll()
-        for router in self.routers:
+        for router in self._awake():
             await self.step(router)
         await self.net.settle()
         await self.clock.advance(seconds)
@@ -334,3 +335,6 @@
         """Let all requests end."""
         while self.running:
             self.end_one()
+
+    def _awake(self) -> list[WorldRouter]:
+        return [one for one in self.routers if one.name not in self.paused]
