Measure what one more of anything costs, by one command

Cause: docs/CAPACITY.md is to be worked out from slopes that anyone can measure again; until now they came from several tools or from nowhere. Change: python -m bench.slopes (make slopes) measures memory, processor time, bytes and uses of the table service, some runs each, and prints median and spread.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell find src -name '*.py' -o -name '*.ini' -o -name '*.capnp')
 CHECKED = src tests tools bench
 
-.PHONY: bench venv trial test test-binary lint format binary
+.PHONY: bench slopes venv trial test test-binary lint format binary
 
 venv: $(STAMP)
 
@@ -33,6 +33,11 @@
 bench: $(STAMP)
 	PYTHONPATH=. $(VENV)/bin/python -m bench $(SCENARIO) --seed $(SEED)
 
+# All slopes of docs/CAPACITY.md, or some: make slopes SLOPE="edits links"
+SLOPE ?= --all
+slopes: $(STAMP)
+	PYTHONPATH=. $(VENV)/bin/python -m bench.slopes $(SLOPE)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check $(CHECKED)
 	$(VENV)/bin/ruff check $(CHECKED)
--- a/bench/routing_cpu.py
+++ b/bench/routing_cpu.py
@@ -44,9 +44,9 @@
     ]
     targets.update(rows)
     routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
-    await _place(routing, _MODELS * 4, rng)
+    await place(routing, _MODELS * 4, rng)
     began = time.process_time()
-    await _place(routing, _PLACEMENTS, rng)
+    await place(routing, _PLACEMENTS, rng)
     took = time.process_time() - began
     rows[0] = TargetRow(**{**_fields(rows[0]), 'weight': 2})
     targets.update(rows)
@@ -72,12 +72,18 @@
     }
 
 
-async def _place(routing, placements: int, rng: random.Random) -> None:
+async def place(
+    routing,
+    placements: int,
+    rng: random.Random,
+    models: int = _MODELS,
+) -> None:
+    """Place requests for so many models, a thousand in progress at most."""
     held = []
     for number in range(placements):
         ask = Ask(
             team='team',
-            pool=(ENGINE, f'model-{number % _MODELS}'),
+            pool=(ENGINE, f'model-{number % models}'),
             fingerprint=str(number),
             deadline=routing.clock.now() + 60,
             prefix=rng.randbytes(_PREFIX),
--- /dev/null
+++ b/bench/slopes_cpu.py
@@ -0,0 +1,199 @@
+"""Processor time and bytes of one more message, edit, report or bill."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Mapping
+from functools import partial
+
+from balsamreach.budget.account import Bill
+from balsamreach.budget.budgets import Budgets
+from balsamreach.clock import SystemClock
+from balsamreach.config.reader import read_settings
+from balsamreach.routing.routing import make_routing
+from balsamreach.table.rows import TargetRow
+from balsamreach.table.view import TableView
+from balsamreach.targets.registry import Targets
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire import messages
+from balsamreach.wire.codec import Envelope, decode, encode
+from balsamreach.wire.framing import HEAD
+from bench import routing_cpu, table_size
+from bench.routing_loop import LoopClock
+from bench.slopes_kinds import Measure, Size, cpu_us_each, cpu_us_since
+from bench.slopes_memory import fund
+from tools import measure_links
+
+_MICRO = 1_000_000
+_TEXT = 'f' * 32
+_REPORTS = 11
+_USES = 8
+_KEY = 'quote-2027-03-17-0042'
+_NEAR_TARGETS = 330
+_RATE = 50
+
+
+def _samples() -> dict[str, messages.Message]:
+    """Return one message of each kind that control sends often."""
+    row = table_size.team(1)
+    body = json.dumps(row.value, separators=(',', ':'))
+    reports = tuple(_report(number) for number in range(_REPORTS))
+    uses = tuple(
+        messages.TeamUse(f'team-{number:05}', 100, 0) for number in range(_USES)
+    )
+    copies = tuple(
+        messages.BillCopy('team-00001', f'{_KEY}-{number}', 900)
+        for number in range(_RATE)
+    )
+    return {
+        'heartbeat': messages.Heartbeat(123456789),
+        'table_row': messages.TableRows(
+            1000,
+            1001,
+            (messages.TableRow(row.key, row.version, body),),
+        ),
+        'loads_of_11': messages.TargetLoads(reports),
+        'uses_of_8': messages.Uses(_TEXT, 17, uses),
+        'bill_copies_of_50': messages.BillCopies(_TEXT, copies, copies),
+        'run_note': messages.RunNote(
+            'team-00001',
+            _KEY,
+            _TEXT,
+            _TEXT,
+            '10.0.0.1:8080',
+        ),
+    }
+
+
+def _report(number: int) -> messages.TargetLoad:
+    return messages.TargetLoad(
+        f'target-{number:05}',
+        f'{random.Random(number).getrandbits(128):032x}',
+        6,
+        1,
+        8,
+        False,
+        0.25,
+        True,
+    )
+
+
+def _messages(size: Size) -> Mapping[str, float]:
+    count = size.scale(2000, 10)
+    figures = {}
+    for name, message in _samples().items():
+        packed = encode(Envelope(message))
+        figures[f'{name}_bytes'] = len(packed) + HEAD
+        encoding = partial(encode, Envelope(message))
+        figures[f'{name}_encode_us'] = cpu_us_each(encoding, count)
+        decoding = partial(decode, packed)
+        figures[f'{name}_decode_us'] = cpu_us_each(decoding, count)
+    return figures
+
+
+def _links(size: Size) -> Mapping[str, float]:
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    tell, ask = asyncio.run(measure_links.measure_messages(cfg))
+    return {
+        'told_both_ends_us': tell * _MICRO,
+        'ask_and_answer_both_ends_us': ask * _MICRO,
+    }
+
+
+def _edits(size: Size) -> Mapping[str, float]:
+    teams = size.scale(table_size.TEAMS, 100)
+    count = size.scale(2000, 10)
+    view = TableView()
+    view.apply(tuple(map(table_size.team, range(teams))), teams)
+    edited = [table_size.team(number % teams) for number in range(count)]
+    began = time.process_time()
+    for number, row in enumerate(edited):
+        version = teams + number + 1
+        view.apply((_at(row, version),), version)
+    return {
+        'team_edit_us': cpu_us_since(began, count),
+        'target_edit_of_10000_us': _target_edit(size),
+    }
+
+
+def _at(row, version):
+    return type(row)(row.key, version, row.value)
+
+
+def _target_edit(size: Size) -> float:
+    count = size.scale(table_size.TARGETS, 100)
+    rows = [
+        TargetRow(
+            name=f'engine-{number}',
+            address=f'127.0.0.1:{number + 1}',
+            zone='zone-0',
+            service='llm',
+        )
+        for number in range(count)
+    ]
+    targets = Targets()
+    targets.update(rows)
+    return cpu_us_each(lambda: targets.update(rows), size.scale(20, 2))
+
+
+def _bills(size: Size) -> Mapping[str, float]:
+    count = size.scale(200, 10)
+    return asyncio.run(_settle(count))
+
+
+async def _settle(count: int) -> Mapping[str, float]:
+    teams = [f'team-{number}' for number in range(8)]
+    budgets = await _budgets(teams)
+    began = time.process_time()
+    for number in range(count):
+        team = teams[number % len(teams)]
+        reservation = await budgets.reserve(team, 100)
+        budgets.bill(reservation, Bill(team, f'{_KEY}-{number}', 90))
+    reserved = cpu_us_since(began, count)
+    began = time.process_time()
+    await budgets.flush()
+    settled = cpu_us_since(began, count)
+    # The table service is in the same process, so its part counts, too.
+    return {'reserve_and_bill_us': reserved, 'settle_bill_us': settled}
+
+
+async def _budgets(teams: list[str]) -> Budgets:
+    clock = SystemClock()
+    platform = await fund(teams, clock)
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    return Budgets(platform.table, 'r', cfg.budget, clock)
+
+
+def _placing(size: Size) -> Mapping[str, float]:
+    return asyncio.run(_place(size))
+
+
+async def _place(size: Size) -> Mapping[str, float]:
+    count = size.scale(3000, 10)
+    cfg = read_settings(None, ('host.zone=zone-0',))
+    targets = Targets()
+    targets.update(
+        TargetRow(
+            name=f'engine-{number}',
+            address=f'127.0.0.1:{number + 1}',
+            zone='zone-0',
+            service='llm',
+            models=('model-0',),
+        )
+        for number in range(_NEAR_TARGETS)
+    )
+    rng = random.Random(size.seed)
+    routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
+    began = time.process_time()
+    await routing_cpu.place(routing, count, rng, models=1)
+    return {'placement_at_330_us': cpu_us_since(began, count)}
+
+
+MEASURES: dict[str, Measure] = {
+    'messages': _messages,
+    'links': _links,
+    'edits': _edits,
+    'bills': _bills,
+    'placing': _placing,
+}
--- /dev/null
+++ b/bench/slopes_fleet.py
@@ -0,0 +1,161 @@
+"""What one more request and one more stream cost a router process."""
+
+import asyncio
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+
+import attrs
+
+from bench.callers import Ask, Callers
+from bench.fleet import Fleet, engine_row, secret_of, start_fleet, team
+from bench.processes import Process
+from bench.slopes_kinds import Measure, Size
+
+_TEAM = 'team-a'
+_MICRO = 1_000_000
+_KIB = 1024
+_MIB = 1024 * 1024
+_AT_ONCE = 8
+_LENGTHS = (1, 65)
+_PACE_S = 0.2
+_READING_S = 6
+_IDLE_S = 5
+_LONGEST_S = 200
+_ROWS = 32
+_BASE = (
+    'import os, pathlib\n'
+    'import balsamreach.daemon.router\n'
+    'status = pathlib.Path("/proc/self/status").read_text()\n'
+    'print(status.partition("VmRSS:")[2].partition("kB")[0])\n'
+)
+_BARE = _BASE.replace('import balsamreach.daemon.router\n', '')
+
+
+def _requests(size: Size) -> Mapping[str, float]:
+    return asyncio.run(_with_fleet(_measure_requests, size))
+
+
+def _streams(size: Size) -> Mapping[str, float]:
+    return asyncio.run(_with_fleet(_measure_streams, size))
+
+
+async def _with_fleet(measure, size: Size) -> Mapping[str, float]:
+    fleet = await start_fleet()
+    try:
+        async with asyncio.timeout(_LONGEST_S):
+            return await measure(fleet, size)
+    finally:
+        await fleet.stop()
+
+
+async def _measure_requests(fleet: Fleet, size: Size) -> Mapping[str, float]:
+    engine = await fleet.engine(
+        '--pace-ms', '0', '--first-ms', '0', '--slots', '64'
+    )
+    await fleet.put(team(_TEAM), engine_row('engine-0', engine.address))
+    router = await fleet.router()
+    count = size.scale(600, 5)
+    warm = Asking(router, 'warm')
+    await warm.ask(size.scale(100, 2), _LENGTHS[0])
+    idle = await _idle_share(router, size)
+    found = []
+    for words in _LENGTHS:
+        used, seconds = await Asking(router, f'w{words}').ask(count, words)
+        found.append((used - idle * seconds) / count * _MICRO)
+    return {
+        'idle_share_of_a_core': idle,
+        'request_of_1_word_us': found[0],
+        'word_more_us': (found[1] - found[0]) / (_LENGTHS[1] - _LENGTHS[0]),
+        'rss_idle_mib': router.memory() / _MIB,
+    }
+
+
+async def _idle_share(router: Process, size: Size) -> float:
+    before = router.cpu_s()
+    seconds = size.scale(_IDLE_S, 1)
+    await asyncio.sleep(seconds)
+    return (router.cpu_s() - before) / seconds
+
+
+@attrs.define
+class Asking:
+    """Callers that ask a router again as soon as they are answered."""
+
+    router: Process
+    prefix: str
+    made: int = 0
+    callers: Callers = attrs.field(factory=Callers)
+
+    async def ask(self, count: int, words: int) -> tuple[float, float]:
+        """Return the CPU and wall seconds that so many requests took."""
+        before = self.router.cpu_s()
+        began = time.monotonic()
+        self.made = 0
+        await asyncio.gather(
+            *(self._ask_on(count, words) for _ in range(_AT_ONCE)),
+        )
+        return self.router.cpu_s() - before, time.monotonic() - began
+
+    async def _ask_on(self, count: int, words: int) -> None:
+        while self.made < count:
+            self.made += 1
+            ask = Ask(_TEAM, f'{self.prefix}-{self.made}', words)
+            outcome = await self.callers.ask(ask, self.router)
+            assert outcome.right, outcome
+
+
+async def _measure_streams(fleet: Fleet, size: Size) -> Mapping[str, float]:
+    engine = await fleet.start('engine', 'bench.stamping', str(_PACE_S))
+    await fleet.put(team(_TEAM))
+    for number in range(_ROWS):
+        await fleet.put(engine_row(f'engine-{number}', engine.address))
+    router = await fleet.router()
+    # The first streams pay for what all later ones share.
+    await _open(fleet, router, size.scale(50, 2))
+    before = router.memory()
+    few, many = size.scale(50, 2), size.scale(400, 4)
+    sizes = [await _open(fleet, router, count) for count in (few, many)]
+    return {
+        'stream_rss_kib': (sizes[1] - sizes[0]) / (many - few) / _KIB,
+        'rss_before_mib': before / _MIB,
+        'rss_at_most_streams_mib': sizes[1] / _MIB,
+    }
+
+
+async def _open(fleet: Fleet, router: Process, streams: int) -> int:
+    """Open streams; return the router's memory while all are open."""
+    tokens = str(int(_READING_S / _PACE_S))
+    reader = await fleet.start(
+        'reader',
+        'bench.readers',
+        router.address,
+        str(streams),
+        tokens,
+        secret_of(_TEAM),
+    )
+    await asyncio.sleep(_READING_S / 2)
+    memory = router.memory()
+    await reader.next_line()
+    return memory
+
+
+def _base(size: Size) -> Mapping[str, float]:
+    return {
+        'interpreter_rss_mib': _rss_mib(_BARE),
+        'interpreter_and_libraries_rss_mib': _rss_mib(_BASE),
+    }
+
+
+def _rss_mib(code: str) -> float:
+    command = (sys.executable, '-c', code)
+    printed = subprocess.check_output(command, text=True)
+    return int(printed) / _KIB
+
+
+MEASURES: dict[str, Measure] = {
+    'memory_base': _base,
+    'requests': _requests,
+    'streams': _streams,
+}
--- /dev/null
+++ b/bench/slopes_memory.py
@@ -0,0 +1,136 @@
+"""Memory of one more team, target, peer, link, ledger, bill and answer."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from balsamreach.budget.account import Account, Bill, account_key, encode
+from balsamreach.budget.budgets import Budgets
+from balsamreach.clock import Clock, SystemClock
+from balsamreach.config.reader import read_settings
+from balsamreach.platform.base import Commit, Write
+from balsamreach.requests.answers import End
+from balsamreach.requests.identity import RequestId
+from balsamreach.requests.registry import Answers
+from balsamreach.standins.memory import MemoryPlatform
+from balsamreach.targets.registry import Targets
+from bench import table_size
+from bench.slopes_kinds import Measure, Size, bytes_each
+from tools import measure_links
+
+_PREPAID = 10**12
+_TOKENS = 100
+_ANSWER = b'x' * 1000
+_TARGETS = 4000
+
+
+def _table(size: Size) -> Mapping[str, float]:
+    count = size.scale(8000, 200)
+    return {
+        'team_view_bytes': table_size.memory_slope(table_size.team, count),
+        'target_view_bytes': table_size.memory_slope(table_size.target, count),
+        'target_state_bytes': bytes_each(_targets, len(_rows())),
+    }
+
+
+def _targets(count: int) -> Targets:
+    # The rows themselves are the view's; only what is kept beside them counts.
+    targets = Targets()
+    targets.update(_rows()[:count])
+    return targets
+
+
+@functools.cache
+def _rows() -> tuple[Any, ...]:
+    written = map(table_size.target, range(_TARGETS))
+    return tuple(
+        table_size.rows.decode(row.key, dict(row.value or {}))
+        for row in written
+    )
+
+
+def _peers(size: Size) -> Mapping[str, float]:
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    return {
+        'member_bytes': measure_links.measure_members(),
+        'link_end_bytes': asyncio.run(measure_links.measure_link_memory(cfg)),
+    }
+
+
+def _budgets(size: Size) -> Mapping[str, float]:
+    count = size.scale(4000, 100)
+    return {
+        'ledger_bytes': bytes_each(_run(_with_ledgers), count),
+        'waiting_bill_bytes': bytes_each(_run(_with_bills), count),
+    }
+
+
+def _run(make: Callable[[int], Any]) -> Callable[[int], Any]:
+    return lambda count: asyncio.run(make(count))
+
+
+async def fund(teams: list[str], clock: Clock) -> MemoryPlatform:
+    """Return a platform that holds a full account for each team."""
+    platform = MemoryPlatform.start(clock)
+    account = encode(Account(prepaid=_PREPAID))
+    for name in teams:
+        write = Write(account_key(name), account)
+        await platform.table.commit(Commit((write,)))
+    return platform
+
+
+async def _with_ledgers(count: int) -> Any:
+    clock = SystemClock()
+    names = [f'team-{number:05}' for number in range(count)]
+    platform = await fund(names, clock)
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    budgets = Budgets(platform.table, 'r', cfg.budget, clock)
+    for name in names:
+        budgets.release(await budgets.reserve(name, _TOKENS))
+    # The rows of the table service are the platform's, not the router's.
+    budgets.service = None
+    return budgets.ledgers, budgets
+
+
+async def _with_bills(count: int) -> Any:
+    clock = SystemClock()
+    platform = await fund(['team'], clock)
+    cfg = read_settings(
+        None, ('host.zone=zone-a', 'budget.bills_limit=1000000')
+    )
+    budgets = Budgets(platform.table, 'r', cfg.budget, clock)
+    for number in range(count):
+        reservation = await budgets.reserve('team', _TOKENS)
+        key = f'{random.Random(number).getrandbits(128):032x}'
+        budgets.bill(reservation, Bill('team', key, _TOKENS))
+    return budgets
+
+
+def _answers(size: Size) -> Mapping[str, float]:
+    count = size.scale(8000, 100)
+    each = bytes_each(_run(_with_answers), count)
+    return {'kept_answer_bytes_beyond_body': each - len(_ANSWER)}
+
+
+async def _with_answers(count: int) -> Answers:
+    cfg = read_settings(None, ('host.zone=zone-a',))
+    answers = Answers(cfg.requests, SystemClock())
+    for number in range(count):
+        key = f'key-{number:032}'
+        answer = answers.open(RequestId('team', key, False, f'{number:064x}'))
+        answer.start(200, {'Content-Type': f'text/event-stream; n={number}'})
+        # Each body is text of its own, as it comes from a target.
+        answer.write(bytes(bytearray(_ANSWER)))
+        answers.finish(answer, End(whole=True))
+    await asyncio.sleep(0)
+    return answers
+
+
+MEASURES: dict[str, Measure] = {
+    'memory_table': _table,
+    'memory_peers': _peers,
+    'memory_budgets': _budgets,
+    'memory_answers': _answers,
+}
