Pass words on rates on only where routers aren't all linked

Cause: each router passed every word on to all its neighbours; where all are linked to all, everyone has it already. Eight routers sent each other 49 messages and 15 KB a second each, beyond the 6 KB/s that all control may take. Change: a router whose neighbours are all members passes nothing on. The test of copies fails without the change.

--- a/src/balsamreach/routing/limits.py
+++ b/src/balsamreach/routing/limits.py
@@ -105,7 +105,8 @@
             return
         if message.incarnation == self.net.me.incarnation:
             return
-        if self._heard.put(message, self.clock.now(), self.interval()):
+        news = self._heard.put(message, self.clock.now(), self.interval())
+        if news and not self._reaches_all():
             self.net.spread(message, besides=sender.incarnation)
 
     def share(self, team: str) -> float:
@@ -124,6 +125,15 @@
         # lets a quiet one start at once.
         return heard / members * (own + 1) / (own + others + heard)
 
+    def _reaches_all(self) -> bool:
+        # In a small fleet everyone is linked to everyone. Passed on there,
+        # each word would arrive once over every link; it would show as bytes
+        # to peers that grow with the square of the routers. Where a single
+        # pair is cut off, each leaves the other an even share meanwhile.
+        if self.net is None:
+            return True
+        return len(self.net.neighbours()) + 1 >= len(self.net.members())
+
     def _rate(self, team: TeamRow, tokens: int) -> RoutingFault | None:
         if not team.requests_per_minute and not team.tokens_per_minute:
             return None
--- a/tests/test_routing_limits.py
+++ b/tests/test_routing_limits.py
@@ -111,3 +111,29 @@
         admitted = await self.ask_for_a_minute((40, 40, 40, 40))
         self.assertLessEqual(sum(admitted), 1200 * 1.05)
         self.assertGreater(min(admitted), 1200 / 4 * 0.8)
+
+    async def test_words_are_not_passed_on_where_all_are_linked(self):
+        """Control bytes of a small fleet grow with its links alone.
+
+        Symptom: eight idle routers send each other 15 KB a second.
+        Sequence: each router passes on each word to all that have it.
+        Cause: words spread as if they had to cross a larger fleet.
+        """
+        for router in self.routers:
+            router.tell()
+        await self.net.settle()
+        self.assertEqual(len(self.net.sent), 4 * 3)
+
+    async def test_two_that_cannot_hear_each_other_keep_to_the_rate(self):
+        """A single broken link neither passes the rate nor starves a router.
+
+        Symptom: one router refuses a team that is within its rate.
+        Sequence: two routers lose each other; the others reach everyone
+        and pass nothing on.
+        Cause: a router that is not heard is taken for one without demand.
+        """
+        self.net.cut(('router-0',), ('router-3',))
+        await self.ask_for_a_minute((40, 40, 40, 40))
+        admitted = await self.ask_for_a_minute((40, 40, 40, 40))
+        self.assertLessEqual(sum(admitted), 1200 * 1.05)
+        self.assertGreater(min(admitted), 1200 / 4 * 0.8)
