Delete records of edits that are older than they are kept

Change: the first-ranked router of a zone looks at one page a minute for the whole fleet, agreed on by a conditional commit, and deletes what is older than [table] keep_edit_ids and keep_history. Measured: not at size; counts by tests. The tests fail without the guard against a wrong clock, without the shared row, without going on behind a full page, and with one retention for both.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -130,6 +130,8 @@
     readers_per_zone: int = key(units.read_count)
     poll_interval: float = key(units.read_duration)
     snapshot_interval: float = key(units.read_duration)
+    keep_edit_ids: float = key(units.read_duration)
+    keep_history: float = key(units.read_duration)
 
 
 @attrs.frozen
--- a/src/balsamreach/daemon/table_parts.py
+++ b/src/balsamreach/daemon/table_parts.py
@@ -11,6 +11,7 @@
 from balsamreach.table.editor import Editor
 from balsamreach.table.exchange import TableExchange
 from balsamreach.table.follower import TableFollower
+from balsamreach.table.pruning import Pruner
 from balsamreach.table.reader import TableReader
 from balsamreach.table.snapshots import Snapshots
 from balsamreach.table.status import TableStatus
@@ -49,6 +50,7 @@
         reader=TableReader(needs.service, view),
         exchange=TableExchange(needs.net, view, needs.metrics),
         snapshots=Snapshots(needs.objects, needs.clock, needs.metrics),
+        pruner=Pruner(needs.cfg, needs.service, needs.clock, needs.metrics),
         clock=needs.clock,
         rng=needs.rng,
         metrics=needs.metrics,
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -10,6 +10,7 @@
 from balsamreach.platform.base import Row
 from balsamreach.table.exchange import TableExchange
 from balsamreach.table.faults import TableFault
+from balsamreach.table.pruning import Pruner
 from balsamreach.table.reader import TableReader
 from balsamreach.table.readers import rank_in_zone
 from balsamreach.table.snapshots import Snapshots
@@ -39,12 +40,15 @@
         Speaks with other routers.
     snapshots : Snapshots
         Reads and writes the object store.
+    pruner : Pruner
+        Deletes old records of edits.
     """
 
     cfg: Settings
     reader: TableReader
     exchange: TableExchange
     snapshots: Snapshots
+    pruner: Pruner
     clock: Clock
     rng: random.Random
     metrics: Metrics
@@ -134,6 +138,7 @@
         if self._snapshot_is_due():
             self._snapshot_at = self.clock.now()
             await self.snapshots.write_if_due(self.view)
+            await self.pruner.step()
 
     async def _read(self) -> tuple[Row, ...] | None:
         outcome = await self.reader.refresh()
