--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import logging
 import os
 import statistics
 import sys
@@ -19,6 +20,7 @@
     slopes_fleet,
     slopes_memory,
     slopes_spread,
+    slopes_takeover,
 )
 from bench.slopes_kinds import Measure, Size
 
@@ -27,6 +29,7 @@
     **slopes_cpu.MEASURES,
     **slopes_spread.MEASURES,
     **slopes_budgets.MEASURES,
+    **slopes_takeover.MEASURES,
     **slopes_fleet.MEASURES,
 }
 _OUT = Path('build') / 'bench' / 'slopes.json'
@@ -40,6 +43,8 @@
 @click.option('--smoke', is_flag=True, help='Small sizes, for the tests.')
 def main(names: tuple[str, ...], **options: Any) -> None:
     """Measure slopes by name, print a table, write build/bench/slopes.json."""
+    # A line for each allotment taken over would bury the figures.
+    logging.disable()
     wanted = tuple(_MEASURES) if options['everything'] else names
     found: dict[str, Any] = {}
     for name in wanted:
