Measure budgets in virtual time against two baselines

Cause: nothing told how many requests are refused though their budget has room, how many tokens lie idle, or what budgets cost the platform.

--- /dev/null
+++ b/bench/budget_policies.py
@@ -0,0 +1,249 @@
+"""Ways to keep a budget: the product's and two baselines."""
+
+import abc
+import asyncio
+import random
+
+import attrs
+
+from balsamreach.budget.account import Account, Bill, account_key, encode
+from balsamreach.budget.budgets import Budgets
+from balsamreach.budget.faults import EXHAUSTED, NO_ALLOTMENT, BudgetFault
+from balsamreach.config.settings import BudgetSettings
+from balsamreach.platform.base import Check, Commit, Write
+from balsamreach.platform.faults import PlatformFault
+from balsamreach.standins.memory import MemoryPlatform
+from bench.budget_trace import Call
+from bench.routing_loop import LoopClock
+from tests.budget_world import Gate
+from tests.fake_net import FakeNet
+
+_TRIES = 8
+_PAUSE_S = 0.01
+_PEER_S = 0.001
+
+
+class Net(FakeNet):
+    """Joins routers; an answer takes a millisecond."""
+
+    async def answer(self, source, incarnation, message):
+        """Carry a message there and its answer back."""
+        await asyncio.sleep(_PEER_S)
+        return await super().answer(source, incarnation, message)
+
+    async def carry(self) -> None:
+        """Deliver what is told, again and again."""
+        while True:
+            await asyncio.sleep(_PEER_S * 100)
+            await self.settle()
+            self.sent.clear()
+
+
+@attrs.define(eq=False)
+class Policy(abc.ABC):
+    """Admits and bills requests at all routers.
+
+    Parameters
+    ----------
+    platform : MemoryPlatform
+        Holds the accounts.
+    gates : list of Gate
+        Each router's way to it.
+    seed : int
+        Seed of its randomness.
+    """
+
+    platform: MemoryPlatform
+    gates: list[Gate]
+    seed: int
+
+    @abc.abstractmethod
+    async def reserve(self, number: int, call: Call) -> object:
+        """Return what was set aside for call ``number``, or a fault."""
+
+    @abc.abstractmethod
+    async def bill(self, number: int, call: Call, held: object) -> None:
+        """Bill a call that has ended."""
+
+    @abc.abstractmethod
+    def idle(self) -> int:
+        """Return the tokens that routers hold for no request."""
+
+    async def funded(self, team: str, tokens: int) -> None:
+        """Take notice of a top-up that the account has already."""
+        return
+
+    async def serve(self) -> None:
+        """Do what is due beside requests, until cancelled."""
+        await asyncio.Event().wait()
+
+    def cut(self, routers: list[int]) -> None:
+        """Take notice that routers are cut off from all others."""
+        return
+
+    def heal(self) -> None:
+        """Take notice that the cut is over."""
+        return
+
+
+@attrs.define(eq=False)
+class Escrow(Policy):
+    """The product's budgets."""
+
+    cfg: BudgetSettings
+    net: Net = attrs.field(factory=Net)
+    routers: list[Budgets] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        """Start the routers, half of them in each of two zones."""
+        for number, gate in enumerate(self.gates):
+            zone = 'zone-a' if number < len(self.gates) / 2 else 'zone-b'
+            peer = self.net.join(f'r{number}', zone)
+            router = Budgets(
+                gate,
+                f'r{number}',
+                self.cfg,
+                LoopClock(),
+                net=peer,
+                address=peer.me.address,
+                rng=random.Random(f'{self.seed}/{number}'),
+            )
+            self.routers.append(router)
+
+    async def reserve(self, number: int, call: Call) -> object:
+        """Reserve at the call's router."""
+        return await self.routers[call.router].reserve(call.team, call.tokens)
+
+    async def bill(self, number: int, call: Call, held: object) -> None:
+        """Bill at the call's router."""
+        router = self.routers[call.router]
+        router.bill(held, Bill(call.team, str(number), call.used))
+
+    def idle(self) -> int:
+        """Return the routers' own tokens that are not set aside."""
+        return sum(
+            ledger.own
+            for router in self.routers
+            for ledger in router.ledgers.values()
+        )
+
+    async def serve(self) -> None:
+        """Run all routers; they began at different times."""
+        late = random.Random(self.seed)
+        spans = [late.uniform(0, self.cfg.flush_interval) for _ in self.routers]
+        await asyncio.gather(
+            self.net.carry(),
+            *map(_run_later, spans, self.routers),
+        )
+
+    def cut(self, routers: list[int]) -> None:
+        """Cut the net between these routers and the others."""
+        away = [f'r{number}' for number in routers]
+        names = [router.incarnation for router in self.routers]
+        self.net.cut(away, [name for name in names if name not in away])
+
+    def heal(self) -> None:
+        """Join the net again."""
+        self.net.heal()
+
+
+@attrs.define(eq=False)
+class Central(Policy):
+    """A conditional write at the account for each reserve and settle."""
+
+    def idle(self) -> int:
+        """Return 0: no router holds anything."""
+        return 0
+
+    async def reserve(self, number: int, call: Call) -> object:
+        """Take the worst case from the account."""
+        return await self._take(call, call.tokens) or call
+
+    async def bill(self, number: int, call: Call, held: object) -> None:
+        """Give the rest back; an outage is waited out."""
+        fault = await self._take(call, call.used - call.tokens)
+        while fault is not None:
+            await asyncio.sleep(1)
+            fault = await self._take(call, call.used - call.tokens)
+
+    async def _take(self, call: Call, tokens: int) -> BudgetFault | None:
+        gate = self.gates[call.router]
+        key = account_key(call.team)
+        for attempt in range(_TRIES):
+            rows = await gate.read((key,))
+            if isinstance(rows, PlatformFault):
+                return NO_ALLOTMENT
+            account = Account(**rows[0].value)
+            if tokens > account.free:
+                return EXHAUSTED
+            taken = attrs.evolve(account, taken=account.taken + tokens)
+            outcome = await gate.commit(
+                Commit(
+                    (Write(key, encode(taken)),),
+                    (Check(key, rows[0].version),),
+                ),
+            )
+            if not isinstance(outcome, PlatformFault):
+                return None
+            await asyncio.sleep(_PAUSE_S * 2**attempt)
+        return NO_ALLOTMENT
+
+
+@attrs.define(eq=False)
+class Static(Policy):
+    """An even split of each payment over all routers, never changed.
+
+    Its bills are counted as recorded in as few writes as the product's: one
+    for each router and flush interval.
+    """
+
+    cfg: BudgetSettings
+    left: dict[tuple[int, str], int] = attrs.field(factory=dict)
+    waiting: set[int] = attrs.field(factory=set)
+
+    async def funded(self, team: str, tokens: int) -> None:
+        """Split a payment; a cut-off router sees its part at the end."""
+        await asyncio.gather(
+            *(self._fund(number, team, tokens) for number in self._all()),
+        )
+
+    async def reserve(self, number: int, call: Call) -> object:
+        """Take from the router's own part."""
+        part = (call.router, call.team)
+        if self.left.get(part, 0) < call.tokens:
+            return EXHAUSTED
+        self.left[part] -= call.tokens
+        return call
+
+    async def bill(self, number: int, call: Call, held: object) -> None:
+        """Give the rest back to the router's own part."""
+        self.left[call.router, call.team] += call.tokens - call.used
+        self.waiting.add(call.router)
+
+    def idle(self) -> int:
+        """Return what is left of all parts."""
+        return sum(self.left.values())
+
+    async def serve(self) -> None:
+        """Count one write for each router that has bills."""
+        while True:
+            await asyncio.sleep(self.cfg.flush_interval)
+            for number in tuple(self.waiting):
+                if self.gates[number].open:
+                    await self.platform.weather.admit_write()
+                    self.waiting.discard(number)
+
+    def _all(self) -> range:
+        return range(len(self.gates))
+
+    async def _fund(self, number: int, team: str, tokens: int) -> None:
+        while not self.gates[number].open:  # ruff: ignore[async-busy-wait]
+            await asyncio.sleep(1)
+        part = (number, team)
+        share = tokens // len(self.gates)
+        self.left[part] = self.left.get(part, 0) + share
+
+
+async def _run_later(pause: float, router: Budgets) -> None:
+    await asyncio.sleep(pause)
+    await router.run()
