Lead requests to engines by their cache events

Cause: cache events were read, and nothing used them; engine and router named blocks by different hashes, and a set of 4,096 names was kept for each target. A hint matched only a prompt's last block, which the next turn of a conversation no longer ends with. A field such as `user` led the prefix and sent each user's requests elsewhere. Change: events name blocks by the documented hash that routers use too; they feed one bounded table of holders; a request goes to a holder of the longest part held, within the bound of load. After a gap as many of the target's oldest hints go as events are missing, after a restart all. The test of a conversation fails without the learning.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -10,9 +10,11 @@
 
 from bench import routing_scenarios as scenarios
 from bench.routing_cpu import measure_cpu
+from bench.routing_hints import measure_hints
 
 _ALL = {
     'choice': scenarios.measure_choice,
+    'hints': measure_hints,
     'overload': scenarios.measure_overload,
     'fairness': scenarios.measure_fairness,
     'failures': scenarios.measure_failures,
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -141,6 +141,7 @@
             WatchNeeds(
                 cfg=cfg,
                 targets=targets,
+                routing=routing,
                 net=net,
                 hosts=HttpHostList(platform_client(cfg, cfg.platform.hosts)),
                 weights=HttpWeightStore(
--- a/src/balsamreach/daemon/target_watch.py
+++ b/src/balsamreach/daemon/target_watch.py
@@ -11,6 +11,7 @@
 from balsamreach.peers.base import PeerNet
 from balsamreach.platform.base import HostList, TableService, WeightStore
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
+from balsamreach.routing.routing import Routing
 from balsamreach.targets.registry import Targets
 from balsamreach.targets.watch import TargetWatch, WatchParts, make_watch
 from balsamreach.telemetry.metrics import Metrics
@@ -22,6 +23,7 @@
 
     cfg: Settings
     targets: Targets
+    routing: Routing
     net: PeerNet
     hosts: HostList
     weights: WeightStore
@@ -70,6 +72,7 @@
             metrics=metrics,
         ),
     )
+    watch.cache.watchers.append(needs.routing.learn_cache)
     if not cfg.power.enabled:
         return WatchRunner(watch, None)
     power = make_power(
--- a/src/balsamreach/gateway/operators_targets.py
+++ b/src/balsamreach/gateway/operators_targets.py
@@ -61,8 +61,8 @@
         'weight': round(target.effective_weight(now), 3),
         'failures': target.failures,
         'power': hold.state if hold else 'on',
-        'cached_blocks': len(target.blocks),
-        'cache_event_gaps': target.blocks.gaps,
+        'cache_events_until': target.cache.next_seq,
+        'cache_event_gaps': target.cache.gaps,
     }
 
 
--- a/src/balsamreach/gateway/prompts.py
+++ b/src/balsamreach/gateway/prompts.py
@@ -18,6 +18,8 @@
 _BYTES_PER_TOKEN = 4
 _PREFIX_LIMIT = 8192
 _ROLES = ('assistant', 'developer', 'function', 'system', 'tool', 'user')
+#: Keys that templates put before the messages.
+_LEADING = frozenset(('functions', 'tools'))
 #: Keys of a request that never become part of the prompt.
 _OUTSIDE = frozenset(('messages', 'model', 'stream_options', 'metadata'))
 
@@ -58,10 +60,15 @@
         text = self.size // _BYTES_PER_TOKEN
         return max(1, text + self.media * self.part_tokens)
 
-    def add(self, text: bytes) -> None:
-        """Add text."""
+    def add(self, text: bytes, *, leads: bool = True) -> None:
+        """Add text, to the prefix as well unless it is no part of that.
+
+        A field such as ``user`` counts in the bound, but in the prefix it
+        would send each user's requests elsewhere than an engine that has
+        their common beginning in its cache.
+        """
         self.size += len(text)
-        if len(self.prefix) < _PREFIX_LIMIT:
+        if leads and len(self.prefix) < _PREFIX_LIMIT:
             self.prefix = (self.prefix + text)[:_PREFIX_LIMIT]
 
 
@@ -84,10 +91,9 @@
         Refused for a content whose tokens cannot be bounded.
     """
     prompt = Prompt(part_tokens)
-    # Templates put tools before the messages, so they lead the prefix too.
     for name, field in sorted(body.items()):
         if name not in _OUTSIDE and isinstance(field, (dict, list, str)):
-            prompt.add(_encode(field))
+            prompt.add(_encode(field), leads=name in _LEADING)
     for message in body['messages']:
         prompt.messages += 1
         refusal = _add_message(prompt, message)
--- a/src/balsamreach/routing/choice.py
+++ b/src/balsamreach/routing/choice.py
@@ -7,6 +7,7 @@
 
 from balsamreach.routing.pools import Group
 from balsamreach.routing.want import Want
+from balsamreach.targets.cache_feed import CacheNews
 
 #: A choice among members of a group: an index, or None if all are full.
 Choice = int | None
@@ -22,6 +23,10 @@
     def choose(self, want: Want, group: Group, now: float) -> Choice:
         """Return the index of a member with room, None if there is none."""
 
+    def learn(self, target: str, news: CacheNews) -> None:
+        """Take in what a target's cache did; most policies need not know."""
+        return
+
 
 @attrs.define
 class RandomChoice(Chooser):
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -22,6 +22,7 @@
 from balsamreach.routing.slot import Slot
 from balsamreach.routing.state import TargetState
 from balsamreach.routing.suspects import Suspects
+from balsamreach.targets.cache_feed import CacheNews
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
 
@@ -98,6 +99,10 @@
             self.retries.tokens += 1
         return self._slot(state, ask)
 
+    def learn_cache(self, target: str, news: CacheNews) -> None:
+        """Take in what a target's prefix cache stored and evicted."""
+        self.admission.picker.chooser.learn(target, news)
+
     def leave(self, slot: Slot) -> None:
         """Give a slot back and learn from how its exchange ended."""
         self.feedback.ended(slot)
--- a/src/balsamreach/standins/engine.py
+++ b/src/balsamreach/standins/engine.py
@@ -15,7 +15,7 @@
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.engine_slots import Slots
 from balsamreach.standins.engine_streams import Generation
-from balsamreach.standins.engine_text import reply_to
+from balsamreach.standins.engine_text import cached_text_of, reply_to
 
 CRASH_EXIT_CODE = 70
 
@@ -111,7 +111,7 @@
             await self._generate(generation)
 
     async def _generate(self, generation: Generation) -> None:
-        blocks = blocks_of(generation.prompt)
+        blocks = blocks_of(cached_text_of(generation.body))
         fresh = len(blocks) - self.cache.use(blocks)
         self.counters['blocks_computed'] += fresh
         self.counters['blocks_cached'] += len(blocks) - fresh
--- a/src/balsamreach/standins/engine_text.py
+++ b/src/balsamreach/standins/engine_text.py
@@ -17,6 +17,12 @@
     return '\n'.join(_text_of(message) for message in messages)
 
 
+def cached_text_of(body: ChatBody) -> str:
+    """Return the text whose blocks the cache is named by."""
+    messages = body.get('messages') or ()
+    return ''.join(_text_of(message) for message in messages)
+
+
 def _text_of(message: dict[str, Any]) -> str:
     content = message.get('content') or ''
     if isinstance(content, str):
--- a/src/balsamreach/targets/cache_follower.py
+++ b/src/balsamreach/targets/cache_follower.py
@@ -8,12 +8,13 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.table.rows import ENGINE
+from balsamreach.targets.cache_feed import CacheNews
 from balsamreach.targets.client import CacheEvents, TargetClient
 from balsamreach.targets.registry import Target, Targets
 from balsamreach.telemetry.metrics import Metrics
 
-#: Called with a target and the events that were just taken in.
-CacheWatcher = Callable[[Target, CacheEvents], None]
+#: Called with a target's name and what its cache did.
+CacheWatcher = Callable[[str, CacheNews], None]
 
 
 @attrs.define(eq=False)
@@ -49,11 +50,11 @@
         target = self._next()
         if target is None:
             return
-        blocks = target.blocks
+        feed = target.cache
         before = target.report.incarnation
         news = await self.client.cache_events(
             target.row.address,
-            blocks.next_seq,
+            feed.next_seq,
         )
         if not isinstance(news, CacheEvents):
             self.metrics.count('balsamreach_cache_event_failures_total')
@@ -61,10 +62,11 @@
         if target.report.incarnation != before:
             # The answer may be the earlier start's; its cache is gone.
             return
-        if blocks.take(news):
+        fresh = feed.take(news)
+        if fresh.missing:
             self.metrics.count('balsamreach_cache_event_gaps_total')
         for watcher in self.watchers:
-            watcher(target, news)
+            watcher(target.name, fresh)
 
     def _next(self) -> Target | None:
         if not self._turns:
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamreach.table.rows import ACTIVE, TargetRow
-from balsamreach.targets.blocks import BlockSet
+from balsamreach.targets.cache_feed import CacheFeed
 from balsamreach.targets.holds import GOING, UNREAD, Hold
 from balsamreach.targets.reports import LoadReport
 
@@ -51,7 +51,7 @@
     warm_from: float = float('-inf')
     warm_time: float = _WARM_TIME
     hold: Hold | None = None
-    blocks: BlockSet = attrs.field(factory=BlockSet)
+    cache: CacheFeed = attrs.field(factory=CacheFeed)
     _past: deque[str] = attrs.field(
         factory=lambda: deque(maxlen=_PAST_STARTS),
     )
@@ -137,7 +137,7 @@
         held = self.hold is not None and self.hold.state != UNREAD
         if incarnation or held:
             self.warm_from = now
-        self.blocks.clear()
+        self.cache.restart()
 
 
 @attrs.define
