Hedge slow idempotent requests within the retry budget

Cause: `[routing] hedge` was read and did nothing; one slow target set the 99th percentile of its model. Change: after the 95th percentile of recent times to the first byte a second attempt goes to another target with room, for a retry's token. The first with a byte for the caller goes on; the other one is closed and cancelled. Never for non-idempotent requests, suspects, or whole answers of engines. `on_first` of a reply now tells only of bytes that may go to the caller. Tests fail without the check of idempotence and of the budget, and never end without the second attempt or with a loser that is not ended. Conclusion: it stays off by default; lost races should count against their target's load.

--- a/bench/routing.py
+++ b/bench/routing.py
@@ -10,11 +10,13 @@
 
 from bench import routing_scenarios as scenarios
 from bench.routing_cpu import measure_cpu
+from bench.routing_hedges import measure_hedges
 from bench.routing_hints import measure_hints
 
 _ALL = {
     'choice': scenarios.measure_choice,
     'hints': measure_hints,
+    'hedges': measure_hedges,
     'overload': scenarios.measure_overload,
     'fairness': scenarios.measure_fairness,
     'failures': scenarios.measure_failures,
--- /dev/null
+++ b/bench/routing_hedges.py
@@ -0,0 +1,154 @@
+"""Measures hedges by real attempts at fake targets, one of them slow."""
+
+import asyncio
+import random
+
+import attrs
+
+from balsamreach.config.reader import read_settings
+from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.faults import DispatchFault
+from balsamreach.dispatch.tries import Tries, make_try_parts
+from balsamreach.dispatch.upstream import Attempt, Intake, Upstream
+from balsamreach.requests.answers import Output
+from balsamreach.requests.identity import RequestId
+from balsamreach.routing.routing import make_routing
+from balsamreach.table.rows import ENGINE, TargetRow, TeamRow
+from balsamreach.targets.registry import Targets
+from balsamreach.telemetry.metrics import Metrics
+from bench.routing_loop import LoopClock, run_virtually
+from bench.routing_scenarios import quantile
+
+MODEL = 'model-a'
+_TARGETS = 8
+_REQUESTS = 6000
+_RATE = 40.0
+_USUAL = 0.1
+_SLOWER = 20.0
+_WORDS = 10
+_TEAM = TeamRow(name='team', prepaid=1)
+_KIND = {'content-type': 'text/event-stream'}
+
+
+@attrs.define(eq=False)
+class _Engines(Upstream):
+    """Streams that take longer for their first event at one target."""
+
+    rng: random.Random
+    slow: str
+    sent: int = 0
+
+    async def send(self, attempt: Attempt, intake: Intake) -> None:
+        """Answer a request; a cancel needs no answer."""
+        if attempt.call.method == 'DELETE' or not intake.before_send():
+            return
+        self.sent += 1
+        wait = _USUAL * self.rng.lognormvariate(0, 0.5)
+        if attempt.target.name == self.slow:
+            wait *= _SLOWER
+        await asyncio.sleep(wait)
+        intake.start(200, _KIND)
+        for _ in range(_WORDS):
+            intake.write(b'data: {}\n\n')
+            await asyncio.sleep(_USUAL / _WORDS)
+        intake.write(b'data: [DONE]\n\n')
+
+
+@attrs.define(eq=False)
+class _Caller(Output):
+    """Notes when its first byte came."""
+
+    status: int = 0
+    first_at: float = 0
+
+    def start(self, status: int, headers: dict[str, str]) -> None:
+        """Take the head, with the first bytes behind it."""
+        self.status = status
+        self.first_at = asyncio.get_running_loop().time()
+
+    def write(self, chunk: bytes) -> None:
+        """Drop the body."""
+
+
+def measure_hedges(seed: int) -> list[dict]:
+    """Compare the time to the first byte with and without hedges."""
+    return [
+        run_virtually(_measure(hedge, slow, seed))
+        for slow in ('', 'engine-0')
+        for hedge in ('no', 'yes')
+    ]
+
+
+async def _measure(hedge: str, slow: str, seed: int) -> dict:
+    cfg = read_settings(
+        None,
+        ('host.zone=zone-a', f'routing.hedge={hedge}'),
+    )
+    targets = Targets()
+    targets.update(_row(number) for number in range(_TARGETS))
+    rng = random.Random(seed)
+    routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
+    engines = _Engines(rng, slow)
+    parts = make_try_parts(cfg.requests, routing, engines)
+    whole = await _run_all(parts, rng)
+    return {
+        'scenario': 'hedges',
+        'hedge': hedge,
+        'slow_targets': 1 if slow else 0,
+        'requests': _REQUESTS,
+        'not_answered': _REQUESTS - len(whole),
+        'ttft_p50': quantile(whole, 0.5),
+        'ttft_p95': quantile(whole, 0.95),
+        'ttft_p99': quantile(whole, 0.99),
+        'attempts_per_request': engines.sent / _REQUESTS,
+    }
+
+
+async def _run_all(parts, rng: random.Random) -> list[float]:
+    running = []
+    for number in range(_REQUESTS):
+        await asyncio.sleep(rng.expovariate(_RATE))
+        running.append(asyncio.create_task(_run(parts, number)))
+    firsts = await asyncio.gather(*running)
+    return [first for first in firsts if first is not None]
+
+
+async def _run(parts, number: int) -> float | None:
+    began = parts.clock.now()
+    call = _call(number, began)
+    slot = await parts.placer.place(call)
+    if isinstance(slot, DispatchFault):
+        return None
+    caller = _Caller()
+    fault = await Tries(parts, call, caller).run(slot)
+    if fault:
+        return None
+    return caller.first_at - began
+
+
+def _call(number: int, now: float) -> Call:
+    return Call(
+        req=RequestId('team', f'key-{number}', minted=True, fingerprint='f'),
+        team=_TEAM,
+        kind=ENGINE,
+        name=MODEL,
+        method='POST',
+        path='/v1/chat/completions',
+        headers={},
+        body=b'{}',
+        stream=True,
+        idempotent=True,
+        most_tokens=100,
+        deadline=now + 60,
+        prefix=f'{number:064}'.encode(),
+    )
+
+
+def _row(number: int) -> TargetRow:
+    return TargetRow(
+        name=f'engine-{number}',
+        address=f'127.0.0.1:{9000 + number}',
+        zone='zone-a',
+        service='llm',
+        models=(MODEL,),
+    )
--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -59,8 +59,8 @@
             # target marked meanwhile may be counted as idle already, and a
             # request sent now would be cut when its host is switched off.
             return faults.OVERLOADED.because('the target began to leave')
-        if _shows_queueing(attempt.call):
-            reply.on_first = slot.first_byte_came
+        if shows_queueing(attempt.call):
+            reply.on_first.append(slot.first_byte_came)
         self.feedback.sent(slot)
         outcome = await self.exchange(attempt, reply)
         slot.verdict = rate(attempt, reply, outcome)
@@ -101,7 +101,8 @@
     scope.reschedule(asyncio.get_running_loop().time())
 
 
-def _shows_queueing(call: Call) -> bool:
+def shows_queueing(call: Call) -> bool:
+    """Return whether a first byte shows how long its target made it wait."""
     # Of an engine's answer in one piece, the first byte comes with the last
     # token. A long answer would look like a queue at the target.
     return call.stream or call.kind != ENGINE
--- a/src/balsamreach/dispatch/placing.py
+++ b/src/balsamreach/dispatch/placing.py
@@ -72,6 +72,17 @@
         slot = await self.routing.again(_ask(call), frozenset(tried))
         return _turn(slot) if isinstance(slot, RoutingFault) else slot
 
+    def hedge_delay(self, call: Call) -> float:
+        """Return after how many seconds to try twice; 0 for never."""
+        if not call.idempotent:
+            return 0
+        return self.routing.hedges.delay((call.kind, call.name))
+
+    def hedge(self, call: Call, tried: set[str]) -> Slot | DispatchFault:
+        """Return a slot for a second attempt beside the first."""
+        slot = self.routing.hedge(_ask(call), frozenset(tried))
+        return _turn(slot) if isinstance(slot, RoutingFault) else slot
+
     def leave(self, slot: Slot) -> None:
         """Give a slot back."""
         self.routing.leave(slot)
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -72,8 +72,8 @@
 
     Attributes
     ----------
-    on_first : callable or None
-        Called once as the first bytes of the body come.
+    on_first : list of callable
+        Called once as the first bytes come that may go to the caller.
     on_halt : callable or None
         Called where no more of the answer is wanted.
     halted : DispatchFault or None
@@ -86,7 +86,7 @@
         super().__init__()
         self.on_halt: Callable[[], None] | None = None
         self.halted: DispatchFault | None = None
-        self.on_first: Callable[[], None] | None = None
+        self.on_first: list[Callable[[], None]] = []
         self.answer = answer
         self.attempt_id = attempt_id
         self.status = 0
@@ -135,11 +135,11 @@
 
     def write(self, chunk: bytes) -> None:
         """Take bytes of the body unless they are not for this caller."""
-        if self.on_first is not None:
-            self.on_first()
-            self.on_first = None
-        if self._passes:
-            self._take(chunk)
+        if not self._passes:
+            return
+        while self.on_first:
+            self.on_first.pop()()
+        self._take(chunk)
 
     def whole(self) -> bool:
         """Return whether the answer has its end mark, or needs none."""
--- a/src/balsamreach/dispatch/tries.py
+++ b/src/balsamreach/dispatch/tries.py
@@ -10,9 +10,10 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import RequestsSettings
 from balsamreach.dispatch import faults
-from balsamreach.dispatch.attempts import Attempts, make_reply
+from balsamreach.dispatch.attempts import Attempts, make_reply, shows_queueing
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.faults import DispatchFault
+from balsamreach.dispatch.hedging import Race
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.replay import Replay, can_replay
 from balsamreach.dispatch.replies import Reply, StreamReply
@@ -91,6 +92,7 @@
     target: str = ''
     may_have_run: bool = False
     _tried: set[str] = attrs.field(factory=set)
+    _race: Race | None = None
 
     async def run(self, slot: Slot) -> DispatchFault | None:
         """Try at a first target, then at others as far as that is allowed.
@@ -105,7 +107,7 @@
         DispatchFault or None
             None if the answer is whole; else what the last attempt met.
         """
-        fault = await self._try(slot)
+        fault = await self._first(slot)
         while fault is not None and self._may_retry(fault, slot):
             other = await self.parts.placer.place_again(
                 self.call,
@@ -119,6 +121,22 @@
             fault = await self._try(slot)
         return fault
 
+    async def _first(self, slot: Slot) -> DispatchFault | None:
+        delay = self.parts.placer.hedge_delay(self.call)
+        if not delay or not shows_queueing(self.call):
+            return await self._try(slot)
+        self._race = Race(
+            placer=self.parts.placer,
+            clock=self.parts.clock,
+            metrics=self.parts.metrics,
+            call=self.call,
+            attempt=self._try,
+        )
+        try:
+            return await self._race.run(slot, delay, self._tried)
+        finally:
+            self._race = None
+
     async def _try(self, slot: Slot) -> DispatchFault | None:
         self.target = slot.target.name
         self._tried.add(self.target)
@@ -128,6 +146,13 @@
         if isinstance(output, Replay):
             output.on_diverged = functools.partial(reply.halt, _DIVERGED)
         self.reply = reply
+        if self._race is not None:
+            # A second attempt becomes the newest; what is billed and told
+            # to other routers must be the one that answers.
+            self._race.enter(
+                reply,
+                functools.partial(self._answered_by, reply, self.target),
+            )
         try:
             fault = await self._send(attempt, reply, slot)
         except asyncio.CancelledError:
@@ -136,10 +161,19 @@
         finally:
             self.parts.placer.leave(slot)
             self._note(attempt, reply)
+        if fault is None and self._race is not None:
+            self._race.claim(
+                reply,
+                functools.partial(self._answered_by, reply, slot.target.name),
+            )
         if reply.halted is not None:
             self.parts.resumer.cancel(attempt, reply)
         return fault
 
+    def _answered_by(self, reply: Reply, target: str) -> None:
+        self.reply = reply
+        self.target = target
+
     async def _send(
         self,
         attempt: Attempt,
@@ -149,6 +183,8 @@
         fault = await self.parts.attempts.send(attempt, reply, slot)
         if fault != faults.ANSWER_BROKEN or not isinstance(reply, StreamReply):
             return fault
+        if self._race is not None and self._race.lost(reply):
+            return fault
         resumed = await self.parts.resumer.resume(attempt, reply)
         if resumed is None:
             return fault
--- a/src/balsamreach/routing/feedback.py
+++ b/src/balsamreach/routing/feedback.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.routing.hedges import HedgeDelays
 from balsamreach.routing.quarantine import Quarantine
 from balsamreach.routing.slot import Slot, Verdict
 from balsamreach.telemetry.logs import log_event
@@ -35,12 +36,15 @@
         Jitter of suspensions.
     metrics : Metrics
         Counters.
+    hedges : HedgeDelays
+        Learns the usual time to the first byte.
     """
 
     quarantine: Quarantine
     clock: Clock
     rng: random.Random
     metrics: Metrics
+    hedges: HedgeDelays
 
     def sent(self, slot: Slot) -> None:
         """Take note that a request is being sent."""
@@ -61,6 +65,7 @@
             first_byte = slot.first_at - slot.sent_at
             now = self.clock.now()
             slot.state.limit.observe(first_byte, slot.busy, now)
+            self.hedges.observe(slot.ask.pool, first_byte)
             self.metrics.observe(_FIRST_BYTE, first_byte)
 
     def _tell_quarantine(self, slot: Slot) -> None:
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -12,6 +12,7 @@
 from balsamreach.routing.ask import Ask
 from balsamreach.routing.faults import RoutingFault
 from balsamreach.routing.feedback import Feedback
+from balsamreach.routing.hedges import HedgeDelays
 from balsamreach.routing.limits import TeamLimits
 from balsamreach.routing.picking import Picker
 from balsamreach.routing.policies import make_chooser
@@ -47,6 +48,8 @@
         Learns from the end of each exchange.
     retries : RetryBudget
         How many retries there may be.
+    hedges : HedgeDelays
+        When a second attempt is worth its load.
     clock : Clock
         Time.
     rng : random.Random
@@ -60,6 +63,7 @@
     quarantine: Quarantine
     feedback: Feedback
     retries: RetryBudget
+    hedges: HedgeDelays
     clock: Clock
     rng: random.Random
     metrics: Metrics
@@ -99,6 +103,28 @@
             self.retries.tokens += 1
         return self._slot(state, ask)
 
+    def hedge(
+        self,
+        ask: Ask,
+        tried: frozenset[str],
+    ) -> Slot | RoutingFault:
+        """Return a slot beside a slow attempt, within the retry budget.
+
+        A request that is suspected of crashing targets is never at two at
+        once: both could be lost before either is known to be.
+        """
+        if self.quarantine.check(ask.fingerprint) is not None:
+            return faults.ALL_BUSY.because('the request is held back')
+        if self.quarantine.must_run_alone(ask.fingerprint):
+            return faults.ALL_BUSY.because('the request runs alone')
+        if not self.retries.withdraw():
+            self.metrics.count(_RETRIES_REFUSED)
+            return faults.ALL_BUSY.because('the retry budget is used up')
+        state = self._pick_other(ask, tried)
+        if not isinstance(state, TargetState):
+            self.retries.tokens += 1
+        return self._slot(state, ask)
+
     def learn_cache(self, target: str, news: CacheNews) -> None:
         """Take in what a target's prefix cache stored and evicted."""
         self.admission.picker.chooser.learn(target, news)
@@ -197,6 +223,7 @@
     chooser = make_chooser(cfg.routing.policy, rng)
     suspects = Suspects(cfg.routing.crash_targets)
     quarantine = Quarantine(suspects, clock, metrics, net)
+    hedges = HedgeDelays(cfg.routing.hedge)
     admission = Admission(
         cfg.routing,
         Picker(pools, chooser, clock, rng),
@@ -208,8 +235,9 @@
         limits=TeamLimits(clock, net),
         admission=admission,
         quarantine=quarantine,
-        feedback=Feedback(quarantine, clock, rng, metrics),
+        feedback=Feedback(quarantine, clock, rng, metrics, hedges),
         retries=RetryBudget(cfg.routing.retry_share),
+        hedges=hedges,
         clock=clock,
         rng=rng,
         metrics=metrics,
--- a/tests/fake_upstream.py
+++ b/tests/fake_upstream.py
@@ -41,6 +41,7 @@
     """
 
     plans: dict = attrs.field(factory=dict)
+    coming: deque = attrs.field(factory=deque)
     runs: Counter = attrs.field(factory=Counter)
     sent: list = attrs.field(factory=list)
     dead: set = attrs.field(factory=set)
@@ -54,12 +55,18 @@
         """Add to what a target does next."""
         self.plans.setdefault(target, deque()).extend(faults)
 
+    def plan_next(self, fault):
+        """Add to what the targets that are asked next do, in turn."""
+        self.coming.append(fault)
+
     async def send(self, attempt, intake):
         """Carry an attempt to its target, or a resume or cancel."""
         name = attempt.target.name
         await asyncio.sleep(0)
         planned = self.plans.get(name)
         is_run = not attempt.call.path.startswith('/generations/')
+        if is_run and self.coming:
+            planned = self.coming
         fault = planned.popleft() if planned and is_run else ''
         if name in self.dead or fault == REFUSE or not intake.before_send():
             return NOT_SENT
