--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from balsamreach.platform.base import Commit, Write
 from bench.callers import Ask, Callers
 from bench.fleet import Fleet, engine_row, secret_of, start_fleet, team
 from bench.processes import Process
@@ -24,6 +25,7 @@
 _IDLE_S = 5
 _LONGEST_S = 200
 _ROWS = 32
+_COMMIT_ROWS = (1, 201)
 _BASE = (
     'import os, pathlib\n'
     'import balsamreach.daemon.router\n'
@@ -167,8 +169,33 @@
     return int(printed) / _KIB
 
 
+def _standin(size: Size) -> Mapping[str, float]:
+    return asyncio.run(_with_fleet(_measure_standin, size))
+
+
+async def _measure_standin(fleet: Fleet, size: Size) -> Mapping[str, float]:
+    commits = size.scale(300, 3)
+    found = []
+    for rows in _COMMIT_ROWS:
+        before = fleet.platform.cpu_s()
+        for number in range(commits):
+            writes = tuple(
+                Write(f'{rows}/{number}/{row}', {'tokens': 1})
+                for row in range(rows)
+            )
+            await fleet.table.commit(Commit(writes))
+        used = fleet.platform.cpu_s() - before
+        found.append(used / commits * _MICRO)
+    more = _COMMIT_ROWS[1] - _COMMIT_ROWS[0]
+    return {
+        'commit_of_1_row_us': found[0],
+        'row_more_us': (found[1] - found[0]) / more,
+    }
+
+
 MEASURES: dict[str, Measure] = {
     'memory_base': _base,
+    'standin': _standin,
     'requests': _requests,
     'streams': _streams,
 }
--- a/tests/test_bench_slopes.py
+++ b/tests/test_bench_slopes.py
@@ -35,6 +35,7 @@
     'one_account',
     'rounds',
     'takeover',
+    'standin',
     'requests',
 )
 
