Refill before a fifth of the cover is gone

Cause: a router refilled only below half of what it wants to hold, so a cut found half of the routers with little more than half an hour's need. Change: refill below 80%.

--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -7,7 +7,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
 
-_REFILL_BELOW = 0.5
+_REFILL_BELOW = 0.8
 _RETURN_ABOVE = 2
 
 
