--- a/bench/budget_runs.py
+++ b/bench/budget_runs.py
@@ -70,6 +70,7 @@
     false_early: int = 0
     waits: list[float] = attrs.field(factory=list)
     idle: list[float] = attrs.field(factory=list)
+    half: tuple[int, int] = (0, 0)
 
 
 @attrs.define(eq=False)
@@ -98,6 +99,7 @@
                 self.policy.serve(),
                 self._trouble(),
                 self._sample(),
+                _halve(self),
                 self._lose(),
             )
         ]
@@ -231,6 +233,8 @@
         tally = self.tally
         weather = self.platform.weather
         waits = sorted(tally.waits)
+        requests, writes = tally.half
+        late = weather.writes - writes
         return {
             'requests': tally.requests,
             'refused_share': tally.refused / tally.requests,
@@ -239,6 +243,7 @@
             'false_early': tally.false_early,
             'idle_share': _mean(tally.idle),
             'writes_1000': weather.writes * _THOUSAND / tally.requests,
+            'writes_1000_late': late * _THOUSAND / (tally.requests - requests),
             'reads_1000': weather.reads * _THOUSAND / tally.requests,
             'waited_share': len(waits) / tally.requests,
             'wait_p50_ms': _quantile(waits, _MEDIAN) * _THOUSAND,
@@ -296,6 +301,12 @@
     return await run.measure()
 
 
+async def _halve(run: Run) -> None:
+    # At the start all routers draw for all teams for the first time.
+    await asyncio.sleep(run.scenario.load.length / 2)
+    run.tally.half = (run.tally.requests, run.platform.weather.writes)
+
+
 def _mean(numbers: list[float]) -> float:
     return sum(numbers) / len(numbers) if numbers else 0
 
