Keep the contention bench drawing for each request

Cause: bench.slopes counts commits per draw with no stock, but a router now draws at least 10,000 tokens, so ten requests shared a draw and tests.test_bench_slopes failed (0.10 commits for each instead of 1). Change: the bench names the least draw that it was written for, 1,000, the most a request of it needs. The test is as it was.

--- a/bench/slopes_budgets.py
+++ b/bench/slopes_budgets.py
@@ -28,7 +28,11 @@
 _DRAWERS = (1, 4, 16, 64)
 _CROWDS = (64, 256, 910)
 #: Draw exactly what a request needs.
-_NO_STOCK = ('budget.draw_ahead=0s', 'budget.partition_cover=0s')
+_NO_STOCK = (
+    'budget.draw_ahead=0s',
+    'budget.partition_cover=0s',
+    'budget.least_draw=1000',
+)
 
 
 @attrs.define
