--- /dev/null
+++ b/tests/golden_support.py
@@ -0,0 +1,133 @@
+"""Whole sessions compared with golden files.
+
+A session is what callers send and get, the bills in the table service, the
+events logged and some counters. Before it is compared, what differs from
+run to run is replaced: the Date header, keys minted by a router, ids of
+engines and routers, span ids, ports, creation times and the lengths that
+depend on these.
+``BALSAMREACH_REWRITE_GOLDEN=1`` writes the files in place of comparing.
+"""
+
+import asyncio
+import logging
+import os
+import re
+from pathlib import Path
+
+import attrs
+
+from balsamreach.platform.base import Scan
+from tests.deployment import Deployment, exchange, parse_answer, until
+
+REWRITE = 'BALSAMREACH_REWRITE_GOLDEN'
+_DIRECTORY = Path(__file__).parent / 'golden'
+_EVENTS = frozenset(('request_served',))
+_COUNTERS = ('balsamreach_streams_', 'balsamreach_requests_total')
+_FIELDS = ('request_id', 'team', 'reason', 'status', 'ran')
+_NORMAL = (
+    (re.compile(r'Date: [^\r\n]+'), 'Date: DATE'),
+    (re.compile(r'~[0-9a-f]{32}'), '~MINTED'),
+    (re.compile(r'[0-9a-f]{32}'), 'ID'),
+    (re.compile(r'00-ID-[0-9a-f]{16}'), '00-ID-SPAN'),
+    (re.compile(r'chatcmpl-[\w-]+'), 'chatcmpl-ID'),
+    (re.compile(r'(X-Engine-Request): [\w-]+', re.IGNORECASE), r'\1: ID'),
+    (re.compile(r'127\.0\.0\.1:\d+'), '127.0.0.1:PORT'),
+    (re.compile(r'"created": ?\d+'), '"created": TIME'),
+    (re.compile(r'Content-Length: \d+'), 'Content-Length: LENGTH'),
+    (re.compile(r'Etag: "\w+"'), 'Etag: "HASH"'),
+)
+
+
+class _Events(logging.Handler):
+    """Collects the events of the product."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep an event's fixed fields."""
+        fields = getattr(record, 'event_fields', None)
+        if fields is None or record.getMessage() not in _EVENTS:
+            return
+        shown = ' '.join(
+            f'{name}={fields[name]}'
+            for name in _FIELDS
+            if fields.get(name) is not None
+        )
+        self.lines.append(f'{record.getMessage()} {shown}')
+
+
+@attrs.define
+class Session:
+    """One session as it is written down.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What the callers talk to.
+    """
+
+    deployment: Deployment
+    lines: list[str] = attrs.field(factory=list)
+    _said: int = 0
+    _events: _Events = attrs.field(factory=_Events)
+
+    def __attrs_post_init__(self) -> None:
+        logger = logging.getLogger('balsamreach')
+        logger.addHandler(self._events)
+        logger.setLevel(logging.INFO)
+
+    async def say(self, title: str, sent: bytes) -> None:
+        """Send a request and write down both ways."""
+        self._said += 1
+        received = await exchange(self.deployment.callers, sent)
+        answer = parse_answer(received)
+        self._write(f'caller: {title}', sent.decode())
+        body = answer.body.decode()
+        self._write('router', f'{answer.head}\r\n\r\n{body}')
+
+    async def end(self, bills: int) -> str:
+        """Wait for the bills and return the normalised session."""
+        found: list[str] = []
+        for _ in range(1000):
+            page = await self.deployment.store.scan(Scan('bill/'))
+            found = [
+                f'{row.key} {row.value["tokens"]}'
+                for row in page.rows
+                if row.value
+            ]
+            if len(found) >= bills:
+                break
+            await asyncio.sleep(0.005)
+        self._write('bills', '\n'.join(sorted(found)))
+        events = self._events.lines
+        # The event of a request follows its last byte.
+        await until(lambda: len(events) >= self._said)
+        self._write('events', '\n'.join(events))
+        parts = self.deployment.routers[0].parts
+        lines = parts.metrics.render().split('\n')
+        counters = [line for line in lines if line.startswith(_COUNTERS)]
+        self._write('counters', '\n'.join(counters))
+        logging.getLogger('balsamreach').removeHandler(self._events)
+        return normalise('\n'.join(self.lines))
+
+    def _write(self, title: str, text: str) -> None:
+        plain = text.replace('\r\n', '\n').rstrip('\n')
+        self.lines.extend((f'=== {title}', plain, ''))
+
+
+def normalise(text: str) -> str:
+    """Replace what differs from run to run."""
+    for pattern, stands_for in _NORMAL:
+        text = pattern.sub(stands_for, text)
+    return text
+
+
+def golden(name: str, session: str) -> str:
+    """Return the golden text of a session, written first if asked for."""
+    path = _DIRECTORY / f'{name}.txt'
+    if os.environ.get(REWRITE) == '1':
+        path.parent.mkdir(exist_ok=True)
+        path.write_text(session, encoding='utf-8')
+    return path.read_text(encoding='utf-8')
--- /dev/null
+++ b/tests/test_gateway_traced_upstream.py
@@ -0,0 +1,75 @@
+"""Tests of spans: one request followed over routers and targets."""
+
+import contextlib
+import io
+import json
+import unittest
+
+from tests.deployment import Deployment, exchange, parse_answer, request
+
+_TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
+_PARENT = '00f067aa0ba902b7'
+_CALLER = f'00-{_TRACE}-{_PARENT}-01'
+
+
+class TraceTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers that write their spans to one stream."""
+
+    async def asyncSetUp(self):
+        self.stream = io.StringIO()
+        self.deployment = Deployment(('telemetry.traces=stderr',))
+        with contextlib.redirect_stderr(self.stream):
+            await self.deployment.start(routers=2)
+
+    async def asyncTearDown(self):
+        await self.deployment.stop()
+
+    async def call(self, router, **headers):
+        sent = request('POST /services/desk/certificate/1', b'{}', **headers)
+        return parse_answer(await exchange(router.callers.address, sent))
+
+    def spans(self):
+        lines = self.stream.getvalue().splitlines()
+        spans = [json.loads(line) for line in lines]
+        return [span for span in spans if span['trace_id'] == _TRACE]
+
+    async def test_request_is_followed_over_two_routers(self):
+        """A caller retries at another router under one trace.
+
+        Symptom: nobody can tell what became of a request that was sent
+        twice. Cause: each router began a trace of its own.
+        """
+        headers = {'Idempotency_Key': 'c-1', 'Traceparent': _CALLER}
+        for router in self.deployment.routers:
+            await self.call(router, **headers)
+        spans = self.spans()
+        callers = [span for span in spans if span['span'] == 'caller']
+        hosts = {span['host'] for span in callers}
+        self.assertEqual(hosts, {'router-0', 'router-1'})
+        parents = {span['parent_id'] for span in callers}
+        self.assertEqual(parents, {_PARENT})
+
+    async def test_each_hop_has_a_span_below_the_callers(self):
+        answer = await self.call(
+            self.deployment.routers[0],
+            Idempotency_Key='c-1',
+            Traceparent=_CALLER,
+        )
+        spans = {span['span']: span for span in self.spans()}
+        hops = {'caller', 'allotment', 'queue', 'platform', 'target'}
+        self.assertLessEqual(hops, set(spans))
+        target = spans['target']
+        self.assertEqual(target['parent_id'], spans['caller']['span_id'])
+        sent = json.loads(answer.body)['headers']['Traceparent']
+        span_id = target['span_id']
+        self.assertEqual(sent, f'00-{_TRACE}-{span_id}-01')
+
+    async def test_unsampled_request_leaves_no_span(self):
+        unsampled = f'00-{_TRACE}-{_PARENT}-00'
+        answer = await self.call(
+            self.deployment.routers[0],
+            Traceparent=unsampled,
+        )
+        self.assertEqual(self.spans(), [])
+        sent = json.loads(answer.body)['headers']['Traceparent']
+        self.assertTrue(sent.startswith(f'00-{_TRACE}-'))
--- /dev/null
+++ b/tests/test_golden_sessions.py
@@ -0,0 +1,135 @@
+"""Golden sessions of the two users in examples/."""
+
+import json
+import unittest
+from pathlib import Path
+
+from balsamreach.client.csv_table import Line, read_table
+from balsamreach.config.reader import read_settings
+from balsamreach.config.settings import Settings
+from balsamreach.table.faults import TableFault
+from balsamreach.table.rows import TABLE_PREFIX, decode
+from tests.deployment import MODEL, Deployment, request
+from tests.golden_support import Session, golden
+
+_CHAT = 'POST /v1/chat/completions'
+_CERTIFICATE = 'POST /services/desk/certificate/m-17'
+_CONFIRMATION = 'POST /services/desk/confirmation'
+_BOOKING = b'{"class": "beginners", "day": "2026-07-01", "boards": 2}'
+_EXAMPLES = Path(__file__).parent.parent / 'examples'
+
+
+def _ask(text, **changes):
+    messages = [{'role': 'user', 'content': text}]
+    body = {'model': MODEL, 'messages': messages}
+    return json.dumps(body | changes).encode()
+
+
+class GoldenTest(unittest.IsolatedAsyncioTestCase):
+    """What callers, bills and logs show of whole sessions."""
+
+    maxDiff = None
+
+    async def asyncSetUp(self):
+        self.deployment = Deployment()
+        await self.deployment.start()
+        self.session = Session(self.deployment)
+
+    async def asyncTearDown(self):
+        await self.deployment.stop()
+
+    async def check(self, name, bills):
+        text = await self.session.end(bills)
+        self.assertEqual(text, golden(name, text))
+
+    async def test_quote_from_a_tablet_that_retries(self):
+        """A tablet repeats its request by itself.
+
+        Symptom: one quote is billed twice. Events: the tablet sends, loses
+        patience and sends the same under the same key. Cause: the second
+        was taken for a new request.
+        """
+        sent = request(
+            _CHAT,
+            _ask('Quote a rewind of a 55 kW stator. words=6'),
+            Idempotency_Key='tablet-3-quote-118',
+        )
+        await self.session.say('quote', sent)
+        await self.session.say('the tablet asks again', sent)
+        await self.check('tekercs-quote-retried', bills=1)
+
+    async def test_certificate_called_twice(self):
+        """A doubled certificate confuses the customer's auditors.
+
+        Symptom: two certificates. Events: the answer is late, the caller
+        sends again. Cause: the call ran once more.
+        """
+        sent = request(
+            _CERTIFICATE,
+            b'{"motor": "m-17"}',
+            Idempotency_Key='certificate-m-17',
+            Content_Type='application/json',
+        )
+        await self.session.say('certificate', sent)
+        await self.session.say('the same certificate', sent)
+        await self.check('tekercs-certificate-twice', bills=1)
+
+    async def test_booking_confirmation(self):
+        sent = request(
+            _CONFIRMATION,
+            _BOOKING,
+            Idempotency_Key='booking-2041',
+            Content_Type='application/json',
+        )
+        await self.session.say('confirmation', sent)
+        await self.check('kymata-confirmation', bills=1)
+
+    async def test_stream_cut_and_resumed(self):
+        """A stream breaks in the middle of an answer.
+
+        Symptom: a guest reads half an answer. Events: the connection to the
+        engine breaks after some events. Cause: nobody fetched the rest.
+        """
+        engine = self.deployment.engine.core
+        engine.cfg.cut_after = 4
+        sent = request(
+            _CHAT,
+            _ask('Which wetsuit for 12 years? words=6', stream=True),
+            Idempotency_Key='guest-77',
+        )
+        await self.session.say('question of a guest', sent)
+        await self.check('kymata-stream-resumed', bills=1)
+
+    async def test_refusals(self):
+        await self.session.say('no key', request(_CHAT, _ask('x'), ''))
+        await self.session.say(
+            'paused', request(_CHAT, _ask('x'), 'paused-secret')
+        )
+        await self.session.say(
+            'no budget', request(_CHAT, _ask('x'), 'poor-secret')
+        )
+        await self.session.say('model', request(_CHAT, _ask('x', model='y')))
+        await self.session.say('path', request('GET /v2'))
+        await self.check('refusals', bills=0)
+
+
+class ExamplesTest(unittest.TestCase):
+    """The files in examples/ can be used as they are."""
+
+    def test_settings(self):
+        files = sorted(_EXAMPLES.glob('*/*.ini'))
+        self.assertEqual(len(files), 7)
+        for path in files:
+            with self.subTest(path.name):
+                cfg = read_settings(path)
+                self.assertIsInstance(cfg, Settings, cfg)
+                self.assertEqual(cfg.host.zone, path.stem)
+
+    def test_tables(self):
+        for path in sorted(_EXAMPLES.glob('*/table.csv')):
+            with path.open(encoding='utf-8', newline='') as stream:
+                lines = list(read_table(stream))
+            for line in lines:
+                self.assertIsInstance(line, Line, line)
+                row = decode(f'{TABLE_PREFIX}{line.key}', line.fields)
+                self.assertNotIsInstance(row, TableFault, row)
