--- a/tests/test_gateway_sinks.py
+++ b/tests/test_gateway_sinks.py
@@ -9,6 +9,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from balsamreach.clock import SystemClock
 from balsamreach.gateway.sinks import HandlerSink
 
 _CHUNKS = [b'data: %d\n\n' % number for number in range(20)]
@@ -27,7 +28,7 @@
     """Writes what the test gave it through a sink."""
 
     async def get(self) -> None:
-        sink = HandlerSink(self)
+        sink = HandlerSink(self, SystemClock())
         sink.start(200, {'content-type': 'text/event-stream'})
         self.application.settings['sinks'].append(sink)
         for chunk in self.application.settings['chunks']:
