Enter a recorded bill once, also when two flushes record it

Cause: a router that leaves flushes its bills while a round may be doing the same. Both settle the same batch, the second finds the bills known, and both subtracted them from the number that wait. It fell to -1, so that every later flush took an empty batch for bills without cover. Ruled out: the table service; the books were right each time. After: entered by ordinal, once; the new test fails with -1 waiting bills without the change.

--- a/src/balsamreach/budget/recorder.py
+++ b/src/balsamreach/budget/recorder.py
@@ -1,5 +1,7 @@
 """Takes the bills of requests and records them a batch at a time."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from balsamreach.budget.account import Bill
@@ -116,6 +118,11 @@
 
     def enter(self, settled: Settled) -> None:
         """Drop bills that need not wait any more."""
+        settled = attrs.evolve(
+            settled,
+            recorded=self._waiting_among(settled.recorded),
+            repeated=self._waiting_among(settled.repeated),
+        )
         entered = (*settled.recorded, *settled.repeated)
         done = {bill.ordinal for bill in entered}
         teams = {bill.team for bill in entered}
@@ -135,6 +142,13 @@
         self.metrics.count(RECORDED, len(settled.recorded))
         self.metrics.count(REPEATED, len(settled.repeated))
 
+    def _waiting_among(self, bills: Iterable[Bill]) -> tuple[Bill, ...]:
+        # Two flushes can run at once, such as the last one of a router that
+        # leaves and that of a round, and settle the same bills. Entered
+        # twice, they would bring the number of waiting bills below zero:
+        # the router would wait for none to be left until its tries end.
+        return tuple(bill for bill in bills if bill.ordinal in self._made_at)
+
     async def _flush_part(self) -> BudgetFault | None:
         if self.book.closed is not None:
             return await self._flush_closed()
--- a/tests/test_budget_failures.py
+++ b/tests/test_budget_failures.py
@@ -13,6 +13,7 @@
     TAKEN_OVER,
 )
 from balsamreach.budget.ledger import Reservation
+from balsamreach.budget.settling import Settled
 from balsamreach.wire.messages import LoanAsk, LoanReceipt
 from tests.budget_world import SETTINGS, Loser, World
 
@@ -70,6 +71,19 @@
         self.assertEqual(self.one.repeated_bills, 0)
         self.assertEqual(self.one.ledgers['team'].billed, 100)
 
+    async def test_two_flushes_at_once(self):
+        """Symptom: a router that leaves hangs until its tries end.
+
+        Sequence: the last flush of a router runs beside that of a round;
+        both settle the same bill. Cause: it is entered twice, and the
+        number of waiting bills falls below zero.
+        """
+        await self.admit(self.one, 'k', 100)
+        settled = Settled(self.one.recorder.bills())
+        self.one.recorder.enter(settled)
+        self.one.recorder.enter(settled)
+        self.assertEqual(self.one.waiting, 0)
+
     async def test_loan_record(self):
         """Symptom: a loan counts twice and the lender's row goes short.
 
