Tell other zones of targets that say themselves that they leave

Cause: taking a report in marked the start as leaving before the mark was set, so that the mark was no news: no event, no count, and no word to peers. Routers of the zone learn it from shared reports; those of other zones, which do not poll, went on sending to the target. Ruled out: the host list and peers' marks, which do spread.

--- a/src/balsamreach/targets/poller.py
+++ b/src/balsamreach/targets/poller.py
@@ -126,13 +126,16 @@
         return await self.parts.client.load(target.row.address, fresh=fresh)
 
     def _take(self, target: Target, report: LoadReport) -> None:
+        if report.leaving:
+            # Taking the report in marks the start as well. A mark set after
+            # that would be no news, and so be told to nobody: routers of
+            # other zones, which do not poll, would go on sending requests.
+            self.parts.marks.mark(target, report.incarnation, FROM_TARGET)
         now = self.parts.clock.now()
         if not target.take_report(report, now):
             self._count('balsamreach_target_late_reports_total')
             return
         self._count('balsamreach_target_reports_total', source='own')
-        if report.leaving:
-            self.parts.marks.mark(target, report.incarnation, FROM_TARGET)
 
     def _count(self, name: str, **labels: str) -> None:
         self.parts.metrics.count(name, **labels)
--- a/tests/test_targets_poller.py
+++ b/tests/test_targets_poller.py
@@ -162,6 +162,22 @@
         # The other zone has no report yet; with a mark it sends nothing.
         self.assertTrue(self.target(3, 1).leaving)
 
+    async def test_target_that_leaves_is_told_to_other_zones(self):
+        """Routers of other zones go on sending to a host that leaves.
+
+        Symptom: requests arrive at a host long after it said it leaves.
+        Sequence: the host tells the routers that poll it; those of another
+        zone poll none of its zone. Cause: taking the report in marked the
+        start first, so that the mark was no news and told to nobody.
+        """
+        await self.round()
+        self.client.hosts['127.0.0.1:8002'].leaving = True
+        await self.round()
+        await self.net.settle()
+        self.assertTrue(self.target(3, 2).leaving)
+        name = 'balsamreach_target_marks_total'
+        self.assertEqual(self.metrics.counted(name, source='target'), 1)
+
     async def test_lagging_list_does_not_mark_the_next_start(self):
         """A restarted host stays unused while the host list lags.
 
