Refuse callers until the table was brought up to date

Ruled out: the follower, which does not call the view complete. After: 503 router_starting, not run, until the table is up to date; a good key is no longer called wrong meanwhile.

--- a/src/balsamreach/gateway/callers.py
+++ b/src/balsamreach/gateway/callers.py
@@ -42,6 +42,12 @@
 _TIMEOUT_HEADER = 'X-Request-Timeout'
 _FLAGS = {'true': True, 'false': False}
 _PASSED = ('Content-Type', 'Accept', 'Accept-Language')
+_STARTING = Refusal(
+    503,
+    'router_starting',
+    'this router has not caught up with the table yet',
+    retry_after=1,
+)
 
 
 class CallerHandler(ObservedHandler):
@@ -49,6 +55,11 @@
 
     def authenticate(self) -> TeamRow | Refusal:
         """Return the team whose key the request carries."""
+        if not self.context.view.complete:
+            # A router that starts in a zone that is cut off may have read an
+            # old snapshot. By that it would serve a team that was paused
+            # since, and call a new key wrong.
+            return _STARTING
         header = self.request.headers.get('Authorization', '')
         if not header.lower().startswith(_BEARER):
             return Refusal(
