--- a/src/balsamreach/budget/recorder.py
+++ b/src/balsamreach/budget/recorder.py
@@ -1,6 +1,6 @@
 """Takes the bills of requests and records them a batch at a time."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import attrs
 
@@ -120,8 +120,8 @@
         """Drop bills that need not wait any more."""
         settled = attrs.evolve(
             settled,
-            recorded=self._waiting_among(settled.recorded),
-            repeated=self._waiting_among(settled.repeated),
+            recorded=_among(self._made_at, settled.recorded),
+            repeated=_among(self._made_at, settled.repeated),
         )
         entered = (*settled.recorded, *settled.repeated)
         done = {bill.ordinal for bill in entered}
@@ -142,13 +142,6 @@
         self.metrics.count(RECORDED, len(settled.recorded))
         self.metrics.count(REPEATED, len(settled.repeated))
 
-    def _waiting_among(self, bills: Iterable[Bill]) -> tuple[Bill, ...]:
-        # Two flushes can run at once, such as the last one of a router that
-        # leaves and that of a round, and settle the same bills. Entered
-        # twice, they would bring the number of waiting bills below zero:
-        # the router would wait for none to be left until its tries end.
-        return tuple(bill for bill in bills if bill.ordinal in self._made_at)
-
     async def _flush_part(self) -> BudgetFault | None:
         if self.book.closed is not None:
             return await self._flush_closed()
@@ -193,3 +186,11 @@
             room = COMMIT_BILLS - len(bills)
             bills.extend(ledger.waiting[:room])
         return tuple(bills)
+
+
+def _among(waiting: Container[int], bills: Iterable[Bill]) -> tuple[Bill, ...]:
+    # Two flushes can run at once, such as the last one of a router that
+    # leaves and that of a round, and settle the same bills. Entered twice,
+    # they would bring the number of waiting bills below zero: the router
+    # would wait for none to be left until its tries end.
+    return tuple(bill for bill in bills if bill.ordinal in waiting)
