--- a/bench/links.py
+++ b/bench/links.py
@@ -44,7 +44,11 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         ip, port = self.to.split(':')
-        there = await asyncio.open_connection(ip, int(port))
+        try:
+            there = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            writer.close()
+            return
         ways = (
             self._copy(reader, there[1]),
             self._copy(there[0], writer),
