--- a/src/balsamreach/budget/recorder.py
+++ b/src/balsamreach/budget/recorder.py
@@ -16,7 +16,7 @@
 RECORDED = 'balsamreach_budget_bills_recorded_total'
 REPEATED = 'balsamreach_budget_bills_repeated_total'
 WAITING = 'balsamreach_budget_bills_waiting'
-OLDEST = 'balsamreach_budget_bills_oldest_age'
+OLDEST = 'balsamreach_budget_bills_oldest_age_seconds'
 
 #: Most bills of one commit.
 COMMIT_BILLS = 500
--- a/src/balsamreach/routing/feedback.py
+++ b/src/balsamreach/routing/feedback.py
@@ -12,7 +12,7 @@
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
-_ATTEMPTS = 'balsamreach_attempts_total'
+_VERDICTS = 'balsamreach_target_verdicts_total'
 _FIRST_BYTE = 'balsamreach_target_first_byte_seconds'
 _SUSPENSIONS = 'balsamreach_target_suspensions_total'
 _FAILURES = frozenset(
@@ -56,7 +56,7 @@
         if slot.verdict == Verdict.UNUSED:
             slot.state.breaker.let_go()
             return
-        self.metrics.count(_ATTEMPTS, verdict=slot.verdict.value)
+        self.metrics.count(_VERDICTS, verdict=slot.verdict.value)
         self._tell_quarantine(slot)
         self._tell_breaker(slot)
         if slot.verdict == Verdict.DECLINED:
--- a/src/balsamreach/targets/poller.py
+++ b/src/balsamreach/targets/poller.py
@@ -12,7 +12,7 @@
 from balsamreach.targets.marks import FROM_TARGET, Marks
 from balsamreach.targets.registry import Target
 from balsamreach.targets.reports import LoadReport
-from balsamreach.targets.sharing import LoadSharing
+from balsamreach.targets.sharing import REPORTS, LoadSharing
 from balsamreach.telemetry.metrics import Metrics
 
 #: Bytes of one report in a message between routers, as measured.
@@ -135,7 +135,7 @@
         if not target.take_report(report, now):
             self._count('balsamreach_target_late_reports_total')
             return
-        self._count('balsamreach_target_reports_total', source='own')
+        self._count(REPORTS, source='own')
 
     def _count(self, name: str, **labels: str) -> None:
         self.parts.metrics.count(name, **labels)
--- a/src/balsamreach/targets/sharing.py
+++ b/src/balsamreach/targets/sharing.py
@@ -10,6 +10,8 @@
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import Member, TargetLoad, TargetLoads
 
+REPORTS = 'balsamreach_target_reports_total'
+
 
 @attrs.define(eq=False)
 class LoadSharing:
@@ -70,10 +72,7 @@
             taken_at=now - max(0, load.age),
         )
         if target.take_report(report, now):
-            self.metrics.count(
-                'balsamreach_target_reports_total',
-                source='peer',
-            )
+            self.metrics.count(REPORTS, source='peer')
 
 
 def make_load(target: Target, now: float) -> TargetLoad:
