Let power see waiting requests, and choices see warming targets

Cause: power asked how many requests wait at its router and was always told none. A target that warms up was held to a part of its slots, but to choices by load it looked idle, so that it was filled to that part at once. Change: power is told the lengths of the queues that a service could serve; the load of a warming target counts the more, in relation to its growing share. Both tests fail without the change. Conclusion: queues of other routers are still unseen by the decider.

--- a/src/balsamreach/daemon/target_watch.py
+++ b/src/balsamreach/daemon/target_watch.py
@@ -86,6 +86,7 @@
             clock=clock,
             rng=rng,
             metrics=metrics,
+            waiting=needs.routing.waiting,
         ),
     )
     return WatchRunner(watch, power)
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -103,7 +103,11 @@
         """Return a member's likely load in relation to its weight."""
         weight = self.weights[index]
         mean = self._mean_others(now) * weight
-        return self.members[index].likely_load(mean, now) / weight
+        state = self.members[index]
+        # A target that warms up would look idle beside the others and take
+        # more than its growing share, seen as slow answers after a restart.
+        weight *= state.target.warm_share(now)
+        return state.likely_load(mean, now) / weight
 
     def mean_load(self, rng: random.Random, now: float) -> float:
         """Return the load per weight, of a sample where there are many."""
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -187,6 +187,18 @@
         for slot in slots:
             self.node.end(slot)
 
+    async def test_power_learns_how_many_wait_for_a_service(self):
+        """Hosts that are off stay off while requests wait.
+
+        Symptom: a full service keeps its number of hosts.
+        Sequence: its targets are full, and requests wait at the router.
+        Cause: power sees the targets' own queues alone.
+        """
+        await self.fill()
+        await self.queue('team', 3)
+        waiting = self.node.routing.waiting
+        self.assertEqual((waiting('llm'), waiting('desk')), (3, 0))
+
     async def test_new_target_serves_those_who_wait(self):
         """Room that no request's end announces is used.
 
--- a/tests/test_routing_choice.py
+++ b/tests/test_routing_choice.py
@@ -109,6 +109,22 @@
         gap = group.load(1, now + 2) - group.load(0, now + 2)
         self.assertLess(gap, 8 / 3)
 
+    async def test_warming_target_carries_its_share_only(self):
+        """A host that just came back gets no rush of requests.
+
+        Symptom: slow answers at a host in the first seconds after a start.
+        Sequence: it restarts, is idle, and its cache is empty.
+        Cause: an idle target draws all choices that weigh load alone.
+        """
+        node = Node(make_rows(8), options=('routing.policy=two_choices',))
+        target = node.targets.by_name['zone-a-engine-0']
+        target.warm_from = node.clock.now() - target.warm_time / 4
+        for number in range(32):
+            await node.send(fingerprint=f'f{number}')
+        held = node.state('zone-a-engine-0').held
+        self.assertLessEqual(held, 32 / 8 / 2)
+        self.assertGreater(held, 0)
+
 
 class ZoneTest(unittest.IsolatedAsyncioTestCase):
     """The own zone first, others where it is full or loaded."""
