--- a/src/balsamreach/routing/quarantine.py
+++ b/src/balsamreach/routing/quarantine.py
@@ -153,6 +153,7 @@
             return False
         at = self.clock.wall()
         self.suspects.lift(fingerprint, at)
+        _show_held(self)
         if self.net is not None:
             self.net.spread(Suspicion(fingerprint, '', lifted=True, at=at))
         log_event(
@@ -169,6 +170,7 @@
             return
         if message.lifted:
             news = self.suspects.lift(message.fingerprint, message.at)
+            _show_held(self)
         else:
             news = self._blame(message)
         if news:
@@ -198,7 +200,7 @@
         if news:
             self.metrics.count(_CONFIRMED)
         if not before and self.suspects.is_quarantined(fingerprint):
-            self.metrics.gauge(_HELD, len(self.listed()))
+            _show_held(self)
             log_event(
                 _logger,
                 logging.WARNING,
@@ -208,3 +210,7 @@
                 target=message.target,
             )
         return news
+
+
+def _show_held(quarantine: Quarantine) -> None:
+    quarantine.metrics.gauge(_HELD, len(quarantine.listed()))
