Release a dead router's allotments on an operator's word

Cause: an allotment is closed when a newer router serves its holder's address. Where the address is never used again nobody has that proof, and the tokens are out of use for good.

A router that comes to the address later enters itself and finishes a release that broke off. Ways weighed: a grace after the host list's removal (time alone: no), any router doing it on removal (the list lags, and shows cut-off hosts as gone: no).

Conclusion: a holder that is alive and cut off may have served what it no longer can draw; its bills are paid out of the account while that has room. What a dead lender may have lent stays in closed rows still.

--- a/src/balsamreach/budget/faults.py
+++ b/src/balsamreach/budget/faults.py
@@ -30,5 +30,7 @@
 NO_ACCOUNT = BudgetFault('no_account')
 #: Too many routers draw on the account at this moment.
 CONTENDED = BudgetFault('account_contended', retry_after=1)
+#: The host list still shows a router that is said to be dead.
+STILL_LISTED = BudgetFault('still_listed')
 #: This router is shutting down and has given its allotments back.
 LEFT = BudgetFault('router_left', retry_after=1)
--- a/src/balsamreach/budget/incarnations.py
+++ b/src/balsamreach/budget/incarnations.py
@@ -24,7 +24,8 @@
     Parameters
     ----------
     incarnation : str
-        Latest incarnation that served the address.
+        Latest incarnation that served the address; empty after an operator
+        released what that one held.
     started : float
         Wall time of its start.
     before : tuple of str
@@ -81,8 +82,7 @@
             seating = self._as_next(rows[0].value)
             if isinstance(seating, BudgetFault):
                 return seating
-            version = _live_version(rows[0])
-            outcome = await self._enter_as(version, seating)
+            outcome = await self._enter_as(rows[0], seating)
             if outcome is None:
                 return None
             if outcome not in {CONFLICT, UNKNOWN}:
@@ -140,6 +140,9 @@
         # The answer to our own entry was lost.
         if earlier.incarnation == self.incarnation:
             return earlier
+        # An operator released what the earlier one held; nobody serves now.
+        if not earlier.incarnation:
+            return Seating(self.incarnation, self.started, earlier.before)
         if earlier.started > self.started:
             return TAKEN_OVER.because('a later router has our address')
         before = (*earlier.before, earlier.incarnation)
@@ -147,10 +150,10 @@
 
     async def _enter_as(
         self,
-        version: int,
+        row: Row,
         seating: Seating,
     ) -> PlatformFault | None:
-        outcome = await self._write(version, seating)
+        outcome = await self._write(row, seating)
         if isinstance(outcome, PlatformFault):
             return outcome
         self.entered = True
@@ -164,21 +167,22 @@
         stored = rows[0].value
         if stored is None or stored['incarnation'] != self.incarnation:
             return TAKEN_OVER.because('a later router has our address')
-        outcome = await self._write(rows[0].version, seating)
+        outcome = await self._write(rows[0], seating)
         if isinstance(outcome, PlatformFault):
             return NO_ALLOTMENT.because(f'table service: {outcome.code}')
         return None
 
     async def _write(
         self,
-        version: int,
+        row: Row,
         seating: Seating | None,
     ) -> int | PlatformFault:
         fields = None if seating is None else attrs.asdict(seating)
         return await self.service.commit(
-            Commit((Write(self._key, fields),), (Check(self._key, version),)),
+            Commit((Write(self._key, fields),), (live_check(row),)),
         )
 
 
-def _live_version(row: Row) -> int:
-    return ABSENT if row.value is None else row.version
+def live_check(row: Row) -> Check:
+    """Return the check that a row is still as it was read."""
+    return Check(row.key, ABSENT if row.value is None else row.version)
--- /dev/null
+++ b/src/balsamreach/ui/budget.py
@@ -0,0 +1,80 @@
+"""Command ``budget``."""
+
+import asyncio
+
+import click
+
+from balsamreach.budget.faults import STILL_LISTED, BudgetFault
+from balsamreach.budget.releasing import Released, Releaser
+from balsamreach.clock import SystemClock
+from balsamreach.config.faults import ConfigFault
+from balsamreach.config.reader import read_settings
+from balsamreach.config.settings import Settings
+from balsamreach.daemon.clients import platform_client
+from balsamreach.platform.hosts_http import HttpHostList
+from balsamreach.platform.table_http import HttpTableService
+from balsamreach.ui import exit_codes
+from balsamreach.ui.errors import CommandError, settings_error
+
+_WARNING = (
+    'Router {incarnation} must be dead: if it still serves, what it has not '
+    'recorded may go unbilled. Release what it holds?'
+)
+
+
+@click.group('budget')
+def command() -> None:
+    """Look after budgets that routers hold."""
+
+
+@command.command('release')
+@click.argument('incarnation')
+@click.option('--by', required=True, help='Who says that it is dead.')
+@click.option('-y', '--yes', is_flag=True, help='Do not ask.')
+@click.option(
+    '-c',
+    '--config',
+    'path',
+    type=click.Path(),
+    help='Settings file that names the platform.',
+)
+@click.option(
+    '--set',
+    'overrides',
+    multiple=True,
+    metavar='SECTION.KEY=TEXT',
+    help='Override one key; may be repeated.',
+)
+def release(
+    incarnation: str,
+    by: str,
+    path: str | None,
+    overrides: tuple[str, ...],
+    *,
+    yes: bool,
+) -> None:
+    """Give back what a dead router holds whose address is not used again."""
+    cfg = read_settings(path, overrides)
+    if isinstance(cfg, ConfigFault):
+        raise settings_error(cfg)
+    if not yes:
+        click.confirm(_WARNING.format(incarnation=incarnation), abort=True)
+    outcome = asyncio.run(_release(cfg, incarnation, by))
+    if isinstance(outcome, BudgetFault):
+        listed = outcome == STILL_LISTED
+        code = exit_codes.CONFLICT if listed else exit_codes.UNREACHABLE
+        raise CommandError('release the allotments', outcome, code)
+    for team, tokens in sorted(outcome.returned.items()):
+        click.echo(f'{team}: {tokens} tokens returned')
+    if outcome.kept:
+        click.echo(f'{outcome.kept} tokens stay: borrowers may hold them')
+
+
+async def _release(
+    cfg: Settings,
+    incarnation: str,
+    by: str,
+) -> Released | BudgetFault:
+    table = HttpTableService(platform_client(cfg, cfg.platform.table))
+    hosts = HttpHostList(platform_client(cfg, cfg.platform.hosts))
+    return await Releaser(table, hosts, SystemClock()).release(incarnation, by)
--- a/src/balsamreach/ui/main.py
+++ b/src/balsamreach/ui/main.py
@@ -7,6 +7,7 @@
 #: Module by command; its function ``command`` is the click command.
 COMMANDS = {
     'audit': 'balsamreach.ui.audit',
+    'budget': 'balsamreach.ui.budget',
     'check-config': 'balsamreach.ui.check_config',
     'serve': 'balsamreach.ui.serve',
     'standin': 'balsamreach.ui.standin',
