Doubt a key's home also after a router it never saw alive

The home looks at the members once a second; a router that joined, ran the request and died between two looks left no trace. Ruled out: lost notes at a standing home, and the home's own death, which both leave it unsure already. Change: the net tells which routers are known to have died, and a new name among them makes the home unsure, as a death that was seen does.

--- a/src/balsamreach/dispatch/notes.py
+++ b/src/balsamreach/dispatch/notes.py
@@ -42,6 +42,7 @@
         factory=OrderedDict,
     )
     _alive: frozenset[str] | None = None
+    _dead: frozenset[str] = frozenset()
     _unsure_until: float = 0
 
     @property
@@ -53,6 +54,7 @@
         self,
         members: Collection[Member],
         reached: Collection[Member],
+        departed: Collection[Member] = (),
     ) -> None:
         """Take note of who is alive.
 
@@ -62,6 +64,10 @@
             Routers held to be alive, this one included.
         reached : collection of Member
             Those whose notes come through.
+        departed : collection of Member
+            Those known to have died. One that came and went between two
+            looks was never seen alive, yet may have been the home of keys
+            and run requests; a sure "not run" would be false then.
         """
         # A router that is cut off runs requests without being able to tell.
         unreached = {member.incarnation for member in members}
@@ -76,6 +82,9 @@
             is_late = earliest < self.me.started - _SAME_START
         else:
             is_late = bool(self._alive - alive)
+        dead = frozenset(member.incarnation for member in departed)
+        is_late = is_late or bool(dead - self._dead)
+        self._dead = dead
         if is_late:
             self._doubt()
         self._alive = alive
--- a/src/balsamreach/dispatch/sharing.py
+++ b/src/balsamreach/dispatch/sharing.py
@@ -95,12 +95,14 @@
         """Look at who is alive and in reach; called every second or so."""
         members = self.net.members()
         reached = self.net.neighbours()
+        departed = self.net.departed()
         # A home of the zone alone is asked by the zone's routers alone.
         if len(members) > self.max_peers + 1:
             zone = self.net.me.zone
             members = tuple(member for member in members if member.zone == zone)
             reached = members
-        self.notes.see(members, reached)
+            departed = tuple(one for one in departed if one.zone == zone)
+        self.notes.see(members, reached, departed)
 
     def tell(self, req: RequestId, target: str, generation: str) -> None:
         """Tell the home which generation answers a request."""
--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -28,6 +28,10 @@
     def members(self) -> tuple[Member, ...]:
         """Return all routers held to be alive, this one included."""
 
+    def departed(self) -> tuple[Member, ...]:
+        """Return routers known to have died, as long as that is kept."""
+        return ()
+
     @abc.abstractmethod
     def neighbours(self) -> tuple[Member, ...]:
         """Return the routers to which a lasting connection stands.
--- a/src/balsamreach/peers/membership.py
+++ b/src/balsamreach/peers/membership.py
@@ -56,6 +56,10 @@
             member for member in self._known.values() if not member.dead
         )
 
+    def dead(self) -> tuple[Member, ...]:
+        """Return the routers held to be dead and not forgotten yet."""
+        return tuple(member for member in self._known.values() if member.dead)
+
     def find(self, incarnation: str) -> Member | None:
         """Return what is known of an incarnation."""
         return self._known.get(incarnation)
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -84,6 +84,10 @@
         """Return all routers held to be alive, this one included."""
         return self.keeper.membership.alive()
 
+    def departed(self) -> tuple[Member, ...]:
+        """Return routers known to have died, as long as that is kept."""
+        return self.keeper.membership.dead()
+
     def neighbours(self) -> tuple[Member, ...]:
         """Return the routers to which a lasting connection stands."""
         find = self.keeper.membership.find
--- a/tests/test_dispatch_sharing.py
+++ b/tests/test_dispatch_sharing.py
@@ -390,6 +390,18 @@
         self.clock.advance(601)
         self.assertTrue(self.notes.sure)
 
+    def test_unsure_after_a_router_that_came_and_went_unseen(self):
+        """A request that ran is told "not run".
+
+        Symptom: of two golden runs one said ``no``, the other ``unknown``.
+        Sequence: a router joins, runs a request and dies between two looks
+        at the members. Cause: only routers seen alive were missed.
+        """
+        net = self.nets[0]
+        passer = attrs.evolve(self.nets[1].me, incarnation='unseen', dead=True)
+        self.notes.see(net.members(), net.neighbours(), (passer,))
+        self.assertFalse(self.notes.sure)
+
     def test_unsure_after_joining_routers_that_ran_before(self):
         late = attrs.evolve(self.nets[0].me, started=5000)
         notes = Notes(late, 600, self.clock)
