Read a command's settings in one place

Change: ui/settings_file.py holds the options and the reading; audit takes the client from daemon/clients.py as budget release does. Conclusion: a new command that needs settings calls two functions.

--- a/src/balsamreach/ui/audit.py
+++ b/src/balsamreach/ui/audit.py
@@ -10,30 +10,16 @@
 from balsamreach.budget.audit import Report
 from balsamreach.budget.auditor import Auditor
 from balsamreach.budget.faults import BudgetFault
-from balsamreach.config.faults import ConfigFault
-from balsamreach.config.reader import read_settings
 from balsamreach.config.settings import Settings
-from balsamreach.daemon.parts import platform_client
+from balsamreach.daemon.clients import platform_client
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.ui import exit_codes
-from balsamreach.ui.errors import CommandError, settings_error
+from balsamreach.ui.errors import CommandError
+from balsamreach.ui.settings_file import load_settings, settings_options
 
 
 @click.command('audit')
-@click.option(
-    '-c',
-    '--config',
-    'path',
-    type=click.Path(),
-    help='Settings file that names the platform.',
-)
-@click.option(
-    '--set',
-    'overrides',
-    multiple=True,
-    metavar='SECTION.KEY=TEXT',
-    help='Override one key; may be repeated.',
-)
+@settings_options('Settings file that names the platform.')
 @click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 def command(
     path: str | None,
@@ -42,9 +28,7 @@
     as_json: bool,
 ) -> None:
     """Check all budgets' records; exit 5 if an invariant is broken."""
-    cfg = read_settings(path, overrides)
-    if isinstance(cfg, ConfigFault):
-        raise settings_error(cfg)
+    cfg = load_settings(path, overrides)
     report = asyncio.run(_audit(cfg))
     if isinstance(report, BudgetFault):
         raise CommandError('read the records', report, exit_codes.UNREACHABLE)
--- a/src/balsamreach/ui/budget.py
+++ b/src/balsamreach/ui/budget.py
@@ -7,14 +7,13 @@
 from balsamreach.budget.faults import STILL_LISTED, BudgetFault
 from balsamreach.budget.releasing import Released, Releaser
 from balsamreach.clock import SystemClock
-from balsamreach.config.faults import ConfigFault
-from balsamreach.config.reader import read_settings
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.clients import platform_client
 from balsamreach.platform.hosts_http import HttpHostList
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.ui import exit_codes
-from balsamreach.ui.errors import CommandError, settings_error
+from balsamreach.ui.errors import CommandError
+from balsamreach.ui.settings_file import load_settings, settings_options
 
 _WARNING = (
     'Router {incarnation} must be dead: if it still serves, what it has not '
@@ -31,20 +30,7 @@
 @click.argument('incarnation')
 @click.option('--by', required=True, help='Who says that it is dead.')
 @click.option('-y', '--yes', is_flag=True, help='Do not ask.')
-@click.option(
-    '-c',
-    '--config',
-    'path',
-    type=click.Path(),
-    help='Settings file that names the platform.',
-)
-@click.option(
-    '--set',
-    'overrides',
-    multiple=True,
-    metavar='SECTION.KEY=TEXT',
-    help='Override one key; may be repeated.',
-)
+@settings_options('Settings file that names the platform.')
 def release(
     incarnation: str,
     by: str,
@@ -54,9 +40,7 @@
     yes: bool,
 ) -> None:
     """Give back what a dead router holds whose address is not used again."""
-    cfg = read_settings(path, overrides)
-    if isinstance(cfg, ConfigFault):
-        raise settings_error(cfg)
+    cfg = load_settings(path, overrides)
     if not yes:
         click.confirm(_WARNING.format(incarnation=incarnation), abort=True)
     outcome = asyncio.run(_release(cfg, incarnation, by))
--- a/src/balsamreach/ui/serve.py
+++ b/src/balsamreach/ui/serve.py
@@ -6,11 +6,9 @@
 
 import click
 
-from balsamreach.config.faults import ConfigFault
 from balsamreach.config.reader import (
     check_certificates,
     check_ports,
-    read_settings,
 )
 from balsamreach.daemon.router import Router
 from balsamreach.daemon.run import Role, run_until_stopped
@@ -19,28 +17,14 @@
 from balsamreach.telemetry.logs import set_up_logging
 from balsamreach.ui import exit_codes
 from balsamreach.ui.errors import CommandError, settings_error
+from balsamreach.ui.settings_file import load_settings, settings_options
 
 
 @click.command('serve')
-@click.option(
-    '-c',
-    '--config',
-    'path',
-    type=click.Path(),
-    help='Settings file; without one the defaults hold.',
-)
-@click.option(
-    '--set',
-    'overrides',
-    multiple=True,
-    metavar='SECTION.KEY=TEXT',
-    help='Override one key; may be repeated.',
-)
+@settings_options('Settings file; without one the defaults hold.')
 def command(path: str | None, overrides: tuple[str, ...]) -> None:
     """Run a router daemon until SIGTERM or SIGINT."""
-    cfg = read_settings(path, overrides)
-    if isinstance(cfg, ConfigFault):
-        raise settings_error(cfg)
+    cfg = load_settings(path, overrides)
     for fault in (check_certificates(cfg), check_ports(cfg)):
         if fault is not None:
             raise settings_error(fault)
--- /dev/null
+++ b/src/balsamreach/ui/settings_file.py
@@ -0,0 +1,51 @@
+"""Options that name a settings file, and the settings read from it."""
+
+from collections.abc import Callable
+
+import click
+
+from balsamreach.config.faults import ConfigFault
+from balsamreach.config.reader import read_settings
+from balsamreach.config.settings import Settings
+from balsamreach.ui.errors import settings_error
+
+Command = Callable[..., None]
+
+
+def settings_options(about: str) -> Callable[[Command], Command]:
+    """Return a decorator that adds ``--config`` and ``--set``.
+
+    Parameters
+    ----------
+    about : str
+        Help of ``--config``: what the file is read for.
+    """
+    config = click.option(
+        '-c',
+        '--config',
+        'path',
+        type=click.Path(),
+        help=about,
+    )
+    overrides = click.option(
+        '--set',
+        'overrides',
+        multiple=True,
+        metavar='SECTION.KEY=TEXT',
+        help='Override one key; may be repeated.',
+    )
+    return lambda function: config(overrides(function))
+
+
+def load_settings(path: str | None, overrides: tuple[str, ...]) -> Settings:
+    """Read the settings that a command was given.
+
+    Raises
+    ------
+    CommandError
+        If they can't be used; the command ends with exit code 2.
+    """
+    cfg = read_settings(path, overrides)
+    if isinstance(cfg, ConfigFault):
+        raise settings_error(cfg)
+    return cfg
