Derive the number of waiting bills instead of counting it

Cause: the recorder kept a count of waiting bills beside the record of when each was made; two flushes once drove the count to -1, and a shutdown then waited 20 s for bills that were not there. Change: the number is the size of that record, so it can't drift. The filter that keeps a bill from being entered twice stays.

--- a/src/balsamreach/budget/recorder.py
+++ b/src/balsamreach/budget/recorder.py
@@ -44,12 +44,16 @@
     settler: Settler
     closer: Closer
     metrics: Metrics
-    waiting: int = 0
     repeated: int = 0
     unsent: Unsent = attrs.field(factory=Unsent)
     _made: int = 0
     _made_at: dict[int, float] = attrs.field(factory=dict)
 
+    @property
+    def waiting(self) -> int:
+        """Number of bills that are not recorded yet."""
+        return len(self._made_at)
+
     @property
     def oldest_age(self) -> float:
         """Seconds for which the oldest bill has been waiting."""
@@ -96,7 +100,6 @@
         self._made += 1
         now = self.book.clock.now()
         self._made_at[self._made] = now
-        self.waiting += 1
         ledger.rate.add(bill.tokens - reservation.tokens, now)
         numbered = attrs.evolve(bill, ordinal=self._made)
         ledger.bill(reservation, numbered)
@@ -146,7 +149,6 @@
         # it used here return to the allotment.
         for bill in settled.repeated:
             self.book.ledgers[bill.team].billed -= bill.tokens
-        self.waiting -= len(done)
         self.repeated += len(settled.repeated)
         self.metrics.count(RECORDED, len(settled.recorded))
         self.metrics.count(REPEATED, len(settled.repeated))
