Part streams and usage figures from the replies

Cause: dispatch/replies.py had grown to 407 lines and held three jobs: what every reply does, the events of a stream, and a target's usage figures. A reader of billing met event parsing on the way. Change: stream_replies.py has the two replies to streams, usage.py the figures. Conclusion: each file is read in one go.

--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -9,7 +9,8 @@
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.faults import DispatchFault
-from balsamreach.dispatch.replies import PlainReply, Reply, StreamReply
+from balsamreach.dispatch.replies import PlainReply, Reply
+from balsamreach.dispatch.stream_replies import StreamReply
 from balsamreach.dispatch.upstream import (
     EXPIRED,
     HALTED,
--- a/src/balsamreach/dispatch/billing.py
+++ b/src/balsamreach/dispatch/billing.py
@@ -2,7 +2,8 @@
 
 from balsamreach.budget.account import Bill
 from balsamreach.dispatch.call import Call
-from balsamreach.dispatch.replies import Reply, Usage, is_failure
+from balsamreach.dispatch.replies import Reply, is_failure
+from balsamreach.dispatch.usage import Usage
 from balsamreach.table.rows import ENGINE
 
 _FIRST_ERROR = 400
--- a/src/balsamreach/dispatch/resuming.py
+++ b/src/balsamreach/dispatch/resuming.py
@@ -9,12 +9,8 @@
 from balsamreach.dispatch.attempts import Attempts
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.faults import DispatchFault
-from balsamreach.dispatch.replies import (
-    PlainReply,
-    Reply,
-    ResumedReply,
-    StreamReply,
-)
+from balsamreach.dispatch.replies import PlainReply, Reply
+from balsamreach.dispatch.stream_replies import ResumedReply, StreamReply
 from balsamreach.dispatch.upstream import Attempt
 from balsamreach.dispatch.verdicts import judge
 from balsamreach.requests.answers import Output
--- a/src/balsamreach/dispatch/tries.py
+++ b/src/balsamreach/dispatch/tries.py
@@ -16,8 +16,9 @@
 from balsamreach.dispatch.hedging import Race
 from balsamreach.dispatch.placing import Placer
 from balsamreach.dispatch.replay import Replay, can_replay
-from balsamreach.dispatch.replies import Reply, StreamReply
+from balsamreach.dispatch.replies import Reply
 from balsamreach.dispatch.resuming import Resumer
+from balsamreach.dispatch.stream_replies import StreamReply
 from balsamreach.dispatch.upstream import Attempt, Upstream
 from balsamreach.requests.answers import Answer, Output
 from balsamreach.routing.routing import Routing
