Read the routers' own certificates again on SIGHUP

Cause: the net of routers could read its TLS files again, but SIGHUP reached the callers' and operators' listeners only. After a renewal routers of the old and the new certificate refused each other until each was restarted. Conclusion: certificates of all three listeners are renewed by one signal.

--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -9,6 +9,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.parts import Parts, make_parts
+from balsamreach.faults import Fault
 from balsamreach.gateway.base import CallerContext
 from balsamreach.gateway.callers import make_callers_app
 from balsamreach.gateway.guard import Guard
@@ -90,15 +91,9 @@
     def reload_tls(self) -> None:
         """Load the PEM files of the listeners again."""
         for listener in (self.callers, self.operators):
-            fault = listener.reload_tls()
-            event = 'tls_reloaded' if fault is None else 'tls_not_reloaded'
-            log_event(
-                _logger,
-                logging.INFO if fault is None else logging.ERROR,
-                event,
-                reason=None if fault is None else fault.reason,
-                address=listener.address,
-            )
+            _log_reload(listener.address, listener.reload_tls())
+        net = self.parts.net
+        _log_reload(net.me.address, net.reload_tls())
 
     async def leave(self) -> None:
         """Finish the requests in progress, record their bills and stop."""
@@ -212,3 +207,14 @@
                 ('/metrics', MetricsHandler, {'metrics': self.parts.metrics}),
             ],
         )
+
+
+def _log_reload(address: str, fault: Fault | None) -> None:
+    event = 'tls_reloaded' if fault is None else 'tls_not_reloaded'
+    log_event(
+        _logger,
+        logging.INFO if fault is None else logging.ERROR,
+        event,
+        reason=None if fault is None else fault.reason,
+        address=address,
+    )
--- a/tests/test_daemon_listeners.py
+++ b/tests/test_daemon_listeners.py
@@ -11,7 +11,7 @@
 from parameterized import parameterized
 
 from balsamreach.config.reader import check_certificates, read_settings
-from tests.deployment import Deployment
+from tests.deployment import Deployment, until
 
 _GET = b'GET /healthz HTTP/1.1\r\nHost: router\r\n\r\n'
 _OK = b'"ok"}'
@@ -130,6 +130,41 @@
         connection[1].close()
 
 
+class PeersTest(unittest.IsolatedAsyncioTestCase):
+    """Routers whose links to each other are mutual TLS."""
+
+    async def asyncSetUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.files = Files(directory.name)
+        ca = f'peers.tls_ca={self.files.ca}'
+        self.deployment = Deployment((*self.files.settings('peers'), ca))
+        self.addAsyncCleanup(self.deployment.stop)
+        await self.deployment.start()
+
+    async def test_new_certificate_cuts_no_link(self):
+        """The routers' certificates are renewed while they run.
+
+        Symptom: routers that were started later stay alone. Sequence: the
+        files change, SIGHUP, another router starts. Cause: SIGHUP covered
+        the HTTP listeners only. A restart instead would cut all links.
+        """
+        first = self.deployment.routers[0]
+        seed = first.parts.net.me.address
+        self.deployment.overrides += (f'peers.seeds={seed}',)
+        second = await self.deployment.add_router('second')
+        net = second.parts.net
+        self.assertTrue(await until(net.neighbours))
+        link = net.keeper.links.every()[0]
+        self.files.renew()
+        for router in (first, second):
+            router.reload_tls()
+        third = await self.deployment.add_router('third')
+        met = await until(lambda: len(third.parts.net.neighbours()) == 2)
+        self.assertTrue(met)
+        self.assertIn(link, net.keeper.links.every())
+
+
 class CheckTest(unittest.TestCase):
     """Files that can't be used are named before anything listens."""
 
--- a/tests/test_peers_tls.py
+++ b/tests/test_peers_tls.py
@@ -8,7 +8,7 @@
 from parameterized import parameterized
 
 from balsamreach.config.reader import read_settings
-from balsamreach.peers.faults import BAD_TLS
+from balsamreach.peers.faults import BAD_TLS, NOT_CONNECTED
 from balsamreach.peers.tls import load_tls
 from balsamreach.wire.messages import InFlight, InFlightAsk
 from tests.peers_rig import Rig, linked, names
@@ -90,6 +90,24 @@
         self.assertIs(one.keeper.links.best('two'), link)
         self.assertIn('one', linked(two))
 
+    async def test_reloaded_router_dials_with_the_new_files(self):
+        """All routers get new certificates, one after the other.
+
+        Symptom: a renewed router reaches nobody that was renewed too.
+        Sequence: the files change, SIGHUP, it opens a connection. Cause:
+        only the listener took the new files.
+        """
+        new = self.write('new', _OTHER_CA, _OTHER_CA)
+        renewed = await self.rig.start('new', *new)
+        one = await self.rig.start('one', *self.write('one', _CA))
+        dial = one.keeper.connector.dial
+        self.assertEqual(await dial(renewed.me.address), NOT_CONNECTED)
+        self.write('one', _OTHER_CA, _OTHER_CA)
+        self.assertIsNone(one.reload_tls())
+        link = await dial(renewed.me.address)
+        self.addCleanup(link.stream.close)
+        self.assertEqual(link.peer.incarnation, 'new')
+
     @parameterized.expand((('ca',), ('key',)))
     def test_missing_file_is_a_fault(self, missing):
         files = self.write('one', _CA)
