--- /dev/null
+++ b/src/balsamreach/gateway/call_headers.py
@@ -0,0 +1,69 @@
+"""Reads the headers by which a caller says how its request may be run."""
+
+import math
+
+import attrs
+from tornado.httputil import HTTPHeaders
+
+from balsamreach.gateway.refusals import Refusal
+
+_BAD_REQUEST = 400
+_IDEMPOTENT_HEADER = 'Idempotent'
+_TIMEOUT_HEADER = 'X-Request-Timeout'
+_FLAGS = {'true': True, 'false': False}
+
+
+@attrs.frozen
+class CallTerms:
+    """How a request may be run.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the caller lets it run more than once.
+    timeout : float
+        Seconds within which the answer must be whole.
+    """
+
+    idempotent: bool
+    timeout: float
+
+
+def read_terms(headers: HTTPHeaders, longest: float) -> CallTerms | Refusal:
+    """Read how a request may be run.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        The request's headers.
+    longest : float
+        Seconds that no answer may take longer than.
+
+    Returns
+    -------
+    CallTerms or Refusal
+        A refusal names the header that has a wrong form.
+    """
+    flag = headers.get(_IDEMPOTENT_HEADER, 'true')
+    idempotent = _FLAGS.get(flag.strip().lower())
+    if idempotent is None:
+        return _bad_header(_IDEMPOTENT_HEADER, 'true or false')
+    asked = headers.get(_TIMEOUT_HEADER)
+    if asked is None:
+        return CallTerms(idempotent, longest)
+    timeout = _read_seconds(asked)
+    if timeout is None:
+        return _bad_header(_TIMEOUT_HEADER, 'a number of seconds above 0')
+    return CallTerms(idempotent, min(timeout, longest))
+
+
+def _read_seconds(text: str) -> float | None:
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
+
+
+def _bad_header(name: str, form: str) -> Refusal:
+    return Refusal(_BAD_REQUEST, 'invalid_header', f'{name}: write {form}')
