Follow a request into other routers by its trace id

Cause: what one router asked of another (who runs a request, its answer, a loan) had no span, so a trace broke off where it was most wanted. Also, the tasks of a link that a request had opened inherited that request's trace. Change: the envelope of an ask carries the W3C trace context where the request is sampled, a new field at the end of the struct. The asking router has a span peer, the answering one peer_answer below it. Tasks started in passing begin with an empty context. Measured: the test that follows one request across two routers finds no such spans before, and pairs them by id now; bytes of an ask that the release before encoded are read, and its schema reads an ask with a trace. Conclusion: an older peer costs a trace its far half, nothing else.

--- a/bench/table_spread.py
+++ b/bench/table_spread.py
@@ -21,6 +21,7 @@
 from balsamreach.table.editor import Editor
 from balsamreach.table.edits import Edit
 from balsamreach.telemetry.metrics import Metrics
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
 from tests.table_fleet import OwnWay
 
@@ -139,6 +140,7 @@
         rng=rng,
         metrics=metrics,
         discovery=Discovery(platform.hosts, tuple(seeds)),
+        tracing=Tracing(cfg),
     )
     way = OwnWay(platform)
     parts = make_table_parts(
--- a/src/balsamreach/daemon/net.py
+++ b/src/balsamreach/daemon/net.py
@@ -9,6 +9,7 @@
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.platform.hosts_http import HttpHostList
 from balsamreach.telemetry.metrics import Metrics
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
 
 
@@ -55,4 +56,5 @@
         rng=rng,
         metrics=metrics,
         discovery=Discovery(hosts, cfg.peers.seeds),
+        tracing=Tracing(cfg),
     )
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -29,7 +29,6 @@
 from balsamreach.routing.shares import Shares
 from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
-from balsamreach.telemetry.traces import Tracing
 
 STARTING = 'starting'
 READY = 'ready'
@@ -53,7 +52,6 @@
     cfg: Settings
     state: str = STARTING
     parts: Parts = attrs.field(init=False)
-    tracing: Tracing = attrs.field(init=False)
     guard: Guard = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
     operators: OpenListener = attrs.field(init=False)
@@ -62,7 +60,6 @@
     async def start(self) -> None:
         """Open the listeners and begin to follow the table."""
         self.parts = make_parts(self.cfg)
-        self.tracing = Tracing(self.cfg)
         # The command has read the TLS files before; nothing else can fail.
         fault = await self.parts.net.start()
         assert fault is None, fault
@@ -135,7 +132,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.parts.upstream.close()
-        self.tracing.close()
+        self.parts.net.tracing.close()
 
     async def _leave_budgets(self) -> None:
         for _ in range(_LAST_FLUSHES):
@@ -170,7 +167,7 @@
                 clock=parts.clock,
                 shares=Shares(),
                 metrics=parts.metrics,
-                tracing=self.tracing,
+                tracing=parts.net.tracing,
             ),
         )
         self._add_health(app)
--- a/src/balsamreach/peers/incoming.py
+++ b/src/balsamreach/peers/incoming.py
@@ -7,6 +7,8 @@
 
 from balsamreach.clock import Clock
 from balsamreach.peers.waiting import within
+from balsamreach.telemetry import hops
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.codec import Envelope
 from balsamreach.wire.messages import Member, Message, Refused
 
@@ -34,11 +36,14 @@
         Takes them.
     send : callable
         Queues an answer.
+    tracing : Tracing or None
+        Starts the spans of answers to traced asks.
     """
 
     peer: Member
     take: MessageTaker
     send: Callable[[Envelope], object]
+    tracing: Tracing | None = None
     _told: asyncio.Queue[Message] = attrs.field(
         factory=lambda: asyncio.Queue(MOST_WAITING),
     )
@@ -85,5 +90,11 @@
             self._told.task_done()
 
     async def _answer(self, envelope: Envelope) -> None:
-        answer = await self.take(self.peer, envelope.message)
+        with hops.continuing(
+            self.tracing,
+            envelope.traceparent,
+            'peer_answer',
+            kind=type(envelope.message).__name__,
+        ):
+            answer = await self.take(self.peer, envelope.message)
         self.send(Envelope(answer, answers=envelope.ask))
--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -22,6 +22,8 @@
 from balsamreach.peers.outbox import Outbox
 from balsamreach.peers.pulse import Pulse
 from balsamreach.peers.tally import Tally
+from balsamreach.telemetry import hops
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.codec import MOST_BYTES, Envelope, decode, encode
 from balsamreach.wire.faults import CLOSED, UNKNOWN_KIND, WireFault
 from balsamreach.wire.framing import frame, read_frame, write
@@ -49,6 +51,8 @@
         Takes a member's message and returns the answer to it.
     heartbeat : callable
         Returns the heartbeat to send now.
+    tracing : Tracing or None
+        Starts the spans of answers to others' traced asks.
     """
 
     cfg: PeersSettings
@@ -56,6 +60,7 @@
     tally: Tally
     take: MessageTaker
     heartbeat: Callable[[], Heartbeat] = Heartbeat
+    tracing: Tracing | None = None
 
 
 @attrs.define(eq=False, repr=False)
@@ -90,7 +95,12 @@
         """Count silence and idleness from now."""
         self.heard_at = self.context.clock.now()
         self.used_at = self.heard_at
-        self._incoming = Incoming(self.peer, self.context.take, self.send)
+        self._incoming = Incoming(
+            self.peer,
+            self.context.take,
+            self.send,
+            self.context.tracing,
+        )
 
     async def run(self) -> PeerFault:
         """Serve the connection to its end.
@@ -112,7 +122,8 @@
         now = self.context.clock.now()
         self.used_at = now
         number, fut = self._asks.open(now + self.context.cfg.gap_timeout)
-        refused = self.send(Envelope(message, ask=number))
+        traceparent = hops.current_traceparent()
+        refused = self.send(Envelope(message, number, 0, traceparent))
         if refused is not None:
             self._asks.close(number)
             return refused
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -15,7 +15,7 @@
 from balsamreach.peers.greeter import Greeter
 from balsamreach.peers.homes import Homes
 from balsamreach.peers.keeper import Keeper
-from balsamreach.peers.link import LinkContext
+from balsamreach.peers.link import Link, LinkContext
 from balsamreach.peers.links import Links
 from balsamreach.peers.listener import PeersListener
 from balsamreach.peers.membership import Membership
@@ -23,7 +23,9 @@
 from balsamreach.peers.tally import Tally
 from balsamreach.peers.tls import load_tls
 from balsamreach.peers.upkeep import Upkeep
+from balsamreach.telemetry import hops
 from balsamreach.telemetry.metrics import Metrics
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member, Message
 
 
@@ -43,6 +45,8 @@
         Where links are counted.
     discovery : Discovery
         Addresses of routers.
+    tracing : Tracing
+        Starts the spans of answers to others' traced asks.
     """
 
     cfg: Settings
@@ -50,6 +54,7 @@
     rng: random.Random
     metrics: Metrics
     discovery: Discovery
+    tracing: Tracing
     greeter: Greeter = attrs.field(init=False)
     keeper: Keeper = attrs.field(init=False)
     _homes: Homes = attrs.field(init=False)
@@ -68,6 +73,7 @@
             tally=Tally(self.metrics),
             take=self._takers.take,
             heartbeat=self.greeter.heartbeat,
+            tracing=self.tracing,
         )
         gossip = Gossip(membership, self)
         gossip.start()
@@ -111,10 +117,15 @@
 
         A connection is opened if none stands.
         """
-        link = await self.keeper.reach_by_name(incarnation)
-        if isinstance(link, PeerFault):
-            return link
-        return await link.ask(message)
+        kind = type(message).__name__
+        with hops.hop('peer', kind=kind, peer=incarnation) as span:
+            link = await self.keeper.reach_by_name(incarnation)
+            answer = link
+            if isinstance(link, Link):
+                answer = await link.ask(message)
+            failed = isinstance(answer, PeerFault)
+            span.set_attribute('outcome', answer.code if failed else 'ok')
+        return answer
 
     def tell(self, incarnation: str, message: Message) -> bool:
         """Send without an answer; False if no connection stands.
--- a/src/balsamreach/peers/tasks.py
+++ b/src/balsamreach/peers/tasks.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from contextvars import Context
 from typing import Any
 
 import attrs
@@ -14,8 +15,11 @@
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     def start(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task:
-        """Run work in a task."""
-        task = asyncio.create_task(work)
+        """Run work in a task that belongs to no request."""
+        # A request may open a link that then serves for days. If its tasks
+        # took over the request's trace, all that they do from then on would
+        # show up as hops of that one request.
+        task = asyncio.create_task(work, context=Context())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
--- a/src/balsamreach/telemetry/hops.py
+++ b/src/balsamreach/telemetry/hops.py
@@ -10,6 +10,8 @@
 
 from balsamreach.telemetry.traces import Tracing, inject
 
+_TRACEPARENT = 'traceparent'
+
 
 @attrs.define
 class Timing:
@@ -89,6 +91,43 @@
             span.end()
 
 
+@contextmanager
+def continuing(
+    tracing: Tracing | None,
+    traceparent: str,
+    name: str,
+    **attributes: Any,
+) -> Generator[trace.Span, None, None]:
+    """Run a block as a hop of a request that another router serves.
+
+    Parameters
+    ----------
+    tracing : Tracing or None
+        Starts the hop's span; None where nothing is traced.
+    traceparent : str
+        The other router's context; empty for work of no traced request.
+    name : str
+        Name of the hop.
+    **attributes : Any
+        What is known of it; never keys or prompts.
+
+    Yields
+    ------
+    Span
+        The hop's span; one that goes nowhere where nothing is traced.
+    """
+    if tracing is None or not traceparent:
+        yield trace.INVALID_SPAN
+        return
+    headers = {_TRACEPARENT: traceparent}
+    span = tracing.start_span(name, headers, **attributes)
+    with following(Trail(span, tracing)):
+        try:
+            yield span
+        finally:
+            span.end()
+
+
 def current() -> Trail | None:
     """Return the trail of the request at hand, None outside of one."""
     return _CURRENT.get()
@@ -98,3 +137,15 @@
     """Return the headers that carry the request's trace to the next hop."""
     trail = _CURRENT.get()
     return {} if trail is None else inject(trail.span)
+
+
+def current_traceparent() -> str:
+    """Return what carries the trace to another router; empty for none.
+
+    A request that isn't sampled leaves no span there either, so it isn't
+    worth the bytes.
+    """
+    trail = _CURRENT.get()
+    if trail is None or not trail.span.is_recording():
+        return ''
+    return inject(trail.span).get(_TRACEPARENT, '')
--- a/src/balsamreach/wire/codec.py
+++ b/src/balsamreach/wire/codec.py
@@ -45,11 +45,15 @@
         Number under which the sender awaits an answer; 0 for none.
     answers : int
         Number of the ask that this answers; 0 for none.
+    traceparent : str
+        W3C trace context of the request that an ask belongs to; empty for
+        none. An older router neither sends nor reads it.
     """
 
     message: Message
     ask: int = 0
     answers: int = 0
+    traceparent: str = ''
 
 
 def encode(envelope: Envelope) -> bytes | WireFault:
@@ -125,6 +129,8 @@
     builder = load_schema().Envelope.new_message(first_words)
     builder.ask = envelope.ask
     builder.answers = envelope.answers
+    if envelope.traceparent:
+        builder.traceparent = envelope.traceparent
     struct = builder.init(kind_label(type(envelope.message)))
     write_struct(struct, envelope.message)
     return builder.to_bytes_packed()
@@ -141,7 +147,7 @@
     if kind is None:
         return UNKNOWN_KIND.because(f'message of the kind {label!r}')
     message = read_struct(kind, getattr(reader, label))
-    return Envelope(message, reader.ask, reader.answers)
+    return Envelope(message, reader.ask, reader.answers, reader.traceparent)
 
 
 def _label(reader: Any) -> str:
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -40,6 +40,9 @@
     targetLoads @29 :TargetLoads;
     powerRows @30 :PowerRows;
   }
+  traceparent @31 :Text;
+  # W3C trace context of the request that an ask belongs to; empty for none,
+  # and from routers that don't know this field yet.
 }
 
 struct Member {
--- a/tests/peers_rig.py
+++ b/tests/peers_rig.py
@@ -12,6 +12,7 @@
 from balsamreach.platform.base import HostEntry, HostList
 from balsamreach.platform.faults import UNREACHABLE, PlatformFault
 from balsamreach.telemetry.metrics import Metrics
+from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
 from tests.stepped_clock import SteppedClock
 
@@ -90,6 +91,7 @@
             rng=random.Random(name),
             metrics=Metrics(),
             discovery=Discovery(self.hosts, cfg.peers.seeds),
+            tracing=Tracing(cfg),
         )
         self.nets.append(net)
         return net
--- a/tests/test_gateway_traced_upstream.py
+++ b/tests/test_gateway_traced_upstream.py
@@ -4,8 +4,15 @@
 import io
 import json
 import unittest
+from http import HTTPStatus
 
-from tests.deployment import Deployment, exchange, parse_answer, request
+from tests.deployment import (
+    Deployment,
+    exchange,
+    parse_answer,
+    request,
+    until,
+)
 
 _TRACE = '4bf92f3577b34da6a3ce929d0e0e4736'
 _PARENT = '00f067aa0ba902b7'
@@ -49,6 +56,43 @@
         parents = {span['parent_id'] for span in callers}
         self.assertEqual(parents, {_PARENT})
 
+    async def test_request_is_followed_into_another_router(self):
+        """One request is served with the help of a second router.
+
+        Symptom: a slow request can't be explained from its trace. Events:
+        the caller retries at router 1 what router 0 runs; router 1 asks for
+        the answer. Cause: what was asked of router 0 left no span.
+        """
+        first = self.deployment.routers[0]
+        near = first.parts.net
+        self.deployment.overrides += (f'peers.seeds={near.me.address}',)
+        with contextlib.redirect_stderr(self.stream):
+            last = await self.deployment.add_router('router-2')
+        far = last.parts.net
+        met = await until(lambda: near.neighbours() and far.neighbours())
+        self.assertTrue(met)
+        await self.call(first, Idempotency_Key='c-1')
+        answer = await self.call(
+            last,
+            Idempotency_Key='c-1',
+            Traceparent=_CALLER,
+        )
+        self.assertEqual(answer.status, HTTPStatus.OK)
+        asked, answered = (
+            [span for span in self.spans() if span['span'] == name]
+            for name in ('peer', 'peer_answer')
+        )
+        kinds = {span['attributes']['kind'] for span in answered}
+        self.assertIn('AnswerAsk', kinds)
+        self.assertEqual({span['host'] for span in asked}, {'router-2'})
+        self.assertEqual({span['host'] for span in answered}, {'router-0'})
+        self.assertEqual(
+            [span['span_id'] for span in asked],
+            [span['parent_id'] for span in answered],
+        )
+        outcomes = {span['attributes']['outcome'] for span in asked}
+        self.assertEqual(outcomes, {'ok'})
+
     async def test_each_hop_has_a_span_below_the_callers(self):
         answer = await self.call(
             self.deployment.routers[0],
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -1,14 +1,19 @@
 """Tests of the encoding: whole messages, and bytes that are none."""
 
 import os
+import tempfile
 import tracemalloc
 import unittest
+from importlib.resources import files
+from pathlib import Path
 
 import attrs
+import capnp
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from balsamreach import wire
 from balsamreach.wire import messages
 from balsamreach.wire.codec import MOST_BYTES, Envelope, decode, encode, kinds
 from balsamreach.wire.faults import (
@@ -53,7 +58,13 @@
 
 
 _MESSAGES = st.one_of([_strategy(kind) for kind in kinds().values()])
-_ENVELOPES = st.builds(Envelope, _MESSAGES, _NUMBERS, _NUMBERS)
+_ENVELOPES = st.builds(Envelope, _MESSAGES, _NUMBERS, _NUMBERS, _NAMES)
+_TRACEPARENT = f'00-{"4b" * 16}-{"0a" * 8}-01'
+_FIELD = 'traceparent @31 :Text;'
+#: An ask as a release encoded it whose envelope had no trace context.
+_OLD_ASK = (
+    b'\x10\x07P\x02\x01\x01\x07\x01\x18@\x01\x11\x01J\xffengine-0\x00\x00\x00'
+)
 
 
 class CodecTest(unittest.TestCase):
@@ -90,6 +101,29 @@
         self.assertEqual(encode(Envelope(part)), TOO_LARGE)
 
 
+class ReleasesTest(unittest.TestCase):
+    """Releases with and without trace contexts read each other."""
+
+    def test_ask_of_an_older_release(self):
+        ask = messages.InFlightAsk('engine-0')
+        self.assertEqual(decode(_OLD_ASK), Envelope(ask, 7))
+        # Without a trace nothing is sent that the older one didn't send.
+        self.assertEqual(decode(encode(Envelope(ask, 7))), decode(_OLD_ASK))
+
+    def test_older_release_reads_an_ask_with_a_trace(self):
+        schema = files(wire).joinpath('messages.capnp').read_text('utf-8')
+        self.assertIn(_FIELD, schema)
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / 'messages.capnp'
+            path.write_text(schema.replace(_FIELD, ''), 'utf-8')
+            older = capnp.SchemaParser().load(str(path))
+        ask = Envelope(messages.InFlightAsk('engine-0'), 7, 0, _TRACEPARENT)
+        reader = older.Envelope.from_bytes_packed(encode(ask))
+        self.assertFalse(hasattr(reader, 'traceparent'))
+        self.assertEqual(reader.ask, 7)
+        self.assertEqual(reader.inFlightAsk.target, 'engine-0')
+
+
 class DecoderTest(unittest.TestCase):
     """Bytes from anywhere give a message or a fault, never an exception.
 
