Let targets announce their leaving in the head of an answer

Change: X-Leaving names a start. Only the start that the router believes in is marked, at the head of the answer, and told to peers at once; any other word is a reason to ask the target, at most once a second. One router of each zone looks at marked targets of other zones every report_age and tells its zone. The stand-ins send the header by the setting leaving_header.

--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -23,7 +23,7 @@
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
-from balsamreach.dispatch.tries import make_try_parts
+from balsamreach.dispatch.tries import TryParts, make_try_parts
 from balsamreach.gateway.curl_upstream import CurlUpstream
 from balsamreach.gateway.traced_upstream import TracedUpstream
 from balsamreach.peers.net import TcpPeerNet
@@ -116,6 +116,21 @@
     )
     upstream = CurlUpstream(cfg)
     routing = make_routing(cfg, targets, clock, net.rng, metrics, net)
+    watch = open_watch(
+        WatchNeeds(
+            cfg=cfg,
+            targets=targets,
+            routing=routing,
+            net=net,
+            hosts=HttpHostList(platform_client(cfg, cfg.platform.hosts)),
+            weights=HttpWeightStore(
+                platform_client(cfg, cfg.platform.weights),
+            ),
+            service=service,
+            clock=clock,
+            metrics=metrics,
+        ),
+    )
     return Parts(
         cfg=cfg,
         incarnation=net.me.incarnation,
@@ -133,25 +148,15 @@
             cfg,
             net,
             budgets,
-            routing,
             targets,
-            upstream,
-        ),
-        watch=open_watch(
-            WatchNeeds(
-                cfg=cfg,
-                targets=targets,
-                routing=routing,
-                net=net,
-                hosts=HttpHostList(platform_client(cfg, cfg.platform.hosts)),
-                weights=HttpWeightStore(
-                    platform_client(cfg, cfg.platform.weights),
-                ),
-                service=service,
-                clock=clock,
-                metrics=metrics,
+            make_try_parts(
+                cfg.requests,
+                routing,
+                TracedUpstream(upstream, metrics, clock),
+                watch.watch.announcements,
             ),
         ),
+        watch=watch,
     )
 
 
@@ -159,16 +164,10 @@
     cfg: Settings,
     net: TcpPeerNet,
     budgets: Budgets,
-    routing: Routing,
     targets: Targets,
-    upstream: CurlUpstream,
+    tries: TryParts,
 ) -> Dispatcher:
     clock, metrics = net.clock, net.metrics
-    tries = make_try_parts(
-        cfg.requests,
-        routing,
-        TracedUpstream(upstream, metrics, clock),
-    )
     answers = Answers(cfg.requests, clock, metrics)
     claims = Claims(budgets.service, net.me.incarnation, clock, metrics)
     return Dispatcher(
--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -23,15 +23,23 @@
 from balsamreach.routing.feedback import Feedback
 from balsamreach.routing.slot import Slot
 from balsamreach.table.rows import ENGINE
+from balsamreach.targets.announcements import Announcements
 
 
 @attrs.define
 class Attempts:
-    """Sends attempts and judges how they ended."""
+    """Sends attempts and judges how they ended.
+
+    Parameters
+    ----------
+    announcements : Announcements or None
+        Told what targets say of their leaving in the heads of answers.
+    """
 
     upstream: Upstream
     clock: Clock
     feedback: Feedback
+    announcements: Announcements | None = None
 
     async def send(
         self,
@@ -74,6 +82,11 @@
     ) -> UpstreamFault | None:
         """Send an attempt within its deadline; the reply is closed then."""
         left = attempt.call.deadline - self.clock.now()
+        if self.announcements is not None:
+            reply.on_head = functools.partial(
+                self.announcements.take,
+                attempt.target,
+            )
         attempt.target.in_flight += 1
         try:
             async with asyncio.timeout(left) as scope:
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -103,6 +103,7 @@
         echoed = headers.get(_ATTEMPT_HEADER, self.attempt_id)
         self.foreign = echoed != self.attempt_id
         self._passes = not (self.foreign or self.closed or self._withheld())
+        self._tell_head()
 
     def write(self, chunk: bytes) -> None:
         """Take bytes of the body unless they are not for this caller."""
@@ -123,6 +124,10 @@
     def _withheld(self) -> bool:
         return self.declined or is_failure(self.status)
 
+    def _tell_head(self) -> None:
+        if self.on_head is not None and not self.foreign:
+            self.on_head(self.headers)
+
     def _open(self, length: int = 0) -> None:
         if self.answer.status == 0:
             passed = {
--- a/src/balsamreach/dispatch/stream_replies.py
+++ b/src/balsamreach/dispatch/stream_replies.py
@@ -163,3 +163,4 @@
         self.foreign = named != self._generation
         self.lost = status != _RESUMED or not self._is_stream()
         self._passes = not (self.foreign or self.lost or self.closed)
+        self._tell_head()
--- a/src/balsamreach/dispatch/tries.py
+++ b/src/balsamreach/dispatch/tries.py
@@ -24,6 +24,7 @@
 from balsamreach.routing.routing import Routing
 from balsamreach.routing.slot import Slot, Verdict
 from balsamreach.table.rows import ENGINE
+from balsamreach.targets.announcements import Announcements
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -53,9 +54,15 @@
     cfg: RequestsSettings,
     routing: Routing,
     upstream: Upstream,
+    announcements: Announcements | None = None,
 ) -> TryParts:
     """Return what one router's requests are tried with."""
-    attempts = Attempts(upstream, routing.clock, routing.feedback)
+    attempts = Attempts(
+        upstream,
+        routing.clock,
+        routing.feedback,
+        announcements,
+    )
     return TryParts(
         cfg=cfg,
         placer=Placer(routing),
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -1,6 +1,7 @@
 """Abstract base of what carries a request to a target."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 
@@ -57,11 +58,14 @@
         Whether bytes of the request may have left for the target.
     closed : bool
         Whether the attempt is over.
+    on_head : callable or None
+        Called with the headers of an answer to this attempt.
     """
 
     def __init__(self) -> None:
         self.sent = False
         self.closed = False
+        self.on_head: Callable[[dict[str, str]], None] | None = None
 
     def close(self) -> None:
         """End the attempt for good.
@@ -71,6 +75,7 @@
         it did not run.
         """
         self.closed = True
+        self.on_head = None
 
     def before_send(self) -> bool:
         """Note that the request is about to leave, once.
--- a/src/balsamreach/standins/engine_http.py
+++ b/src/balsamreach/standins/engine_http.py
@@ -28,6 +28,7 @@
     async def prepare(self) -> None:
         """Drop or hold the request where the engine doesn't answer."""
         self.engine.connections.add(self)
+        self.announce(self.engine.cfg.leaving_header)
         if self.engine.crashed:
             self.drop()
             raise Finish
--- a/src/balsamreach/standins/engine_settings.py
+++ b/src/balsamreach/standins/engine_settings.py
@@ -28,6 +28,8 @@
         Share of cache events that are never told.
     load_lag_s : float
         How old the load report may be.
+    leaving_header : str
+        What each answer's header ``X-Leaving`` says; none if empty.
     usage : str
         ``right``, ``missing``, ``negative`` or ``huge``.
     cut_after : int
@@ -53,6 +55,7 @@
     load_lag_s: float = 0
     silent: bool = False
     leaving: bool = False
+    leaving_header: str = ''
     crash_mark: str = ''
     exit_on_crash: bool = False
     fail_share: float = 0
--- a/src/balsamreach/standins/handlers.py
+++ b/src/balsamreach/standins/handlers.py
@@ -33,6 +33,11 @@
         self.set_header('Content-Type', 'application/json')
         self.finish(json.dumps(body))
 
+    def announce(self, leaving: str) -> None:
+        """Let the answer's head say which start is leaving, if any."""
+        if leaving:
+            self.set_header('X-Leaving', leaving)
+
     def drop(self) -> None:
         """Close the caller's connection without any further byte."""
         stream = self.request.connection.stream
--- a/src/balsamreach/standins/service.py
+++ b/src/balsamreach/standins/service.py
@@ -10,7 +10,9 @@
 from balsamreach.clock import Clock
 from balsamreach.standins.handlers import StandinHandler, log_nothing
 
-_CHANGEABLE = frozenset(('delay_ms', 'fail', 'silent', 'leaving'))
+_CHANGEABLE = frozenset(
+    ('delay_ms', 'fail', 'silent', 'leaving', 'leaving_header'),
+)
 
 
 @attrs.define
@@ -25,6 +27,8 @@
         Time each answer takes.
     fail : bool
         Whether every request is answered 500.
+    leaving_header : str
+        What each answer's header ``X-Leaving`` says; none if empty.
     """
 
     ip: str = '127.0.0.1'
@@ -36,6 +40,7 @@
     fail: bool = False
     silent: bool = False
     leaving: bool = False
+    leaving_header: str = ''
 
 
 @attrs.define(eq=False)
@@ -80,6 +85,7 @@
     def initialize(self, service: PlainService) -> None:
         """Take the service in."""
         self.service = service
+        self.announce(service.cfg.leaving_header)
 
 
 class EchoHandler(ServiceHandler):
--- /dev/null
+++ b/src/balsamreach/targets/announcements.py
@@ -0,0 +1,68 @@
+"""What targets say of their own leaving in the heads of their answers."""
+
+import asyncio
+from collections.abc import Mapping
+from weakref import WeakKeyDictionary
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.targets.marks import FROM_ANSWER, Marks
+from balsamreach.targets.poller import LoadPoller
+from balsamreach.targets.registry import Target
+from balsamreach.telemetry.metrics import Metrics
+
+#: Names the start that is leaving.
+LEAVING_HEADER = 'x-leaving'
+#: Seconds between two looks at a target whose header names another start.
+_PAUSE = 1.0
+_DOUBTED = 'balsamreach_target_announcements_doubted_total'
+
+
+@attrs.define(eq=False)
+class Announcements:
+    """Marks targets that announce their leaving in an answer.
+
+    Parameters
+    ----------
+    marks : Marks
+        Where a mark is set and told to peers.
+    loads : LoadPoller
+        Asks a target whose word can't be believed as it stands.
+    """
+
+    marks: Marks
+    loads: LoadPoller
+    clock: Clock
+    metrics: Metrics
+    _looked: WeakKeyDictionary[Target, float] = attrs.field(
+        factory=WeakKeyDictionary,
+    )
+    _looks: set[asyncio.Task] = attrs.field(factory=set)
+
+    def take(self, target: Target, headers: Mapping[str, str]) -> None:
+        """Take the head of a target's answer, header names in lower case.
+
+        Only the start that this router believes in can be marked so. An
+        answer of the start before, held up on its way, or a header that a
+        service copied from somewhere would otherwise mark a start for good
+        that never said it leaves; it would show as a host that stays unused.
+        Any other word is a reason to ask the target itself.
+        """
+        named = headers.get(LEAVING_HEADER)
+        if not named or target.marked:
+            return
+        if named == target.report.incarnation:
+            self.marks.mark(target, named, FROM_ANSWER)
+            return
+        self._look(target)
+
+    def _look(self, target: Target) -> None:
+        now = self.clock.now()
+        if now - self._looked.get(target, -_PAUSE) < _PAUSE:
+            return
+        self._looked[target] = now
+        self.metrics.count(_DOUBTED)
+        looking = asyncio.create_task(self.loads.poll(target))
+        self._looks.add(looking)
+        looking.add_done_callback(self._looks.discard)
--- a/src/balsamreach/targets/marks.py
+++ b/src/balsamreach/targets/marks.py
@@ -20,6 +20,7 @@
 _LEAVING = 'leaving'
 _logger = logging.getLogger(__name__)
 
+FROM_ANSWER = 'answer'
 FROM_HOST_LIST = 'host_list'
 FROM_PEER = 'peer'
 FROM_POWER = 'power'
--- a/src/balsamreach/targets/poller.py
+++ b/src/balsamreach/targets/poller.py
@@ -38,7 +38,8 @@
 
     Each target of the zone has one router that polls it, found by
     rendezvous hashing; the others learn its report from there. Targets of
-    other zones are polled while requests of this router run on them.
+    other zones are polled while requests of this router run on them, and by
+    one router of each zone while the start known there is leaving.
     """
 
     parts: PollerParts
@@ -67,8 +68,9 @@
         now = self.parts.clock.now()
         due = [target for target in self._all() if self._is_due(target, now)]
         self.parts.sharing.confirm.clear()
+        told = [target for target in due if self._is_told(target)]
         await asyncio.gather(*map(self.poll, due))
-        self.parts.sharing.share(filter(self._is_mine, due))
+        self.parts.sharing.share(told)
 
     async def poll(self, target: Target) -> None:
         """Poll one target, on a new connection where the pooled one fails."""
@@ -95,10 +97,13 @@
         zone = self.parts.cfg.host.zone
         return target.row.zone == zone
 
-    def _is_mine(self, target: Target) -> bool:
+    def _is_told(self, target: Target) -> bool:
+        away = not self._is_local(target)
+        return self._is_home(target) and (target.marked or not away)
+
+    def _is_home(self, target: Target) -> bool:
         net = self.parts.marks.net
-        home = net.home(f'load/{target.name}')
-        return self._is_local(target) and home == net.me
+        return net.home(f'load/{target.name}') == net.me
 
     def _is_due(self, target: Target, now: float) -> bool:
         cfg = self.parts.cfg.targets
@@ -108,11 +113,17 @@
             return False
         unsure = bool(target.left) and not target.report.incarnation
         named = target.name in self.parts.sharing.confirm
-        if target.failures or unsure or named or self._is_mine(target):
+        if target.failures or unsure or named:
+            return True
+        local, home = self._is_local(target), self._is_home(target)
+        if local and home:
             return True
-        if self._is_local(target):
-            # Its home may be cut off from this router, or gone; then this
-            # router's own reports are all it has.
+        # The home of a local target may be cut off from this router, or
+        # gone; then this router's own reports are all it has. A target of
+        # another zone that is marked gets no requests, so nothing else would
+        # ever show that it was started again: this zone would leave it
+        # unused for good.
+        if local or (home and target.marked):
             return now - target.report.taken_at > cfg.report_age
         return target.in_flight > 0
 
--- a/src/balsamreach/targets/watch.py
+++ b/src/balsamreach/targets/watch.py
@@ -9,6 +9,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.peers.base import PeerNet
 from balsamreach.platform.base import HostList
+from balsamreach.targets.announcements import Announcements
 from balsamreach.targets.cache_follower import CacheFollower
 from balsamreach.targets.client import TargetClient
 from balsamreach.targets.health import Health
@@ -48,12 +49,15 @@
         Cache events.
     hosts : HostFollower
         The platform's list.
+    announcements : Announcements
+        What targets say of their leaving in answers.
     """
 
     marks: Marks
     loads: LoadPoller
     cache: CacheFollower
     hosts: HostFollower
+    announcements: Announcements
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -85,4 +89,5 @@
         loads=loads,
         cache=CacheFollower(cfg, targets, parts.client, clock, metrics),
         hosts=HostFollower(cfg, parts.hosts, marks, net, clock),
+        announcements=Announcements(marks, loads, clock, metrics),
     )
--- a/tests/test_sessions_targets.py
+++ b/tests/test_sessions_targets.py
@@ -153,6 +153,44 @@
         self.session.write('declined by the leaving engine', str(declined))
         self.check('leaving-target')
 
+    async def test_announced_in_an_answer_alone(self):
+        """A target that says in its answers that it leaves gets new work.
+
+        Symptom: requests begin at a host that announced its leaving; or a
+        host that was started again stays unused. Events: an engine names
+        its start in the head of an answer, while its load report and the
+        platform's list show nothing; it is started again, and a head still
+        names the start before. Cause: heads were not read, or a word was
+        taken for that of whatever start is there.
+        """
+        await self.open(Rig(), 'target_marked_leaving')
+        self.rig.weather.hosts_lag_s = 10_000
+        self.rig.more['router-1'] = ('host.zone=zone-b',)
+        await self.rig.start(2)
+        engine = self.rig.engine.core
+        engine.cfg.leaving_header = engine.cfg.incarnation
+        sent = ask('Quote', key='quote-1')
+        await self.session.say('quote', self.address(0), sent)
+        await wait(lambda: all(map(_is_leaving, self.rig.routers)))
+        for number in (0, 1):
+            sent = ask('Quote', key=f'later-{number}')
+            title = f'another at router {number}'
+            await self.session.say(title, self.address(number), sent)
+        self.session.tell('the engine starts again, its old word goes on')
+        engine.cfg.incarnation = 'again'
+        await wait(lambda: not any(map(_is_leaving, self.rig.routers)))
+        for number in (0, 1):
+            sent = ask('Quote', key=f'again-{number}')
+            title = f'another at router {number}'
+            await self.session.say(title, self.address(number), sent)
+        self.session.runs()
+        self.check('leaving-header')
+
     def running(self):
         """Return the engines that have begun a request."""
         return [engine for engine in self.rig.pool if engine.core.runs]
+
+
+def _is_leaving(router):
+    """Return whether a router takes the first engine to be leaving."""
+    return router.parts.targets.by_name['engine-0'].leaving
--- a/tests/test_targets_poller.py
+++ b/tests/test_targets_poller.py
@@ -178,6 +178,28 @@
         name = 'balsamreach_target_marks_total'
         self.assertEqual(self.metrics.counted(name, source='target'), 1)
 
+    async def test_other_zone_learns_that_a_marked_target_started_again(self):
+        """A host that left and came back stays unused by other zones.
+
+        Symptom: other zones never send to it again. Sequence: start 1 is
+        marked everywhere; start 2 comes up; routers of another zone, which
+        poll only where they have requests, have none there.
+        Cause: a marked target gets no requests, so nobody there looked.
+        """
+        self.watches.append(self.open('r4', 'zone-b'))
+        host = self.client.hosts['127.0.0.1:8002']
+        for router, watch in enumerate(self.watches):
+            await watch.loads.poll(self.target(router, 2))
+        host.leaving = True
+        await self.round()
+        self.assertTrue(self.target(3, 2).leaving)
+        host.start = 2
+        host.leaving = False
+        for _ in range(60):
+            await self.round()
+        for router in range(5):
+            self.assertFalse(self.target(router, 2).leaving, router)
+
     async def test_lagging_list_does_not_mark_the_next_start(self):
         """A restarted host stays unused while the host list lags.
 
