Read every amount with a unit by one function

Cause: durations, sizes and shares in config/units.py each matched number and unit by the same lines. Change: _read_amount does it for the three, given the units and the form that a person is told to write. Measured: 21588 readings of 7196 texts by the former and the new code are equal; 37 tests of test_config_reader and test_ui_check_config pass. Conclusion: a further kind of amount is one table of units.

--- a/src/balsamreach/config/units.py
+++ b/src/balsamreach/config/units.py
@@ -9,7 +9,8 @@
 _KIB = 1024
 _MIB = 1024 * _KIB
 _BYTES = {'B': 1, 'KiB': _KIB, 'MiB': _MIB, 'GiB': 1024 * _MIB}
-_PERCENT = 100.0
+_PERCENT = {'%': 1.0}
+_WHOLE = 100.0
 _FLAGS = {'yes': True, 'no': False}
 
 
@@ -26,10 +27,7 @@
     float or ConfigFault
         Seconds.
     """
-    match = _AMOUNT.fullmatch(text)
-    if match is None or match['unit'] not in _SECONDS:
-        return BAD_VALUE.because('write a duration like 500ms, 2s, 5m or 1h')
-    return float(match['number']) * _SECONDS[match['unit']]
+    return _read_amount(text, _SECONDS, 'a duration like 500ms, 2s, 5m or 1h')
 
 
 def read_size(text: str) -> int | ConfigFault:
@@ -45,10 +43,8 @@
     int or ConfigFault
         Bytes.
     """
-    match = _AMOUNT.fullmatch(text)
-    if match is None or match['unit'] not in _BYTES:
-        return BAD_VALUE.because('write a size like 512B, 64KiB or 1MiB')
-    return int(float(match['number']) * _BYTES[match['unit']])
+    size = _read_amount(text, _BYTES, 'a size like 512B, 64KiB or 1MiB')
+    return size if isinstance(size, ConfigFault) else int(size)
 
 
 def read_share(text: str) -> float | ConfigFault:
@@ -64,13 +60,12 @@
     float or ConfigFault
         Fraction from 0 to 1.
     """
-    match = _AMOUNT.fullmatch(text)
-    if match is None or match['unit'] != '%':
-        return BAD_VALUE.because('write a share like 10%')
-    share = float(match['number']) / _PERCENT
-    if share > 1:
+    percent = _read_amount(text, _PERCENT, 'a share like 10%')
+    if isinstance(percent, ConfigFault):
+        return percent
+    if percent > _WHOLE:
         return BAD_VALUE.because('write a share from 0% to 100%')
-    return share
+    return percent / _WHOLE
 
 
 def read_count(text: str) -> int | ConfigFault:
@@ -107,3 +102,14 @@
     if text in _FLAGS:
         return _FLAGS[text]
     return BAD_VALUE.because('write yes or no')
+
+
+def _read_amount(
+    text: str,
+    units: dict[str, float],
+    form: str,
+) -> float | ConfigFault:
+    match = _AMOUNT.fullmatch(text)
+    if match is None or match['unit'] not in units:
+        return BAD_VALUE.because(f'write {form}')
+    return float(match['number']) * units[match['unit']]
