Let one held clock serve four fake clocks of the tests

Cause: FakeClock, SteppedClock and two VirtualClocks each kept their own time and heap of sleepers; two were the same but for their names. Change: HeldClock in tests/support.py keeps time and sleepers; FakeClock and the two virtual clocks add only how time moves on.

--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -1,7 +1,6 @@
 """Routers with budgets on one platform in memory, faults under control."""
 
 import asyncio
-import heapq
 import random
 from collections.abc import Awaitable
 from typing import TypeVar
@@ -13,7 +12,6 @@
 from balsamreach.budget.auditor import Auditor
 from balsamreach.budget.budgets import Budgets
 from balsamreach.budget.ledger import Reservation
-from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
 from balsamreach.platform.base import (
     Commit,
@@ -26,6 +24,7 @@
 from balsamreach.platform.faults import UNKNOWN, UNREACHABLE, PlatformFault
 from balsamreach.standins.memory import MemoryPlatform
 from tests.fake_net import FakeNet
+from tests.support import HeldClock
 
 Outcome = TypeVar('Outcome')
 
@@ -42,34 +41,9 @@
 )
 
 
-@attrs.define
-class VirtualClock(Clock):
+class VirtualClock(HeldClock):
     """Clock that moves when told to, or when all wait for it."""
 
-    seconds: float = 1000
-    _sleepers: list[tuple[float, int, asyncio.Future]] = attrs.field(
-        factory=list,
-    )
-    _count: int = 0
-
-    def now(self) -> float:
-        """Return the virtual time."""
-        return self.seconds
-
-    def wall(self) -> float:
-        """Return the virtual time."""
-        return self.seconds
-
-    async def sleep(self, seconds: float) -> None:
-        """Wait until the clock has moved that far."""
-        fut = asyncio.get_running_loop().create_future()
-        self._count += 1
-        heapq.heappush(
-            self._sleepers,
-            (self.seconds + seconds, self._count, fut),
-        )
-        await fut
-
     async def drive(self, work: Awaitable[Outcome]) -> Outcome:
         """Run something to its end, moving on where it sleeps."""
         task = asyncio.ensure_future(work)
@@ -78,15 +52,9 @@
                 await asyncio.sleep(0)
                 if task.done():
                     return task.result()
-            self._wake_next()
+            self.seconds = max(self.seconds, self.wake_next())
         return task.result()
 
-    def _wake_next(self) -> None:
-        at, _, fut = heapq.heappop(self._sleepers)
-        self.seconds = max(self.seconds, at)
-        if not fut.done():
-            fut.set_result(None)
-
 
 @attrs.define
 class Gate(TableService):
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -1,12 +1,9 @@
 """Targets and a clock in one process, under the test's control."""
 
 import asyncio
-import heapq
-import itertools
 
 import attrs
 
-from balsamreach.clock import Clock
 from balsamreach.targets.client import (
     LEAVE,
     LOAD_MODEL,
@@ -22,42 +19,20 @@
     TargetFault,
 )
 from balsamreach.targets.reports import LoadReport
+from tests.support import HeldClock
 
 
-@attrs.define(eq=False)
-class VirtualClock(Clock):
-    """Time that stands still until it is advanced."""
-
-    time: float = 1000
-    _sleepers: list = attrs.field(factory=list)
-    _order: itertools.count = attrs.field(factory=itertools.count)
-
-    def now(self) -> float:
-        """Return the virtual time."""
-        return self.time
-
-    def wall(self) -> float:
-        """Return the virtual time."""
-        return self.time
-
-    async def sleep(self, seconds: float) -> None:
-        """Wait until the time was advanced that far."""
-        turn = asyncio.get_running_loop().create_future()
-        entry = (self.time + seconds, next(self._order), turn)
-        heapq.heappush(self._sleepers, entry)
-        await turn
+class VirtualClock(HeldClock):
+    """Time that stands still until it is advanced, task by task."""
 
     async def advance(self, seconds: float) -> None:
         """Let time pass and wake, in order, whoever slept until then."""
-        end = self.time + seconds
+        end = self.seconds + seconds
         await settle()
-        while self._sleepers and self._sleepers[0][0] <= end:
-            wake_at, _, turn = heapq.heappop(self._sleepers)
-            self.time = wake_at
-            if not turn.done():
-                turn.set_result(None)
+        while self.sleeps_until(end):
+            self.seconds = self.wake_next()
             await settle()
-        self.time = end
+        self.seconds = end
 
 
 async def settle() -> None:
--- a/tests/peers_rig.py
+++ b/tests/peers_rig.py
@@ -14,7 +14,7 @@
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
-from tests.stepped_clock import SteppedClock
+from tests.support import FakeClock
 
 _STEP = 0.125
 _MOST_STEPS = 2000
@@ -47,7 +47,7 @@
 class Rig:
     """Makes nets and moves the clock that they share."""
 
-    clock: SteppedClock = attrs.field(factory=SteppedClock)
+    clock: FakeClock = attrs.field(factory=FakeClock)
     hosts: ListedHosts = attrs.field(factory=ListedHosts)
     pace: float = _STEP
     nets: list[TcpPeerNet] = attrs.field(factory=list)
--- a/tests/support.py
+++ b/tests/support.py
@@ -1,6 +1,8 @@
 """Helpers that several test modules share."""
 
 import asyncio
+import heapq
+import itertools
 import json
 import os
 import subprocess
@@ -17,36 +19,51 @@
 _SECONDS = 30
 
 
-class FakeClock(Clock):
-    """A clock that stands still until a test moves it."""
+@attrs.define(eq=False)
+class HeldClock(Clock):
+    """A clock that stands still; its subclasses say what moves it."""
 
-    def __init__(self, now: float = 1000):
-        self._now = now
-        self._sleepers: list[tuple[float, asyncio.Future]] = []
+    seconds: float = 1000
+    _sleepers: list[tuple[float, int, asyncio.Future]] = attrs.field(
+        factory=list,
+    )
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def now(self) -> float:
         """Return the time set."""
-        return self._now
+        return self.seconds
 
     def wall(self) -> float:
         """Return the time set, as wall time."""
-        return self._now
+        return self.seconds
 
     async def sleep(self, seconds: float) -> None:
         """Suspend until the clock was moved far enough."""
-        until = asyncio.get_running_loop().create_future()
-        self._sleepers.append((self._now + seconds, until))
-        await until
+        fut = asyncio.get_running_loop().create_future()
+        wakes = (self.seconds + seconds, next(self._numbers), fut)
+        heapq.heappush(self._sleepers, wakes)
+        await fut
+
+    def sleeps_until(self, end: float) -> bool:
+        """Return whether anybody is to wake by then."""
+        return bool(self._sleepers) and self._sleepers[0][0] <= end
+
+    def wake_next(self) -> float:
+        """Wake whoever is next, and return for when that was asked."""
+        wakes_at, _, fut = heapq.heappop(self._sleepers)
+        if not fut.done():
+            fut.set_result(None)
+        return wakes_at
+
+
+class FakeClock(HeldClock):
+    """A clock that stands still until a test moves it."""
 
     def advance(self, seconds: float) -> None:
-        """Move the clock on and wake whoever has slept long enough."""
-        self._now += seconds
-        for sleeper in tuple(self._sleepers):
-            moment, until = sleeper
-            if moment <= self._now:
-                self._sleepers.remove(sleeper)
-                if not until.done():
-                    until.set_result(None)
+        """Move the clock on and wake, in order, whose time has come."""
+        self.seconds += seconds
+        while self.sleeps_until(self.seconds):
+            self.wake_next()
 
 
 @attrs.define
--- a/tests/test_peers_backoff.py
+++ b/tests/test_peers_backoff.py
@@ -3,7 +3,7 @@
 import unittest
 
 from balsamreach.peers.backoff import Backoff
-from tests.stepped_clock import SteppedClock
+from tests.support import FakeClock
 
 
 class BackoffTest(unittest.TestCase):
@@ -15,7 +15,7 @@
     """
 
     def setUp(self):
-        self.clock = SteppedClock()
+        self.clock = FakeClock()
         self.backoff = Backoff(self.clock)
 
     def pause(self):
--- a/tests/test_peers_greeting.py
+++ b/tests/test_peers_greeting.py
@@ -26,7 +26,7 @@
     Member,
     Refused,
 )
-from tests.stepped_clock import SteppedClock
+from tests.support import FakeClock
 
 _ME = Hello(
     PROTOCOL_VERSION,
@@ -51,7 +51,7 @@
         self.addCleanup(self.near.close)
         self.addCleanup(self.far.close)
         self.metrics = Metrics()
-        self.clock = SteppedClock()
+        self.clock = FakeClock()
         context = LinkContext(
             cfg=_CFG,
             clock=self.clock,
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -34,7 +34,7 @@
     TargetMark,
 )
 from balsamreach.wire.schema import load_schema
-from tests.stepped_clock import SteppedClock
+from tests.support import FakeClock
 
 _PEER = Member('peer', 'host-peer', '10.0.0.2:1', 'zone-a')
 _CFG = read_settings(None, ('host.zone=zone-a',)).peers
@@ -52,7 +52,7 @@
         near, far = socket.socketpair()
         self.far = IOStream(far)
         self.metrics = Metrics()
-        self.clock = SteppedClock()
+        self.clock = FakeClock()
         self.taken = []
         self.gate = asyncio.Event()
         self.gate.set()
