--- a/tests/support.py
+++ b/tests/support.py
@@ -66,6 +66,17 @@
             self.wake_next()
 
 
+@attrs.define(eq=False)
+class ManualClock(HeldClock):
+    """A clock that begins at 0 and is moved on by whoever sleeps."""
+
+    seconds: float = 0
+
+    async def sleep(self, seconds: float) -> None:
+        """Let the time pass at once."""
+        self.seconds += seconds
+
+
 @attrs.define
 class Process:
     """A role of the program, run as a process of its own."""
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -28,7 +28,7 @@
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import Heartbeat
 from tests.fake_net import FakeNet, FakePeerNet
-from tests.test_standins_memory import ManualClock
+from tests.support import ManualClock
 
 _ROUNDS = 4
 TEAM = 'table/team/winders'
--- a/tests/test_peers_gossip.py
+++ b/tests/test_peers_gossip.py
@@ -9,7 +9,7 @@
 from balsamreach.peers.membership import Membership
 from balsamreach.wire.messages import Members, MembersAsk
 from tests.fake_net import FakeNet
-from tests.test_standins_memory import ManualClock
+from tests.support import ManualClock
 
 _ROUTERS = 8
 
--- a/tests/test_peers_membership.py
+++ b/tests/test_peers_membership.py
@@ -14,7 +14,7 @@
     part_of,
 )
 from balsamreach.wire.messages import Member
-from tests.test_standins_memory import ManualClock
+from tests.support import ManualClock
 
 _ME = Member('me', 'host-me', '10.0.0.1:1', 'zone-a', 1)
 _PEER = Member('peer', 'host-peer', '10.0.0.2:1', 'zone-a', 5)
--- a/tests/test_standins_memory.py
+++ b/tests/test_standins_memory.py
@@ -2,10 +2,8 @@
 
 import unittest
 
-import attrs
 from parameterized import parameterized
 
-from balsamreach.clock import Clock
 from balsamreach.platform.base import (
     Check,
     Commit,
@@ -23,22 +21,7 @@
     UNKNOWN,
 )
 from balsamreach.standins.memory import MemoryPlatform
-
-
-@attrs.define
-class ManualClock(Clock):
-    """Clock that moves only when told to, or when something sleeps."""
-
-    seconds: float = 0
-
-    def now(self) -> float:
-        return self.seconds
-
-    def wall(self) -> float:
-        return self.seconds
-
-    async def sleep(self, seconds: float) -> None:
-        self.seconds += seconds
+from tests.support import ManualClock
 
 
 def _commit(*keys: str, checks: tuple[Check, ...] = ()) -> Commit:
--- a/tests/test_table_editor.py
+++ b/tests/test_table_editor.py
@@ -23,8 +23,8 @@
     TABLE_AWAY,
 )
 from balsamreach.table.history import read_history
+from tests.support import ManualClock
 from tests.table_fleet import TEAM, edit
-from tests.test_standins_memory import ManualClock
 
 
 class EditorTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_table_snapshots.py
+++ b/tests/test_table_snapshots.py
@@ -10,8 +10,8 @@
 from balsamreach.table.snapshots import PREFIX, Snapshots
 from balsamreach.table.view import TableView
 from balsamreach.telemetry.metrics import Metrics
+from tests.support import ManualClock
 from tests.table_fleet import gone, row
-from tests.test_standins_memory import ManualClock
 
 _SKIPPED = 'balsamreach_table_snapshots_skipped_total'
 
