Follow target rows one by one, and make their state when it is used

Cause: any edit of a target went through all rows of the registry and regrouped all pools; a changed row made the rings of its pools anew, 330 targets at 64 points. Each target had a set, a report, a list of starts and a history of its own before any request reached it. Change: Targets.put takes changed rows, Pools follow them; a pool is made anew only if the row's place in it changed, and the group of all zones only when a request leaves its zone. What idle targets have in common is kept once, the history is one small array bound by time.

--- a/bench/routing_cpu.py
+++ b/bench/routing_cpu.py
@@ -13,8 +13,9 @@
 from balsamreach.telemetry.metrics import Metrics
 from bench.routing_loop import LoopClock
 
-_TARGETS = 10_000
-_MODELS = 30
+TARGETS = 10_000
+MODELS = 30
+ZONES = 27
 _PLACEMENTS = 5000
 _MICRO = 1_000_000
 _PREFIX = 2048
@@ -32,19 +33,10 @@
     rng = random.Random(seed)
     cfg = read_settings(None, ('host.zone=zone-0', f'routing.policy={policy}'))
     targets = Targets()
-    rows = [
-        TargetRow(
-            name=f'engine-{number}',
-            address=f'127.0.0.1:{number + 1}',
-            zone=f'zone-{number % 27}',
-            service='llm',
-            models=(f'model-{number % _MODELS}',),
-        )
-        for number in range(_TARGETS)
-    ]
+    rows = make_rows()
     targets.update(rows)
     routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
-    await place(routing, _MODELS * 4, rng)
+    await place(routing, MODELS * 4, rng)
     began = time.process_time()
     await place(routing, _PLACEMENTS, rng)
     took = time.process_time() - began
@@ -56,12 +48,26 @@
     return {
         'scenario': 'cpu',
         'policy': policy,
-        'targets': _TARGETS,
+        'targets': TARGETS,
         'microseconds_per_request': took / _PLACEMENTS * _MICRO,
         'microseconds_per_edit': rebuild * _MICRO,
     }
 
 
+def make_rows() -> list[TargetRow]:
+    """Return rows of engines with one model each, spread over zones."""
+    return [
+        TargetRow(
+            name=f'engine-{number}',
+            address=f'127.0.0.1:{number + 1}',
+            zone=f'zone-{number % ZONES}',
+            service='llm',
+            models=(f'model-{number // ZONES % MODELS}',),
+        )
+        for number in range(TARGETS)
+    ]
+
+
 def _fields(row: TargetRow) -> dict:
     return {
         'name': row.name,
@@ -76,7 +82,7 @@
     routing,
     placements: int,
     rng: random.Random,
-    models: int = _MODELS,
+    models: int = MODELS,
 ) -> None:
     """Place requests for so many models, a thousand in progress at most."""
     held = []
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -19,6 +19,7 @@
     slopes_cpu,
     slopes_fleet,
     slopes_memory,
+    slopes_routing,
     slopes_spread,
     slopes_takeover,
 )
@@ -27,6 +28,7 @@
 _MEASURES: dict[str, Measure] = {
     **slopes_memory.MEASURES,
     **slopes_cpu.MEASURES,
+    **slopes_routing.MEASURES,
     **slopes_spread.MEASURES,
     **slopes_budgets.MEASURES,
     **slopes_takeover.MEASURES,
--- a/bench/slopes_cpu.py
+++ b/bench/slopes_cpu.py
@@ -1,4 +1,4 @@
-"""Processor time and bytes of one more message, edit, report or bill."""
+"""Processor time and bytes of one more message, edit or bill."""
 
 import asyncio
 import json
@@ -11,16 +11,11 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import SystemClock
 from balsamreach.config.reader import read_settings
-from balsamreach.routing.routing import make_routing
-from balsamreach.table.rows import TargetRow
 from balsamreach.table.view import TableView
-from balsamreach.targets.registry import Targets
-from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire import messages
 from balsamreach.wire.codec import Envelope, decode, encode
 from balsamreach.wire.framing import HEAD
-from bench import routing_cpu, table_size
-from bench.routing_loop import LoopClock
+from bench import table_size
 from bench.slopes_kinds import Measure, Size, cpu_us_each, cpu_us_since
 from bench.slopes_memory import fund
 from tools import measure_links
@@ -30,7 +25,6 @@
 _REPORTS = 11
 _USES = 8
 _KEY = 'quote-2027-03-17-0042'
-_NEAR_TARGETS = 330
 _RATE = 50
 
 
@@ -113,7 +107,6 @@
         view.apply((_at(row, version),), version)
     return {
         'team_edit_us': cpu_us_since(began, count),
-        'target_edit_of_10000_us': _target_edit(size),
     }
 
 
@@ -121,22 +114,6 @@
     return type(row)(row.key, version, row.value)
 
 
-def _target_edit(size: Size) -> float:
-    count = size.scale(table_size.TARGETS, 100)
-    rows = [
-        TargetRow(
-            name=f'engine-{number}',
-            address=f'127.0.0.1:{number + 1}',
-            zone='zone-0',
-            service='llm',
-        )
-        for number in range(count)
-    ]
-    targets = Targets()
-    targets.update(rows)
-    return cpu_us_each(lambda: targets.update(rows), size.scale(20, 2))
-
-
 def _bills(size: Size) -> Mapping[str, float]:
     count = size.scale(200, 10)
     return asyncio.run(_settle(count))
@@ -165,35 +142,9 @@
     return Budgets(platform.table, 'r', cfg.budget, clock)
 
 
-def _placing(size: Size) -> Mapping[str, float]:
-    return asyncio.run(_place(size))
-
-
-async def _place(size: Size) -> Mapping[str, float]:
-    count = size.scale(3000, 10)
-    cfg = read_settings(None, ('host.zone=zone-0',))
-    targets = Targets()
-    targets.update(
-        TargetRow(
-            name=f'engine-{number}',
-            address=f'127.0.0.1:{number + 1}',
-            zone='zone-0',
-            service='llm',
-            models=('model-0',),
-        )
-        for number in range(_NEAR_TARGETS)
-    )
-    rng = random.Random(size.seed)
-    routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
-    began = time.process_time()
-    await routing_cpu.place(routing, count, rng, models=1)
-    return {'placement_at_330_us': cpu_us_since(began, count)}
-
-
 MEASURES: dict[str, Measure] = {
     'messages': _messages,
     'links': _links,
     'edits': _edits,
     'bills': _bills,
-    'placing': _placing,
 }
--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -1,7 +1,6 @@
 """Memory of one more team, target, peer, link, ledger, bill and answer."""
 
 import asyncio
-import functools
 import random
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -15,7 +14,6 @@
 from balsamreach.requests.identity import RequestId
 from balsamreach.requests.registry import Answers
 from balsamreach.standins.memory import MemoryPlatform
-from balsamreach.targets.registry import Targets
 from bench import table_size
 from bench.slopes_kinds import Measure, Size, bytes_each
 from tools import measure_links
@@ -23,7 +21,6 @@
 _PREPAID = 10**12
 _TOKENS = 100
 _ANSWER = b'x' * 1000
-_TARGETS = 4000
 
 
 def _table(size: Size) -> Mapping[str, float]:
@@ -31,26 +28,9 @@
     return {
         'team_view_bytes': table_size.memory_slope(table_size.team, count),
         'target_view_bytes': table_size.memory_slope(table_size.target, count),
-        'target_state_bytes': bytes_each(_targets, len(_rows())),
     }
 
 
-def _targets(count: int) -> Targets:
-    # The rows themselves are the view's; only what is kept beside them counts.
-    targets = Targets()
-    targets.update(_rows()[:count])
-    return targets
-
-
-@functools.cache
-def _rows() -> tuple[Any, ...]:
-    written = map(table_size.target, range(_TARGETS))
-    return tuple(
-        table_size.rows.decode(row.key, dict(row.value or {}))
-        for row in written
-    )
-
-
 def _peers(size: Size) -> Mapping[str, float]:
     cfg = read_settings(None, ('host.zone=zone-a',))
     return {
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -153,9 +153,15 @@
             await table.follower.pause()
 
     def _take_rows(self, fresh: tuple[Row, ...]) -> None:
-        if any(row.key.startswith(TARGET_PREFIX) for row in fresh):
-            view = self.parts.table.view
-            self.parts.targets.update(view.targets.values())
+        # Only what changed: at 10,000 targets a look through all of them for
+        # each edit would hold up every open stream for milliseconds.
+        targets = self.parts.table.view.targets
+        names = (
+            row.key.removeprefix(TARGET_PREFIX)
+            for row in fresh
+            if row.key.startswith(TARGET_PREFIX)
+        )
+        self.parts.targets.put({name: targets.get(name) for name in names})
 
     def _callers_app(self) -> Application:
         parts = self.parts
--- a/src/balsamreach/routing/admission.py
+++ b/src/balsamreach/routing/admission.py
@@ -173,7 +173,7 @@
                 self._wait_for(line, line.queue.waiting),
                 'the queue is too long for the deadline',
             )
-        most = self.cfg.queue_limit * len(pool.everyone.members)
+        most = self.cfg.queue_limit * len(pool)
         if line.queue.waiting < most:
             return None
         return self._make_room(ask, line)
@@ -240,9 +240,7 @@
         )
 
     def _wait_for(self, line: Line, ahead: int) -> float:
-        pool = self.picker.pools.find(line.key)
-        members = pool.everyone.members if pool is not None else ()
-        held = sum(state.held for state in members)
+        held = self.picker.pools.held(line.key)
         return line.pacing.wait(ahead, held)
 
     def _line(self, key: PoolKey) -> Line:
--- a/src/balsamreach/routing/picking.py
+++ b/src/balsamreach/routing/picking.py
@@ -85,5 +85,10 @@
 
     def _spills(self, pool: Pool, index: int, now: float) -> bool:
         assert pool.near is not None
+        load = pool.near.load(index, now)
+        # No mean is below zero, and below this bound nothing need be known
+        # of the other zones at all.
+        if load <= _SPILL_SLACK:
+            return False
         mean = pool.everyone.mean_load(self.rng, now)
-        return pool.near.load(index, now) > _SPILL * mean + _SPILL_SLACK
+        return load > _SPILL * mean + _SPILL_SLACK
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -1,9 +1,10 @@
 """Targets grouped by the model or service that they serve."""
 
 import bisect
+import functools
 import itertools
 import random
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
@@ -13,7 +14,7 @@
 from balsamreach.routing.state import TargetState
 from balsamreach.routing.want import Want
 from balsamreach.table.rows import ENGINE, TargetRow
-from balsamreach.targets.registry import Targets
+from balsamreach.targets.registry import Target, Targets
 
 _DRAWS = 8
 #: Members looked at for the mean load of a large group.
@@ -136,19 +137,34 @@
 
     Parameters
     ----------
-    everyone : Group
-        All of them.
     near : Group or None
         Those of this router's zone, where there are some but not all.
     """
 
-    everyone: Group
-    near: Group | None = None
+    near: Group | None
+    _targets: Sequence[Target]
+    _make: Callable[[Sequence[Target]], Group]
+    _everyone: Group | None = None
+
+    def __len__(self) -> int:
+        """Return the number of targets."""
+        return len(self._targets)
+
+    @property
+    def everyone(self) -> Group:
+        """All of them; made when a request first leaves the zone.
+
+        Most requests never do, and what is kept of the thousands of targets
+        of other zones would be several times what the own zone needs.
+        """
+        if self._everyone is None:
+            self._everyone = self._make(self._targets)
+        return self._everyone
 
 
 @attrs.define(eq=False)
 class Pools:
-    """All pools, rebuilt when the registry's rows change.
+    """All pools, which follow the registry row by row.
 
     Parameters
     ----------
@@ -158,25 +174,42 @@
         The registry.
     zone : str
         Availability zone of this router.
+    states : dict of str to TargetState
+        What is known of targets that requests could go to so far.
     """
 
     cfg: RoutingSettings
     targets: Targets
     zone: str
     states: dict[str, TargetState] = attrs.field(factory=dict)
-    _revision: int = -1
-    _rows: dict[PoolKey, list[TargetRow]] = attrs.field(factory=dict)
+    _members: dict[PoolKey, dict[str, Target]] = attrs.field(factory=dict)
     _pools: dict[PoolKey, Pool] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Take what the registry has and follow it from now on."""
+        for target in self.targets.by_name.values():
+            self._follow(None, target)
+        self.targets.watchers.append(self._follow)
+
     def find(self, key: PoolKey) -> Pool | None:
         """Return the pool of a model or service, None if nobody serves it."""
-        self._follow()
         pool = self._pools.get(key)
-        if pool is None and key in self._rows:
+        if pool is None and key in self._members:
             pool = self._build(key)
             self._pools[key] = pool
         return pool
 
+    def held(self, key: PoolKey) -> int:
+        """Return the slots held at the targets of a pool."""
+        members = self._members.get(key, ())
+        known = filter(None, map(self.states.get, members))
+        return sum(state.held for state in known)
+
+    def serves(self, service: str, key: PoolKey) -> bool:
+        """Return whether a service's targets are among those of a pool."""
+        members = self._members.get(key, {}).values()
+        return any(one.row.service == service for one in members)
+
     def keys_of(self, row: TargetRow) -> Iterator[PoolKey]:
         """Yield the pools that a target belongs to."""
         if row.kind == ENGINE:
@@ -185,62 +218,74 @@
         else:
             yield (row.kind, row.service)
 
-    def _follow(self) -> None:
-        if self._revision == self.targets.revision:
+    def _follow(self, before: TargetRow | None, target: Target | None) -> None:
+        known = None
+        if before is not None:
+            known = self.states.get(before.name)
+        stands = known is None or known.target is target
+        if not stands:
+            self.states.pop(known.name)
+        row = None if target is None else target.row
+        if stands and before and row and _place(before) == _place(row):
+            # Groups read everything else from the row in force. At 10,000
+            # targets a pause of one would otherwise cost its pools.
             return
-        self._revision = self.targets.revision
-        old = self._rows
-        self._rows = self._group()
-        self._states_follow()
-        # A pool whose rows are the same keeps its ring: at 10,000 targets an
-        # edit of one row would otherwise cost the rings of all models.
-        self._pools = {
-            key: pool
-            for key, pool in self._pools.items()
-            if self._rows.get(key) == old.get(key) and self._stands(pool)
-        }
-
-    def _group(self) -> dict[PoolKey, list[TargetRow]]:
-        grouped: dict[PoolKey, list[TargetRow]] = {}
-        for target in self.targets.by_name.values():
-            if target.row.weight > 0:
-                for key in self.keys_of(target.row):
-                    grouped.setdefault(key, []).append(target.row)
-        return grouped
-
-    def _states_follow(self) -> None:
-        by_name = self.targets.by_name
-        for name in set(self.states) - set(by_name):
-            self.states.pop(name)
-        for name, target in by_name.items():
-            known = self.states.get(name)
-            if known is None or known.target is not target:
-                breaker = Breaker(self.cfg.quarantine_after)
-                self.states[name] = TargetState(target, breaker)
-
-    def _stands(self, pool: Pool) -> bool:
-        return all(
-            self.states.get(state.name) is state
-            for state in pool.everyone.members
-        )
+        if before is not None:
+            self._remove(before)
+        if target is not None and target.row.weight > 0:
+            self._add(target)
+
+    def _remove(self, row: TargetRow) -> None:
+        for key in self.keys_of(row):
+            self._pools.pop(key, None)
+            members = self._members.get(key, {})
+            members.pop(row.name, None)
+            if not members:
+                self._members.pop(key, None)
+
+    def _add(self, target: Target) -> None:
+        for key in self.keys_of(target.row):
+            self._pools.pop(key, None)
+            self._members.setdefault(key, {})[target.name] = target
 
     def _build(self, key: PoolKey) -> Pool:
-        rows = self._rows[key]
-        near = [row for row in rows if row.zone == self.zone]
-        if len(near) in {0, len(rows)}:
-            return Pool(self._make_group(key, rows))
-        return Pool(self._make_group(key, rows), self._make_group(key, near))
-
-    def _make_group(self, key: PoolKey, rows: Sequence[TargetRow]) -> Group:
-        weighed = [(row, _weight(key, row)) for row in rows]
+        every = tuple(self._members[key].values())
+        local = [one for one in every if one.row.zone == self.zone]
+        make = functools.partial(self._make_group, key)
+        if len(local) in {0, len(every)}:
+            return Pool(None, every, make, make(every))
+        return Pool(make(local), every, make)
+
+    def _make_group(self, key: PoolKey, targets: Sequence[Target]) -> Group:
+        weighed = [(one, _weight(key, one.row)) for one in targets]
         weighed = [pair for pair in weighed if pair[1] > 0] or [
-            (row, row.weight) for row in rows
+            (one, one.row.weight) for one in targets
         ]
         return Group(
-            tuple(self.states[row.name] for row, _weight_here in weighed),
-            tuple(weight for _row, weight in weighed),
+            tuple(self._state_of(one) for one, _weight_here in weighed),
+            tuple(weight for _one, weight in weighed),
         )
 
+    def _state_of(self, target: Target) -> TargetState:
+        state = self.states.get(target.name)
+        if state is None:
+            breaker = Breaker(self.cfg.quarantine_after)
+            state = TargetState(target, breaker)
+            self.states[target.name] = state
+        return state
+
+
+def _place(row: TargetRow) -> tuple[object, ...]:
+    """Return what of a row decides its state, pools and part in them."""
+    return (
+        row.address,
+        row.kind,
+        row.service,
+        row.models,
+        row.weight,
+        row.zone,
+    )
+
 
 def _weight(key: PoolKey, row: TargetRow) -> float:
     return row.weight * row.models.get(key[1], 1)
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -16,7 +16,7 @@
 from balsamreach.routing.limits import TeamLimits
 from balsamreach.routing.picking import Picker
 from balsamreach.routing.policies import make_chooser
-from balsamreach.routing.pools import Pool, Pools
+from balsamreach.routing.pools import Pools
 from balsamreach.routing.probation import Probation
 from balsamreach.routing.quarantine import Quarantine
 from balsamreach.routing.retries import RetryBudget
@@ -131,7 +131,7 @@
         return sum(
             line.queue.waiting
             for line in self.admission.lines.values()
-            if line.queue.waiting and _serves(service, pools.find(line.key))
+            if line.queue.waiting and pools.serves(service, line.key)
         )
 
     def learn_cache(self, target: str, news: CacheNews) -> None:
@@ -203,11 +203,6 @@
         return Slot(state, ask, self.clock, self.clock.now())
 
 
-def _serves(service: str, pool: Pool | None) -> bool:
-    members = pool.everyone.members if pool is not None else ()
-    return any(state.target.row.service == service for state in members)
-
-
 def make_routing(
     cfg: Settings,
     targets: Targets,
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -1,7 +1,7 @@
 """What this router knows of one target's load and health."""
 
 import math
-from collections import deque
+from array import array
 
 import attrs
 
@@ -9,9 +9,10 @@
 from balsamreach.routing.breaker import Breaker
 from balsamreach.targets.registry import LoadReport, Target
 
-#: Own requests are remembered in steps of this many seconds.
+#: Own requests are remembered in steps of this many seconds, for as long as
+#: a report may be under way.
 _STEP = 0.05
-_STEPS = 128
+_REACH = 15.0
 #: Age in seconds at which a report has lost most of its worth.
 _TRUST = 1.5
 
@@ -39,9 +40,9 @@
     alone: str = ''
     others: int = 0
     _read: LoadReport | None = None
-    _past: deque[tuple[float, int]] = attrs.field(
-        factory=lambda: deque(maxlen=_STEPS),
-    )
+    # Moments and the slots held since then, in turn: one small array. With
+    # pairs of objects every target that was ever used kept 13 KB.
+    _past: array | None = None
 
     @property
     def name(self) -> str:
@@ -50,12 +51,14 @@
 
     def take(self, now: float) -> None:
         """Hold a slot."""
+        self._follow_report(now)
         self.held += 1
         self.breaker.begin()
         self._note(now)
 
     def free(self, now: float) -> None:
         """Give a slot back."""
+        self._follow_report(now)
         self.held -= 1
         self._note(now)
 
@@ -113,13 +116,22 @@
 
     def _note(self, now: float) -> None:
         past = self._past
-        if past and now - past[-1][0] < _STEP:
-            past[-1] = (past[-1][0], self.held)
-        else:
-            past.append((now, self.held))
+        if past is None:
+            past = array('d')
+            self._past = past
+        if past and now - past[-2] < _STEP:
+            past[-1] = self.held
+            return
+        past.extend((now, self.held))
+        # Each report is read before the next change at the latest, so what
+        # lies farther back is asked for no more; but what held when the
+        # reach begins is.
+        while len(past) > 2 and past[2] < now - _REACH:
+            del past[:2]
 
     def _held_at(self, moment: float) -> int:
-        for noted_at, held in reversed(self._past):
-            if noted_at <= moment:
-                return held
+        past = self._past or ()
+        for place in range(len(past) - 2, -1, -2):
+            if past[place] <= moment:
+                return int(past[place + 1])
         return 0
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -1,7 +1,6 @@
 """The state of every target as this router sees it."""
 
-from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping, Set
 
 import attrs
 
@@ -14,6 +13,11 @@
 _PAST_STARTS = 16
 _RETIRED = 1024
 _WARM_TIME = 30.0
+#: Most of thousands of targets are in other zones and never report to this
+#: router. What they have in common is kept once: a set, a report and a list
+#: of starts of its own for each took ten times the memory of the rest.
+_NO_STARTS: frozenset[str] = frozenset()
+_NO_REPORT = LoadReport()
 
 
 @attrs.define(eq=False)
@@ -28,7 +32,7 @@
         Requests of this router that it has not ended.
     report : LoadReport
         Its newest report.
-    left : set of str
+    left : frozenset of str
         Incarnations that were marked as leaving; a mark is never undone.
     suspended_until : float
         Monotonic seconds until which no request is sent after failures.
@@ -44,23 +48,28 @@
 
     row: TargetRow
     in_flight: int = 0
-    report: LoadReport = attrs.field(factory=LoadReport)
-    left: set[str] = attrs.field(factory=set)
+    report: LoadReport = _NO_REPORT
+    left: Set[str] = _NO_STARTS
     suspended_until: float = 0
     failures: int = 0
     warm_from: float = float('-inf')
     warm_time: float = _WARM_TIME
     hold: Hold | None = None
-    cache: CacheFeed = attrs.field(factory=CacheFeed)
-    _past: deque[str] = attrs.field(
-        factory=lambda: deque(maxlen=_PAST_STARTS),
-    )
+    _cache: CacheFeed | None = None
+    _past: tuple[str, ...] = ()
 
     @property
     def name(self) -> str:
         """Name of the target's row."""
         return self.row.name
 
+    @property
+    def cache(self) -> CacheFeed:
+        """Where this router stands in its cache events."""
+        if self._cache is None:
+            self._cache = CacheFeed()
+        return self._cache
+
     @property
     def leaving(self) -> bool:
         """Whether it must get no new work."""
@@ -82,7 +91,7 @@
         """Mark one start as leaving, for good; True if that is news."""
         if not incarnation or incarnation in self.left:
             return False
-        self.left.add(incarnation)
+        self.left |= {incarnation}
         if len(self.left) > 2 * _PAST_STARTS:
             self.left &= {self.report.incarnation, incarnation, *self._past}
         return True
@@ -131,13 +140,18 @@
 
     def _succeed(self, incarnation: str, now: float) -> None:
         if incarnation:
-            self._past.append(incarnation)
+            self._past = (*self._past, incarnation)[-_PAST_STARTS:]
         # The very first report, soon after this router's own start, says
         # nothing about how long the target has been running.
         held = self.hold is not None and self.hold.state != UNREAD
         if incarnation or held:
             self.warm_from = now
-        self.cache.restart()
+        if self._cache is not None:
+            self._cache.restart()
+
+
+#: Called with the row before, if any, and the target that is in force now.
+Watcher = Callable[[TargetRow | None, Target | None], None]
 
 
 @attrs.define
@@ -150,11 +164,13 @@
         Targets in force.
     warm_time : float
         Seconds in which the share of a new or recovered target grows.
+    watchers : list of callable
+        Called for each row that came, changed or went.
     """
 
     by_name: dict[str, Target] = attrs.field(factory=dict)
-    revision: int = 0
     warm_time: float = _WARM_TIME
+    watchers: list[Watcher] = attrs.field(factory=list)
     _retired: list[Target] = attrs.field(factory=list)
     _holds: dict[str, Hold] = attrs.field(factory=dict)
     _unread: Hold | None = None
@@ -177,23 +193,22 @@
             target.take_hold(holds.get(target.name, self._unread))
 
     def update(self, rows: Iterable[TargetRow]) -> None:
-        """Bring the rows in force into the registry."""
-        wanted = {row.name: row for row in rows}
-        known_rows = {name: old.row for name, old in self.by_name.items()}
-        # Indexes over the targets are rebuilt when this number changes.
-        self.revision += known_rows != wanted
-        for name in set(self.by_name) - set(wanted):
-            self._retired.append(self.by_name.pop(name))
-        for name, row in wanted.items():
+        """Bring the rows in force into the registry, and no others."""
+        changed: dict[str, TargetRow | None] = {row.name: row for row in rows}
+        for name in self.by_name.keys() - changed.keys():
+            changed[name] = None
+        self.put(changed)
+
+    def put(self, changed: Mapping[str, TargetRow | None]) -> None:
+        """Bring changed rows into the registry; None for those deleted."""
+        for name, row in changed.items():
             known = self.by_name.get(name)
-            # A target that moved to another address is another process: its
-            # load and leaving marks say nothing of the new one.
-            if known is not None and known.row.address == row.address:
-                known.row = row
-                continue
-            if known is not None:
-                self._retired.append(known)
-            self.by_name[name] = self._make(row)
+            before = None if known is None else known.row
+            if row is not before and row != before:
+                self._put(name, row, known)
+                now = self.by_name.get(name)
+                for watcher in self.watchers:
+                    watcher(before, now)
         self._forget_retired()
 
     def among(self, rows: Iterable[TargetRow]) -> Iterator[Target]:
@@ -220,7 +235,25 @@
             if target.row.address == address
         )
 
+    def _put(
+        self,
+        name: str,
+        row: TargetRow | None,
+        known: Target | None,
+    ) -> None:
+        # A target that moved to another address is another process: its
+        # load and leaving marks say nothing of the new one.
+        if row and known and known.row.address == row.address:
+            known.row = row
+            return
+        if known is not None:
+            self._retired.append(self.by_name.pop(name))
+        if row is not None:
+            self.by_name[name] = self._make(row)
+
     def _forget_retired(self) -> None:
+        if len(self._retired) <= _RETIRED:
+            return
         # One with requests in progress stays however old it is: forgotten,
         # its host would look idle and be switched off under them.
         busy = [target for target in self._retired if target.in_flight]
