Find a router dead that was cut off as a link was parted from

A link that had just been closed for silence, and was not dropped yet, passed for surplus, because no best link stood beside it; its end counted as parted and not as a loss. In a small fleet only the smaller incarnation dials, so the other one waited to be dialled by a router that could not reach it. Ruled out: the link's watch (silence was noticed) and the test itself. Change: surplus is only what has a better link beside it; and a router dials those that should have dialled it (Rings.choosers) after two gap timeouts without a link, which finds them dead or alive, also where they died just after parting. Both new tests fail without the change. Conclusion: a silent peer is found dead by either end.

--- a/src/balsamreach/peers/links.py
+++ b/src/balsamreach/peers/links.py
@@ -73,11 +73,17 @@
         return link.peer.incarnation in self.lasting
 
     def surplus(self) -> tuple[Link, ...]:
-        """Return the links to part from that this router dialled."""
+        """Return the links to part from that this router dialled.
+
+        A link that has just closed has no better one beside it and is none
+        of them. Parted from, its end would pass for wanted, and a peer that
+        fell silent would never be found dead.
+        """
         return tuple(
             link
             for link in self._links
-            if link.dialled and self.best(link.peer.incarnation) is not link
+            if link.dialled
+            and self.best(link.peer.incarnation) not in {None, link}
         )
 
     def _to(self, incarnation: str) -> list[Link]:
--- a/src/balsamreach/peers/neighbours.py
+++ b/src/balsamreach/peers/neighbours.py
@@ -103,6 +103,40 @@
         chosen = self.choose(one)
         return any(member.incarnation == other.incarnation for member in chosen)
 
+    def choosers(self, me: Member) -> tuple[Member, ...]:
+        """Return the routers that choose one.
+
+        Parameters
+        ----------
+        me : Member
+            The router that is chosen; it is on the rings itself.
+
+        Returns
+        -------
+        tuple of Member
+            Bounded like those that it chooses itself.
+        """
+        if len(self.members) <= self.max_peers + 1:
+            near = self.members
+        else:
+            near = self._behind(me, self.max_peers // 2)
+        return tuple(
+            member
+            for member in near
+            if member.incarnation != me.incarnation and self.chooses(member, me)
+        )
+
+    def _behind(self, me: Member, most: int) -> tuple[Member, ...]:
+        """Return those on the rings from which one lies at a distance."""
+        zone = self._zones[me.zone]
+        whole = self._whole
+        distances = _doubling(len(zone.members))
+        near = zone.steps(me.incarnation, _backwards(distances))
+        distances = _spaced(len(whole.members), most)
+        far = whole.steps(me.incarnation, _backwards(distances))
+        both = {member.incarnation: member for member in (*near, *far)}
+        return tuple(both.values())
+
     def _choose_by_distance(
         self,
         me: Member,
@@ -133,6 +167,10 @@
     )
 
 
+def _backwards(distances: Iterable[int]) -> tuple[int, ...]:
+    return tuple(-distance for distance in distances)
+
+
 def _spaced(size: int, most: int) -> tuple[int, ...]:
     """Return 1, then distances spread over the ring, then near ones."""
     least = max(1, most // _FAR_SHARE)
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -23,6 +23,10 @@
 #: Seconds after which an unwanted link without traffic is given up.
 IDLE_AFTER = 60
 
+# A router that lives has been told of this one, and has dialled it, long
+# before so many gap timeouts have passed.
+_MISSING_GAPS = 2
+
 
 @attrs.define(eq=False)
 class Upkeep:
@@ -45,6 +49,8 @@
     discovery: Discovery
     rng: random.Random
     _chosen: tuple[Member, ...] = ()
+    _choosers: tuple[Member, ...] = ()
+    _missed: dict[str, float] = attrs.field(factory=dict)
     _rings: Rings | None = None
     _rings_at: int = 0
     _probing: asyncio.Task | None = None
@@ -82,6 +88,7 @@
 
     def _see_to_links(self, now: float) -> None:
         self._open_wanted()
+        self._look_for_missing(now)
         self._mark_lasting()
         self._part_unwanted(now)
 
@@ -91,10 +98,34 @@
             self._rings_at = membership.version
             self._rings = Rings(membership.alive(), self.cfg.max_peers)
             self._chosen = self._rings.choose(membership.me)
+            self._choosers = self._rings.choosers(membership.me)
         for member in self._chosen:
             if self.keeper.links.best(member.incarnation) is None:
                 self.keeper.tasks.start(self.keeper.reach(member))
 
+    def _look_for_missing(self, now: float) -> None:
+        """Dial routers that should have dialled this one and didn't.
+
+        A router that dies, or is cut off, just after a link was parted from
+        is missed by nobody: the other end of that link waits to be dialled.
+        It would be counted as alive for ever, as a home, a lender or a
+        buddy that never answers. To dial it tells.
+        """
+        limit = now - _MISSING_GAPS * self.cfg.gap_timeout
+        linked = {peer.incarnation for peer in self.keeper.links.peers()}
+        missing = [
+            member
+            for member in self._choosers
+            if member.incarnation not in linked
+        ]
+        self._missed = {
+            member.incarnation: self._missed.get(member.incarnation, now)
+            for member in missing
+        }
+        for member in missing:
+            if self._missed[member.incarnation] < limit:
+                self.keeper.tasks.start(self.keeper.reach(member))
+
     def _mark_lasting(self) -> None:
         """Tell the links to those that chose this router, or it chose.
 
--- a/tests/test_peers_neighbours.py
+++ b/tests/test_peers_neighbours.py
@@ -122,6 +122,20 @@
                 linked = other.incarnation in links[one.incarnation]
                 self.assertEqual(lasts, linked)
 
+    @parameterized.expand(((8, 4), (64, 4), (200, 7)))
+    def test_each_knows_who_chooses_it(self, count, zones):
+        members = _members(count, zones)
+        rings = Rings(members, _MAX_PEERS)
+        for one in members[:_STARTS]:
+            choosing = {
+                other.incarnation
+                for other in members
+                if other != one and rings.chooses(other, one)
+            }
+            found = [other.incarnation for other in rings.choosers(one)]
+            self.assertEqual(set(found), choosing)
+            self.assertEqual(len(found), len(choosing))
+
     def test_leaving_routers_are_not_chosen(self):
         members = _members(64, 4)
         first = Rings(members, _MAX_PEERS).choose(members[0])[0]
--- a/tests/test_peers_net.py
+++ b/tests/test_peers_net.py
@@ -234,6 +234,39 @@
         self.assertEqual(names(one), {'one', 'two'})
         await self.until_linked(one, 'two')
 
+    async def test_router_cut_off_as_a_link_is_parted_from(self):
+        """Symptom: a router that can't be reached counts as alive for ever.
+
+        Sequence: the network is cut at the moment at which one router parts
+        from the link to another that is the one to dial. Cause: a link that
+        was parted from is no loss, and the one end waits to be dialled.
+        """
+        one, near, two, far = await self.start_pair()
+        await self.until_linked(two, 'one')
+        for proxy in (near, far):
+            proxy.swallow()
+            proxy.refusing = True
+        for link in two.keeper.links.every():
+            link.part()
+        await self.until_names(two, 'two')
+        await self.until_names(one, 'one')
+
+    async def test_link_that_has_just_closed_is_not_parted_from(self):
+        """Symptom: a silent peer is never found dead.
+
+        Sequence: a link is closed for silence, and the upkeep looks at it
+        before it is dropped. Cause: no best link stands beside it, so it
+        passes for surplus, and its end for wanted.
+        """
+        two, proxy = await self.start_behind_proxy('two')
+        one = await self.rig.start('one', f'peers.seeds={proxy.address}')
+        await self.until_linked(one, 'two')
+        link = one.keeper.links.every()[0]
+        link.stream.close()
+        self.assertTrue(link.dialled)
+        self.assertEqual(one.keeper.links.surplus(), ())
+        await self.until_linked(two, 'one')
+
     async def test_host_list_shows_the_dead_and_omits_the_living(self):
         """The platform's list lags behind.
 
