Leave without waiting half a minute for a trace collector

Cause: OTLP export had never been run. With a collector that is away and a full queue the end of a router blocked its event loop for 30 s (the time limit of the library), so that a second signal was not taken either.

--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -132,7 +132,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.parts.upstream.close()
-        self.parts.net.tracing.close()
+        # The collector may be slow; a second signal must be taken meanwhile.
+        await asyncio.to_thread(self.parts.net.tracing.close)
 
     async def _leave_budgets(self) -> None:
         for _ in range(_LAST_FLUSHES):
--- a/src/balsamreach/telemetry/traces.py
+++ b/src/balsamreach/telemetry/traces.py
@@ -7,9 +7,12 @@
 
 from opentelemetry import context, trace
 from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace import (
+    ReadableSpan,
+    SpanProcessor,
+    TracerProvider,
+)
 from opentelemetry.sdk.trace.export import (
-    BatchSpanProcessor,
     SimpleSpanProcessor,
     SpanExporter,
     SpanExportResult,
@@ -75,7 +78,7 @@
             exporter = LineExporter(stream or sys.stderr)
             self._provider.add_span_processor(SimpleSpanProcessor(exporter))
         if settings.telemetry.traces == 'otlp':
-            processor = BatchSpanProcessor(_make_otlp(settings.telemetry))
+            processor = _make_otlp(settings.telemetry)
             self._provider.add_span_processor(processor)
         self._tracer = self._provider.get_tracer(_NAME)
 
@@ -109,7 +112,10 @@
         )
 
     def close(self) -> None:
-        """Send out what is waiting; no span may start afterwards."""
+        """Send out what is waiting; no span may start afterwards.
+
+        This blocks while a collector is slow: not for the event loop.
+        """
         self._provider.shutdown()
 
 
@@ -155,14 +161,12 @@
     )
 
 
-def _make_otlp(settings: TelemetrySettings) -> SpanExporter:
+def _make_otlp(settings: TelemetrySettings) -> SpanProcessor:
     # The exporter takes a good part of a second to import; only processes
     # that are set to use it pay for it.
-    from opentelemetry.exporter.otlp.proto.http.trace_exporter import (
-        OTLPSpanExporter,
-    )
+    from balsamreach.telemetry.otlp import CollectorProcessor
 
-    return OTLPSpanExporter(endpoint=f'{settings.otlp_url}/v1/traces')
+    return CollectorProcessor(settings)
 
 
 def _describe(span: ReadableSpan) -> dict[str, Any]:
--- /dev/null
+++ b/tests/collector.py
@@ -0,0 +1,81 @@
+"""A small OTLP collector inside the test's own event loop."""
+
+import asyncio
+from itertools import chain
+
+import attrs
+from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (
+    ExportTraceServiceRequest,
+    ExportTraceServiceResponse,
+)
+from opentelemetry.proto.resource.v1.resource_pb2 import Resource
+from opentelemetry.proto.trace.v1.trace_pb2 import Span
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+
+@attrs.frozen
+class Received:
+    """A span, and the attributes of the process that it is from."""
+
+    resource: dict[str, str]
+    span: Span
+
+
+@attrs.define(eq=False)
+class Collector:
+    """Keeps what it is sent, and answers while its gate is open."""
+
+    received: list[ExportTraceServiceRequest] = attrs.field(factory=list)
+    asks: int = 0
+    gate: asyncio.Event = attrs.field(factory=asyncio.Event)
+    url: str = ''
+    _server: HTTPServer = attrs.field(init=False)
+
+    def start(self) -> None:
+        """Listen on a free port."""
+        self.gate.set()
+        route = ('/v1/traces', TracesHandler, {'collector': self})
+        self._server = HTTPServer(Application([route]))
+        sockets = bind_sockets(0, '127.0.0.1')
+        self._server.add_sockets(sockets)
+        port = sockets[0].getsockname()[1]
+        self.url = f'http://127.0.0.1:{port}'
+
+    async def stop(self) -> None:
+        """Answer nobody any more."""
+        self.gate.set()
+        self._server.stop()
+        await self._server.close_all_connections()
+
+    def spans(self) -> list[Received]:
+        """Return all spans in the order in which they came."""
+        groups = [list(request.resource_spans) for request in self.received]
+        return [
+            Received(_texts(group.resource), span)
+            for group in chain(*groups)
+            for span in chain(*[scope.spans for scope in group.scope_spans])
+        ]
+
+
+class TracesHandler(RequestHandler):
+    """Takes an export as the protocol describes it."""
+
+    def initialize(self, collector: Collector) -> None:
+        """Take the collector that keeps the spans."""
+        self.collector = collector
+
+    async def post(self) -> None:
+        """Decode the spans, wait for the gate and thank for them."""
+        assert self.request.headers['Content-Type'] == 'application/x-protobuf'
+        export = ExportTraceServiceRequest.FromString(self.request.body)
+        self.collector.asks += 1
+        await self.collector.gate.wait()
+        self.collector.received.append(export)
+        self.set_header('Content-Type', 'application/x-protobuf')
+        await self.finish(ExportTraceServiceResponse().SerializeToString())
+
+
+def _texts(resource: Resource) -> dict[str, str]:
+    return {pair.key: pair.value.string_value for pair in resource.attributes}
