Tell peers of broken connections before a crash is certain

Cause: a peer learnt of a crash only when it was certain. Sent again before that under a new key through another router, a request took a third engine and a fourth. Of the requests beside it only as many were tried again as could be kept a target free at once; the others were broken off. Change: a break is told to peers at once, marked as unexplained; it counts there as an own one does, for 60 s at most. Copies sent to several routers at one moment can still lose one target each.

--- a/src/balsamreach/routing/crashes.py
+++ b/src/balsamreach/routing/crashes.py
@@ -19,13 +19,26 @@
 
 @attrs.frozen
 class Break:
-    """A connection that broke without an orderly end."""
+    """A connection that broke without an orderly end.
+
+    Parameters
+    ----------
+    fingerprint, team : str
+        The request.
+    target, incarnation : str
+        Where it ran.
+    at : float
+        Monotonic seconds at which this router learnt of it.
+    told : bool
+        Whether a peer met it and not this router.
+    """
 
     fingerprint: str
     team: str
     target: str
     incarnation: str
     at: float
+    told: bool = False
 
 
 @attrs.define(eq=False)
@@ -65,7 +78,8 @@
     def broke(self, broken: Break) -> None:
         """Take note of a break."""
         target = broken.target
-        self._recent.append((broken.at, target))
+        if not broken.told:
+            self._recent.append((broken.at, target))
         breaks = self._breaks.setdefault(target, [])
         if not breaks:
             # Whoever is in progress now and ends well proves that the target
@@ -78,6 +92,33 @@
         if len(self._breaks) > _MOST_TARGETS:
             self._forget(next(iter(self._breaks)))
 
+    def explain(self, fingerprint: str, target: str) -> None:
+        """Forget one request's breaks at a target; their cause is known."""
+        if target in self.targets_broken(fingerprint):
+            self._keep(
+                target,
+                [
+                    entry
+                    for entry in self._breaks[target]
+                    if entry.fingerprint != fingerprint
+                ],
+            )
+
+    def expire(self, now: float) -> None:
+        """Forget what peers told too long ago to be explained any more.
+
+        This router may never send to that target, and so never learn by
+        itself that it lived on; the request would run alone for good.
+        """
+        for target, breaks in tuple(self._breaks.items()):
+            lasting = [
+                entry
+                for entry in breaks
+                if not entry.told or now - entry.at < _EXPLAINED
+            ]
+            if len(lasting) < len(breaks):
+                self._keep(target, lasting)
+
     def many_at_once(self, now: float) -> bool:
         """Return whether connections to many targets broke of late."""
         while self._recent and now - self._recent[0][0] > _AT_ONCE:
@@ -120,6 +161,16 @@
         """Return the targets at which a request broke off unexplained."""
         return self._targets.get(fingerprint, set())
 
+    def _keep(self, target: str, breaks: list[Break]) -> None:
+        survivors = self._survivors.get(target, set())
+        self._forget(target)
+        if not breaks:
+            return
+        self._breaks[target] = breaks
+        self._survivors[target] = survivors
+        for entry in breaks:
+            self._targets.setdefault(entry.fingerprint, set()).add(target)
+
     def _forget(self, target: str) -> list[Break]:
         self._survivors.pop(target, None)
         breaks = self._breaks.pop(target, [])
--- a/src/balsamreach/routing/quarantine.py
+++ b/src/balsamreach/routing/quarantine.py
@@ -116,10 +116,18 @@
         incarnation: str,
     ) -> None:
         """Take note that a connection broke without an orderly end."""
+        now = self.clock.now()
         self.crashes.ended(fingerprint, target)
-        self.crashes.broke(
-            Break(fingerprint, team, target, incarnation, self.clock.now()),
-        )
+        self.crashes.broke(Break(fingerprint, team, target, incarnation, now))
+        # Whether the target crashed may show only seconds later. Sent again
+        # meanwhile through another router, the request would take a third
+        # and a fourth target. Breaks all over, as when a zone is cut off,
+        # are the network's, and no reason to flood the peers.
+        if self.net is not None and not self.crashes.many_at_once(now):
+            crash = f'{target}@{incarnation}'
+            self.net.spread(
+                Suspicion(fingerprint, team, crash, unexplained=True),
+            )
 
     def refused(self, target: str) -> None:
         """Take note that a target refuses connections: it has crashed."""
@@ -168,7 +176,9 @@
         """Take another router's word and spread what is news."""
         if not isinstance(message, Suspicion) or self.net is None:
             return
-        if message.lifted:
+        if message.unexplained:
+            news = self._heard(message)
+        elif message.lifted:
             news = self.suspects.lift(message.fingerprint, message.at)
             _show_held(self)
         else:
@@ -176,6 +186,25 @@
         if news:
             self.net.spread(message, besides=sender.incarnation)
 
+    def _heard(self, message: Suspicion) -> bool:
+        fingerprint = message.fingerprint
+        target, _at, incarnation = message.target.rpartition('@')
+        suspect = self.suspects.by_print.get(fingerprint)
+        known = suspect is not None and message.target in suspect.crashes
+        if known or target in self.crashes.targets_broken(fingerprint):
+            return False
+        self.crashes.broke(
+            Break(
+                fingerprint,
+                message.team,
+                target,
+                incarnation,
+                self.clock.now(),
+                told=True,
+            ),
+        )
+        return True
+
     def _confirm(self, breaks: tuple[Break, ...]) -> None:
         at = self.clock.wall()
         for broken in breaks:
@@ -190,6 +219,7 @@
 
     def _blame(self, message: Suspicion) -> bool:
         fingerprint = message.fingerprint
+        self.crashes.explain(fingerprint, message.target.rpartition('@')[0])
         before = self.suspects.is_quarantined(fingerprint)
         news = self.suspects.blame(
             fingerprint,
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -161,6 +161,7 @@
         request's end announces.
         """
         states = self.admission.picker.pools.states
+        self.quarantine.crashes.expire(self.clock.now())
         for name in self.quarantine.crashes.pending():
             state = states.get(name)
             if state is not None:
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -109,6 +109,7 @@
   target @2 :Text;
   lifted @3 :Bool;
   at @4 :Float64;
+  unexplained @5 :Bool;
 }
 
 struct BillCopy {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -160,6 +160,9 @@
         Whether an operator lifted the quarantine.
     at : float
         Wall time, so that a lift is not undone by older reports.
+    unexplained : bool
+        Whether the connection only broke and no crash is known of. ``at``
+        is 0 then, which a router that does not know this field ignores.
     """
 
     fingerprint: str
@@ -167,6 +170,7 @@
     target: str = ''
     lifted: bool = False
     at: float = 0
+    unexplained: bool = False
 
 
 @attrs.frozen
--- a/tests/small_router.py
+++ b/tests/small_router.py
@@ -17,7 +17,7 @@
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.identity import RequestId, mint_key
 from balsamreach.requests.registry import Answers
-from balsamreach.routing.routing import make_routing
+from balsamreach.routing.routing import Routing, make_routing
 from balsamreach.table.rows import TargetRow, TeamRow
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
@@ -81,19 +81,27 @@
     clock: object
     net: object = None
     seed: int = 7
+    engines: int = _ENGINES
     targets: Targets = attrs.field(factory=Targets)
+    routing: Routing = attrs.field(init=False)
     dispatcher: Dispatcher = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         cfg = read_settings(None, ('host.zone=zone-a',))
         metrics = Metrics()
-        self.targets.update(target_rows())
-        rng = random.Random(self.seed)
-        routing = make_routing(cfg, self.targets, self.clock, rng, metrics)
+        self.targets.update(target_rows(self.engines))
+        net = self.net or FakeNet().join(self.name)
+        self.routing = make_routing(
+            cfg,
+            self.targets,
+            self.clock,
+            random.Random(self.seed),
+            metrics,
+            net,
+        )
         service = self.platform.table
         answers = Answers(cfg.requests, self.clock, metrics)
-        tries = make_try_parts(cfg.requests, routing, self.upstream)
-        net = self.net or FakeNet().join(self.name)
+        tries = make_try_parts(cfg.requests, self.routing, self.upstream)
         parts = RunParts(
             budgets=Budgets(service, self.name, cfg.budget, self.clock),
             claims=Claims(service, self.name, self.clock, metrics),
@@ -164,9 +172,9 @@
     return plain | changes
 
 
-def target_rows():
-    """Yield the rows of three engines and three workers of a service."""
-    for number in range(_ENGINES):
+def target_rows(count=_ENGINES):
+    """Yield the rows of engines and of as many workers of a service."""
+    for number in range(count):
         yield _row(f'engine-{number}', 'llm', 'engine', number, ['model-a'])
         yield _row(f'desk-{number}', 'desk', 'service', 9 + number, [])
 
--- a/tests/test_routing_quarantine.py
+++ b/tests/test_routing_quarantine.py
@@ -206,6 +206,23 @@
         quarantine = node.quarantine
         self.assertFalse(any(map(quarantine.must_run_alone, ('n0', 'n3'))))
 
+    async def test_a_peers_break_that_nobody_explains_is_forgotten(self):
+        """A request runs alone for good after a peer lost a connection.
+
+        Symptom: requests wait although targets have room. Sequence: one
+        router's connection to a target breaks and peers are told; the
+        target lives on, but a peer of another zone never sends there.
+        Cause: only own requests at that target showed that it lived.
+        """
+        slot = await self.nodes[0].send(fingerprint='n0')
+        self.nodes[0].end(slot, Verdict.BROKEN)
+        await self.net.settle()
+        peer = self.nodes[1]
+        self.assertTrue(peer.quarantine.must_run_alone('n0'))
+        self.clock.advance(60)
+        peer.routing.tick()
+        self.assertFalse(peer.quarantine.must_run_alone('n0'))
+
     def test_records_are_bounded(self):
         suspects = self.nodes[0].quarantine.suspects
         for number in range(12000):
