Refuse a malformed body by one function

Cause: chat.py and prompts.py each had a _bad that made the same refusal; one of them took a code that only one caller gave. Change: invalid_request in gateway/refusals.py serves both; the one other code is written where it is used. Measured: behaviour unchanged; test_gateway_callers passes, with a row for each malformed body. Conclusion: status and code of a malformed body stand in one place.

--- a/src/balsamreach/gateway/chat.py
+++ b/src/balsamreach/gateway/chat.py
@@ -9,7 +9,7 @@
 from balsamreach.config.settings import CallersSettings
 from balsamreach.gateway.bodies import read_json
 from balsamreach.gateway.prompts import Prompt, measure_prompt
-from balsamreach.gateway.refusals import Refusal
+from balsamreach.gateway.refusals import Refusal, invalid_request
 from balsamreach.routing.shares import Shares
 from balsamreach.table.rows import ANY_MODEL, TeamRow
 
@@ -103,23 +103,21 @@
     return _build(body, model, max_tokens, prompt)
 
 
-def _bad(message: str, code: str = 'invalid_request') -> Refusal:
-    return Refusal(_BAD_REQUEST, code, message)
-
-
 def _parse(raw: bytes) -> dict[str, Any] | Refusal:
     body = read_json(raw)
     if isinstance(body, Refusal):
         return body
     messages = body.get('messages')
     if not isinstance(messages, list) or not messages:
-        return _bad('messages must be a list with at least one message')
+        return invalid_request(
+            'messages must be a list with at least one message'
+        )
     if not all(isinstance(message, dict) for message in messages):
-        return _bad('each message must be an object')
+        return invalid_request('each message must be an object')
     if not isinstance(body.get('stream', False), (bool, type(None))):
-        return _bad('stream must be true or false')
+        return invalid_request('stream must be true or false')
     if not isinstance(body.get('stream_options', {}), (dict, type(None))):
-        return _bad('stream_options must be an object')
+        return invalid_request('stream_options must be an object')
     return body
 
 
@@ -131,7 +129,7 @@
 ) -> str | Refusal:
     model = body.get('model')
     if not isinstance(model, str) or not model:
-        return _bad('model must be a text')
+        return invalid_request('model must be a text')
     if model == ANY_MODEL:
         weights = team.models or dict.fromkeys(models, 1.0)
         # A model that no target serves any more would turn its share of the
@@ -142,7 +140,11 @@
             if name in models and weight > 0
         }
         if not weights:
-            return _bad('no model is open to the team', 'unknown_model')
+            return Refusal(
+                _BAD_REQUEST,
+                'unknown_model',
+                'no model is open to the team',
+            )
         return shares.pick(team.name, weights)
     if model not in models or (team.models and model not in team.models):
         return Refusal(
@@ -185,9 +187,9 @@
 ) -> int | Refusal:
     number = body[name]
     if isinstance(number, bool) or not isinstance(number, int):
-        return _bad(f'{name} must be a whole number')
+        return invalid_request(f'{name} must be a whole number')
     if not 1 <= number <= most:
-        return _bad(f'{name} must be from 1 to {most}')
+        return invalid_request(f'{name} must be from 1 to {most}')
     return number
 
 
--- a/src/balsamreach/gateway/prompts.py
+++ b/src/balsamreach/gateway/prompts.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from balsamreach.gateway.refusals import Refusal
+from balsamreach.gateway.refusals import Refusal, invalid_request
 
 #: Tokens a chat template may add for each message.
 MESSAGE_OVERHEAD = 16
@@ -14,7 +14,6 @@
 MEDIA = frozenset(('image_url', 'input_audio', 'video_url', 'file'))
 TEXTS = frozenset(('text', 'refusal'))
 
-_BAD_REQUEST = 400
 _BYTES_PER_TOKEN = 4
 _PREFIX_LIMIT = 8192
 _ROLES = ('assistant', 'developer', 'function', 'system', 'tool', 'user')
@@ -110,7 +109,7 @@
             prompt.add(_encode(field))
     content = message.get('content')
     if not isinstance(content, (str, list, type(None))):
-        return _bad('content must be a text or a list of parts')
+        return invalid_request('content must be a text or a list of parts')
     for part in _parts(content):
         refusal = _add_part(prompt, part)
         if refusal is not None:
@@ -128,15 +127,17 @@
 def _add_part(prompt: Prompt, part: Any) -> Refusal | None:
     kind = part.get('type') if isinstance(part, dict) else None
     if not isinstance(kind, str):
-        return _bad('each part of a content must be an object with a type')
+        return invalid_request(
+            'each part of a content must be an object with a type'
+        )
     if kind in MEDIA:
         prompt.media += 1
         return None
     if kind not in TEXTS:
-        return _bad(f'parts of type {kind!r} are not taken')
+        return invalid_request(f'parts of type {kind!r} are not taken')
     text = part.get(kind)
     if not isinstance(text, str):
-        return _bad(f'a part of type {kind!r} must have a text')
+        return invalid_request(f'a part of type {kind!r} must have a text')
     prompt.add(text.encode('utf-8', 'surrogatepass'))
     return None
 
@@ -145,7 +146,3 @@
     return json.dumps(field, ensure_ascii=False).encode(
         'utf-8', 'surrogatepass'
     )
-
-
-def _bad(message: str) -> Refusal:
-    return Refusal(_BAD_REQUEST, 'invalid_request', message)
--- a/src/balsamreach/gateway/refusals.py
+++ b/src/balsamreach/gateway/refusals.py
@@ -111,6 +111,11 @@
 }
 
 
+def invalid_request(message: str) -> Refusal:
+    """Return the refusal of a body whose form is wrong."""
+    return Refusal(400, 'invalid_request', message)
+
+
 def from_status(status: int, ran: str) -> Refusal:
     """Return the refusal for an error that the framework met.
 
