Name the statuses of refusals by the standard library

Change: http.HTTPStatus, as gateway/sinks.py does already. Conclusion: no number of a status is written down twice in the gateway's handlers.

--- a/src/balsamreach/gateway/bodies.py
+++ b/src/balsamreach/gateway/bodies.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from http import HTTPStatus
 from typing import Any
 
 from balsamreach.gateway.refusals import Refusal
@@ -10,8 +11,6 @@
 #: they can read, and one of them must not be crashed by it.
 MOST_DEPTH = 64
 
-_BAD_REQUEST = 400
-
 
 def read_json(raw: bytes) -> dict[str, Any] | Refusal:
     """Read a JSON object.
@@ -50,7 +49,7 @@
 
 
 def _malformed(message: str) -> Refusal:
-    return Refusal(_BAD_REQUEST, 'malformed_json', message)
+    return Refusal(HTTPStatus.BAD_REQUEST, 'malformed_json', message)
 
 
 def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/src/balsamreach/gateway/call_headers.py
+++ b/src/balsamreach/gateway/call_headers.py
@@ -1,13 +1,13 @@
 """Reads the headers by which a caller says how its request may be run."""
 
 import math
+from http import HTTPStatus
 
 import attrs
 from tornado.httputil import HTTPHeaders
 
 from balsamreach.gateway.refusals import Refusal
 
-_BAD_REQUEST = 400
 _IDEMPOTENT_HEADER = 'Idempotent'
 _TIMEOUT_HEADER = 'X-Request-Timeout'
 _FLAGS = {'true': True, 'false': False}
@@ -66,4 +66,6 @@
 
 
 def _bad_header(name: str, form: str) -> Refusal:
-    return Refusal(_BAD_REQUEST, 'invalid_header', f'{name}: write {form}')
+    return Refusal(
+        HTTPStatus.BAD_REQUEST, 'invalid_header', f'{name}: write {form}'
+    )
--- a/src/balsamreach/gateway/caller_handler.py
+++ b/src/balsamreach/gateway/caller_handler.py
@@ -1,5 +1,7 @@
 """Handlers that a team's key opens: who calls, what it asks, the answer."""
 
+from http import HTTPStatus
+
 import attrs
 from tornado.iostream import StreamClosedError
 
@@ -16,12 +18,9 @@
 
 #: Names the request, so that one sent again is known for the same.
 KEY_HEADER = 'Idempotency-Key'
-_UNAUTHORIZED = 401
-_FORBIDDEN = 403
-_BAD_REQUEST = 400
 _BEARER = 'bearer '
 _STARTING = Refusal(
-    503,
+    HTTPStatus.SERVICE_UNAVAILABLE,
     'router_starting',
     'this router has not caught up with the table yet',
     retry_after=1,
@@ -41,18 +40,20 @@
         header = self.request.headers.get('Authorization', '')
         if not header.lower().startswith(_BEARER):
             return Refusal(
-                _UNAUTHORIZED,
+                HTTPStatus.UNAUTHORIZED,
                 'missing_key',
                 'send the team key as Authorization: Bearer KEY',
             )
         secret = header[len(_BEARER) :].strip()
         team = self.context.view.team_by_secret(secret)
         if team is None:
-            return Refusal(_UNAUTHORIZED, 'wrong_key', 'no team has this key')
+            return Refusal(
+                HTTPStatus.UNAUTHORIZED, 'wrong_key', 'no team has this key'
+            )
         self.team_name = team.name
         if team.state == PAUSED:
             return Refusal(
-                _FORBIDDEN,
+                HTTPStatus.FORBIDDEN,
                 'team_paused',
                 f'team {team.name} is paused by its operators',
             )
@@ -64,7 +65,7 @@
         key = self.request_id if given is None else given
         fault = None if given is None else check_key(key)
         if isinstance(fault, RequestFault):
-            return Refusal(_BAD_REQUEST, fault.code, fault.reason)
+            return Refusal(HTTPStatus.BAD_REQUEST, fault.code, fault.reason)
         self.minted = given is None
         self.name_request(key)
         digest = fingerprint(
--- a/src/balsamreach/gateway/chat.py
+++ b/src/balsamreach/gateway/chat.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -15,8 +16,6 @@
 
 CHAT_PATH = '/v1/chat/completions'
 
-_BAD_REQUEST = 400
-_NOT_FOUND = 404
 _MOST_CHOICES = 128
 
 
@@ -141,14 +140,14 @@
         }
         if not weights:
             return Refusal(
-                _BAD_REQUEST,
+                HTTPStatus.BAD_REQUEST,
                 'unknown_model',
                 'no model is open to the team',
             )
         return shares.pick(team.name, weights)
     if model not in models or (team.models and model not in team.models):
         return Refusal(
-            _NOT_FOUND,
+            HTTPStatus.NOT_FOUND,
             'unknown_model',
             f'no model {model!r} is open to this team',
         )
--- a/src/balsamreach/gateway/chat_handler.py
+++ b/src/balsamreach/gateway/chat_handler.py
@@ -1,5 +1,7 @@
 """The callers' interface to chat completions."""
 
+from http import HTTPStatus
+
 from balsamreach.dispatch.call import Call
 from balsamreach.gateway.caller_handler import CallerHandler
 from balsamreach.gateway.chat import CHAT_PATH, ChatRequest, read_chat
@@ -7,7 +9,6 @@
 from balsamreach.requests.identity import RequestId
 from balsamreach.table.rows import ENGINE, TeamRow
 
-_UNSUPPORTED = 415
 _JSON = 'application/json'
 
 
@@ -27,7 +28,7 @@
         kind = self.request.headers.get('Content-Type', _JSON)
         if kind.partition(';')[0].strip().lower() != _JSON:
             return Refusal(
-                _UNSUPPORTED,
+                HTTPStatus.UNSUPPORTED_MEDIA_TYPE,
                 'unsupported_content_type',
                 'send the request as application/json',
             )
--- a/src/balsamreach/gateway/health.py
+++ b/src/balsamreach/gateway/health.py
@@ -1,12 +1,11 @@
 """Health and metrics endpoints, open to anyone who reaches a listener."""
 
 from collections.abc import Callable
+from http import HTTPStatus
 
 from balsamreach.gateway.base import JsonErrors
 from balsamreach.telemetry.metrics import CONTENT_TYPE, Metrics
 
-_UNAVAILABLE = 503
-
 
 class HealthHandler(JsonErrors):
     """``GET /healthz``: the process runs its event loop."""
@@ -29,7 +28,7 @@
         """Answer 200 if the router is ready, else 503 with its state."""
         state = self._state()
         if state != 'ready':
-            self.set_status(_UNAVAILABLE)
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
         self.finish({'status': state})
 
     head = get
--- a/src/balsamreach/gateway/models_handler.py
+++ b/src/balsamreach/gateway/models_handler.py
@@ -1,11 +1,11 @@
 """The callers' interface to the list of models."""
 
+from http import HTTPStatus
+
 from balsamreach.gateway.caller_handler import CallerHandler
 from balsamreach.gateway.refusals import Refusal
 from balsamreach.table.rows import TeamRow
 
-_NOT_FOUND = 404
-
 
 class ModelsHandler(CallerHandler):
     """``GET /v1/models`` and ``GET /v1/models/<name>``."""
@@ -28,7 +28,7 @@
                 return
         self.refuse(
             Refusal(
-                _NOT_FOUND,
+                HTTPStatus.NOT_FOUND,
                 'unknown_model',
                 f'no model {name!r} is open to this team',
             )
--- a/src/balsamreach/gateway/operators.py
+++ b/src/balsamreach/gateway/operators.py
@@ -1,5 +1,7 @@
 """The operators' interface: the table, budgets and the state of routers."""
 
+from http import HTTPStatus
+
 from tornado.web import Application
 
 from balsamreach.gateway.operators_base import (
@@ -17,8 +19,6 @@
 
 __all__ = ('OperatorContext', 'make_operators_app')
 
-_NOT_FOUND = 404
-
 
 class StatusHandler(OperatorHandler):
     """``GET /status``: which version of the table routers have in force."""
@@ -36,7 +36,7 @@
         super().prepare()
         if not self._finished:
             self.refuse(
-                _NOT_FOUND,
+                HTTPStatus.NOT_FOUND,
                 'no_such_path',
                 'there are /table, /edits, /history, /status and /budgets',
             )
--- a/src/balsamreach/gateway/operators_base.py
+++ b/src/balsamreach/gateway/operators_base.py
@@ -2,6 +2,7 @@
 
 import hmac
 import json
+from http import HTTPStatus
 from typing import Any
 
 import attrs
@@ -28,8 +29,6 @@
 }
 _RETRY_AFTER_S = '1'
 _BEARER = 'Bearer '
-_UNAUTHORIZED = 401
-_BAD_REQUEST = 400
 
 
 @attrs.frozen
@@ -65,7 +64,7 @@
         known = [hmac.compare_digest(digest, key) for key in keys]
         if team is not None or not any(known):
             self.refuse(
-                _UNAUTHORIZED,
+                HTTPStatus.UNAUTHORIZED,
                 'wrong_operator_key',
                 'send an operator key as Authorization: Bearer KEY',
             )
@@ -96,7 +95,9 @@
             body = None
         if isinstance(body, dict):
             return body
-        self.refuse(_BAD_REQUEST, 'invalid_body', 'send a JSON object')
+        self.refuse(
+            HTTPStatus.BAD_REQUEST, 'invalid_body', 'send a JSON object'
+        )
         return None
 
     def whole(self, name: str, default: int) -> int:
--- a/src/balsamreach/gateway/operators_quarantine.py
+++ b/src/balsamreach/gateway/operators_quarantine.py
@@ -1,13 +1,13 @@
 """Operators' interface to requests that are kept from running."""
 
+from http import HTTPStatus
+
 import attrs
 from tornado.web import URLSpec, url
 
 from balsamreach.gateway.operators import OperatorContext, OperatorHandler
 from balsamreach.routing.quarantine import Quarantine
 
-_NOT_FOUND = 404
-
 
 class QuarantineListHandler(OperatorHandler):
     """``GET /quarantine``: requests kept from running."""
@@ -36,7 +36,7 @@
             self.finish({'lifted': fingerprint})
             return
         self.refuse(
-            _NOT_FOUND,
+            HTTPStatus.NOT_FOUND,
             'no_quarantine',
             f'nothing is quarantined under {fingerprint}',
         )
--- a/src/balsamreach/gateway/operators_table.py
+++ b/src/balsamreach/gateway/operators_table.py
@@ -1,5 +1,7 @@
 """The operators' interface to the table's rows, their edits and history."""
 
+from http import HTTPStatus
+
 import attrs
 
 from balsamreach.gateway.operators_base import (
@@ -20,7 +22,6 @@
 
 LARGEST_PAGE = 1000
 _HISTORY_PAGE = 20
-_BAD_REQUEST = 400
 
 
 class TableHandler(OperatorHandler):
@@ -93,7 +94,7 @@
         keys = body.get('keys')
         if not _is_key_list(keys):
             self.refuse(
-                _BAD_REQUEST,
+                HTTPStatus.BAD_REQUEST,
                 'invalid_keys',
                 f'keys: must be a list of 1 to {LARGEST_BATCH} texts',
             )
@@ -118,7 +119,7 @@
         sent = body.get('edits')
         flaw = _flaw_in_batch(sent)
         if flaw:
-            self.refuse(_BAD_REQUEST, 'invalid_batch', flaw)
+            self.refuse(HTTPStatus.BAD_REQUEST, 'invalid_batch', flaw)
             return
         self.finish({'outcomes': await self._apply(sent)})
 
--- a/src/balsamreach/gateway/refusals.py
+++ b/src/balsamreach/gateway/refusals.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+from http import HTTPStatus
 
 import attrs
 from tornado.web import RequestHandler
@@ -113,7 +114,7 @@
 
 def invalid_request(message: str) -> Refusal:
     """Return the refusal of a body whose form is wrong."""
-    return Refusal(400, 'invalid_request', message)
+    return Refusal(HTTPStatus.BAD_REQUEST, 'invalid_request', message)
 
 
 def from_status(status: int, ran: str) -> Refusal:
--- a/src/balsamreach/gateway/service_handler.py
+++ b/src/balsamreach/gateway/service_handler.py
@@ -1,6 +1,7 @@
 """The callers' interface to plain services."""
 
 import posixpath
+from http import HTTPStatus
 from urllib.parse import unquote
 
 from balsamreach.dispatch.call import Call
@@ -9,7 +10,6 @@
 from balsamreach.requests.identity import RequestId
 from balsamreach.table.rows import PLAIN_SERVICE, TargetRow, TeamRow
 
-_NOT_FOUND = 404
 #: Headers that a target gets as the caller sent them.
 _PASSED = ('Content-Type', 'Accept', 'Accept-Language')
 
@@ -43,7 +43,7 @@
         ]
         if not workers:
             return Refusal(
-                _NOT_FOUND,
+                HTTPStatus.NOT_FOUND,
                 'unknown_service',
                 f'there is no service {service!r}',
             )
