--- a/src/balsamreach/gateway/operators_base.py
+++ b/src/balsamreach/gateway/operators_base.py
@@ -18,7 +18,8 @@
 from balsamreach.table.status import TableStatus
 from balsamreach.table.view import TableView, hash_key
 
-_STATUS = {
+#: HTTP status that tells an operator of a fault of the table layer.
+STATUS_OF_FAULT = {
     faults.BAD_ROW: 400,
     faults.STALE_EDIT: 409,
     faults.BELOW_TAKEN: 409,
@@ -77,7 +78,7 @@
 
     def refuse_fault(self, fault: TableFault) -> None:
         """Answer with an error of the table layer."""
-        status = _STATUS[fault]
+        status = STATUS_OF_FAULT[fault]
         self.set_status(status)
         if fault == faults.TABLE_AWAY:
             self.set_header('Retry-After', _RETRY_AFTER_S)
