Test once that curl sends no request a second time

Cause: test_dispatch_upstream and test_gateway_curl_upstream held the same two tests of CurlUpstream, each with a fake target, an intake and an attempt of its own.

--- a/tests/test_gateway_curl_upstream.py
+++ b/tests/test_gateway_curl_upstream.py
@@ -161,20 +161,27 @@
     async def test_refused_connection_is_not_sent(self) -> None:
         fake, address = await self.fake()
         fake.server.close()
-        outcome = await self.make().send(_attempt(address), Memory())
+        memory = Memory()
+        outcome = await self.make().send(_attempt(address), memory)
         self.assertEqual(outcome, NOT_SENT)
+        self.assertFalse(memory.sent)
 
-    async def test_no_second_sending(self) -> None:
+    @parameterized.expand((('stream', True), ('whole', False)))
+    async def test_no_second_sending(self, _name: str, stream: bool) -> None:
         """A request ran twice although it was sent once.
 
-        The target closed a pooled connection while the next request was on
-        its way there. Curl sent it again on a new connection by itself.
+        The target answered on a connection, took the next request on it and
+        closed it without an answer. Curl took the connection for stale and
+        sent the request again on a new one by itself.
         """
         fake, address = await self.fake(_WHOLE, b'close', _WHOLE)
         upstream = self.make()
-        self.assertIsNone(await upstream.send(_attempt(address), Memory()))
-        outcome = await upstream.send(_attempt(address), Memory())
+        attempt = _attempt(address, stream=stream)
+        self.assertIsNone(await upstream.send(attempt, Memory()))
+        again = Memory()
+        outcome = await upstream.send(attempt, again)
         self.assertEqual(outcome, BROKEN)
+        self.assertTrue(again.sent)
         self.assertEqual(len(fake.requests), 2)
 
     async def test_non_idempotent_gets_a_new_connection(self) -> None:
