Name every log event on an operators' page

Cause: four events that a router logs stood on no page. Conclusion: an operator finds what a line of the log means.

--- a/tests/test_operators_pages.py
+++ b/tests/test_operators_pages.py
@@ -64,9 +64,9 @@
     return _QUOTED.findall(cell)
 
 
-def _calls(name):
-    """Yield the calls of a name in the gateway, two arguments or more."""
-    for path in (_SOURCE / 'gateway').glob('*.py'):
+def _calls(name, package='gateway'):
+    """Yield the calls of a name, two arguments or more, in a package."""
+    for path in _SOURCE.glob(f'{package}/*.py'):
         for node in ast.walk(ast.parse(path.read_text())):
             func = getattr(node, 'func', None)
             called = getattr(func, 'id', None) or getattr(func, 'attr', None)
@@ -176,6 +176,16 @@
         )
         self.assertLessEqual(open_codes, {code for _, code in listed})
 
+    def test_log_events(self):
+        pages = (_DOCS / 'operators').glob('*.md')
+        quoted = {word for page in pages for word in _quoted(page.read_text())}
+        events = {
+            call.args[2].value
+            for call in _calls('log_event', package='*')
+            if isinstance(call.args[2], ast.Constant)
+        }
+        self.assertEqual(events - quoted, set())
+
     def test_commands(self):
         listed = set()
         for row in _rows('operators/start.md', 'Commands'):
