Part the stand-in engine's chats from the rest of its interface

Cause: standins/engine_http.py held the base of its handlers, chats and generations, reports, orders and control in 288 lines; serve.py took the free port into a target's settings in two places. Change: engine_handler.py has the base, engine_chat.py chats and generations; engine_http.py keeps the rest and the routes. One function in serve.py serves a target. Conclusion: three files of about a hundred lines, one job each.

--- /dev/null
+++ b/src/balsamreach/standins/engine_chat.py
@@ -0,0 +1,96 @@
+"""Chat completions of the stand-in engine, begun, resumed and cancelled."""
+
+from balsamreach.standins.engine_handler import EngineHandler
+from balsamreach.standins.engine_streams import Generation
+from balsamreach.standins.engine_text import prompt_of
+
+_NOT_RUN = 'X-Not-Run'
+
+
+class ChatHandler(EngineHandler):
+    """``POST /v1/chat/completions``."""
+
+    async def post(self) -> None:
+        """Generate a reply, streamed or whole."""
+        body = self.json_body()
+        if self._is_refused(body.get('model', '')):
+            return
+        mark = self.engine.cfg.crash_mark
+        if mark and mark in prompt_of(body):
+            self.engine.crash()
+            return
+        generation = self._generation(body)
+        self.read_by(generation)
+        self.engine.start(generation)
+        if body.get('stream'):
+            await self.stream(generation, 0)
+        else:
+            await self._whole(generation)
+
+    async def _whole(self, generation: Generation) -> None:
+        while not generation.ended:
+            await generation.news()
+        await self.engine.audible.wait()
+        if generation.cancelled or self.is_over:
+            self.close(generation)
+        else:
+            self.reply(200, generation.whole())
+
+    def _is_refused(self, model: str) -> bool:
+        cfg = self.engine.cfg
+        if cfg.leaving or self.engine.slots.full:
+            self.engine.counters['not_run'] += 1
+            self.set_header(_NOT_RUN, 'true')
+            self._error(503, 'engine takes no more requests')
+        elif model not in cfg.models:
+            self._error(404, 'no such model here')
+        elif self.engine.fails():
+            self.engine.counters['failed'] += 1
+            self._error(500, 'engine failure')
+        else:
+            return False
+        return True
+
+    def _error(self, status: int, message: str) -> None:
+        kind = 'server_error' if status >= 500 else 'invalid_request_error'
+        error = {'message': message, 'type': kind, 'param': None, 'code': None}
+        self.reply(status, {'error': error})
+
+    def _ident(self) -> str:
+        cfg = self.engine.cfg
+        incarnation, port = cfg.incarnation, cfg.port
+        serial = self.engine.generations.next_serial()
+        return f'{incarnation}-{port}-{serial}'
+
+    def _generation(self, body: dict) -> Generation:
+        headers = self.request.headers
+        attempt = headers.get('X-Attempt-Id', '')
+        key = headers.get('Idempotency-Key', '')
+        self.engine.runs.update({attempt, key} - {''})
+        return Generation(
+            ident=self._ident(),
+            body=body,
+            created=int(self.engine.clock.wall()),
+            usage_mode=self.engine.cfg.usage,
+            keep_s=float(headers.get('X-Keep-Seconds', '0')),
+            priority=int(headers.get('X-Priority', '0')),
+            headers={'X-Attempt-Id': attempt} if attempt else {},
+        )
+
+
+class GenerationHandler(EngineHandler):
+    """``/generations/<id>``: resume or cancel."""
+
+    async def get(self, ident: str) -> None:
+        """Resume the stream from its n-th event."""
+        generation = self.engine.generations.find(ident)
+        if generation is None:
+            self.reply(404, {'error': 'no such generation'})
+            return
+        self.read_by(generation)
+        start = int(self.get_query_argument('from', '0'))
+        await self.stream(generation, max(0, start))
+
+    def delete(self, ident: str) -> None:
+        """Cancel a generation."""
+        self.reply(204 if self.engine.generations.cancel(ident) else 404)
--- a/src/balsamreach/standins/serve.py
+++ b/src/balsamreach/standins/serve.py
@@ -69,9 +69,7 @@
 ) -> Running:
     """Serve an empty platform."""
     core = MemoryPlatform.start(settings.clock)
-    app = make_platform_app(core)
-    server, address = _listen(app, settings.ip, settings.port)
-    return Running(address, core, server)
+    return _serve(core, make_platform_app(core), settings)
 
 
 async def start_engine(  # ruff: ignore[unused-async] (it needs the running loop)
@@ -80,10 +78,7 @@
 ) -> Running:
     """Serve a stand-in engine; its settings get the port taken."""
     core = Engine(settings, clock or SystemClock())
-    app = make_engine_app(core)
-    server, address = _listen(app, settings.ip, settings.port)
-    settings.port = int(address.rpartition(':')[2])
-    return Running(address, core, server)
+    return _serve_target(core, make_engine_app(core), settings)
 
 
 async def start_service(  # ruff: ignore[unused-async] (it needs the running loop)
@@ -92,19 +87,26 @@
 ) -> Running:
     """Serve a plain service; its settings get the port taken."""
     core = PlainService(settings, clock or SystemClock())
-    app = make_service_app(core)
-    server, address = _listen(app, settings.ip, settings.port)
-    settings.port = int(address.rpartition(':')[2])
-    return Running(address, core, server)
+    return _serve_target(core, make_service_app(core), settings)
 
 
-def _listen(
+def _serve_target(
+    core: Engine | PlainService,
     app: Application,
-    ip: str,
-    port: int,
-) -> tuple[HTTPServer, str]:
-    sockets = bind_sockets(port, ip, socket.AF_INET)
+    settings: EngineSettings | ServiceSettings,
+) -> Running:
+    running = _serve(core, app, settings)
+    settings.port = int(running.address.rpartition(':')[2])
+    return running
+
+
+def _serve(
+    core: MemoryPlatform | Engine | PlainService,
+    app: Application,
+    settings: PlatformSettings | EngineSettings | ServiceSettings,
+) -> Running:
+    sockets = bind_sockets(settings.port, settings.ip, socket.AF_INET)
     server = HTTPServer(app)
     server.add_sockets(sockets)
-    taken = sockets[0].getsockname()[1]
-    return server, f'{ip}:{taken}'
+    port = sockets[0].getsockname()[1]
+    return Running(f'{settings.ip}:{port}', core, server)
--- a/tests/test_sessions_answers.py
+++ b/tests/test_sessions_answers.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamreach.standins.engine_http import EngineHandler
+from balsamreach.standins.engine_handler import EngineHandler
 from tests.failure_case import FailureCase, ask, certificate
 from tests.failure_rig import HELD_MS, Rig, wait
 from tests.failure_session import receive
