Tell of a dead router's tokens whoever gives them back

Cause: the session of a killed router waited for the successor's event allotment_taken_over and, run without the event loop's debug mode, never saw it: the buddy that settles the dead router's bills had closed the allotment first, with no event and no count of what came back. The session relied on the order of two routers. Change: both report through one function; who comes second has moved nothing and says nothing. The session waits until the platform's rows show nothing held in the dead router's name, and still compares the event, once. Its answers name one reason for a draw that failed while the table service is away: which of three comes first depends on the moment; code and ran are compared as before. Conclusion: the counter of reclaimed tokens covers both ways.

--- a/src/balsamreach/budget/copies.py
+++ b/src/balsamreach/budget/copies.py
@@ -9,6 +9,7 @@
 from balsamreach.budget.closing_plan import Closing
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.takeover import report
 from balsamreach.peers.base import PeerNet
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import BillCopies, BillCopy, Done, Member
@@ -262,9 +263,11 @@
             for copy in kept.values()
             if copy.team == team
         )
-        outcome = await self.closer.close_all(Closing(maker, team), bills)
+        closing = Closing(maker, team)
+        outcome = await self.closer.close_all(closing, bills)
         if isinstance(outcome, BudgetFault):
             return
+        report(self.metrics, closing, outcome)
         unpaid = {(bill.team, bill.key) for bill in outcome.unpaid}
         self.metrics.gauge(UNPAID, len(unpaid), maker=maker)
         for bill in bills:
--- a/src/balsamreach/budget/takeover.py
+++ b/src/balsamreach/budget/takeover.py
@@ -5,7 +5,7 @@
 import attrs
 
 from balsamreach.budget.closing import Closer
-from balsamreach.budget.closing_plan import Closing
+from balsamreach.budget.closing_plan import Closed, Closing
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.telemetry.logs import log_event
@@ -53,15 +53,28 @@
             outcome = await self.closer.close(Closing(incarnation, team))
             if isinstance(outcome, BudgetFault):
                 return False
-            self.metrics.count(RECLAIMED, outcome.returned)
-            self.metrics.count(STRANDED, outcome.kept)
-            log_event(
-                _logger,
-                logging.WARNING,
-                'allotment_taken_over',
-                team=team,
-                incarnation=incarnation,
-                returned=outcome.returned,
-                stranded=outcome.kept,
-            )
+            report(self.metrics, Closing(incarnation, team), outcome)
         return True
+
+
+def report(metrics: Metrics, closing: Closing, outcome: Closed) -> None:
+    """Count and log what was taken over, whoever closed it.
+
+    A dead router's successor and the buddy that has its bills both close
+    what it held; the one that comes second has moved nothing and says so by
+    its silence. Said by the successor alone, tokens would come back to an
+    account without a word in any log.
+    """
+    if not outcome.returned and not outcome.kept:
+        return
+    metrics.count(RECLAIMED, outcome.returned)
+    metrics.count(STRANDED, outcome.kept)
+    log_event(
+        _logger,
+        logging.WARNING,
+        'allotment_taken_over',
+        team=closing.team,
+        incarnation=closing.incarnation,
+        returned=outcome.returned,
+        stranded=outcome.kept,
+    )
--- a/tests/failure_session.py
+++ b/tests/failure_session.py
@@ -19,6 +19,13 @@
 _REPLY = re.compile(r'[0-9a-f]{8}-\d+( [0-9a-f]{8}-\d+){3,}')
 _MOMENT = re.compile(r'"at": [\d.]+')
 _ENGINE = re.compile(r'engine-\d+(@[\w-]+)?')
+# What a draw meets first while the table service is away depends on the
+# moment: a request of its own that fails or finds no end in time, or the
+# memory of one that failed just before. The code and ``ran`` stay.
+_AWAY = re.compile(
+    r'"message": "(table service: platform_(unknown|unavailable|unreachable)'
+    r'|the draw takes too long)"',
+)
 _BROKEN = '(the connection broke)'
 
 
@@ -114,6 +121,16 @@
             await asyncio.sleep(_PAUSE)
         raise AssertionError(f'bills: {await self.bills()}')
 
+    async def wait_until_closed(self, besides: str) -> None:
+        """Wait until only one incarnation has an allotment that is open."""
+        for _ in range(_LOOKS):
+            page = await self.rig.store.scan(Scan('allotment/'))
+            held = [row.key for row in page.rows if not row.value['closed']]
+            if all(besides in key for key in held):
+                return
+            await asyncio.sleep(_PAUSE)
+        raise AssertionError(f'still open: {held}')
+
     async def bills(self) -> list[str]:
         """Return the recorded bills."""
         page = await self.rig.store.scan(Scan('bill/'))
@@ -189,6 +206,7 @@
             self.write('events', '\n'.join(sorted(lines)))
         logging.getLogger('balsamreach').removeHandler(self._logged)
         text = _REPLY.sub(_collapse, '\n'.join(self.lines))
+        text = _AWAY.sub('"message": "the table service is away"', text)
         return normalise(_MOMENT.sub('"at": TIME', text))
 
 
