Share teams' rates through homes, by where demand is

Change: past 17 routers teams are in eight groups with a home in each zone and a root of the homes; demand goes up as parts of the limit, shares come down, and hold for 20 s without a home. Up to 17, each tells all. Shares are shared out by demand and sum up to the limit; routers lost are counted for as long as they are remembered, unless they are an eighth or fewer. Measured: python -m bench.rates, the former way in the same run. A cut refuses more on its busier side: that is the price of one rate for both sides.

--- /dev/null
+++ b/bench/rates.py
@@ -0,0 +1,87 @@
+"""Measure rates over the fleet: ``python -m bench.rates --seed 1``.
+
+Everything runs in one process and in virtual time. Prints a table of errors
+and one of costs, and all rows as JSON at the end.
+"""
+
+import itertools
+import json
+
+import click
+
+from bench import rates_cost, rates_scenarios
+from bench.routing import print_table
+
+_PARTS = ('errors', 'cost')
+_BOTH = 256
+_HOMES = 'homes'
+
+
+@click.command()
+@click.option('--seed', 'seeds', multiple=True, type=int, default=(1,))
+@click.option('--only', type=click.Choice(_PARTS))
+@click.option(
+    '--routers',
+    'sizes',
+    multiple=True,
+    type=int,
+    help='Sizes of the fleet; by default 8 and 34 for errors, and 8, 32, '
+    '128 and 910 for costs.',
+)
+@click.option('--scenario', default='', help='Part of scenarios names.')
+def main(
+    seeds: tuple[int, ...],
+    only: str | None,
+    sizes: tuple[int, ...],
+    scenario: str,
+) -> None:
+    """Compare shares from homes with words from all to all."""
+    rows = []
+    if only != 'cost':
+        rows += _errors(sizes or (8, 34), seeds, scenario)
+    if only != 'errors':
+        rows += _costs(sizes or (8, 32, 128, 910), seeds)
+    click.echo(json.dumps(rows))
+
+
+def _errors(
+    sizes: tuple[int, ...],
+    seeds: tuple[int, ...],
+    part: str,
+) -> list[dict]:
+    every = []
+    for routers in sizes:
+        names = [name for name in rates_scenarios.SCENARIOS if part in name]
+        cases = itertools.product(names, _ways(routers), seeds)
+        rows = [
+            {**rates_scenarios.measure(name, way, routers, seed), 'seed': seed}
+            for name, way, seed in cases
+        ]
+        print_table(rows)
+        every += rows
+    return every
+
+
+def _ways(routers: int) -> tuple[str, ...]:
+    # Words from all to all take hours there.
+    return (_HOMES,) if routers > _BOTH else tuple(rates_scenarios.WAYS)
+
+
+def _costs(sizes: tuple[int, ...], seeds: tuple[int, ...]) -> list[dict]:
+    cases = itertools.product(
+        rates_cost.LOADS,
+        sizes,
+        rates_scenarios.WAYS,
+        seeds,
+    )
+    rows = []
+    for load, routers, way, seed in cases:
+        row = rates_cost.measure(load, way, routers, seed)
+        rows.append({**row, 'seed': seed})
+        click.echo(json.dumps(rows[-1]), err=True)
+    print_table(rows)
+    return rows
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/rates_cost.py
@@ -0,0 +1,143 @@
+"""What words on rates cost a daemon, by size of the fleet."""
+
+import asyncio
+import random
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from balsamreach.table.rows import TeamRow
+from bench.rates_net import Fabric
+from bench.rates_scenarios import WAYS
+
+#: Teams of each load, and by how much each passes its limits.
+LOADS: Mapping[str, tuple[int, float]] = {
+    '12 teams at 2x': (12, 2),
+    '400 teams at 0.1x': (400, 0.1),
+}
+_STEP = 0.25
+_SETTLE = 20
+_SECONDS = 20
+#: So many routers speak for all where words are flooded.
+_SAMPLE = 16
+_LARGE = 17
+_PER_ROUTER = 60
+_MICRO = 1_000_000
+
+
+@attrs.define(eq=False)
+class Cost:
+    """One fleet under one load.
+
+    Parameters
+    ----------
+    way : str
+        How rates are told.
+    load : str
+        The load.
+    fabric : Fabric
+        The fleet.
+    """
+
+    way: str
+    load: str
+    fabric: Fabric
+    limits: dict[str, Any] = attrs.field(init=False)
+    rows: tuple[TeamRow, ...] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        teams, _demand = LOADS[self.load]
+        self.rows = tuple(
+            TeamRow(
+                name=f'team-{number:05}',
+                requests_per_minute=_PER_ROUTER * self.fabric.routers,
+            )
+            for number in range(teams)
+        )
+        make = WAYS[self.way]
+        self.limits = {
+            name: make(self.fabric.clock, net)
+            for name, net in self.fabric.nets.items()
+        }
+
+    async def run(self) -> Mapping[str, object]:
+        """Return the figures of a daemon."""
+        flooded = self.way != 'homes' and self.fabric.routers > _LARGE
+        found = await (self._sample() if flooded else self._span())
+        return {
+            'load': self.load,
+            'routers': self.fabric.routers,
+            'way': self.way,
+            **{key: round(amount, 1) for key, amount in found.items()},
+        }
+
+    async def _span(self) -> Mapping[str, float]:
+        rng = random.Random(self.fabric.seed)
+        await self._pass(0, _SETTLE, rng)
+        self.fabric.forget()
+        began = time.process_time()
+        await self._pass(_SETTLE, _SETTLE + _SECONDS, rng)
+        return self._figures(_SECONDS, 1, time.process_time() - began)
+
+    async def _sample(self) -> Mapping[str, float]:
+        """Let some speak once; each word costs the same as any other."""
+        self._ask(random.Random(self.fabric.seed))
+        speaking = list(self.limits.values())[:_SAMPLE]
+        began = time.process_time()
+        for one in speaking:
+            one.tick()
+        await self.fabric.deliver()
+        used = time.process_time() - began
+        scale = self.fabric.routers / len(speaking)
+        return self._figures(speaking[0].interval(), scale, used)
+
+    async def _pass(self, begin: int, end: int, rng: random.Random) -> None:
+        for step in range(round(begin / _STEP), round(end / _STEP)):
+            now = step * _STEP
+            self.fabric.clock.seconds = now
+            if now == int(now):
+                self._ask(rng)
+            for number, one in enumerate(self.limits.values()):
+                # Routers start one after the other.
+                if step >= number % (1 / _STEP):
+                    one.tick()
+            await self.fabric.deliver()
+
+    def _ask(self, rng: random.Random) -> None:
+        _teams, demand = LOADS[self.load]
+        for one in self.limits.values():
+            for row in self.rows:
+                _ask_often(one, row, int(demand + rng.random()))
+
+    def _figures(
+        self,
+        seconds: float,
+        scale: float,
+        used: float,
+    ) -> Mapping[str, float]:
+        per = scale / seconds
+        fabric = self.fabric
+        links = fabric.links_each()
+        return {
+            'messages a second': fabric.sent.total() * per / fabric.routers,
+            'most of one': max(fabric.sent.values()) * per,
+            'bytes a second': fabric.octets.total() * per / fabric.routers,
+            'most bytes of one': max(fabric.octets.values()) * per,
+            'links': sum(links) / fabric.routers,
+            'most links': max(links),
+            'CPU us a second': used * per / fabric.routers * _MICRO,
+        }
+
+
+def _ask_often(limits: Any, row: TeamRow, count: int) -> None:
+    for _ in range(count):
+        if limits.enter(row, 1) is None:
+            limits.leave(row, 1, 1)
+
+
+def measure(load: str, way: str, routers: int, seed: int) -> dict[str, object]:
+    """Return a daemon's cost under a load."""
+    cost = Cost(way, load, Fabric(routers, seed, decodes=True))
+    return dict(asyncio.run(cost.run()))
--- /dev/null
+++ b/bench/rates_scenarios.py
@@ -0,0 +1,202 @@
+"""How far a team's enforced rate strays from its row's, by scenario."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any
+
+import attrs
+
+from balsamreach.routing.limits import TeamLimits
+from balsamreach.table.rows import TeamRow
+from bench.rates_baseline import FloodedLimits
+from bench.rates_net import Fabric
+
+WAYS: Mapping[str, Callable[..., Any]] = {
+    'homes': TeamLimits,
+    'all to all': FloodedLimits,
+}
+STEP = 0.25
+_MINUTE = 60
+_SHORT = 10
+#: Seconds until a dead or cut-off router is held to be dead.
+_NOTICED = 3
+_BEGIN = 120
+_END = 300
+_SPARSE_LIMIT = 240
+
+
+@attrs.frozen
+class Scenario:
+    """Demand of one team, and what happens to the fleet meanwhile.
+
+    Parameters
+    ----------
+    demand : float
+        Requests a second, as a multiple of the limit.
+    through : int
+        Routers that the demand comes through, spread over them; 0 for all.
+    event : str
+        What happens after two minutes: empty, ``step`` (demand begins),
+        ``cut`` (into halves, one with the first router) or ``death`` (of
+        the home of the first router's zone).
+    """
+
+    demand: float
+    through: int = 0
+    event: str = ''
+    limit: int = 0
+
+
+SCENARIOS: Mapping[str, Scenario] = {
+    'everywhere, 2x': Scenario(2),
+    'everywhere, 0.7x': Scenario(0.7),
+    'one router, 2x': Scenario(2, 1),
+    'one router, 0.7x': Scenario(0.7, 1),
+    'sparse, 0.5x of 240 a minute': Scenario(0.5, limit=_SPARSE_LIMIT),
+    'step at one router to 0.9x': Scenario(0.9, 1, 'step'),
+    'step at 8 routers to 2x': Scenario(2, 8, 'step'),
+    'cut, everywhere, 2x': Scenario(2, 0, 'cut'),
+    'cut, one router, 0.7x': Scenario(0.7, 1, 'cut'),
+    'home dies, everywhere, 2x': Scenario(2, 0, 'death'),
+    'home dies, one router, 0.7x': Scenario(0.7, 1, 'death'),
+}
+
+
+@attrs.define(eq=False)
+class Trial:
+    """One run of a scenario.
+
+    Parameters
+    ----------
+    scenario : Scenario
+        What happens.
+    way : str
+        How rates are told.
+    fabric : Fabric
+        The fleet.
+    """
+
+    scenario: Scenario
+    way: str
+    fabric: Fabric
+    row: TeamRow = attrs.field(init=False)
+    limits: dict[str, Any] = attrs.field(init=False)
+    wanted: list[int] = attrs.field(factory=list)
+    admitted: list[int] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        # Enough that each router's part is not a fraction of a request.
+        limit = self.scenario.limit or 30 * self.fabric.routers
+        self.row = TeamRow(name='team-00001', requests_per_minute=limit)
+        make = WAYS[self.way]
+        self.limits = {
+            name: make(self.fabric.clock, net)
+            for name, net in self.fabric.nets.items()
+        }
+
+    async def run(self) -> Mapping[str, float]:
+        """Run to the end and return the errors."""
+        rng = random.Random(self.fabric.seed)
+        starts = {name: rng.random() * _SHORT for name in self.limits}
+        steps = round(_END / STEP)
+        for step in range(steps):
+            now = step * STEP
+            self.fabric.clock.seconds = now
+            self._happen(now)
+            self._ask(rng, now)
+            for name, one in self.limits.items():
+                if now >= starts[name] and name not in self.fabric.dead:
+                    one.tick()
+            await self.fabric.deliver()
+        return self._errors()
+
+    def _happen(self, now: float) -> None:
+        event = self.scenario.event
+        if now == _BEGIN and event == 'cut':
+            names = list(self.limits)
+            half = set(names[: len(names) // 2])
+            self.fabric.sides = {name: int(name in half) for name in names}
+        if now == _BEGIN and event == 'death':
+            self.fabric.dead.add(self._home())
+        if now == _BEGIN + _NOTICED and event in {'cut', 'death'}:
+            self.fabric.see()
+
+    def _home(self) -> str:
+        nets = list(self.fabric.nets.values())
+        keys = [f'rates {number}' for number in range(8)]
+        homes = [nets[0].home(key).incarnation for key in keys]
+        asking = set(list(self.limits)[: self.scenario.through or 1])
+        return next(home for home in homes if home not in asking)
+
+    def _ask(self, rng: random.Random, now: float) -> None:
+        wanted = 0
+        admitted = 0
+        for name in self._arrivals(rng, now):
+            wanted += 1
+            one = self.limits[name]
+            if one.enter(self.row, 1) is None:
+                admitted += 1
+                one.leave(self.row, 1, 1)
+        self.wanted.append(wanted)
+        self.admitted.append(admitted)
+
+    def _arrivals(self, rng: random.Random, now: float) -> Iterator[str]:
+        scenario = self.scenario
+        if scenario.event == 'step' and now < _BEGIN:
+            return
+        names = list(self.limits)
+        size = scenario.through or len(names)
+        names = [name for name in names[:size] if name not in self.fabric.dead]
+        rate = self.row.requests_per_minute / _MINUTE * scenario.demand
+        at = rng.expovariate(rate)
+        while at < STEP:
+            yield rng.choice(names)
+            at += rng.expovariate(rate)
+
+    def _errors(self) -> Mapping[str, float]:
+        begin = round(_BEGIN / STEP)
+        found = {
+            'most in 10 s': self._most(begin, _SHORT),
+            'most in 60 s': self._most(begin, _MINUTE),
+            'least in 10 s': self._least(begin, _SHORT),
+            'mean': self._ratio(begin, len(self.wanted)),
+        }
+        return found | {'refused though within': self._refused(begin)}
+
+    def _most(self, begin: int, seconds: int) -> float:
+        """Return the most admitted in a span, as a multiple of the rate."""
+        span = round(seconds / STEP)
+        allowed = self.row.requests_per_minute / _MINUTE * seconds
+        return max(
+            sum(self.admitted[at : at + span]) / allowed
+            for at in range(begin, len(self.admitted) - span)
+        )
+
+    def _least(self, begin: int, seconds: int) -> float:
+        span = round(seconds / STEP)
+        return min(
+            self._ratio(at, at + span)
+            for at in range(begin, len(self.admitted) - span)
+        )
+
+    def _ratio(self, begin: int, end: int) -> float:
+        """Return admitted requests over those that the limit allows."""
+        seconds = (end - begin) * STEP
+        allowed = self.row.requests_per_minute / _MINUTE * seconds
+        wanted = sum(self.wanted[begin:end])
+        return sum(self.admitted[begin:end]) / max(1, min(wanted, allowed))
+
+    def _refused(self, begin: int) -> float:
+        """Return the part refused of what the limit would have allowed."""
+        return max(0, 1 - self._ratio(begin, len(self.wanted)))
+
+
+def measure(
+    name: str, way: str, routers: int, seed: int
+) -> Mapping[str, object]:
+    """Return the errors of one scenario."""
+    trial = Trial(SCENARIOS[name], way, Fabric(routers, seed))
+    errors = asyncio.run(trial.run())
+    head = {'scenario': name, 'routers': routers, 'way': way}
+    return head | {key: round(error, 3) for key, error in errors.items()}
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -35,14 +35,15 @@
         for seed in seeds:
             began = time.monotonic()
             rows = [{**row, 'seed': seed} for row in _ALL[name](seed)]
-            _print_table(rows)
+            print_table(rows)
             took = time.monotonic() - began
             click.echo(f'({name}, seed {seed}: {took:.1f} s)\n')
             every.extend(rows)
     click.echo(json.dumps(every))
 
 
-def _print_table(rows: list[dict]) -> None:
+def print_table(rows: list[dict]) -> None:
+    """Print rows that have the same keys."""
     names = list(rows[0])
     lines = [names, *([_shown(row[name]) for name in names] for row in rows)]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
--- a/bench/slopes_cpu.py
+++ b/bench/slopes_cpu.py
@@ -11,6 +11,7 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import SystemClock
 from balsamreach.config.reader import read_settings
+from balsamreach.routing.rate_groups import number_of
 from balsamreach.table.view import TableView
 from balsamreach.wire import messages
 from balsamreach.wire.codec import Envelope, decode, encode
@@ -33,8 +34,9 @@
     row = table_size.team(1)
     body = json.dumps(row.value, separators=(',', ':'))
     reports = tuple(_report(number) for number in range(_REPORTS))
-    uses = tuple(
-        messages.TeamUse(f'team-{number:05}', 100, 0) for number in range(_USES)
+    rates = tuple(
+        messages.RatePart(number_of(f'team-{number:05}'), 12_000 + number)
+        for number in range(_USES)
     )
     copies = tuple(
         messages.BillCopy('team-00001', f'{_KEY}-{number}', 900)
@@ -48,7 +50,7 @@
             (messages.TableRow(row.key, row.version, body),),
         ),
         'loads_of_11': messages.TargetLoads(reports),
-        'uses_of_8': messages.Uses(_TEXT, 17, uses),
+        'rates_of_8': messages.RateDemands(1, 3, 70_000, parts=rates),
         'bill_copies_of_50': messages.BillCopies(_TEXT, copies, copies),
         'run_note': messages.RunNote(
             'team-00001',
--- a/bench/slopes_spread.py
+++ b/bench/slopes_spread.py
@@ -32,17 +32,11 @@
     load(fleet, routers)
     limits = [_limits(fleet, net) for net in fleet.nets.values()]
     for one in limits:
-        one.tell()
+        one.tick()
     await _deliver(fleet)
-    # Every router has spoken once in an interval.
+    # Every router has spoken once; bench.rates tells what that costs.
     words = routers
-    interval = limits[0].interval()
-    figures = {
-        'use_copies_each': fleet.sent['Uses'] / words / routers,
-        'use_interval_s': interval,
-        'use_messages_a_second': fleet.sent['Uses'] / routers / interval,
-        'use_bytes_a_second': fleet.octets['Uses'] / routers / interval,
-    }
+    figures = {'use_copies_each': fleet.sent['RateDemands'] / words / routers}
     return figures | await _edit(fleet, routers)
 
 
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -146,13 +146,10 @@
 
     async def run(self) -> None:
         """Follow time until cancelled."""
-        told_at = self.clock.now()
         while True:
             await self.clock.sleep(_TICK)
             self.tick()
-            if self.clock.now() - told_at >= self.limits.interval():
-                told_at = self.clock.now()
-                self.limits.tell()
+            self.limits.tick()
 
     def tick(self) -> None:
         """Do what time alone brings about; called several times a second.
@@ -242,7 +239,7 @@
         metrics,
     )
     return Routing(
-        limits=TeamLimits(clock, net),
+        limits=TeamLimits(clock, net, metrics),
         admission=admission,
         quarantine=quarantine,
         feedback=Feedback(quarantine, clock, rng, metrics, hedges),
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -41,6 +41,9 @@
     powerRows @30 :PowerRows;
     runsAsk @32 :RunsAsk;
     runsKnown @33 :RunsKnown;
+    ratePart @34 :RatePart;
+    rateDemands @35 :RateDemands;
+    rateShares @36 :RateShares;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that an ask belongs to; empty for none,
@@ -236,3 +239,25 @@
   sure @1 :Bool;
   members @2 :Data;
 }
+
+struct RatePart {
+  team @0 :UInt64;
+  part @1 :UInt32;
+}
+
+struct RateDemands {
+  level @0 :UInt16;
+  group @1 :UInt16;
+  window @2 :UInt64;
+  routers @3 :UInt32;
+  urgent @4 :Bool;
+  parts @5 :List(RatePart);
+}
+
+struct RateShares {
+  level @0 :UInt16;
+  group @1 :UInt16;
+  window @2 :UInt64;
+  routers @3 :UInt32;
+  parts @4 :List(RatePart);
+}
--- a/tests/test_routing_limits.py
+++ b/tests/test_routing_limits.py
@@ -81,7 +81,7 @@
                 admitted[number] += self.ask_once(number, demand)
             self.clock.advance(1)
             for router in self.routers:
-                router.tell()
+                router.tick()
             await self.net.settle()
         return admitted
 
@@ -120,7 +120,7 @@
         Cause: words spread as if they had to cross a larger fleet.
         """
         for router in self.routers:
-            router.tell()
+            router.tick()
         await self.net.settle()
         self.assertEqual(len(self.net.sent), 4 * 3)
 
