Hand what a draw brings to the requests that wait, in its own turn

Cause: a draw or loan for one request lay free until that request ran on; others took it, and the refusal that followed answered all of its size for a second. Each waiting request drew for itself, one after another. Change: requests wait in a queue of their team; whoever brings tokens (draw, loan, release, bill) hands them out in the same turn of the event loop, in order. One task draws and borrows for all that wait. A draw for the queue takes what is free for it, not all or nothing.

--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -109,6 +109,7 @@
                 return outcomes
             for one in moves:
                 self._enter(one, outcomes[one.team])
+                self.ledgers[one.team].hand_out()
             return outcomes
 
     def _fail(self, moves: tuple[Move, ...], fault: BudgetFault) -> None:
@@ -116,6 +117,7 @@
         self.note(fault)
         for one in moves:
             self._undo(one.team)
+            self.ledgers[one.team].hand_out()
 
     def _enter(self, move: Move, outcome: Moved | BudgetFault) -> None:
         ledger = self.ledgers[move.team]
--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -10,7 +10,7 @@
 from balsamreach.budget.copies import Keeper, Sender
 from balsamreach.budget.copying import Copying
 from balsamreach.budget.draws import Drawer
-from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
+from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.leaving import Leaving
 from balsamreach.budget.ledger import Ledger, Reservation
@@ -177,19 +177,16 @@
         reservation = self.recorder.take(ledger, tokens)
         if reservation is not None:
             return reservation
-        fault = await self._obtainer.obtain(ledger, tokens)
+        obtained = await self._obtainer.obtain(ledger, tokens)
+        if isinstance(obtained, BudgetFault):
+            return _refuse(self.metrics, obtained)
         # While this waited, bills may have piled up or a successor may have
         # taken over; what was true before the wait is looked at again.
         refused = self.recorder.refusal(self.cfg.bills_limit)
         if refused is not None:
+            self.release(obtained)
             return _refuse(self.metrics, refused)
-        reservation = self.recorder.take(ledger, tokens)
-        if reservation is not None:
-            return reservation
-        return _refuse(
-            self.metrics,
-            fault or NO_ALLOTMENT.because('other requests took the draw'),
-        )
+        return obtained
 
     def release(self, reservation: Reservation) -> None:
         """Give back what a request that did not run had set aside."""
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -4,6 +4,7 @@
 
 from balsamreach.budget.account import Allotment, Bill, Loan
 from balsamreach.budget.rate import Rate
+from balsamreach.budget.waiters import Queue
 
 
 @attrs.define(eq=False)
@@ -51,6 +52,8 @@
         Loans taken and not recorded yet.
     waiting : list of Bill
         Bills that are not recorded yet.
+    queue : Queue
+        Requests that wait for tokens.
     spends_loans : bool
         Whether loans may be spent before they are recorded.
     """
@@ -67,6 +70,7 @@
     loans: dict[str, int] = attrs.field(factory=dict)
     borrowed: dict[str, Loan] = attrs.field(factory=dict)
     waiting: list[Bill] = attrs.field(factory=list)
+    queue: Queue = attrs.field(factory=Queue)
     spends_loans: bool = True
     _lendable_before: int = 0
 
@@ -88,6 +92,11 @@
         """Tokens of loans taken and not recorded yet."""
         return sum(loan.tokens for loan in self.borrowed.values())
 
+    @property
+    def missing(self) -> int:
+        """Tokens that the requests which wait need beyond what there is."""
+        return self.queue.tokens - self.available
+
     def reserve(self, tokens: int) -> Reservation | None:
         """Set tokens aside, or return None where too few are available."""
         if tokens > self.available:
@@ -95,11 +104,23 @@
         self.reserved += tokens
         return Reservation(self.team, tokens)
 
+    def hand_out(self) -> None:
+        """Reserve what is available for the requests that wait, in order."""
+        # Whoever brings tokens calls this in the same turn of the event loop.
+        # A request that had to wake up first would find that others, which
+        # came later, had taken what was drawn for it: it would be refused,
+        # and show as ``no_allotment`` while the budget has room.
+        for waiter in tuple(self.queue.waiters):
+            reservation = self.reserve(waiter.tokens)
+            if reservation is not None:
+                self.queue.answer(waiter, reservation)
+
     def release(self, reservation: Reservation) -> None:
         """Give a reservation back; a second call does nothing."""
         if reservation.open:
             reservation.open = False
             self.reserved -= reservation.tokens
+            self.hand_out()
 
     def bill(self, reservation: Reservation, bill: Bill) -> None:
         """Turn a reservation into a bill of at most its tokens.
@@ -111,9 +132,11 @@
         bill : Bill
             The bill. It waits here until it is recorded.
         """
-        self.release(reservation)
+        reservation.open = False
+        self.reserved -= reservation.tokens
         self.billed += bill.tokens
         self.waiting.append(bill)
+        self.hand_out()
 
     def adopt(self, allotment: Allotment) -> None:
         """Take over what the durable allotment says.
@@ -176,3 +199,4 @@
     def call_off(self, loan_id: str) -> None:
         """Take back a loan that its borrower says it never received."""
         self.lent -= self.loans.pop(loan_id, 0)
+        self.hand_out()
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -59,19 +59,19 @@
         self.net.on(LoanAsk, self._take_ask)
         self.net.on(LoanReceipt, self._take_receipt)
 
-    async def borrow(self, ledger: Ledger, tokens: int) -> None:
-        """Ask peers in turn until a request is covered.
+    async def borrow(self, ledger: Ledger) -> None:
+        """Ask peers in turn until the requests that wait are covered.
 
         Parameters
         ----------
         ledger : Ledger
             The team's ledger; loans are entered in it.
-        tokens : int
-            What the request needs.
         """
         for member in self._lenders():
-            missing = tokens - ledger.own - ledger.unrecorded
-            if missing <= 0:
+            missing = ledger.missing
+            if not ledger.spends_loans:
+                missing -= ledger.unrecorded
+            if missing <= 0 or not ledger.queue:
                 return
             wanted = max(missing, self.sizing.ahead(ledger))
             await self._borrow_from(member, ledger, wanted)
@@ -120,6 +120,7 @@
         if isinstance(answer, LoanGrant) and answer.tokens > 0:
             loan = Loan(ask.loan_id, member.incarnation, answer.tokens)
             ledger.borrowed[ask.loan_id] = loan
+            ledger.hand_out()
             self.book.metrics.count(BORROWED, loan.tokens)
 
     async def _take_ask(self, member: Member, ask: LoanAsk) -> LoanGrant:
--- a/src/balsamreach/budget/moves.py
+++ b/src/balsamreach/budget/moves.py
@@ -29,12 +29,14 @@
         Whose account.
     least : int
         Tokens without which a draw is of no use.
+    needed : int
+        Tokens that requests wait for; as many are drawn as are free.
     most : int
         Tokens to draw if the account has them free.
     share : float
-        Largest part of the free tokens to take beyond ``least``.
+        Largest part of the free tokens to take beyond ``needed``.
     floor : int
-        A draw beyond ``least`` that is smaller than this is left alone.
+        A draw beyond ``needed`` that is smaller than this is left alone.
     back : int
         Tokens to hand back.
     keep : int
@@ -52,6 +54,7 @@
 
     team: str
     least: int = 0
+    needed: int = 0
     most: int = 0
     share: float = 1
     floor: int = 0
@@ -187,8 +190,9 @@
     shared = int(move.share * free)
     # The last tokens of a budget go to whoever needs them for a request at
     # hand: a reserve of a few at each router would be of use to none.
-    if shared < max(move.floor, move.least):
-        return min(move.least, free)
+    needed = max(move.least, move.needed)
+    if shared < max(move.floor, needed):
+        return min(needed, free)
     return max(0, min(move.most, shared, free))
 
 
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -11,10 +11,11 @@
     NO_ALLOTMENT,
     BudgetFault,
 )
-from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.loans import Loans
 from balsamreach.budget.moves import Move
 from balsamreach.budget.sizing import Sizing
+from balsamreach.budget.waiters import Waiter
 from balsamreach.config.settings import BudgetSettings
 
 #: A refusal answers the team's next requests of that size for so long.
@@ -51,10 +52,14 @@
     cfg: BudgetSettings
     _away_until: float = 0
     _refusals: dict[str, _Refusal] = attrs.field(factory=dict)
-    _locks: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    _workers: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
-    async def obtain(self, ledger: Ledger, tokens: int) -> BudgetFault | None:
-        """Try to get a team's ledger to cover a request.
+    async def obtain(
+        self,
+        ledger: Ledger,
+        tokens: int,
+    ) -> Reservation | BudgetFault:
+        """Wait until a request's tokens are reserved, or can't be had.
 
         Parameters
         ----------
@@ -65,20 +70,36 @@
 
         Returns
         -------
-        BudgetFault or None
-            Why the ledger does not cover it; None if it did when the wait
-            ended, which is to be looked at again.
+        Reservation or BudgetFault
+            A fault comes within ``draw_wait``.
         """
         known = self._known(ledger, tokens)
         if known is not None:
             return known
-        work = asyncio.ensure_future(self._obtain(ledger, tokens))
-        # The draw goes on if the wait or the caller ends: what it brings is
-        # of use to the next request.
-        await asyncio.wait({work}, timeout=self.cfg.draw_wait)
-        if work.done():
-            return work.result()
-        return NO_ALLOTMENT.because('the draw takes too long')
+        waiter = ledger.queue.join(tokens)
+        self._work(ledger)
+        try:
+            await asyncio.wait({waiter.answer}, timeout=self.cfg.draw_wait)
+        except asyncio.CancelledError:
+            # The draw goes on: what it brings is of use to the next request.
+            reservation = self._leave(ledger, waiter)
+            if isinstance(reservation, Reservation):
+                ledger.release(reservation)
+            raise
+        obtained = self._leave(ledger, waiter)
+        if isinstance(obtained, Reservation):
+            ledger.rate.add(tokens, self.book.clock.now())
+        return obtained
+
+    def _leave(
+        self,
+        ledger: Ledger,
+        waiter: Waiter,
+    ) -> Reservation | BudgetFault:
+        if waiter in ledger.queue:
+            fault = NO_ALLOTMENT.because('the draw takes too long')
+            ledger.queue.answer(waiter, fault)
+        return waiter.answer.result()
 
     def _known(self, ledger: Ledger, tokens: int) -> BudgetFault | None:
         # Without this every request of a team that has spent its budget
@@ -88,52 +109,81 @@
             return None
         return refusal.fault if tokens >= refusal.tokens else None
 
-    async def _obtain(self, ledger: Ledger, tokens: int) -> BudgetFault | None:
-        async with self._locks.setdefault(ledger.team, asyncio.Lock()):
-            # Others waited for the same lock and may have been refused.
-            known = self._known(ledger, tokens)
-            if known is not None or ledger.available >= tokens:
-                return known
-            fault = await self._draw(ledger, tokens)
-            if fault in {EXHAUSTED, NO_ALLOTMENT}:
-                await self._borrow(ledger, tokens)
-            if ledger.available >= tokens:
-                return None
-            fault = fault or NO_ALLOTMENT.because('the draw brought too little')
-            self._refusals[ledger.team] = _Refusal(
-                tokens,
-                self.book.clock.now() + REFUSAL_S,
-                fault,
+    def _work(self, ledger: Ledger) -> None:
+        # One task brings tokens for all requests of a team that wait. Were
+        # each to draw for itself, they would queue up behind each other's
+        # commits until ``draw_wait`` is over.
+        work = self._workers.get(ledger.team)
+        if work is None or work.done():
+            self._workers[ledger.team] = asyncio.ensure_future(
+                self._bring_all(ledger),
             )
-            return fault
 
-    async def _draw(self, ledger: Ledger, tokens: int) -> BudgetFault | None:
+    async def _bring_all(self, ledger: Ledger) -> None:
+        while ledger.queue:
+            self._refuse_known(ledger)
+            asking = ledger.queue.waiters.copy()
+            if not asking:
+                return
+            fault = await self._bring(ledger)
+            # Who came while this was under way gets a try of its own.
+            left = [waiter for waiter in asking if waiter in ledger.queue]
+            if left:
+                fault = fault or NO_ALLOTMENT.because('too few tokens came')
+                self._refuse(ledger, left, fault)
+
+    def _refuse_known(self, ledger: Ledger) -> None:
+        for waiter in tuple(ledger.queue.waiters):
+            known = self._known(ledger, waiter.tokens)
+            if known is not None:
+                ledger.queue.answer(waiter, known)
+
+    def _refuse(
+        self,
+        ledger: Ledger,
+        waiters: list[Waiter],
+        fault: BudgetFault,
+    ) -> None:
+        self._refusals[ledger.team] = _Refusal(
+            min(waiter.tokens for waiter in waiters),
+            self.book.clock.now() + REFUSAL_S,
+            fault,
+        )
+        for waiter in waiters:
+            ledger.queue.answer(waiter, fault)
+
+    async def _bring(self, ledger: Ledger) -> BudgetFault | None:
+        fault = await self._draw(ledger)
+        if fault is None or fault in {EXHAUSTED, NO_ALLOTMENT}:
+            await self._borrow(ledger)
+        return fault
+
+    async def _draw(self, ledger: Ledger) -> BudgetFault | None:
         if self.book.clock.now() < self._away_until:
             return NO_ALLOTMENT.because('the table service is away')
         for _ in range(_TRIES):
-            outcome = await self.book.move(
-                partial(self._wanted, ledger, tokens),
-            )
+            outcome = await self.book.move(partial(self._wanted, ledger))
             if isinstance(outcome, BudgetFault):
                 self._note(outcome)
                 return outcome
-            if isinstance(outcome.get(ledger.team), BudgetFault):
-                return outcome[ledger.team]
-            if ledger.available >= tokens:
+            moved = outcome.get(ledger.team)
+            if isinstance(moved, BudgetFault):
+                return moved
+            if not ledger.queue:
                 return None
         return None
 
-    def _wanted(self, ledger: Ledger, tokens: int) -> tuple[Move, ...]:
-        if ledger.available >= tokens:
+    def _wanted(self, ledger: Ledger) -> tuple[Move, ...]:
+        if not ledger.queue:
             return ()
-        return (self.sizing.for_request(ledger, tokens),)
+        return (self.sizing.for_queue(ledger),)
 
-    async def _borrow(self, ledger: Ledger, tokens: int) -> None:
-        if self.loans is None:
+    async def _borrow(self, ledger: Ledger) -> None:
+        if self.loans is None or not ledger.queue:
             return
-        await self.loans.borrow(ledger, tokens)
+        await self.loans.borrow(ledger)
         # A strict router spends a loan only once it is recorded.
-        if ledger.borrowed and ledger.available < tokens:
+        if ledger.borrowed and ledger.queue:
             await self.book.move(lambda: (self.sizing.for_loans(ledger),))
 
     def _note(self, fault: BudgetFault) -> None:
--- a/src/balsamreach/budget/recorder.py
+++ b/src/balsamreach/budget/recorder.py
@@ -148,7 +148,9 @@
         # A request that was billed already is not billed again; the tokens
         # it used here return to the allotment.
         for bill in settled.repeated:
-            self.book.ledgers[bill.team].billed -= bill.tokens
+            ledger = self.book.ledgers[bill.team]
+            ledger.billed -= bill.tokens
+            ledger.hand_out()
         self.repeated += len(settled.repeated)
         self.metrics.count(RECORDED, len(settled.recorded))
         self.metrics.count(REPEATED, len(settled.repeated))
--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -37,20 +37,22 @@
         cover = self.cfg.draw_ahead + self.cfg.partition_cover
         return int(rate * cover)
 
-    def for_request(self, ledger: Ledger, tokens: int) -> Move:
-        """Return the draw for a request that finds too few tokens.
+    def for_queue(self, ledger: Ledger) -> Move:
+        """Return the draw for the requests that wait, of which there is one.
 
         Parameters
         ----------
         ledger : Ledger
             The team's ledger.
-        tokens : int
-            What the request needs.
         """
-        least = tokens - ledger.available
+        needed = ledger.missing
         wanted = self.target(ledger) - ledger.available
-        most = max(least, wanted, self.cfg.least_draw)
-        return self._move(ledger, least=least, most=most)
+        move = self._move(
+            ledger,
+            least=ledger.queue.smallest - ledger.available,
+            most=max(needed, wanted, self.cfg.least_draw),
+        )
+        return attrs.evolve(move, needed=needed)
 
     def in_background(self, ledger: Ledger) -> Move | None:
         """Return the move that is due without a request, if any.
