Don't ask an account that is empty, and lend all once it is

Cause: with the account empty each request still read it first, and each small loan needed a commit of the lender that raised what may be lent. Two asks that waited for that commit shared what was meant for one. Change: an account that had nothing free is left alone for 0.25 s; while it is, a router's commits make all lendable. Draws for the queue take what is free, also if less than the smallest needs. Asks that wait are summed. A lenient router records loans at once while the platform is there, so that they can be lent on.

--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -7,7 +7,7 @@
 
 from balsamreach.budget.account import Loan
 from balsamreach.budget.draws import Drawer, Outcomes
-from balsamreach.budget.faults import TAKEN_OVER, BudgetFault
+from balsamreach.budget.faults import EXHAUSTED, TAKEN_OVER, BudgetFault
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.moves import Move, Moved
@@ -19,6 +19,9 @@
 LOANS_RECORDED = 'balsamreach_budget_loans_recorded_total'
 LOANS_DROPPED = 'balsamreach_budget_loans_dropped_total'
 
+#: An account that had nothing free is not asked again for so long.
+EMPTY_S = 0.25
+
 MakeMoves = Callable[[], Iterable[Move]]
 
 
@@ -123,8 +126,12 @@
         ledger = self.ledgers[move.team]
         if isinstance(outcome, BudgetFault):
             self.metrics.count(MOVES, outcome=outcome.code)
+            if outcome == EXHAUSTED:
+                ledger.empty_until = self.clock.now() + EMPTY_S
             self._undo(move.team)
             return
+        if not outcome.free:
+            ledger.empty_until = self.clock.now() + EMPTY_S
         self.metrics.count(MOVES, outcome='done')
         ledger.adopt(outcome.allotment)
         for loan_id in outcome.recorded:
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -46,6 +46,10 @@
         Tokens lent, recorded or not, over all time.
     lendable : int
         Most that ``lent`` may become, as the durable allotment says.
+    empty_until : float
+        Time until which the account is taken to have nothing free.
+    asked : int
+        Tokens that peers ask for and that are not lendable yet.
     loans : dict of str to int
         Loans made and not known to be recorded, by loan id.
     borrowed : dict of str to Loan
@@ -67,6 +71,8 @@
     returning: int = 0
     lent: int = 0
     lendable: int = 0
+    empty_until: float = 0
+    asked: int = 0
     loans: dict[str, int] = attrs.field(factory=dict)
     borrowed: dict[str, Loan] = attrs.field(factory=dict)
     waiting: list[Bill] = attrs.field(factory=list)
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -127,11 +127,8 @@
         ledger = self.book.ledger(ask.team)
         if not self._may_lend(ask):
             return LoanGrant(ask.loan_id, ask.team, 0)
-        short = ask.tokens > min(ledger.lendable - ledger.lent, ledger.own)
-        if ask.loan_id not in ledger.loans and short:
-            await self.book.move(
-                lambda: (self.sizing.for_loan(ledger, ask.tokens),),
-            )
+        if ask.loan_id not in ledger.loans and self._is_short(ledger, ask):
+            await self._make_lendable(ledger, ask.tokens)
         # During the await the allotment may have been taken over, or the
         # borrower may have called the loan off.
         if not self._may_lend(ask):
@@ -142,6 +139,23 @@
             self.book.metrics.count(LENT, tokens)
         return LoanGrant(ask.loan_id, ask.team, tokens)
 
+    def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
+        lendable = ledger.lendable - ledger.lent
+        # With the account empty all that there is to lend is here already.
+        if self.sizing.is_empty(ledger) and ledger.own <= lendable:
+            return False
+        return ask.tokens > min(lendable, ledger.own)
+
+    async def _make_lendable(self, ledger: Ledger, tokens: int) -> None:
+        # Several asks may wait for the same move. Were it made for one of
+        # them, the first to run on would take what was meant for the others,
+        # and a lender with plenty would seem to have nothing.
+        ledger.asked += tokens
+        try:
+            await self.book.move(lambda: (self.sizing.for_loan(ledger),))
+        finally:
+            ledger.asked -= tokens
+
     def _may_lend(self, ask: LoanAsk) -> bool:
         # An ask may arrive after the word that it was called off; lending
         # then would strand the tokens until the allotment is closed.
--- a/src/balsamreach/budget/moves.py
+++ b/src/balsamreach/budget/moves.py
@@ -75,6 +75,8 @@
     ----------
     allotment : Allotment
         The allotment after it.
+    free : int
+        Tokens that the account has left.
     recorded : tuple of str
         Loans that are recorded.
     dropped : tuple of str
@@ -82,6 +84,7 @@
     """
 
     allotment: Allotment
+    free: int = 0
     recorded: tuple[str, ...] = ()
     dropped: tuple[str, ...] = ()
 
@@ -171,7 +174,12 @@
     back = max(0, min(move.back, drawn.outstanding))
     drawn = attrs.evolve(drawn, granted=drawn.granted - back)
     drawn = attrs.evolve(drawn, lendable=_lendable(move, drawn))
-    moved = Moved(drawn, loans.recorded, loans.dropped)
+    moved = Moved(
+        drawn,
+        account.free - amount + back,
+        loans.recorded,
+        loans.dropped,
+    )
     changed = amount or back or loans.tokens or drawn.lendable > own.lendable
     if not (changed or move.confirm):
         return Plan(attrs.evolve(moved, allotment=own))
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -159,8 +159,10 @@
         return fault
 
     async def _draw(self, ledger: Ledger) -> BudgetFault | None:
-        if self.book.clock.now() < self._away_until:
+        if self._is_away():
             return NO_ALLOTMENT.because('the table service is away')
+        if self.sizing.is_empty(ledger):
+            return EXHAUSTED.because(f'team {ledger.team} has nothing free')
         for _ in range(_TRIES):
             outcome = await self.book.move(partial(self._wanted, ledger))
             if isinstance(outcome, BudgetFault):
@@ -182,10 +184,14 @@
         if self.loans is None or not ledger.queue:
             return
         await self.loans.borrow(ledger)
-        # A strict router spends a loan only once it is recorded.
-        if ledger.borrowed and ledger.queue:
+        # A strict router spends a loan only once it is recorded, and the
+        # tokens of a loan can be lent on only then.
+        if ledger.borrowed and not self._is_away():
             await self.book.move(lambda: (self.sizing.for_loans(ledger),))
 
+    def _is_away(self) -> bool:
+        return self.book.clock.now() < self._away_until
+
     def _note(self, fault: BudgetFault) -> None:
         if fault == NO_ALLOTMENT:
             self._away_until = self.book.clock.now() + AWAY_S
--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -49,7 +49,7 @@
         wanted = self.target(ledger) - ledger.available
         move = self._move(
             ledger,
-            least=ledger.queue.smallest - ledger.available,
+            least=1,
             most=max(needed, wanted, self.cfg.least_draw),
         )
         return attrs.evolve(move, needed=needed)
@@ -83,18 +83,10 @@
             return self._move(ledger)
         return None
 
-    def for_loan(self, ledger: Ledger, tokens: int) -> Move:
-        """Return the move that makes tokens lendable to another router.
-
-        Parameters
-        ----------
-        ledger : Ledger
-            The team's ledger.
-        tokens : int
-            What the other router asked for.
-        """
-        move = self._move(ledger, most=max(0, tokens - ledger.available))
-        return attrs.evolve(move, lendable=ledger.lent + tokens)
+    def for_loan(self, ledger: Ledger) -> Move:
+        """Return the move that makes lendable what other routers ask for."""
+        move = self._move(ledger, most=max(0, ledger.asked - ledger.available))
+        return attrs.evolve(move, lendable=ledger.lent + ledger.asked)
 
     def for_loans(self, ledger: Ledger) -> Move:
         """Return the move that only records loans taken."""
@@ -105,6 +97,17 @@
         ledger.hold_back(tokens)
         return attrs.evolve(move, back=tokens, lent=ledger.lent)
 
+    def is_empty(self, ledger: Ledger) -> bool:
+        """Return whether the account is known to have nothing free."""
+        return self.clock.now() < ledger.empty_until
+
+    def _keep(self, ledger: Ledger) -> int:
+        # With the account empty routers live by small loans. Were a part
+        # kept, each loan of it would need a commit of the lender first.
+        if self.is_empty(ledger):
+            return 0
+        return ledger.billed + ledger.reserved + self.ahead(ledger)
+
     def _move(self, ledger: Ledger, least: int = 0, most: int = 0) -> Move:
         return Move(
             team=ledger.team,
@@ -112,7 +115,7 @@
             most=most,
             share=self.cfg.largest_share,
             floor=self.cfg.least_draw,
-            keep=ledger.billed + ledger.reserved + self.ahead(ledger),
+            keep=self._keep(ledger),
             lent=max(ledger.lent, ledger.lendable),
             loans=tuple(ledger.borrowed.values()),
         )
