Refuse at the end of a budget only what nobody has

Cause: a request that one round of loans did not cover was refused, though its tokens were on their way between routers, or a lender had given what its own requests waited for. Change: a grant tells what the lender has left and what it has reserved. With the account empty a request goes on asking, every 20 ms within draw_wait, while what is left at the routers asked would cover it. A draw that lost the account to others asks peers too.

--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import OrderedDict
+from typing import Self
 
 import attrs
 
@@ -31,6 +32,33 @@
 _MOST_CALLED_OFF = 10000
 
 
+@attrs.frozen
+class Elsewhere:
+    """What the peers that were asked have of a team's tokens.
+
+    Parameters
+    ----------
+    left : int
+        Tokens for no request, or on their way to one that waits.
+    reserved : int
+        Tokens set aside for requests in progress.
+    more : bool
+        Whether there are peers that were not asked.
+    """
+
+    left: int = 0
+    reserved: int = 0
+    more: bool = False
+
+    def add(self, grant: LoanGrant) -> Self:
+        """Return the sum with what one more peer says."""
+        return attrs.evolve(
+            self,
+            left=self.left + grant.left,
+            reserved=self.reserved + grant.reserved,
+        )
+
+
 @attrs.define
 class Loans:
     """Borrows for this router's requests and lends to its peers.
@@ -59,22 +87,30 @@
         self.net.on(LoanAsk, self._take_ask)
         self.net.on(LoanReceipt, self._take_receipt)
 
-    async def borrow(self, ledger: Ledger) -> None:
+    async def borrow(self, ledger: Ledger) -> Elsewhere:
         """Ask peers in turn until the requests that wait are covered.
 
         Parameters
         ----------
         ledger : Ledger
             The team's ledger; loans are entered in it.
+
+        Returns
+        -------
+        Elsewhere
+            What the peers that were asked have beyond what they lent.
         """
+        found = Elsewhere()
         for member in self._lenders():
             missing = ledger.missing
             if not ledger.spends_loans:
                 missing -= ledger.unrecorded
             if missing <= 0 or not ledger.queue:
-                return
+                return attrs.evolve(found, more=True)
             wanted = max(missing, self.sizing.ahead(ledger))
-            await self._borrow_from(member, ledger, wanted)
+            grant = await self._borrow_from(member, ledger, wanted)
+            found = found.add(grant) if grant else found
+        return found
 
     async def send_receipts(self) -> None:
         """Tell lenders which loans are recorded or never came."""
@@ -105,7 +141,7 @@
         member: Member,
         ledger: Ledger,
         tokens: int,
-    ) -> None:
+    ) -> LoanGrant | None:
         bits = self.rng.getrandbits(_ID_BITS)
         ask = LoanAsk(f'{bits:032x}', ledger.team, tokens)
         answer = await self.net.ask(member.incarnation, ask)
@@ -116,12 +152,15 @@
             if answer != NOT_CONNECTED:
                 receipt = LoanReceipt(ask.loan_id, NEVER_CAME)
                 self._receipts.append((member.incarnation, receipt))
-            return
-        if isinstance(answer, LoanGrant) and answer.tokens > 0:
+            return None
+        if not isinstance(answer, LoanGrant):
+            return None
+        if answer.tokens > 0:
             loan = Loan(ask.loan_id, member.incarnation, answer.tokens)
             ledger.borrowed[ask.loan_id] = loan
             ledger.hand_out()
             self.book.metrics.count(BORROWED, loan.tokens)
+        return answer
 
     async def _take_ask(self, member: Member, ask: LoanAsk) -> LoanGrant:
         ledger = self.book.ledger(ask.team)
@@ -133,11 +172,20 @@
         # borrower may have called the loan off.
         if not self._may_lend(ask):
             return LoanGrant(ask.loan_id, ask.team, 0)
+        return self._lend(ledger, ask)
+
+    def _lend(self, ledger: Ledger, ask: LoanAsk) -> LoanGrant:
         known = ask.loan_id in ledger.loans
         tokens = ledger.lend(ask.loan_id, ask.tokens)
         if not known:
             self.book.metrics.count(LENT, tokens)
-        return LoanGrant(ask.loan_id, ask.team, tokens)
+        return LoanGrant(
+            ask.loan_id,
+            ask.team,
+            tokens,
+            left=max(0, ledger.own + ledger.unrecorded),
+            reserved=ledger.reserved,
+        )
 
     def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
         lendable = ledger.lendable - ledger.lent
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -7,6 +7,7 @@
 
 from balsamreach.budget.book import Book
 from balsamreach.budget.faults import (
+    CONTENDED,
     EXHAUSTED,
     NO_ALLOTMENT,
     BudgetFault,
@@ -22,7 +23,11 @@
 REFUSAL_S = 1
 #: After a failure the table service is not asked for a request's sake.
 AWAY_S = 2
+#: Time for tokens that are on their way between routers to arrive.
+PAUSE_S = 0.02
 _TRIES = 3
+#: Faults of a draw after which peers are asked.
+_BORROWS = frozenset((EXHAUSTED, NO_ALLOTMENT, CONTENDED))
 
 
 @attrs.frozen
@@ -32,6 +37,23 @@
     fault: BudgetFault
 
 
+@attrs.frozen
+class _Brought:
+    """What a try to bring tokens came to.
+
+    Parameters
+    ----------
+    fault : BudgetFault
+        Why requests that wait still are refused.
+    reach : int
+        Tokens that are left here and at peers; a request that needs no more
+        may get them yet.
+    """
+
+    fault: BudgetFault
+    reach: int = 0
+
+
 @attrs.define
 class Obtainer:
     """Draws, and borrows where that fails, for requests that wait.
@@ -125,12 +147,13 @@
             asking = ledger.queue.waiters.copy()
             if not asking:
                 return
-            fault = await self._bring(ledger)
+            brought = await self._bring(ledger)
             # Who came while this was under way gets a try of its own.
             left = [waiter for waiter in asking if waiter in ledger.queue]
-            if left:
-                fault = fault or NO_ALLOTMENT.because('too few tokens came')
-                self._refuse(ledger, left, fault)
+            beyond = [one for one in left if one.tokens > brought.reach]
+            self._refuse(ledger, beyond, brought.fault)
+            if len(left) > len(beyond):
+                await self.book.clock.sleep(PAUSE_S)
 
     def _refuse_known(self, ledger: Ledger) -> None:
         for waiter in tuple(ledger.queue.waiters):
@@ -144,6 +167,8 @@
         waiters: list[Waiter],
         fault: BudgetFault,
     ) -> None:
+        if not waiters:
+            return
         self._refusals[ledger.team] = _Refusal(
             min(waiter.tokens for waiter in waiters),
             self.book.clock.now() + REFUSAL_S,
@@ -152,11 +177,21 @@
         for waiter in waiters:
             ledger.queue.answer(waiter, fault)
 
-    async def _bring(self, ledger: Ledger) -> BudgetFault | None:
+    async def _bring(self, ledger: Ledger) -> _Brought:
         fault = await self._draw(ledger)
-        if fault is None or fault in {EXHAUSTED, NO_ALLOTMENT}:
-            await self._borrow(ledger)
-        return fault
+        fault = fault or NO_ALLOTMENT.because('too few tokens came')
+        if not ledger.queue or self.loans is None or fault not in _BORROWS:
+            return _Brought(fault)
+        found = await self.loans.borrow(ledger)
+        # A strict router spends a loan only once it is recorded, and the
+        # tokens of a loan can be lent on only then.
+        if ledger.borrowed and not self._is_away():
+            await self.book.move(lambda: (self.sizing.for_loans(ledger),))
+        if fault != EXHAUSTED:
+            return _Brought(fault)
+        if found.more:
+            return _Brought(fault, ledger.queue.tokens)
+        return _Brought(fault, found.left + ledger.own + ledger.unrecorded)
 
     async def _draw(self, ledger: Ledger) -> BudgetFault | None:
         if self._is_away():
@@ -180,15 +215,6 @@
             return ()
         return (self.sizing.for_queue(ledger),)
 
-    async def _borrow(self, ledger: Ledger) -> None:
-        if self.loans is None or not ledger.queue:
-            return
-        await self.loans.borrow(ledger)
-        # A strict router spends a loan only once it is recorded, and the
-        # tokens of a loan can be lent on only then.
-        if ledger.borrowed and not self._is_away():
-            await self.book.move(lambda: (self.sizing.for_loans(ledger),))
-
     def _is_away(self) -> bool:
         return self.book.clock.now() < self._away_until
 
--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -92,21 +92,14 @@
         """Return the move that only records loans taken."""
         return self._move(ledger)
 
-    def _hand_back(self, ledger: Ledger, tokens: int) -> Move:
-        move = self._move(ledger)
-        ledger.hold_back(tokens)
-        return attrs.evolve(move, back=tokens, lent=ledger.lent)
-
     def is_empty(self, ledger: Ledger) -> bool:
         """Return whether the account is known to have nothing free."""
         return self.clock.now() < ledger.empty_until
 
-    def _keep(self, ledger: Ledger) -> int:
-        # With the account empty routers live by small loans. Were a part
-        # kept, each loan of it would need a commit of the lender first.
-        if self.is_empty(ledger):
-            return 0
-        return ledger.billed + ledger.reserved + self.ahead(ledger)
+    def _hand_back(self, ledger: Ledger, tokens: int) -> Move:
+        move = self._move(ledger)
+        ledger.hold_back(tokens)
+        return attrs.evolve(move, back=tokens, lent=ledger.lent)
 
     def _move(self, ledger: Ledger, least: int = 0, most: int = 0) -> Move:
         return Move(
@@ -119,3 +112,10 @@
             lent=max(ledger.lent, ledger.lendable),
             loans=tuple(ledger.borrowed.values()),
         )
+
+    def _keep(self, ledger: Ledger) -> int:
+        # With the account empty routers live by small loans. Were a part
+        # kept, each loan of it would need a commit of the lender first.
+        if self.is_empty(ledger):
+            return 0
+        return ledger.billed + ledger.reserved + self.ahead(ledger)
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -133,12 +133,15 @@
   loanId @0 :Text;
   team @1 :Text;
   tokens @2 :Int64;
+  spare @3 :Int64;
 }
 
 struct LoanGrant {
   loanId @0 :Text;
   team @1 :Text;
   tokens @2 :Int64;
+  left @3 :Int64;
+  reserved @4 :Int64;
 }
 
 struct LoanReceipt {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -204,20 +204,40 @@
 
 @attrs.frozen
 class LoanAsk(Message):
-    """Asks for tokens of a team's budget out of the peer's allotment."""
+    """Asks for tokens of a team's budget out of the peer's allotment.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens that requests wait for.
+    spare : int
+        Tokens that are welcome beyond, if the peer can spare them.
+    """
 
     loan_id: str
     team: str
     tokens: int
+    spare: int = 0
 
 
 @attrs.frozen
 class LoanGrant(Message):
-    """Tokens lent; the lender has taken them off already. 0 lends none."""
+    """Tokens lent; the lender has taken them off already. 0 lends none.
+
+    Parameters
+    ----------
+    left : int
+        Tokens of the team that the lender still has for no request.
+    reserved : int
+        Tokens that it has set aside for requests in progress; a part of
+        them comes free.
+    """
 
     loan_id: str
     team: str
     tokens: int
+    left: int = 0
+    reserved: int = 0
 
 
 @attrs.frozen
