Remember a refusal for 50 ms while requests in progress run

Change: while anything is reserved here or at the peers that were asked, a refusal is remembered for 50 ms; then for a second as before. The cost ends with the team's last request in progress.

--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -21,6 +21,8 @@
 
 #: A refusal answers the team's next requests of that size for so long.
 REFUSAL_S = 1
+#: The same while requests in progress may give tokens back.
+BRIEF_REFUSAL_S = 0.05
 #: After a failure the table service is not asked for a request's sake.
 AWAY_S = 2
 #: Time for tokens that are on their way between routers to arrive.
@@ -48,10 +50,13 @@
     reach : int
         Tokens that are left here and at peers; a request that needs no more
         may get them yet.
+    reserved : int
+        Tokens set aside for requests in progress, here and at peers.
     """
 
     fault: BudgetFault
     reach: int = 0
+    reserved: int = 0
 
 
 @attrs.define
@@ -151,7 +156,7 @@
             # Who came while this was under way gets a try of its own.
             left = [waiter for waiter in asking if waiter in ledger.queue]
             beyond = [one for one in left if one.tokens > brought.reach]
-            self._refuse(ledger, beyond, brought.fault)
+            self._refuse(ledger, beyond, brought)
             if len(left) > len(beyond):
                 await self.book.clock.sleep(PAUSE_S)
 
@@ -165,17 +170,20 @@
         self,
         ledger: Ledger,
         waiters: list[Waiter],
-        fault: BudgetFault,
+        brought: _Brought,
     ) -> None:
         if not waiters:
             return
+        # Requests in progress give back what they don't use. Until then an
+        # answer holds for long; while there are any, hardly for a moment.
+        span = BRIEF_REFUSAL_S if brought.reserved else REFUSAL_S
         self._refusals[ledger.team] = _Refusal(
             min(waiter.tokens for waiter in waiters),
-            self.book.clock.now() + REFUSAL_S,
-            fault,
+            self.book.clock.now() + span,
+            brought.fault,
         )
         for waiter in waiters:
-            ledger.queue.answer(waiter, fault)
+            ledger.queue.answer(waiter, brought.fault)
 
     async def _bring(self, ledger: Ledger) -> _Brought:
         fault = await self._draw(ledger)
@@ -189,9 +197,10 @@
             await self.book.move(lambda: (self.sizing.for_loans(ledger),))
         if fault != EXHAUSTED:
             return _Brought(fault)
+        reach = found.left + ledger.own + ledger.unrecorded
         if found.more:
-            return _Brought(fault, ledger.queue.tokens)
-        return _Brought(fault, found.left + ledger.own + ledger.unrecorded)
+            reach = ledger.queue.tokens
+        return _Brought(fault, reach, found.reserved + ledger.reserved)
 
     async def _draw(self, ledger: Ledger) -> BudgetFault | None:
         if self._is_away():
