Ask again after a try that brought something

Cause: what peers say is stale by the time a loan is recorded, 10 ms later, and tokens that moved meanwhile between two peers were missed. Change: a request is refused only after a try that brought nothing.

--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -43,7 +43,7 @@
     reserved : int
         Tokens set aside for requests in progress.
     more : bool
-        Whether there are peers that were not asked.
+        Whether to ask again: something came, or peers were not asked.
     """
 
     left: int = 0
@@ -56,6 +56,7 @@
             self,
             left=self.left + grant.left,
             reserved=self.reserved + grant.reserved,
+            more=self.more or grant.tokens > 0,
         )
 
 
