Let one of two routers that both wait have the tokens

Cause: routers whose requests wait lent each other what they had; the tokens went to and fro, each time with a commit, until draw_wait. Change: a router whose requests wait lends to those alone whose incarnation sorts before its own.

--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -167,6 +167,11 @@
         ledger = self.book.ledger(ask.team)
         if not self._may_lend(ask):
             return LoanGrant(ask.loan_id, ask.team, 0)
+        # Of two routers whose requests wait, both with too little, one has to
+        # give way. Did both lend, they would swap their tokens until
+        # ``draw_wait``; did neither, both would refuse what one can serve.
+        if ledger.queue and member.incarnation > self.net.me.incarnation:
+            return _tell(ledger, ask, 0)
         if ask.loan_id not in ledger.loans and self._is_short(ledger, ask):
             await self._make_lendable(ledger, ask.tokens)
         # During the await the allotment may have been taken over, or the
@@ -180,13 +185,7 @@
         tokens = ledger.lend(ask.loan_id, ask.tokens)
         if not known:
             self.book.metrics.count(LENT, tokens)
-        return LoanGrant(
-            ask.loan_id,
-            ask.team,
-            tokens,
-            left=max(0, ledger.own + ledger.unrecorded),
-            reserved=ledger.reserved,
-        )
+        return _tell(ledger, ask, tokens)
 
     def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
         lendable = ledger.lendable - ledger.lent
@@ -222,3 +221,13 @@
             while len(self._called_off) > _MOST_CALLED_OFF:
                 self._called_off.popitem(last=False)
         return Done()
+
+
+def _tell(ledger: Ledger, ask: LoanAsk, tokens: int) -> LoanGrant:
+    return LoanGrant(
+        ask.loan_id,
+        ask.team,
+        tokens,
+        left=max(0, ledger.own + ledger.unrecorded),
+        reserved=ledger.reserved,
+    )
