Try a loan of half of what nobody waits for, and leave it out

Cause: a borrower asks for draw_ahead of its demand and takes a lender's last tokens, so the lender borrows in turn. Change tried: the ask names what requests wait for, and what is welcome beyond; the lender adds at most half of what it has left. Reverted; its field, which no message carried, goes.

--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -133,7 +133,6 @@
   loanId @0 :Text;
   team @1 :Text;
   tokens @2 :Int64;
-  spare @3 :Int64;
 }
 
 struct LoanGrant {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -204,20 +204,11 @@
 
 @attrs.frozen
 class LoanAsk(Message):
-    """Asks for tokens of a team's budget out of the peer's allotment.
-
-    Parameters
-    ----------
-    tokens : int
-        Tokens that requests wait for.
-    spare : int
-        Tokens that are welcome beyond, if the peer can spare them.
-    """
+    """Asks for tokens of a team's budget out of the peer's allotment."""
 
     loan_id: str
     team: str
     tokens: int
-    spare: int = 0
 
 
 @attrs.frozen
