--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -147,6 +147,7 @@
             )
 
     async def _bring_all(self, ledger: Ledger) -> None:
+        doubted: list[Waiter] = []
         while ledger.queue:
             self._refuse_known(ledger)
             asking = ledger.queue.waiters.copy()
@@ -156,8 +157,12 @@
             # Who came while this was under way gets a try of its own.
             left = [waiter for waiter in asking if waiter in ledger.queue]
             beyond = [one for one in left if one.tokens > brought.reach]
-            self._refuse(ledger, beyond, brought)
-            if len(left) > len(beyond):
+            lost = [
+                one for one in beyond if one in doubted or not brought.reserved
+            ]
+            doubted = beyond
+            self._refuse(ledger, lost, brought)
+            if len(left) > len(lost):
                 await self.book.clock.sleep(PAUSE_S)
 
     def _refuse_known(self, ledger: Ledger) -> None:
