--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -26,7 +26,7 @@
 #: After a failure the table service is not asked for a request's sake.
 AWAY_S = 2
 #: Time for tokens that are on their way between routers to arrive.
-PAUSE_S = 0.02
+PAUSE_S = 0.01
 _TRIES = 3
 #: Faults of a draw after which peers are asked.
 _BORROWS = frozenset((EXHAUSTED, NO_ALLOTMENT, CONTENDED))
