Tell only of tokens that can be lent, and keep hopeless refusals long

Cause: a lender that can't reach the table service told of tokens that it could not make lendable, so borrowers would have asked until draw_wait; and with one long stream of a spent team each request asked all peers. Change: tokens that are not lendable count only at a router that has just heard that the account is empty; a refusal is remembered for a second if all that is left and reserved would not cover it.

--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -171,7 +171,7 @@
         # give way. Did both lend, they would swap their tokens until
         # ``draw_wait``; did neither, both would refuse what one can serve.
         if ledger.queue and member.incarnation > self.net.me.incarnation:
-            return _tell(ledger, ask, 0)
+            return self._tell(ledger, ask, 0)
         if ask.loan_id not in ledger.loans and self._is_short(ledger, ask):
             await self._make_lendable(ledger, ask.tokens)
         # During the await the allotment may have been taken over, or the
@@ -185,7 +185,28 @@
         tokens = ledger.lend(ask.loan_id, ask.tokens)
         if not known:
             self.book.metrics.count(LENT, tokens)
-        return _tell(ledger, ask, tokens)
+        return self._tell(ledger, ask, tokens)
+
+    def _tell(
+        self,
+        ledger: Ledger,
+        ask: LoanAsk,
+        tokens: int,
+    ) -> LoanGrant:
+        left = min(ledger.own, ledger.lendable - ledger.lent)
+        # Who has heard just now that the account is empty can make all that
+        # it has lendable. Were tokens told of that can't be lent, since the
+        # table service is away from here, borrowers would ask for them again
+        # and again until ``draw_wait``.
+        if self.sizing.is_empty(ledger):
+            left = ledger.own + ledger.unrecorded
+        return LoanGrant(
+            ask.loan_id,
+            ask.team,
+            tokens,
+            left=max(0, left),
+            reserved=ledger.reserved,
+        )
 
     def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
         lendable = ledger.lendable - ledger.lent
@@ -221,13 +242,3 @@
             while len(self._called_off) > _MOST_CALLED_OFF:
                 self._called_off.popitem(last=False)
         return Done()
-
-
-def _tell(ledger: Ledger, ask: LoanAsk, tokens: int) -> LoanGrant:
-    return LoanGrant(
-        ask.loan_id,
-        ask.team,
-        tokens,
-        left=max(0, ledger.own + ledger.unrecorded),
-        reserved=ledger.reserved,
-    )
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -179,11 +179,13 @@
     ) -> None:
         if not waiters:
             return
-        # Requests in progress give back what they don't use. Until then an
-        # answer holds for long; while there are any, hardly for a moment.
-        span = BRIEF_REFUSAL_S if brought.reserved else REFUSAL_S
+        smallest = min(waiter.tokens for waiter in waiters)
+        # Requests in progress give back what they don't use. While that may
+        # be enough, an answer holds hardly for a moment.
+        hopeless = brought.reach + brought.reserved < smallest
+        span = REFUSAL_S if hopeless else BRIEF_REFUSAL_S
         self._refusals[ledger.team] = _Refusal(
-            min(waiter.tokens for waiter in waiters),
+            smallest,
             self.book.clock.now() + span,
             brought.fault,
         )
--- a/tests/test_budget_waiters.py
+++ b/tests/test_budget_waiters.py
@@ -6,9 +6,10 @@
 
 import attrs
 
+from balsamreach.budget.account import Bill, account_key
 from balsamreach.budget.faults import EXHAUSTED
 from balsamreach.budget.ledger import Reservation
-from tests.budget_world import Gate, World
+from tests.budget_world import SETTINGS, Gate, World
 
 _TOKENS = 100
 
@@ -80,3 +81,64 @@
             await asyncio.sleep(0)
         ledger = self.router.ledgers['team']
         self.assertEqual((ledger.reserved, ledger.own), (0, _TOKENS))
+
+
+class LastTokensTest(unittest.IsolatedAsyncioTestCase):
+    """Three routers, and an account that has nothing free."""
+
+    async def asyncSetUp(self):
+        self.world = World(attrs.evolve(SETTINGS, posture='strict'))
+        self.routers = {name: self.world.start(name) for name in 'abc'}
+
+    async def hold(self, **tokens):
+        """Fund the team, and let routers hold all of it idle."""
+        await self.world.fund('team', sum(tokens.values()))
+        for name, amount in tokens.items():
+            held = await self.reserve(name, amount)
+            self.routers[name].release(held[0])
+
+    def reserve(self, names, tokens):
+        """Reserve at several routers at once."""
+        work = (self.routers[name].reserve('team', tokens) for name in names)
+        return self.world.clock.drive(asyncio.gather(*work))
+
+    def count(self, outcomes):
+        return sum(isinstance(one, Reservation) for one in outcomes)
+
+    async def test_one_of_two(self):
+        """Symptom: two requests are refused though one can be served.
+
+        Sequence: two routers hold half each and both need more. Cause: each
+        lends the other what its own request waits for.
+        """
+        await self.hold(a=50, b=50)
+        outcomes = await self.reserve('ab', 80)
+        self.assertEqual(self.count(outcomes), 1)
+        self.assertIn(EXHAUSTED, outcomes)
+
+    async def test_two_borrowers(self):
+        """Symptom: a lender with plenty seems to have nothing.
+
+        Sequence: two routers ask a third one at once. Cause: it makes
+        lendable what one of them needs; and the account, which no loan
+        changes, is written for each.
+        """
+        await self.hold(c=300)
+        before = await self.world.peek(account_key('team'))
+        outcomes = await self.reserve('ab', 150)
+        self.assertEqual(self.count(outcomes), 2)
+        self.assertEqual(await self.world.peek(before.key), before)
+
+    async def test_rest_of_a_reservation(self):
+        """Symptom: a refusal while what it needs lies idle at a peer.
+
+        Sequence: a request is refused; another one ends and uses little;
+        the first is sent again. Cause: the refusal is remembered for a
+        second even though tokens were about to come free.
+        """
+        await self.world.fund('team', _TOKENS)
+        held = await self.reserve('a', _TOKENS)
+        self.assertEqual(await self.reserve('b', 60), [EXHAUSTED])
+        self.routers['a'].bill(held[0], Bill('team', 'k', 30))
+        self.world.clock.seconds += 0.1
+        self.assertEqual(self.count(await self.reserve('b', 60)), 1)
