End an answer only once the buddy has its bill

Cause: the bill was made, and its copy sent, after the last byte of the answer. A router killed in between left a caller with a whole answer that nobody ever billed. Change: the bill comes first; its copy is an ask that the buddy answers, and a plain body or a stream's [DONE] goes out after that. A copy without an answer is sent again, and the buddy is told when the bill is recorded, so that it keeps none for good. The end mark is held in the answer, so that resumed, repeated and copied streams end alike. Not closed: requests in progress at a kill, and answers that end while no buddy answers.

--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -196,6 +196,11 @@
         """Bill a request; the rest of its reservation is free again."""
         self.recorder.bill(reservation, bill)
 
+    async def secure(self) -> None:
+        """Wait a bounded time until a peer has the bills made by now."""
+        if self.upkeep.peers is not None:
+            await self.upkeep.peers.copying.secure()
+
     async def flush(self) -> BudgetFault | None:
         """Record waiting bills until none wait or the service is away."""
         return await self.recorder.flush()
--- a/src/balsamreach/budget/copies.py
+++ b/src/balsamreach/budget/copies.py
@@ -36,6 +36,7 @@
     net: PeerNet
     buddy: str = ''
     _sent: dict[int, BillCopy] = attrs.field(factory=dict)
+    _doubtful: dict[int, BillCopy] = attrs.field(factory=dict)
 
     def send(self, waiting: tuple[Bill, ...]) -> None:
         """Bring the buddy up to date.
@@ -49,12 +50,19 @@
         if buddy != self.buddy:
             self.buddy = buddy
             self._sent.clear()
+            self._doubtful.clear()
         if not buddy:
             return
         by_ordinal = {bill.ordinal: bill for bill in waiting}
-        recorded = [number for number in self._sent if number not in by_ordinal]
         fresh = [number for number in by_ordinal if number not in self._sent]
-        gone = [self._sent.pop(number) for number in recorded]
+        # One that got no answer may be there all the same, and would be kept
+        # for good if nobody told that it is recorded.
+        maybe = self._doubtful | self._sent
+        self._doubtful.clear()
+        recorded = [number for number in maybe if number not in by_ordinal]
+        gone = [maybe[number] for number in recorded]
+        for done in recorded:
+            self._sent.pop(done, None)
         for start in range(0, max(len(fresh), len(gone)), MESSAGE_BILLS):
             part = fresh[start : start + MESSAGE_BILLS]
             self._tell(
@@ -62,25 +70,32 @@
                 tuple(gone[start : start + MESSAGE_BILLS]),
             )
 
-    def send_new(self, bills: tuple[Bill, ...]) -> bool:
-        """Send bills that were just made.
+    async def deliver(
+        self,
+        bills: tuple[Bill, ...],
+        waiting: tuple[Bill, ...],
+    ) -> bool:
+        """Send bills that were just made, and wait until they are there.
 
         Parameters
         ----------
         bills : tuple of Bill
             Bills that were not sent before.
+        waiting : tuple of Bill
+            All bills that are not recorded yet, for a buddy that is new.
 
         Returns
         -------
         bool
-            Whether the buddy is the same as before; else it has to be
-            brought up to date.
+            Whether the buddy said that it has them.
         """
         if self.choose() != self.buddy:
-            return False
+            self.send(waiting)
+        taken = bool(self.buddy)
         for start in range(0, len(bills), MESSAGE_BILLS):
-            self._tell(bills[start : start + MESSAGE_BILLS])
-        return True
+            part = bills[start : start + MESSAGE_BILLS]
+            taken = await self._hand(part) and taken
+        return taken
 
     async def hand_over(self, waiting: tuple[Bill, ...]) -> bool:
         """Leave all waiting bills, and the allotments, to the buddy.
@@ -128,6 +143,23 @@
         after = [name for name in ordered if name > self.net.me.incarnation]
         return (after or ordered or [''])[0]
 
+    async def _hand(self, bills: tuple[Bill, ...]) -> bool:
+        if not self.buddy:
+            return False
+        buddy = self.buddy
+        copies = {bill.ordinal: _copy(bill) for bill in bills}
+        self._sent.update(copies)
+        message = BillCopies(self.net.me.incarnation, tuple(copies.values()))
+        answer = await self.net.ask(buddy, message)
+        if isinstance(answer, Done):
+            return True
+        if self.buddy == buddy:
+            # They go out once more with the next beat.
+            for ordinal, copy in copies.items():
+                if self._sent.pop(ordinal, None) is not None:
+                    self._doubtful[ordinal] = copy
+        return False
+
     def _tell(
         self,
         bills: tuple[Bill, ...],
--- a/src/balsamreach/budget/unsent.py
+++ b/src/balsamreach/budget/unsent.py
@@ -12,20 +12,25 @@
     """Collects new bills until they are taken."""
 
     _bills: list[Bill] = attrs.field(factory=list)
-    _any: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _came: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def add(self, bill: Bill) -> None:
         """Add a bill that was just made."""
         self._bills.append(bill)
-        self._any.set()
+        self._came.set()
+
+    @property
+    def any(self) -> bool:
+        """Whether there is a bill."""
+        return bool(self._bills)
 
     async def wait(self) -> None:
         """Wait until there is a bill."""
-        await self._any.wait()
+        await self._came.wait()
 
     def take(self) -> tuple[Bill, ...]:
         """Return the bills added since the last call."""
         bills = tuple(self._bills)
         self._bills.clear()
-        self._any.clear()
+        self._came.clear()
         return bills
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -127,6 +127,7 @@
         resumed = await self._elsewhere.resume()
         if resumed is not None and resumed.fault is None:
             self._bill(resumed.reply, reservation)
+            await self.parts.budgets.secure()
             return None
         if not self._elsewhere.may_go_on():
             return faults.ANSWER_BROKEN.because('it broke off elsewhere')
@@ -187,29 +188,34 @@
             if tries.may_have_run:
                 self._bill(tries.reply, reservation)
             raise
-        fault = self._deliver(tries.reply, fault)
-        if fault is None or self.answer.status:
+        own = self._is_own(tries.reply, fault)
+        if own or fault is None or self.answer.status:
             self._bill(tries.reply, reservation)
+        if own or fault is None:
+            # A caller who has the whole answer must not have it for nothing
+            # because this router dies a moment later.
+            await self.parts.budgets.secure()
+            fault = None
+        if own:
+            tries.reply.deliver()
         if tries.may_have_run:
             return _may_have_run(self.call, fault)
         if claim is not None:
             self.parts.claims.give_up(claim)
         return fault
 
-    def _deliver(
+    def _is_own(
         self,
         reply: Reply | None,
         fault: DispatchFault | None,
-    ) -> DispatchFault | None:
+    ) -> bool:
+        """Return whether a plain answer waits here to be passed on."""
         if not isinstance(reply, PlainReply):
-            return fault
+            return False
         # An error of a plain service is its own answer to the caller, where
         # no other worker gave a better one.
-        own = fault == faults.TARGET_FAILED and self.call.kind != ENGINE
-        if fault is None or own:
-            reply.deliver()
-            return None
-        return fault
+        failed = fault == faults.TARGET_FAILED and self.call.kind != ENGINE
+        return fault is None or failed
 
     def _bill(self, reply: Reply | None, reservation: Reservation) -> None:
         # A request that failed here and was sent again under its key may
--- a/src/balsamreach/requests/answers.py
+++ b/src/balsamreach/requests/answers.py
@@ -7,6 +7,7 @@
 import attrs
 
 from balsamreach.requests.body import Body
+from balsamreach.requests.end_mark import EndMark
 from balsamreach.requests.identity import RequestId
 
 
@@ -98,6 +99,7 @@
     copied: bool = False
     on_start: Callable[[dict[str, str]], None] | None = None
     _sinks: list[Sink] = attrs.field(factory=list)
+    _mark: EndMark = attrs.field(factory=EndMark)
     _end: asyncio.Future = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -154,16 +156,15 @@
             sink.start(status, headers)
 
     def write(self, chunk: bytes) -> None:
-        """Add to the body."""
-        self.body.write(chunk)
-        for sink in self._sinks:
-            sink.write(chunk)
-        if not self.body.whole:
-            self._cut_slow()
-            self.body.clear()
+        """Add to the body; the end mark of a stream waits for the end."""
+        passed = self._mark.hold(chunk, self.headers)
+        if passed:
+            self._pass(passed)
 
     def finish(self, end: End, now: float) -> None:
         """End the answer; called once."""
+        if end.whole and self._mark.held:
+            self._pass(self._mark.held)
         self.ended_at = now
         self._end.set_result(end)
 
@@ -171,6 +172,14 @@
         """Return how the answer ended, once it has."""
         return await asyncio.shield(self._end)
 
+    def _pass(self, chunk: bytes) -> None:
+        self.body.write(chunk)
+        for sink in self._sinks:
+            sink.write(chunk)
+        if not self.body.whole:
+            self._cut_slow()
+            self.body.clear()
+
     def _cut_slow(self) -> None:
         # Reading from the target pauses only while all callers are behind.
         # One that joined and reads slowly would otherwise have a long answer
--- a/tests/test_dispatch_run.py
+++ b/tests/test_dispatch_run.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import attrs
 from parameterized import parameterized
 
+from balsamreach.budget.budgets import Budgets
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.run import UNKNOWN_OUTCOMES
 from balsamreach.standins.memory import MemoryPlatform
@@ -52,9 +54,52 @@
         self.assertEqual(caller.body.count(_WORDS), words)
 
 
+class _Watched:
+    """Notes what a caller has, and which bills wait, at a moment."""
+
+    def __init__(self, caller, budgets):
+        self.caller = caller
+        self.budgets = budgets
+        self.bodies = []
+        self.waiting = []
+
+    def note(self):
+        """Note both."""
+        self.bodies.append(self.caller.body)
+        self.waiting.append(self.budgets.waiting)
+
+
 class StreamTest(RunCase):
     """Streams come whole, or end with an explicit fault."""
 
+    @parameterized.expand(
+        [
+            ('stream', {}),
+            ('plain', {'stream': False}),
+            ('service', service_call()),
+            ('single', _ONCE),
+        ],
+    )
+    async def test_whole_answer_waits_for_its_bill(self, _name, changes):
+        """Symptom: a caller has a whole answer that nobody ever bills.
+
+        Sequence: a router dies right after the last byte. Cause: the bill
+        is made and copied after that.
+        """
+        caller = Caller()
+        with mock.patch.object(Budgets, 'secure') as secure:
+            watched = _Watched(caller, self.router.parts.budgets)
+            secure.side_effect = watched.note
+            call = self.router.request(**changes)
+            answer = self.router.dispatcher.submit(call)
+            answer.attach(caller)
+            caller.end = await answer.wait()
+        self.assertEqual(watched.waiting, [1])
+        body = watched.bodies.pop()
+        self.assertTrue(caller.body.startswith(body))
+        self.assertNotEqual(body, caller.body)
+        self.assertNotIn(_LAST, body)
+
     async def test_stream_is_passed_on_and_billed_once(self):
         caller = await self.router.call()
         self.check_whole(caller)
--- a/tests/test_requests_answers.py
+++ b/tests/test_requests_answers.py
@@ -23,6 +23,7 @@
 
 _EACH = 100
 _ALL = 5000
+_MARK = b'data: [DONE]\n\n'
 _WHOLE = End(whole=True)
 _BROKEN = End(whole=False, fault='broken')
 
@@ -152,6 +153,46 @@
         self.assertEqual(len(fast.body), 10 * _EACH)
         self.assertLess(self.answers.held, 2000)
 
+    @parameterized.expand(
+        [
+            ('whole', 'text/event-stream', _WHOLE, b'data: a\n\n', _MARK),
+            ('broken', 'text/event-stream', _BROKEN, b'data: a\n\n', b''),
+            ('twice', 'text/event-stream', _WHOLE, b'', _MARK),
+            (
+                'in_text',
+                'text/event-stream',
+                _WHOLE,
+                b'data: "data: [DONE]\n\n',
+                b'',
+            ),
+            ('no_stream', 'text/plain', _WHOLE, _MARK, b''),
+        ],
+    )
+    async def test_end_mark_comes_with_the_end(
+        self,
+        _name,
+        kind,
+        end,
+        before,
+        after,
+    ):
+        """Symptom: a caller has a whole stream whose bill is lost.
+
+        Sequence: the mark comes, maybe twice as a broken stream is resumed
+        behind it. Cause: a caller takes it for the end.
+        """
+        answer = self.answers.open(request())
+        caller = Caller()
+        answer.attach(caller)
+        answer.start(200, {'content-type': kind})
+        answer.write(before + after)
+        answer.write(after)
+        self.assertEqual(caller.body, before)
+        self.answers.finish(answer, end)
+        whole = before + after if end.whole else before
+        self.assertEqual(caller.body, whole)
+        self.assertEqual(answer.body.read(0), whole)
+
     async def test_memory_of_all_answers_is_bounded(self):
         for number in range(50):
             self._run(bytes(_EACH), req=request(f'key-{number}'))
