Measure hedges at targets with slots and load reports

Cause: the fake targets of the hedges' bench had room without bound and told no loads, so that what hedges add to the load cost nothing. Change: four slots each, reports every 0.5 s, a second rate that uses 0.7 of the slots, and the share of requests that the slow target gets.

--- a/bench/routing_hedges.py
+++ b/bench/routing_hedges.py
@@ -1,7 +1,9 @@
 """Measures hedges by real attempts at fake targets, one of them slow."""
 
 import asyncio
+import itertools
 import random
+from collections import Counter
 
 import attrs
 
@@ -14,15 +16,18 @@
 from balsamreach.requests.identity import RequestId
 from balsamreach.routing.routing import make_routing
 from balsamreach.table.rows import ENGINE, TargetRow, TeamRow
-from balsamreach.targets.registry import Targets
+from balsamreach.targets.registry import LoadReport, Targets
 from balsamreach.telemetry.metrics import Metrics
+from bench.routing_fleet import REPORT_INTERVAL
 from bench.routing_loop import LoopClock, run_virtually
 from bench.routing_scenarios import quantile
 
 MODEL = 'model-a'
 _TARGETS = 8
 _REQUESTS = 6000
-_RATE = 40.0
+#: Requests a second; the targets' slots are used to a quarter and to 0.7.
+_RATES = (40.0, 110.0)
+_SLOTS = 4
 _USUAL = 0.1
 _SLOWER = 20.0
 _WORDS = 10
@@ -37,16 +42,46 @@
     rng: random.Random
     slow: str
     sent: int = 0
+    at_slow: int = 0
+    _busy: Counter[str] = attrs.field(factory=Counter)
+    _slots: dict[str, asyncio.Semaphore] = attrs.field(factory=dict)
 
     async def send(self, attempt: Attempt, intake: Intake) -> None:
         """Answer a request; a cancel needs no answer."""
         if attempt.call.method == 'DELETE' or not intake.before_send():
             return
         self.sent += 1
-        wait = _USUAL * self.rng.lognormvariate(0, 0.5)
-        if attempt.target.name == self.slow:
-            wait *= _SLOWER
-        await asyncio.sleep(wait)
+        name = attempt.target.name
+        self.at_slow += name == self.slow
+        slots = self._slots.setdefault(name, asyncio.Semaphore(_SLOTS))
+        self._busy[name] += 1
+        try:
+            async with slots:
+                slower = _SLOWER if name == self.slow else 1
+                await self._generate(intake, slower)
+        finally:
+            self._busy[name] -= 1
+
+    async def report(self, targets: Targets) -> None:
+        """Tell each target's load again and again."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            for name, target in targets.by_name.items():
+                busy = self._busy[name]
+                report = LoadReport(
+                    running=min(busy, _SLOTS),
+                    queued=max(0, busy - _SLOTS),
+                    slots=_SLOTS,
+                    incarnation='first',
+                    taken_at=now,
+                )
+                target.take_report(report, now)
+            await asyncio.sleep(REPORT_INTERVAL)
+
+    async def _generate(self, intake: Intake, slower: float) -> None:
+        await asyncio.sleep(
+            slower * _USUAL * self.rng.lognormvariate(0, 0.5),
+        )
         intake.start(200, _KIND)
         for _ in range(_WORDS):
             intake.write(b'data: {}\n\n')
@@ -73,13 +108,21 @@
 def measure_hedges(seed: int) -> list[dict]:
     """Compare the time to the first byte with and without hedges."""
     return [
-        run_virtually(_measure(hedge, slow, seed))
-        for slow in ('', 'engine-0')
-        for hedge in ('no', 'yes')
+        run_virtually(_measure(hedge, slow, rate, seed))
+        for rate, slow, hedge in itertools.product(
+            _RATES,
+            ('', 'engine-0'),
+            ('no', 'yes'),
+        )
     ]
 
 
-async def _measure(hedge: str, slow: str, seed: int) -> dict:
+async def _measure(
+    hedge: str,
+    slow: str,
+    rate: float,
+    seed: int,
+) -> dict:
     cfg = read_settings(
         None,
         ('host.zone=zone-a', f'routing.hedge={hedge}'),
@@ -90,10 +133,13 @@
     routing = make_routing(cfg, targets, LoopClock(), rng, Metrics())
     engines = _Engines(rng, slow)
     parts = make_try_parts(cfg.requests, routing, engines)
-    whole = await _run_all(parts, rng)
+    reporting = asyncio.create_task(engines.report(targets))
+    whole = await _run_all(parts, rng, rate)
+    reporting.cancel()
     return {
         'scenario': 'hedges',
         'hedge': hedge,
+        'rate': rate,
         'slow_targets': 1 if slow else 0,
         'requests': _REQUESTS,
         'not_answered': _REQUESTS - len(whole),
@@ -101,13 +147,18 @@
         'ttft_p95': quantile(whole, 0.95),
         'ttft_p99': quantile(whole, 0.99),
         'attempts_per_request': engines.sent / _REQUESTS,
+        'share_at_slow': engines.at_slow / _REQUESTS,
     }
 
 
-async def _run_all(parts, rng: random.Random) -> list[float]:
+async def _run_all(
+    parts,
+    rng: random.Random,
+    rate: float,
+) -> list[float]:
     running = []
     for number in range(_REQUESTS):
-        await asyncio.sleep(rng.expovariate(_RATE))
+        await asyncio.sleep(rng.expovariate(rate))
         running.append(asyncio.create_task(_run(parts, number)))
     firsts = await asyncio.gather(*running)
     return [first for first in firsts if first is not None]
