Keep a row's version under its name alone

Cause: each row's key, its prefix and name in one text, was kept once more beside the name, only to look its version up; rows also had room for weak references that nobody makes. Change: versions are kept by the key's beginning and then by the row's own name; rows have no weak references.

--- a/src/balsamreach/table/rows.py
+++ b/src/balsamreach/table/rows.py
@@ -25,7 +25,7 @@
 ANY_MODEL = 'auto'
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, weakref_slot=False)
 class TeamRow:
     """What operators set for one team.
 
@@ -84,7 +84,7 @@
         return TEAM_PREFIX + self.name
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, weakref_slot=False)
 class TargetRow:
     """What operators set for one target.
 
--- a/src/balsamreach/table/view.py
+++ b/src/balsamreach/table/view.py
@@ -154,14 +154,17 @@
 
     def _put(self, row: Row) -> None:
         self.rejected.pop(row.key, None)
-        self.versions.note(row)
+        name = _name_of(row.key)
         if row.value is None:
-            self._indexes.of(row.key).remove(_name_of(row.key))
+            self.versions.note(row, name)
+            self._indexes.of(row.key).remove(name)
             return
         typed = rows.decode(row.key, row.value)
         if isinstance(typed, TableFault):
+            self.versions.note(row, name)
             self.rejected[row.key] = Rejected(row, typed)
             return
+        self.versions.note(row, typed.name)
         self._indexes.of(row.key).put(typed)
 
 
