--- a/bench/slopes_kinds.py
+++ b/bench/slopes_kinds.py
@@ -45,18 +45,22 @@
     count : int
         The larger of the two sizes.
     """
-    sizes = []
-    for number in (count // 2, count):
-        gc.collect()
-        tracemalloc.start()
-        kept = make(number)
-        gc.collect()
-        sizes.append(tracemalloc.get_traced_memory()[0])
-        tracemalloc.stop()
-        del kept
+    sizes = [bytes_of(make, number) for number in (count // 2, count)]
     return (sizes[1] - sizes[0]) / (count - count // 2)
 
 
+def bytes_of(make: Callable[[int], Any], number: int) -> int:
+    """Return the memory of a number of things."""
+    gc.collect()
+    tracemalloc.start()
+    kept = make(number)
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
 def cpu_us_each(work: Callable[[], Any], count: int) -> float:
     """Return microseconds of processor time of one call out of many."""
     began = time.process_time()
--- a/bench/slopes_routing.py
+++ b/bench/slopes_routing.py
@@ -14,18 +14,19 @@
 from balsamreach.telemetry.metrics import Metrics
 from bench import routing_cpu
 from bench.routing_loop import LoopClock, run_virtually
-from bench.slopes_kinds import Measure, Size, bytes_each, cpu_us_since
+from bench.slopes_kinds import Measure, Size, bytes_of, cpu_us_since
 
 _NEAR_TARGETS = 330
 
 
 def _memory(size: Size) -> Mapping[str, float]:
+    # Whole sums, since a mapping that grows by doubling has no even slope.
     count = size.scale(routing_cpu.TARGETS, 2000)
     _rows()
     return {
-        'target_listed_bytes': bytes_each(_list, count),
-        'target_found_bytes': bytes_each(_find, count),
-        'target_used_bytes': bytes_each(_use, count),
+        'listed_10000_bytes': bytes_of(_list, count),
+        'found_10000_bytes': bytes_of(_find, count),
+        'used_10000_bytes': bytes_of(_use, count),
     }
 
 
--- a/src/balsamreach/routing/adaptive.py
+++ b/src/balsamreach/routing/adaptive.py
@@ -22,7 +22,7 @@
 _FORGET = 0.02
 
 
-@attrs.define
+@attrs.define(weakref_slot=False)
 class AdaptiveLimit:
     """Additive increase and multiplicative decrease on first-byte times.
 
--- a/src/balsamreach/routing/affinity.py
+++ b/src/balsamreach/routing/affinity.py
@@ -49,16 +49,17 @@
     def _candidates(self, blocks: list[int], group: Group) -> Iterator[int]:
         root = blocks[min(_ROOT, len(blocks)) - 1]
         ring = list(itertools.islice(group.ring.walk(root), _MOST_STEPS))
-        holders = [
-            index
-            for index in map(group.find, self.hints.deepest(blocks))
-            if index is not None
-        ]
+        found = map(group.find, self.hints.deepest(blocks))
+        holders = [index for index in found if index is not None]
+        if not holders:
+            return iter(ring)
         # Among holders those on the ring go first: the other routers, which
         # may know of other holders, would choose them as well.
-        yield from (index for index in ring if index in holders)
-        yield from (index for index in holders if index not in ring)
-        yield from (index for index in ring if index not in holders)
+        return itertools.chain(
+            [index for index in ring if index in holders],
+            [index for index in holders if index not in ring],
+            [index for index in ring if index not in holders],
+        )
 
     def _remember(self, blocks: list[int], group: Group, index: int) -> None:
         self.hints.stored(blocks[-1], group.members[index].name)
--- a/src/balsamreach/routing/breaker.py
+++ b/src/balsamreach/routing/breaker.py
@@ -9,7 +9,7 @@
 _JITTER = 0.25
 
 
-@attrs.define
+@attrs.define(weakref_slot=False)
 class Breaker:
     """Circuit breaker of one target.
 
--- a/src/balsamreach/routing/hints.py
+++ b/src/balsamreach/routing/hints.py
@@ -21,12 +21,12 @@
 def hash_blocks(prefix: bytes) -> list[int]:
     """Return the hash of each full block together with all before it."""
     digest = xxhash.xxh3_64()
-    hashes = []
+    update, read = digest.update, digest.intdigest
     full = min(len(prefix) // BLOCK_BYTES, _DEEPEST)
-    for number in range(full):
-        start = number * BLOCK_BYTES
-        digest.update(prefix[start : start + BLOCK_BYTES])
-        hashes.append(digest.intdigest())
+    hashes = []
+    for start in range(0, full * BLOCK_BYTES, BLOCK_BYTES):
+        update(prefix[start : start + BLOCK_BYTES])
+        hashes.append(read())
     return hashes
 
 
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 import random
+from array import array
 from collections.abc import Callable, Iterator, Sequence
 
 import attrs
@@ -17,7 +18,7 @@
 from balsamreach.targets.registry import Target, Targets
 
 _DRAWS = 8
-#: Members looked at for the mean load of a large group.
+#: Members looked at, at least, for the mean load of a large group.
 _SAMPLE = 16
 #: Others' mean load is worked out anew after this many seconds.
 _MEAN_AGE = 0.25
@@ -42,7 +43,7 @@
     weights: tuple[float, ...]
     ring: Ring = attrs.field(init=False)
     turn: int = 0
-    _steps: list[float] = attrs.field(init=False)
+    _steps: array = attrs.field(init=False)
     _places: dict[str, int] = attrs.field(init=False)
     _mean: float = 0
     _mean_at: float = float('-inf')
@@ -50,7 +51,7 @@
     def __attrs_post_init__(self) -> None:
         names = [state.name for state in self.members]
         self.ring = make_ring(names, self.weights)
-        self._steps = list(itertools.accumulate(self.weights))
+        self._steps = array('d', itertools.accumulate(self.weights))
         self._places = {name: place for place, name in enumerate(names)}
 
     def find(self, name: str) -> int | None:
@@ -112,17 +113,12 @@
 
     def mean_load(self, rng: random.Random, now: float) -> float:
         """Return the load per weight, of a sample where there are many."""
-        sample = self._sample(rng)
-        held = sum(self.members[index].held for index in sample)
-        weight = sum(self.weights[index] for index in sample)
+        step = max(1, len(self.members) // _SAMPLE)
+        first = int(rng.random() * step)
+        held = sum(state.held for state in self.members[first::step])
+        weight = sum(self.weights[first::step])
         return held / weight + self._mean_others(now)
 
-    def _sample(self, rng: random.Random) -> Sequence[int]:
-        size = len(self.members)
-        if size <= _SAMPLE:
-            return range(size)
-        return rng.sample(range(size), _SAMPLE)
-
     def _mean_others(self, now: float) -> float:
         if now - self._mean_at >= _MEAN_AGE:
             self._mean_at = now
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -17,7 +17,7 @@
 _TRUST = 1.5
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, weakref_slot=False)
 class TargetState:
     """One target as the choice sees it.
 
