Tell what can't be listened on, and print the trial's commands in time

Change: the trial waits until the table is in force; the rest is checked or turned into a sentence with exit code 2 that names file, section and key.

--- a/src/balsamreach/config/faults.py
+++ b/src/balsamreach/config/faults.py
@@ -33,6 +33,20 @@
         reason = '\n'.join(problems)
         return attrs.evolve(self, reason=reason, problems=problems)
 
+    def in_file(self, path: str | None) -> 'ConfigFault':
+        """Return the same fault whose problems name the settings file.
+
+        Parameters
+        ----------
+        path : str or None
+            The file; None if the settings came without one.
+        """
+        if path is None:
+            return self
+        return self.listing(
+            tuple(f'{path}: {problem}' for problem in self.problems),
+        )
+
 
 #: A single value can't be read; the reason says what to write instead.
 BAD_VALUE = ConfigFault('config_bad_value')
--- a/src/balsamreach/config/listeners.py
+++ b/src/balsamreach/config/listeners.py
@@ -1,6 +1,7 @@
 """What the sections of all listeners share, and the check of their ports."""
 
 import contextlib
+import errno
 import ipaddress
 import socket
 from typing import Any
@@ -66,9 +67,9 @@
     with contextlib.ExitStack() as stack:
         for section, listener in listeners.items():
             sock = stack.enter_context(_new_socket(listener.address))
-            reason = _try_bind(sock, listener)
-            if reason:
-                problems.append(_describe(section, listener, reason))
+            exc = _try_bind(sock, listener)
+            if exc is not None:
+                problems.append(_describe(section, listener, exc))
     return BAD_LISTENER.listing(tuple(problems)) if problems else None
 
 
@@ -78,7 +79,7 @@
     return socket.socket(family, socket.SOCK_STREAM)
 
 
-def _try_bind(sock: socket.socket, listener: Listener) -> str:
+def _try_bind(sock: socket.socket, listener: Listener) -> OSError | None:
     # Without the reuse option a port whose last connections still linger
     # would be called in use, although the server itself could bind it.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -86,11 +87,16 @@
         sock.bind((listener.address, listener.port))
         sock.listen(1)
     except OSError as exc:
-        return exc.strerror or str(exc)
-    return ''
+        return exc
+    return None
 
 
-def _describe(section: str, listener: Listener, reason: str) -> str:
+def _describe(section: str, listener: Listener, exc: OSError) -> str:
+    if exc.errno == errno.EADDRNOTAVAIL:
+        return (
+            f'[{section}] address: {listener.address} is no address of this '
+            'machine; set one of its IP numbers here or under [host]'
+        )
     place = f'[{section}] port: {listener.address} port {listener.port}'
-    cause = reason.lower()
+    cause = (exc.strerror or str(exc)).lower()
     return f'{place}: {cause}; stop the other program or set another port'
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -48,10 +48,13 @@
     ----------
     cfg : Settings
         Its settings.
+    ready : asyncio.Event
+        Set once the table is in force here.
     """
 
     cfg: Settings
     state: str = STARTING
+    ready: asyncio.Event = attrs.field(factory=asyncio.Event)
     parts: Parts = attrs.field(init=False)
     guard: Guard = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
@@ -157,6 +160,7 @@
                 # teams, while every open stream stands still.
                 gc.collect()
                 gc.freeze()
+                self.ready.set()
             await table.follower.pause()
 
     def _take_rows(self, fresh: tuple[Row, ...]) -> None:
--- a/src/balsamreach/trial/fleet.py
+++ b/src/balsamreach/trial/fleet.py
@@ -59,7 +59,7 @@
         return None
 
     async def start(self) -> None:
-        """Start everything and fill the table."""
+        """Start everything, fill the table and wait for it to be in force."""
         plan = self.plan
         platform = await start_platform(PlatformSettings(port=plan.platform))
         self.standins.append(platform)
@@ -69,6 +69,10 @@
             router = Router(_settings(plan, number))
             await router.start()
             self.routers.append(router)
+        # A command that is pasted, or run by a script, before the table is
+        # in force would be refused as if the trial were broken.
+        for router in self.routers:
+            await router.ready.wait()
 
     async def stop(self) -> None:
         """Let the routers leave, then stop the stand-ins."""
--- a/src/balsamreach/trial/plan.py
+++ b/src/balsamreach/trial/plan.py
@@ -14,6 +14,9 @@
 _SERVICE_PORT = 18500
 _PREPAID = 100_000
 MODEL = 'model-a'
+TEAM = 'winders'
+#: With a greater shift a port would be beyond the last one.
+MOST_SHIFT = 65535 - _SERVICE_PORT
 
 
 @attrs.frozen
@@ -125,7 +128,7 @@
     def _teams(self) -> tuple[TeamRow, ...]:
         return (
             TeamRow(
-                name='winders',
+                name=TEAM,
                 prepaid=_PREPAID,
                 key_hashes=(hash_key(self.team_key),),
             ),
--- a/src/balsamreach/ui/budget.py
+++ b/src/balsamreach/ui/budget.py
@@ -1,7 +1,9 @@
 """Command ``budget``."""
 
 import asyncio
+import json
 
+import attrs
 import click
 
 from balsamreach.budget.faults import STILL_LISTED, BudgetFault
@@ -30,6 +32,7 @@
 @click.argument('incarnation')
 @click.option('--by', required=True, help='Who says that it is dead.')
 @click.option('-y', '--yes', is_flag=True, help='Do not ask.')
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
 @settings_options('Settings file that names the platform.')
 def release(
     incarnation: str,
@@ -38,6 +41,7 @@
     overrides: tuple[str, ...],
     *,
     yes: bool,
+    as_json: bool,
 ) -> None:
     """Give back what a dead router holds whose address is not used again."""
     cfg = load_settings(path, overrides)
@@ -48,6 +52,9 @@
         listed = outcome == STILL_LISTED
         code = exit_codes.CONFLICT if listed else exit_codes.UNREACHABLE
         raise CommandError('release the allotments', outcome, code)
+    if as_json:
+        click.echo(json.dumps(attrs.asdict(outcome), indent=2))
+        return
     for team, tokens in sorted(outcome.returned.items()):
         click.echo(f'{team}: {tokens} tokens returned')
     if outcome.kept:
--- a/src/balsamreach/ui/check_config.py
+++ b/src/balsamreach/ui/check_config.py
@@ -60,8 +60,8 @@
     problems: list[str] = []
     for fault in (check_certificates(settings), check_ports(settings)):
         if fault is not None:
-            problems.extend(fault.problems)
-    return tuple(f'{path}: {problem}' for problem in problems)
+            problems.extend(fault.in_file(path).problems)
+    return tuple(problems)
 
 
 def _as_rows(checked: dict[str, tuple[str, ...]]) -> list[dict[str, object]]:
--- a/src/balsamreach/ui/serve.py
+++ b/src/balsamreach/ui/serve.py
@@ -27,7 +27,7 @@
     cfg = load_settings(path, overrides)
     for fault in (check_certificates(cfg), check_ports(cfg)):
         if fault is not None:
-            raise settings_error(fault)
+            raise settings_error(fault.in_file(path))
     tls = load_tls(cfg.peers)
     if isinstance(tls, PeerFault):
         raise CommandError('read the TLS files', tls, exit_codes.USAGE)
--- a/src/balsamreach/ui/standin.py
+++ b/src/balsamreach/ui/standin.py
@@ -6,7 +6,10 @@
 import attrs
 import click
 
+from balsamreach.config.faults import ConfigFault
+from balsamreach.config.views import read_address
 from balsamreach.daemon.run import Role, run_until_stopped
+from balsamreach.faults import Fault
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.serve import (
     PlatformSettings,
@@ -16,9 +19,33 @@
     start_service,
 )
 from balsamreach.standins.service import ServiceSettings
+from balsamreach.ui import exit_codes
+from balsamreach.ui.errors import CommandError
 
-_ip = click.option('--ip', default='127.0.0.1', show_default=True)
-_port = click.option('--port', default=0, help='0 takes a free one.')
+_MOST_PORT = 65535
+#: A stand-in can't listen where it was told to.
+_CANT_LISTEN = Fault('cant_listen')
+
+
+def _read_ip(_ctx: click.Context, _param: click.Parameter, text: str) -> str:
+    address = read_address(text)
+    if isinstance(address, ConfigFault):
+        raise click.BadParameter(address.reason)
+    return address
+
+
+_ip = click.option(
+    '--ip',
+    default='127.0.0.1',
+    show_default=True,
+    callback=_read_ip,
+)
+_port = click.option(
+    '--port',
+    default=0,
+    type=click.IntRange(0, _MOST_PORT),
+    help='0 takes a free one.',
+)
 _zone = click.option('--zone', default='zone-a', show_default=True)
 
 
@@ -30,13 +57,22 @@
     running: Running | None = None
 
     async def start(self) -> None:
-        """Start it and print one line that says where it listens."""
-        if isinstance(self.settings, EngineSettings):
-            self.running = await start_engine(self.settings)
-        elif isinstance(self.settings, ServiceSettings):
-            self.running = await start_service(self.settings)
-        else:
-            self.running = await start_platform(self.settings)
+        """Start it and print one line that says where it listens.
+
+        Raises
+        ------
+        CommandError
+            If it can't listen there.
+        """
+        place = f'{self.settings.ip} port {self.settings.port}'
+        try:
+            self.running = await self._open()
+        except OSError as exc:
+            fault = _CANT_LISTEN.because(
+                f'{place}: {exc.strerror}; give another --ip or --port',
+            )
+            verb = 'start the stand-in'
+            raise CommandError(verb, fault, exit_codes.USAGE) from exc
         click.echo(json.dumps({'address': self.running.address}))
 
     async def leave(self) -> None:
@@ -44,6 +80,13 @@
         if self.running is not None:
             await self.running.stop()
 
+    async def _open(self) -> Running:
+        if isinstance(self.settings, EngineSettings):
+            return await start_engine(self.settings)
+        if isinstance(self.settings, ServiceSettings):
+            return await start_service(self.settings)
+        return await start_platform(self.settings)
+
 
 @click.group('standin')
 def command() -> None:
--- a/tests/test_budget_releasing.py
+++ b/tests/test_budget_releasing.py
@@ -1,5 +1,6 @@
 """What a dead router holds is released on an operator's word."""
 
+import json
 import logging
 import unittest
 
@@ -178,6 +179,11 @@
         self.assertIn('team: 400 tokens returned', ended.output)
         self.assertEqual(self.server.read(account_key('team'))['taken'], 0)
 
+    def test_json(self):
+        ended = self.release('--yes', '--json')
+        told = json.loads(ended.stdout)
+        self.assertEqual(told, {'returned': {'team': 400}, 'kept': 0})
+
     def test_platform_away(self):
         self.server.go_down()
         ended = self.release('--yes')
--- a/tests/test_ui_check_config.py
+++ b/tests/test_ui_check_config.py
@@ -1,14 +1,18 @@
 """Tests of the command ``check-config``."""
 
 import json
+import socket
 import unittest
 from pathlib import Path
 
 from click.testing import CliRunner
+from parameterized import parameterized
 
 from balsamreach.ui import exit_codes
 from balsamreach.ui.main import main
 
+_BASE = '[host]\nzone = a\n[operators]\nport = 0\n'
+
 
 class CheckConfigTest(unittest.TestCase):
     """Every problem is named, and the exit code says it."""
@@ -42,5 +46,27 @@
         ran = self.run_main('good.ini', '--set', 'callers.port=x')
         self.assertEqual(ran.exit_code, exit_codes.USAGE)
 
+    @parameterized.expand(
+        (
+            ('port', '[callers]\nport = {port}\n', '[callers] port: '),
+            (
+                'address',
+                '[callers]\naddress = 192.0.2.1\n',
+                '[callers] address: ',
+            ),
+            ('file', '[peers]\ntls_certificate = /no\n', '[peers] tls_key: '),
+        )
+    )
+    def test_what_the_machine_lacks_names_file_and_key(self, _, text, told):
+        with socket.create_server(('127.0.0.1', 0)) as sock:
+            port = sock.getsockname()[1]
+            content = _BASE + text.format(port=port)
+            Path('host.ini').write_text(content, 'utf-8')
+            checked = self.run_main('--ports', 'host.ini')
+            served = self.runner.invoke(main, ['serve', '-c', 'host.ini'])
+        for ran in (checked, served):
+            self.assertEqual(ran.exit_code, exit_codes.USAGE, ran.output)
+            self.assertIn(f'host.ini: {told}', ran.stderr)
+
     def test_no_file(self):
         self.assertEqual(self.run_main().exit_code, exit_codes.USAGE)
--- a/tests/test_ui_main.py
+++ b/tests/test_ui_main.py
@@ -1,10 +1,13 @@
 """Tests of the group of commands."""
 
+import socket
 import unittest
 
 from click.testing import CliRunner
+from parameterized import parameterized
 
 from balsamreach import __version__
+from balsamreach.trial.plan import Plan
 from balsamreach.ui import exit_codes
 from balsamreach.ui.main import COMMANDS, main
 
@@ -25,3 +28,32 @@
     def test_unknown_command(self):
         ran = CliRunner().invoke(main, ['nothing'])
         self.assertEqual(ran.exit_code, exit_codes.USAGE)
+
+    @parameterized.expand(
+        (
+            ('port', ('standin', 'engine', '--port', 'PORT'), '--port'),
+            ('name', ('standin', 'platform', '--ip', 'localhost'), 'IP number'),
+            ('range', ('standin', 'service', '--port', '65536'), '65535'),
+            ('shift', ('trial', '--shift', '60000'), 'shift'),
+            ('below', ('trial', '--shift', '-20000'), 'shift'),
+            ('trial', ('trial', '--shift', 'SHIFT'), 'other trial'),
+        )
+    )
+    def test_place_that_can_not_be_taken(self, _, arguments, told):
+        """Symptom: a traceback instead of a sentence.
+
+        Events: a newcomer starts something twice, or mistypes a place.
+        Cause: what the machine says was not turned into an error.
+        """
+        with socket.create_server(('127.0.0.1', 0)) as sock:
+            port = sock.getsockname()[1]
+            places = {'PORT': str(port), 'SHIFT': str(_shift_to(port))}
+            words = [places.get(word, word) for word in arguments]
+            ran = CliRunner().invoke(main, words)
+        self.assertEqual(ran.exit_code, exit_codes.USAGE, ran.output)
+        self.assertIn(told, ran.output)
+
+
+def _shift_to(port: int) -> int:
+    """Return the shift with which a trial needs the port."""
+    return port - min(Plan().ports().values())
