Tell callers of an exhausted budget without a figure that misleads

Change: the refusal says that too few tokens are left; both places that refuse so use one function. Conclusion: the text holds whatever part routers hold.

--- a/src/balsamreach/budget/faults.py
+++ b/src/balsamreach/budget/faults.py
@@ -34,3 +34,13 @@
 STILL_LISTED = BudgetFault('still_listed')
 #: This router is shutting down and has given its allotments back.
 LEFT = BudgetFault('router_left', retry_after=1)
+
+
+def too_little(team: str) -> BudgetFault:
+    """Return that too little of a team's budget is left for a request.
+
+    How much is left isn't said: part of it is held by routers, and a figure
+    that leaves it out would tell a caller less than what a smaller request
+    could still have.
+    """
+    return EXHAUSTED.because(f'team {team} has too few tokens left')
--- a/src/balsamreach/budget/moves.py
+++ b/src/balsamreach/budget/moves.py
@@ -11,10 +11,10 @@
     encode,
 )
 from balsamreach.budget.faults import (
-    EXHAUSTED,
     NO_ACCOUNT,
     TAKEN_OVER,
     BudgetFault,
+    too_little,
 )
 from balsamreach.budget.recording import record_loans
 from balsamreach.platform.base import Check, Row, Write
@@ -161,9 +161,7 @@
     account = decode_account(records.account.value)
     amount = _amount(move, account.free)
     if amount < move.least:
-        return EXHAUSTED.because(
-            f'team {move.team} has {account.free} tokens free',
-        )
+        return too_little(move.team)
     loans = record_loans(move.loans, records.lenders)
     drawn = attrs.evolve(
         own,
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -11,6 +11,7 @@
     EXHAUSTED,
     NO_ALLOTMENT,
     BudgetFault,
+    too_little,
 )
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.loans import Loans
@@ -213,7 +214,7 @@
         if self._is_away():
             return NO_ALLOTMENT.because('the table service is away')
         if self.sizing.is_empty(ledger):
-            return EXHAUSTED.because(f'team {ledger.team} has nothing free')
+            return too_little(ledger.team)
         for _ in range(_TRIES):
             outcome = await self.book.move(partial(self._wanted, ledger))
             if isinstance(outcome, BudgetFault):
