Make a router's parts step by step

Cause: make_parts built table, budgets and the watch over targets in one body of 81 lines, most of them arguments of four constructors. Change: a function for each of the three; make_parts reads as the list of parts. Conclusion: a new part has a place to go.

--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -87,77 +87,99 @@
         Metrics(),
     )
     clock = net.clock
-    metrics = net.metrics
-    service = table_service(cfg, metrics, clock)
+    service = table_service(cfg, net.metrics, clock)
+    table = _make_table(cfg, net, service)
+    targets = Targets(warm_time=cfg.power.warm_time)
+    budgets = _make_budgets(cfg, net, service)
+    routing = make_routing(cfg, targets, clock, net.rng, net.metrics, net)
+    watch = _make_watch(cfg, net, service, targets, routing)
+    upstream = CurlUpstream(cfg)
+    tries = make_try_parts(
+        cfg.requests,
+        routing,
+        TracedUpstream(upstream, net.metrics, clock),
+        watch.watch.announcements,
+    )
+    return Parts(
+        cfg=cfg,
+        incarnation=net.me.incarnation,
+        clock=clock,
+        rng=net.rng,
+        metrics=net.metrics,
+        net=net,
+        service=service,
+        table=table,
+        targets=targets,
+        routing=routing,
+        budgets=budgets,
+        upstream=upstream,
+        dispatcher=_make_dispatcher(cfg, net, budgets, targets, tries),
+        watch=watch,
+    )
+
+
+def _make_table(
+    cfg: Settings,
+    net: TcpPeerNet,
+    service: TableService,
+) -> TableParts:
+    objects = HttpObjectStore(platform_client(cfg, cfg.platform.objects))
     table = make_table_parts(
         TableNeeds(
             cfg=cfg,
             service=service,
-            objects=HttpObjectStore(platform_client(cfg, cfg.platform.objects)),
+            objects=objects,
             net=net,
-            clock=clock,
+            clock=net.clock,
             rng=net.rng,
-            metrics=metrics,
+            metrics=net.metrics,
         ),
     )
     net.greeter.table_version = table.follower.announced
-    targets = Targets(warm_time=cfg.power.warm_time)
-    budgets = Budgets(
+    return table
+
+
+def _make_budgets(
+    cfg: Settings,
+    net: TcpPeerNet,
+    service: TableService,
+) -> Budgets:
+    return Budgets(
         service,
         net.me.incarnation,
         cfg.budget,
-        clock,
+        net.clock,
         net=net,
         # With port 0 the next router on this host gets another port, and a
         # later one on the same port need not be this one's successor.
         address=net.me.address if cfg.peers.port else '',
         rng=net.rng,
-        metrics=metrics,
+        metrics=net.metrics,
     )
-    upstream = CurlUpstream(cfg)
-    routing = make_routing(cfg, targets, clock, net.rng, metrics, net)
-    watch = open_watch(
+
+
+def _make_watch(
+    cfg: Settings,
+    net: TcpPeerNet,
+    service: TableService,
+    targets: Targets,
+    routing: Routing,
+) -> WatchRunner:
+    hosts = HttpHostList(platform_client(cfg, cfg.platform.hosts))
+    weights = HttpWeightStore(platform_client(cfg, cfg.platform.weights))
+    return open_watch(
         WatchNeeds(
             cfg=cfg,
             targets=targets,
             routing=routing,
             net=net,
-            hosts=HttpHostList(platform_client(cfg, cfg.platform.hosts)),
-            weights=HttpWeightStore(
-                platform_client(cfg, cfg.platform.weights),
-            ),
+            hosts=hosts,
+            weights=weights,
             service=service,
-            clock=clock,
-            metrics=metrics,
+            clock=net.clock,
+            metrics=net.metrics,
         ),
     )
-    return Parts(
-        cfg=cfg,
-        incarnation=net.me.incarnation,
-        clock=clock,
-        rng=net.rng,
-        metrics=metrics,
-        net=net,
-        service=service,
-        table=table,
-        targets=targets,
-        routing=routing,
-        budgets=budgets,
-        upstream=upstream,
-        dispatcher=_make_dispatcher(
-            cfg,
-            net,
-            budgets,
-            targets,
-            make_try_parts(
-                cfg.requests,
-                routing,
-                TracedUpstream(upstream, metrics, clock),
-                watch.watch.announcements,
-            ),
-        ),
-        watch=watch,
-    )
 
 
 def _make_dispatcher(
