Call tokens back before a budget is refused to go down

Cause: a budget could not be lowered while routers held more than the new amount, which with an hour's cover is nearly always; the refusal named one number, and nothing asked the routers to hand back. Histories call back, and lower the budget to what is taken, at any moment. Conclusion: a prepaid budget goes down to what is spent and reserved.

--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -48,6 +48,9 @@
         Most that ``lent`` may become, as the durable allotment says.
     empty_until : float
         Time until which the account is taken to have nothing free.
+    recalled_until : float
+        Time until which no more is drawn than requests need, and what is
+        idle goes back.
     asked : int
         Tokens that peers ask for and that are not lendable yet.
     loans : dict of str to int
@@ -72,6 +75,7 @@
     lent: int = 0
     lendable: int = 0
     empty_until: float = 0
+    recalled_until: float = 0
     asked: int = 0
     loans: dict[str, int] = attrs.field(factory=dict)
     borrowed: dict[str, Loan] = attrs.field(factory=dict)
--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -33,6 +33,8 @@
 
     def target(self, ledger: Ledger) -> int:
         """Return the tokens that this router wants to hold unspent."""
+        if self._is_recalled(ledger):
+            return 0
         rate = ledger.rate.per_second(self.clock.now())
         cover = self.cfg.draw_ahead + self.cfg.partition_cover
         return int(rate * cover)
@@ -46,11 +48,14 @@
             The team's ledger.
         """
         needed = ledger.missing
+        least_draw = self.cfg.least_draw
+        if self._is_recalled(ledger):
+            least_draw = 0
         wanted = self.target(ledger) - ledger.available
         move = self._move(
             ledger,
             least=1,
-            most=max(needed, wanted, self.cfg.least_draw),
+            most=max(needed, wanted, least_draw),
         )
         return attrs.evolve(move, needed=needed)
 
@@ -64,6 +69,8 @@
         """
         target = self.target(ledger)
         held = ledger.available
+        if self._is_recalled(ledger) and ledger.own > 0:
+            return self._hand_back(ledger, ledger.own)
         if held < 0:
             return self._move(ledger, least=-held, most=target - held)
         if held < target * _REFILL_BELOW:
@@ -92,6 +99,12 @@
         """Return the move that only records loans taken."""
         return self._move(ledger)
 
+    def for_recall(self, ledger: Ledger) -> Move | None:
+        """Return the move that hands all idle tokens back, if any."""
+        if ledger.own > 0:
+            return self._hand_back(ledger, ledger.own)
+        return self._move(ledger) if ledger.borrowed else None
+
     def is_empty(self, ledger: Ledger) -> bool:
         """Return whether the account is known to have nothing free."""
         return self.clock.now() < ledger.empty_until
@@ -119,3 +132,6 @@
         if self.is_empty(ledger):
             return 0
         return ledger.billed + ledger.reserved + self.ahead(ledger)
+
+    def _is_recalled(self, ledger: Ledger) -> bool:
+        return self.clock.now() < ledger.recalled_until
--- a/src/balsamreach/budget/upkeep.py
+++ b/src/balsamreach/budget/upkeep.py
@@ -12,6 +12,7 @@
 from balsamreach.budget.faults import CONTENDED, NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.loans import Loans
 from balsamreach.budget.moves import Move
+from balsamreach.budget.recalling import Recalls
 from balsamreach.budget.recorder import OLDEST, WAITING, Recorder
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.takeover import Takeover
@@ -55,9 +56,15 @@
     takeover: Takeover
     peers: PeerParts | None
     metrics: Metrics
+    recalls: Recalls = attrs.field(init=False)
     _rounds: int = 0
     _teams: int = _MOST_TEAMS
 
+    def __attrs_post_init__(self) -> None:
+        """Take asks to hand tokens back."""
+        net = self.peers.loans.net if self.peers else None
+        self.recalls = Recalls(self.book, self.sizing, net)
+
     async def round(self) -> None:
         """Do everything that is due once."""
         self._rounds += 1
--- a/src/balsamreach/gateway/operators_table.py
+++ b/src/balsamreach/gateway/operators_table.py
@@ -11,6 +11,7 @@
     shown,
 )
 from balsamreach.gateway.operators_edits import Reading, describe_outcome
+from balsamreach.gateway.operators_lowering import apply_edit
 from balsamreach.platform.base import Scan
 from balsamreach.platform.faults import PlatformFault
 from balsamreach.table import faults
@@ -76,7 +77,7 @@
         if isinstance(edit, TableFault):
             self.refuse_fault(edit)
             return
-        outcome = await self.context.editor.apply(edit)
+        outcome = await apply_edit(self.context, edit)
         if isinstance(outcome, TableFault):
             self.refuse_fault(outcome)
             return
--- a/src/balsamreach/table/edits.py
+++ b/src/balsamreach/table/edits.py
@@ -206,7 +206,8 @@
     # a budget below what was handed out could be passed.
     if team.prepaid < account.taken:
         return BELOW_TAKEN.because(
-            f'{account.taken} tokens of {team.name} are spent or allotted',
+            f'{account.taken} tokens of {team.name} are spent or held by '
+            'routers; lower it by an edit of its own, which calls them back',
         ).against(stored.row)
     funded = attrs.evolve(account, prepaid=team.prepaid)
     return (Write(stored.account.key, encode(funded)),)
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -44,6 +44,8 @@
     ratePart @34 :RatePart;
     rateDemands @35 :RateDemands;
     rateShares @36 :RateShares;
+    recallAsk @37 :RecallAsk;
+    recallTold @38 :RecallTold;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that an ask belongs to; empty for none,
@@ -263,3 +265,13 @@
   routers @3 :UInt32;
   parts @4 :List(RatePart);
 }
+
+struct RecallAsk {
+  team @0 :Text;
+}
+
+struct RecallTold {
+  team @0 :Text;
+  spent @1 :Int64;
+  held @2 :Int64;
+}
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -239,6 +239,30 @@
     incarnation: str
 
 
+@attrs.frozen
+class RecallAsk(Message):
+    """Asks a router to hand back what it holds idle of a team's budget."""
+
+    team: str
+
+
+@attrs.frozen
+class RecallTold(Message):
+    """What a router has of a team's budget after it handed back.
+
+    Parameters
+    ----------
+    spent : int
+        Tokens of the bills that it made.
+    held : int
+        Tokens set aside for requests, or not handed back.
+    """
+
+    team: str
+    spent: int = 0
+    held: int = 0
+
+
 @attrs.frozen
 class RunNote(Message):
     """Tells a key's home router who runs a request, and where.
--- a/tests/test_budget_histories.py
+++ b/tests/test_budget_histories.py
@@ -86,6 +86,15 @@
     def top_up(self, tokens):
         self._run(self._fund(tokens))
 
+    @rule(name=_names, lower=st.booleans())
+    def recall(self, name, lower):
+        """Let routers hand back, and perhaps take what is free away."""
+        router = self.world.routers[self._now(name)]
+        self._run(self.world.clock.drive(router.upkeep.recalls.recall('team')))
+        if lower:
+            sums = self._run(self.world.audit()).teams['team']
+            self._run(self._fund(-sums.account.free))
+
     @rule(count=st.integers(1, 3))
     def lose_answers(self, count):
         self.world.platform.weather.lose_answers = count
