Reach targets' reports over TLS, and take renewed CAs within a minute

Cause: load reports, cache events and orders went to http:// whatever target_tls said, so with it every target was held to be dead. The platform could not be shown a certificate. Files for platform and targets, and a missing [peers] tls_ca, were found out while serving only. Conclusion: all ways out of a router follow the same settings and checks.

--- a/src/balsamreach/config/reader.py
+++ b/src/balsamreach/config/reader.py
@@ -16,7 +16,7 @@
 )
 from balsamreach.config.parsing import parse_ini
 from balsamreach.config.settings import Settings
-from balsamreach.config.tls import check_listener
+from balsamreach.config.tls import check_client, check_listener, check_mutual
 
 _OVERRIDES = 'override'
 
@@ -74,12 +74,12 @@
 
 
 def check_certificates(settings: Settings) -> ConfigFault | None:
-    """Try to load the PEM files of every listener.
+    """Try to load the PEM files of listeners and for platform and targets.
 
     Parameters
     ----------
     settings : Settings
-        Settings whose listeners are not yet bound.
+        Settings that name the files.
 
     Returns
     -------
@@ -89,6 +89,8 @@
     problems: list[str] = []
     for section, listener in _listeners(settings):
         problems.extend(check_listener(section, listener))
+    problems.extend(check_mutual('peers', settings.peers))
+    problems.extend(_check_clients(settings))
     if problems:
         return BAD_SETTINGS.listing(tuple(problems))
     return None
@@ -206,3 +208,14 @@
         section = getattr(settings, field.name)
         if isinstance(section, Listener):
             yield field.name, section
+
+
+def _check_clients(settings: Settings) -> Iterator[str]:
+    for section, prefix in (('platform', 'tls'), ('routing', 'target_tls')):
+        keys = {
+            f'{prefix}_{name}': getattr(
+                getattr(settings, section), f'{prefix}_{name}'
+            )
+            for name in ('ca', 'certificate', 'key')
+        }
+        yield from check_client(section, keys)
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -75,6 +75,8 @@
     connect_timeout: float = key(units.read_duration)
     request_timeout: float = key(units.read_duration)
     tls_ca: str = key(views.read_text)
+    tls_certificate: str = key(views.read_text)
+    tls_key: str = key(views.read_text)
 
 
 @attrs.frozen
--- a/src/balsamreach/config/tls.py
+++ b/src/balsamreach/config/tls.py
@@ -42,6 +42,51 @@
     return ()
 
 
+def check_mutual(section: str, listener: Listener) -> tuple[str, ...]:
+    """Return what is missing where both ends must show a certificate."""
+    if listener.tls_certificate and not listener.tls_ca:
+        return (f'[{section}] tls_ca: missing; name the CA of the routers',)
+    return ()
+
+
+def check_client(section: str, keys: dict[str, str]) -> tuple[str, ...]:
+    """Return what is wrong with the PEM files for servers, if anything.
+
+    Parameters
+    ----------
+    section : str
+        Section of the settings that names the files.
+    keys : dict
+        Paths of the CA, the certificate and its key, in this order, by
+        their key in the section.
+    """
+    problems = [_unreadable(name, path) for name, path in keys.items()]
+    problems.append(_unfit(keys))
+    return tuple(f'[{section}] {text}' for text in problems if text)
+
+
+def _unfit(keys: dict[str, str]) -> str:
+    names = tuple(keys)
+    ca, certificate, own_key = keys.values()
+    if bool(certificate) != bool(own_key):
+        missing = names[2] if certificate else names[1]
+        return f'{missing}: missing; name it, or neither it nor its pair'
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    name = names[0]
+    try:
+        if ca:
+            context.load_verify_locations(ca)
+        name = names[1]
+        if certificate:
+            context.load_cert_chain(certificate, own_key)
+    except ssl.SSLError as exc:
+        return f'{name}: {keys[name]}: no PEM file that fits ({_explain(exc)})'
+    except OSError:
+        # Told already as a file that can't be read.
+        return ''
+    return ''
+
+
 def _missing_key(listener: Listener) -> str:
     if listener.tls_certificate and not listener.tls_key:
         return 'tls_key: missing; name the PEM file of the private key'
--- a/src/balsamreach/daemon/clients.py
+++ b/src/balsamreach/daemon/clients.py
@@ -2,8 +2,9 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
+from balsamreach.curl_tls import CurlTls
 from balsamreach.platform.base import TableService
-from balsamreach.platform.http import PlatformClient, TlsSettings
+from balsamreach.platform.http import PlatformClient
 from balsamreach.platform.table_http import HttpTableService
 from balsamreach.platform.traced import TracedTableService
 from balsamreach.telemetry.metrics import Metrics
@@ -15,7 +16,11 @@
         base_url,
         cfg.platform.connect_timeout,
         cfg.platform.request_timeout,
-        TlsSettings(ca_certs=cfg.platform.tls_ca or None),
+        CurlTls(
+            ca=cfg.platform.tls_ca,
+            certificate=cfg.platform.tls_certificate,
+            key=cfg.platform.tls_key,
+        ),
     )
 
 
--- a/src/balsamreach/gateway/curl_options.py
+++ b/src/balsamreach/gateway/curl_options.py
@@ -8,6 +8,7 @@
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.upstream import Attempt
 from balsamreach.gateway.curl_transfer import Transfer
+from balsamreach.gateway.target_tls import target_tls, target_url
 
 _BODY_METHODS = frozenset(('POST', 'PUT', 'PATCH'))
 #: Seconds without use after which a pooled connection isn't used again.
@@ -50,14 +51,15 @@
         """Set all options of a handle that has none."""
         self._set_request(curl, attempt)
         self._set_reuse(curl, attempt)
-        self._set_tls(curl)
+        if self.cfg.routing.target_tls:
+            target_tls(self.cfg.routing).prepare(curl)
         _set_callbacks(curl, transfer)
 
     def _set_request(self, curl: pycurl.Curl, attempt: Attempt) -> None:
         call = attempt.call
-        scheme = 'https' if self.cfg.routing.target_tls else 'http'
         address = attempt.target.row.address
-        curl.setopt(pycurl.URL, f'{scheme}://{address}{call.path}')
+        url = target_url(self.cfg.routing, address, call.path)
+        curl.setopt(pycurl.URL, url)
         # Targets are given by address: a proxy named in the environment
         # must not come between.
         curl.setopt(pycurl.NOPROXY, '*')
@@ -96,16 +98,6 @@
             self._silences.pop(address)
         return min(age, since)
 
-    def _set_tls(self, curl: pycurl.Curl) -> None:
-        routing = self.cfg.routing
-        if not routing.target_tls:
-            return
-        if routing.target_tls_ca:
-            curl.setopt(pycurl.CAINFO, routing.target_tls_ca)
-        if routing.target_tls_certificate:
-            curl.setopt(pycurl.SSLCERT, routing.target_tls_certificate)
-            curl.setopt(pycurl.SSLKEY, routing.target_tls_key)
-
 
 def _set_method(curl: pycurl.Curl, call: Call) -> None:
     if call.method in _BODY_METHODS:
--- a/src/balsamreach/gateway/target_client.py
+++ b/src/balsamreach/gateway/target_client.py
@@ -10,6 +10,7 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
+from balsamreach.gateway.target_tls import target_tls, target_url
 from balsamreach.targets.client import (
     CacheEvent,
     CacheEvents,
@@ -40,13 +41,15 @@
     Parameters
     ----------
     cfg : Settings
-        The longest wait for an answer.
+        The longest wait for an answer, and TLS.
     clock : Clock
         Source of the moments at which reports were asked for.
     """
 
     def __init__(self, cfg: Settings, clock: Clock) -> None:
         self._timeout = cfg.targets.poll_timeout
+        self._routing = cfg.routing
+        self._tls = target_tls(cfg.routing)
         self._clock = clock
         self._client = CurlAsyncHTTPClient(
             force_instance=True,
@@ -61,10 +64,10 @@
     ) -> LoadReport | TargetFault:
         """Ask for a load report."""
         asked_at = self._clock.now()
-        prepare = _prepare_fresh if fresh else _prepare
+        prepare = self._prepare_fresh if fresh else self._prepare
         body = await self._fetch(
             HTTPRequest(
-                f'http://{address}/load',
+                target_url(self._routing, address, '/load'),
                 prepare_curl_callback=prepare,
                 **self._timeouts(),
             ),
@@ -79,10 +82,11 @@
         since: int,
     ) -> CacheEvents | TargetFault:
         """Ask for cache events from a sequence number on."""
+        path = f'/cache-events?since={since}'
         body = await self._fetch(
             HTTPRequest(
-                f'http://{address}/cache-events?since={since}',
-                prepare_curl_callback=_prepare,
+                target_url(self._routing, address, path),
+                prepare_curl_callback=self._prepare,
                 **self._timeouts(),
             ),
         )
@@ -104,11 +108,11 @@
         }
         body = await self._fetch(
             HTTPRequest(
-                f'http://{address}/orders',
+                target_url(self._routing, address, '/orders'),
                 method='POST',
                 headers={'Content-Type': 'application/json'},
                 body=json.dumps(fields),
-                prepare_curl_callback=_prepare_fresh,
+                prepare_curl_callback=self._prepare_fresh,
                 **self._timeouts(),
             ),
         )
@@ -142,18 +146,17 @@
         except ValueError:
             return ODD_ANSWER.because('the answer is not JSON')
 
-
-def _prepare(curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_AGE_S)
-    curl.setopt(pycurl.NOPROXY, '*')
-    # The handle is pooled: what the last request asked for would stick.
-    curl.setopt(pycurl.FRESH_CONNECT, 0)
-    curl.setopt(pycurl.FORBID_REUSE, 0)
-
-
-def _prepare_fresh(curl: pycurl.Curl) -> None:
-    _prepare(curl)
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_AGE_S)
+        curl.setopt(pycurl.NOPROXY, '*')
+        # The handle is pooled: what the last request asked for would stick.
+        curl.setopt(pycurl.FRESH_CONNECT, 0)
+        curl.setopt(pycurl.FORBID_REUSE, 0)
+        self._tls.prepare(curl)
+
+    def _prepare_fresh(self, curl: pycurl.Curl) -> None:
+        self._prepare(curl)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
 def _read_events(body: Mapping[str, Any]) -> CacheEvents | TargetFault:
--- a/src/balsamreach/platform/http.py
+++ b/src/balsamreach/platform/http.py
@@ -8,6 +8,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from balsamreach.curl_tls import CurlTls
 from balsamreach.platform.faults import (
     CONFLICT,
     INVALID,
@@ -36,15 +37,6 @@
 )
 
 
-@attrs.frozen
-class TlsSettings:
-    """Certificates for services reached over TLS; empty uses defaults."""
-
-    ca_certs: str | None = None
-    client_cert: str | None = None
-    client_key: str | None = None
-
-
 @attrs.frozen
 class Call:
     """One request to a service.
@@ -72,6 +64,7 @@
     """What curl tells about one call while it is under way."""
 
     writes: bool
+    tls: CurlTls
     tries: int = 0
 
     def prepare(self, curl: pycurl.Curl) -> None:
@@ -83,6 +76,7 @@
         # must not come between.
         curl.setopt(pycurl.NOPROXY, '*')
         curl.setopt(pycurl.PREREQFUNCTION, self.before_send)
+        self.tls.prepare(curl)
 
     def before_send(self, *_addresses: Any) -> int:
         self.tries += 1
@@ -111,7 +105,7 @@
         Scheme, address and port, without a slash at the end.
     connect_timeout, request_timeout : float
         Seconds a connection and a whole call may take.
-    tls : TlsSettings
+    tls : CurlTls
         Certificates, where the address is https.
     max_clients : int
         Calls under way at a time.
@@ -120,7 +114,7 @@
     base_url: str
     connect_timeout: float = 2
     request_timeout: float = 5
-    tls: TlsSettings = attrs.Factory(TlsSettings)
+    tls: CurlTls = attrs.Factory(CurlTls)
     max_clients: int = 32
     _client: CurlAsyncHTTPClient | None = None
 
@@ -133,7 +127,7 @@
             UNREACHABLE means that nothing was sent, UNKNOWN that no answer
             came to what was sent.
         """
-        sending = _Sending(call.writes)
+        sending = _Sending(call.writes, self.tls)
         request = self._request(call, sending)
         try:
             response = await self._fetcher().fetch(request, raise_error=False)
@@ -175,9 +169,6 @@
             request_timeout=self.request_timeout,
             follow_redirects=False,
             user_agent='balsamreach',
-            ca_certs=self.tls.ca_certs,
-            client_cert=self.tls.client_cert,
-            client_key=self.tls.client_key,
             prepare_curl_callback=sending.prepare,
         )
 
--- /dev/null
+++ b/tests/test_curl_tls.py
@@ -0,0 +1,152 @@
+"""Tests of TLS towards platform and targets."""
+
+import ssl
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import attrs
+from parameterized import parameterized
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+from balsamreach import curl_tls
+from balsamreach.clock import SystemClock
+from balsamreach.config.reader import check_certificates, read_settings
+from balsamreach.daemon.clients import platform_client
+from balsamreach.faults import Fault
+from balsamreach.gateway.target_client import HttpTargetClient
+from balsamreach.platform.table_http import HttpTableService
+from balsamreach.standins.engine import Engine
+from balsamreach.standins.engine_http import make_engine_app
+from balsamreach.standins.engine_settings import EngineSettings
+from balsamreach.standins.memory import MemoryPlatform
+from balsamreach.standins.platform import make_platform_app
+from tests.tls_files import Files
+
+_KINDS = (('platform',), ('target',))
+
+
+class CurlTlsTest(unittest.IsolatedAsyncioTestCase):
+    """A server that asks a router for a certificate."""
+
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.files = Files(directory.name)
+        self.others = Files(Path(directory.name, 'others'))
+        # No test waits for a minute.
+        cache = mock.patch.object(curl_tls, 'CA_CACHE_S', 0)
+        cache.start()
+        self.addCleanup(cache.stop)
+
+    async def asyncSetUp(self):
+        platform = make_platform_app(MemoryPlatform.start(SystemClock()))
+        engine = make_engine_app(Engine(EngineSettings(), SystemClock()))
+        self.servers = {
+            'platform': HTTPServer(platform, ssl_options=self.context()),
+            'target': HTTPServer(engine, ssl_options=self.context()),
+        }
+        self.addresses = {}
+        for kind, server in self.servers.items():
+            sockets = bind_sockets(0, '127.0.0.1')
+            server.add_sockets(sockets)
+            port = sockets[0].getsockname()[1]
+            self.addresses[kind] = f'127.0.0.1:{port}'
+            self.addAsyncCleanup(server.close_all_connections)
+            self.addCleanup(server.stop)
+
+    def context(self):
+        context = ssl.create_default_context(
+            ssl.Purpose.CLIENT_AUTH,
+            cafile=self.files.ca,
+        )
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_cert_chain(self.files.certificate, self.files.key)
+        return context
+
+    def settings(self, files):
+        url = f'https://{self.addresses["platform"]}'
+        keys = ('platform.tls', 'routing.target_tls')
+        paths = (
+            ('ca', files.ca),
+            ('certificate', files.certificate),
+            ('key', files.key),
+        )
+        named = [f'{key}_{name}={path}' for key in keys for name, path in paths]
+        place = ('host.zone=zone-a', f'platform.table={url}')
+        return read_settings(None, (*place, 'routing.target_tls=yes', *named))
+
+    def client(self, kind, files):
+        """Return what asks the server of a kind, and closes after."""
+        cfg = self.settings(files)
+        if kind == 'target':
+            targets = HttpTargetClient(cfg, SystemClock())
+            self.addCleanup(targets.close)
+            return lambda: targets.load(self.addresses[kind], fresh=True)
+        sender = platform_client(cfg, cfg.platform.table)
+        self.addCleanup(sender.close)
+        return lambda: HttpTableService(sender).read(('a',))
+
+    @parameterized.expand(_KINDS)
+    async def test_both_ends_show_a_certificate(self, kind):
+        """Targets are reached over TLS, also for their load.
+
+        Symptom: with target_tls every target is held to be dead. Cause:
+        load reports were asked for in plain text.
+        """
+        answer = await self.client(kind, self.files)()
+        self.assertFalse(_failed(answer), answer)
+        strange = await self.client(kind, self.others)()
+        self.assertTrue(_failed(strange))
+
+    @parameterized.expand(_KINDS)
+    async def test_renewed_files_need_no_restart(self, kind):
+        """The CA is renewed while the router runs.
+
+        Symptom: for a day every server with a new certificate is strange.
+        Cause: curl keeps what it has read of the CA's file.
+        """
+        ask = self.client(kind, self.files)
+        self.assertFalse(_failed(await ask()))
+        self.files.renew()
+        server = self.servers[kind]
+        server.ssl_options = self.context()
+        await server.close_all_connections()
+        self.assertFalse(_failed(await ask()))
+
+    @parameterized.expand(
+        (
+            ('platform.tls_ca=/none.pem', '[platform] tls_ca: /none.pem'),
+            ('platform.tls_key=', '[platform] tls_key: missing'),
+            (
+                f'routing.target_tls_ca={__file__}',
+                '[routing] target_tls_ca: ',
+            ),
+            (
+                f'routing.target_tls_certificate={__file__}',
+                '[routing] target_tls_certificate: ',
+            ),
+            ('peers.tls_key=/none.pem', '[peers] tls_certificate: missing'),
+        )
+    )
+    def test_files_are_checked_before_the_start(self, override, told):
+        cfg = self.settings(self.files)
+        self.assertIsNone(check_certificates(cfg))
+        section, _, text = override.partition('.')
+        name, _, path = text.partition('=')
+        changed = attrs.evolve(getattr(cfg, section), **{name: path})
+        fault = check_certificates(attrs.evolve(cfg, **{section: changed}))
+        self.assertEqual(len(fault.problems), 1, fault.problems)
+        self.assertTrue(fault.problems[0].startswith(told), fault.problems)
+
+    def test_routers_need_their_ca(self):
+        given = self.files.settings('peers')
+        cfg = read_settings(None, ('host.zone=zone-a', *given))
+        fault = check_certificates(cfg)
+        self.assertTrue(fault.reason.startswith('[peers] tls_ca: missing'))
+
+
+def _failed(answer):
+    return isinstance(answer, Fault)
