Test shares over links that are opened for them

Cause: homes are told over links that stand for nothing else; the simulated nets have none to open. Change: five routers of two links each over real sockets, told to take the way of a large fleet, until one has more than its even share.

--- a/tests/test_routing_rates.py
+++ b/tests/test_routing_rates.py
@@ -1,14 +1,16 @@
 """Tests of rates over a fleet in which words go through homes."""
 
 import unittest
+from functools import partial
 from unittest import mock
 
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 from parameterized import parameterized
 
+from balsamreach.routing import fleet_rates
 from balsamreach.routing.demands import Demands, Told
-from balsamreach.routing.granted import Granted
+from balsamreach.routing.granted import FROM_HOME, Granted
 from balsamreach.routing.limits import TeamLimits
 from balsamreach.routing.rate_groups import (
     INTERVAL,
@@ -22,6 +24,7 @@
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import RateDemands, RatePart, RateShares
 from tests.fake_net import FakeNet, FakePeerNet
+from tests.peers_rig import Rig, names
 from tests.support import FakeClock
 
 _ROUTERS = 20
@@ -50,6 +53,14 @@
     return tuple(one for one in every if one.zone != net.me.zone)
 
 
+def _asks_and_has_more(limits, share):
+    for _ in range(2):
+        limits[0].enter(_ROW, 1)
+    for one in limits:
+        one.tick()
+    return limits[0].share('team') > share
+
+
 class HomesTest(unittest.IsolatedAsyncioTestCase):
     """Twenty routers in two zones, too many to tell all others."""
 
@@ -240,6 +251,33 @@
         self.assertGreater(sum(admitted), 30 * 80 * 0.9)
 
 
+class LinksTest(unittest.IsolatedAsyncioTestCase):
+    """Routers that tell each other over real links."""
+
+    async def test_homes_are_reached_over_links_opened_for_it(self):
+        """Shares come although no lasting link leads to a home.
+
+        Symptom: each router of a large fleet stays at the even share.
+        Events: words are told where no link stands. Cause: a first word
+        that only opens the link is not followed by another.
+        """
+        rig = Rig()
+        self.addAsyncCleanup(rig.stop)
+        first = await rig.start('router-0', 'peers.max_peers=2')
+        seeds = f'peers.seeds={first.me.address}'
+        for number in range(1, 5):
+            await rig.start(
+                f'router-{number}',
+                seeds,
+                'peers.max_peers=2',
+                zone=f'zone-{number % 2}',
+            )
+        await rig.until(lambda: {len(names(net)) for net in rig.nets} == {5})
+        with mock.patch.object(fleet_rates, 'SMALL', 0):
+            limits = [TeamLimits(rig.clock, net) for net in rig.nets]
+            await rig.until(partial(_asks_and_has_more, limits, 0.3))
+
+
 class RolesTest(unittest.TestCase):
     """Homes, roots and shares by themselves."""
 
@@ -260,7 +298,7 @@
         ),
     )
     def test_share_shrinks_with_its_age(self, _name, age, share):
-        granted = Granted()
+        granted = Granted(FROM_HOME)
         granted.ask(2, {_TEAM: 800_000})
         late = RateShares(TO_HOME, 0, 1, 1, (RatePart(_TEAM, 100),))
         self.assertFalse(granted.take(late, 0))
