--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -7,7 +7,7 @@
 import attrs
 
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import Commit, HostEntry, HostList, TableService
+from balsamreach.platform.base import Commit, HostEntry, HostList
 from balsamreach.platform.faults import UNAVAILABLE, UNKNOWN
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.power.rows import decode
@@ -18,6 +18,7 @@
 from balsamreach.telemetry.metrics import Metrics
 from tests.fake_net import FakeNet
 from tests.fake_targets import FakeHost, FakeTargets, VirtualClock, settle
+from tests.passing_table import PassingTable
 
 SERVICE = 'llm'
 ZONE = 'zone-a'
@@ -46,28 +47,19 @@
 
 
 @attrs.define(eq=False)
-class GatedTable(TableService):
+class GatedTable(PassingTable):
     """Table service as one router reaches it."""
 
-    inner: TableService
     before: Gate = attrs.field(factory=Gate)
     after: Gate = attrs.field(factory=Gate)
 
     async def commit(self, change: Commit):
         """Commit, held before or after it takes effect."""
         await self.before.passing()
-        outcome = await self.inner.commit(change)
+        outcome = await super().commit(change)
         await self.after.passing()
         return outcome
 
-    async def read(self, keys):
-        """Read rows."""
-        return await self.inner.read(keys)
-
-    async def scan(self, scan):
-        """Scan rows."""
-        return await self.inner.scan(scan)
-
 
 @attrs.define(eq=False)
 class PowerSwitch(HostList):
--- a/tests/test_dispatch_histories.py
+++ b/tests/test_dispatch_histories.py
@@ -15,12 +15,13 @@
 from hypothesis import strategies as st
 
 from balsamreach.dispatch import faults
-from balsamreach.platform.base import Scan, TableService
+from balsamreach.platform.base import Scan
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.wire.messages import AnswerAsk, RunAsk, RunsAsk
 from tests import fake_upstream
 from tests.fake_net import FakeNet
 from tests.fake_upstream import FakeUpstream, cut, pause
+from tests.passing_table import PassingTable
 from tests.small_router import (
     Caller,
     QuickClock,
@@ -91,27 +92,20 @@
 )
 
 
-@attrs.frozen
-class _Yielding(TableService):
+class _Yielding(PassingTable):
     """A table service that takes its time before and after each call."""
 
-    table: TableService
-
     async def commit(self, change):
         """Commit, so that a crash can come before or after it."""
         await asyncio.sleep(0)
-        outcome = await self.table.commit(change)
+        outcome = await super().commit(change)
         await asyncio.sleep(0)
         return outcome
 
     async def read(self, keys):
         """Read."""
         await asyncio.sleep(0)
-        return await self.table.read(keys)
-
-    async def scan(self, scan):
-        """Scan."""
-        return await self.table.scan(scan)
+        return await super().read(keys)
 
 
 class _Gone:
--- a/tests/test_dispatch_sharing.py
+++ b/tests/test_dispatch_sharing.py
@@ -8,12 +8,12 @@
 
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.sharing import LOOKUPS, Whereabouts
-from balsamreach.platform.base import TableService
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.wire.messages import RunAsk, RunNote, RunsAsk
 from tests import fake_upstream
 from tests.fake_net import FakeNet
 from tests.fake_upstream import FakeUpstream
+from tests.passing_table import PassingTable
 from tests.small_router import (
     Caller,
     QuickClock,
@@ -94,29 +94,20 @@
 
 
 @attrs.frozen
-class _PausedTable(TableService):
+class _PausedTable(PassingTable):
     """Pauses whoever made a claim until the test wakes it."""
 
-    table: TableService
     claimed: asyncio.Event = attrs.field(factory=asyncio.Event)
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     async def commit(self, change):
         """Commit; a claim's answer comes late."""
-        outcome = await self.table.commit(change)
+        outcome = await super().commit(change)
         if change.writes[0].key.startswith('claim/'):
             self.claimed.set()
             await self.wake.wait()
         return outcome
 
-    async def read(self, keys):
-        """Read."""
-        return await self.table.read(keys)
-
-    async def scan(self, scan):
-        """Scan."""
-        return await self.table.scan(scan)
-
 
 class DuplicateTest(SeveralRouters):
     """Duplicates at other routers get the answer of the one run."""
