Draw the bench's figures, and measure all of them in each scenario

Cause: The bench drew nothing, printed no table as it went, measured bytes of control nowhere and what a router adds in one scenario only, and its baselines had other keys from one scenario to the next.

Change: `bench.meter` reads CPU, bytes between routers and platform writes over the time of the load alone, killed routers included; the stand-in platform counts its bytes. `bench.probe` asks a target directly and through a router by turns under each scenario's load. A central counter is replayed in each as the baseline, with the outages that the run had. `bench.progress` prints a table as the run goes on, `bench.plots` draws latency, refusals and time in force. Matplotlib is an extra of its own; the binary and the runtime go without it. The relay takes rounds by turns and gives medians, and audits its bills. A bench that is told to end ends its processes.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 $(STAMP): constraints.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check \
-		-c constraints.txt -e '.[dev]'
+		-c constraints.txt -e '.[dev,bench]'
 	touch $@
 
 trial: $(STAMP)
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import importlib
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -9,6 +10,7 @@
 import click
 
 from bench.fleet import start_fleet
+from bench.plots import draw
 from bench.report import Report
 from bench.run import Run
 
@@ -40,6 +42,7 @@
     for name in names or SCENARIOS:
         report = asyncio.run(run_scenario(name, **options))
         report.write(out)
+        draw(report, out)
         click.echo(report.table())
         broken += [f'{name}: {line}' for line in report.broken()]
     for line in broken:
@@ -50,6 +53,9 @@
 async def run_scenario(name: str, **options: Any) -> Report:
     """Run one scenario, bounded in time, and end its processes."""
     scenario = importlib.import_module(f'bench.scenarios.{name}')
+    # Ended without a word, the harness would leave its processes behind.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     fleet = await start_fleet()
     try:
         async with asyncio.timeout(_LONGEST_S):
--- a/bench/audit.py
+++ b/bench/audit.py
@@ -90,6 +90,7 @@
         'answered': len(whole),
         'refusals': sum(not outcome.cut for outcome in told),
         'false_refusals': sum(_is_false(outcome, books) for outcome in told),
+        'refusal_codes': dict(Counter(outcome.code for outcome in told)),
         'cut_streams': sum(outcome.cuts for outcome in outcomes),
         'wrong_answers': sum(_is_wrong(outcome) for outcome in outcomes),
         'overspend_tokens': books.overspend(),
--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from bench.callers import Outcome
+from bench.run import Outage
 
 
 def even_split(
@@ -14,6 +15,7 @@
     """Replay a budget that is split evenly among routers at the start."""
     left: Counter[tuple[str, str]] = Counter()
     spent: Counter[str] = Counter()
+    refusals = 0
     false_refusals = 0
     for outcome in sorted(outcomes, key=_began):
         ask = outcome.ask
@@ -22,27 +24,48 @@
         if used + ask.most_tokens <= share:
             left[ask.team, outcome.router] += ask.most_tokens
             spent[ask.team] += ask.most_tokens
-        elif spent[ask.team] + ask.most_tokens <= prepaid[ask.team]:
+            continue
+        refusals += 1
+        if spent[ask.team] + ask.most_tokens <= prepaid[ask.team]:
             false_refusals += 1
-    return {'false_refusals': false_refusals, 'overspend_tokens': 0}
+    return {'refusals': refusals, 'false_refusals': false_refusals}
 
 
 def central_counter(
     outcomes: list[Outcome],
-    cut_off: set[str],
-    since: float,
-    until: float,
+    prepaid: dict[str, int],
+    outages: list[Outage],
 ) -> dict[str, Any]:
     """Replay a counter at the platform that each request has to ask.
 
-    A router that is cut off from it can admit nothing meanwhile.
+    A router that can't reach it can admit nothing meanwhile. One write a
+    request is the least: it settles what was reserved with the next one.
     """
-    refused = [
-        outcome
-        for outcome in outcomes
-        if outcome.router in cut_off and since <= outcome.began_at < until
-    ]
-    return {'false_refusals': len(refused), 'platform_writes_per_1000': 1000}
+    spent: Counter[str] = Counter()
+    refusals = 0
+    false_refusals = 0
+    for outcome in sorted(outcomes, key=_began):
+        ask = outcome.ask
+        within = spent[ask.team] + ask.most_tokens <= prepaid[ask.team]
+        cut_off = _is_cut_off(outcome, outages)
+        if within and not cut_off:
+            spent[ask.team] += ask.most_tokens
+            continue
+        refusals += 1
+        false_refusals += within
+    return {
+        'requests': len(outcomes),
+        'refusals': refusals,
+        'false_refusals': false_refusals,
+        'overspend_tokens': 0,
+        'platform_writes_per_1000': 1000,
+    }
+
+
+def _is_cut_off(outcome: Outcome, outages: list[Outage]) -> bool:
+    return any(
+        outage.meets(outcome.router, outcome.began_at) for outage in outages
+    )
 
 
 def _began(outcome: Outcome) -> float:
--- a/bench/load.py
+++ b/bench/load.py
@@ -46,6 +46,17 @@
             self._send()
             await asyncio.sleep(self.rng.expovariate(self.rate))
 
+    def counts(self) -> tuple[int, int, int, int, int]:
+        """Return how many were sent, are open, answered, refused and cut."""
+        done = [task.result() for task in self._tasks if task.done()]
+        return (
+            len(self._tasks),
+            len(self._tasks) - len(done),
+            sum(outcome.right for outcome in done),
+            sum(outcome.refused and not outcome.cut for outcome in done),
+            sum(outcome.cuts for outcome in done),
+        )
+
     async def outcomes(self) -> list[Outcome]:
         """Wait for all answers."""
         return list(await asyncio.gather(*self._tasks))
--- /dev/null
+++ b/bench/meter.py
@@ -0,0 +1,115 @@
+"""Reads what routers spend on control while a scenario runs."""
+
+import time
+from typing import Any
+
+import attrs
+from tornado.httpclient import AsyncHTTPClient
+
+from balsamreach.peers.counters import BYTES
+from bench.fleet import Fleet, fetch
+from bench.processes import Process
+
+_THOUSAND = 1000
+_LEAST = 0.01
+
+
+@attrs.frozen
+class Reading:
+    """What one router had spent at a moment.
+
+    Parameters
+    ----------
+    at : float
+        The moment.
+    cpu_s : float
+        CPU seconds.
+    peer_bytes : float
+        Bytes of its messages with other routers, both ways.
+    """
+
+    at: float
+    cpu_s: float = 0
+    peer_bytes: float = 0
+
+
+@attrs.define
+class Meter:
+    """Compares the end of the load with its beginning.
+
+    A router that is killed has to be noted before; one that starts
+    meanwhile counts from its start.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The processes.
+    """
+
+    fleet: Fleet
+    ended: bool = False
+    _first: dict[Process, Reading] = attrs.field(factory=dict)
+    _last: dict[Process, Reading] = attrs.field(factory=dict)
+    _platform: list[dict[str, Any]] = attrs.field(factory=list)
+
+    async def begin(self) -> None:
+        """Take the first readings."""
+        for router in self._alive():
+            self._first[router] = await read(router)
+        self._platform.append(await self._read_platform())
+
+    async def note(self, router: Process) -> None:
+        """Take the last reading of a router that will not be there."""
+        self._last[router] = await read(router)
+
+    async def end(self) -> None:
+        """Take the last readings; what comes later isn't counted."""
+        if self.ended:
+            return
+        self.ended = True
+        for router in self._alive():
+            await self.note(router)
+        self._platform.append(await self._read_platform())
+
+    def figures(self, requests: int) -> dict[str, float]:
+        """Return what a second of a router, and requests, took."""
+        seconds = max(self._sum('at'), _LEAST)
+        first, last = self._platform
+        moved = last['bytes_moved'] - first['bytes_moved']
+        writes = last['writes'] - first['writes']
+        peer_bytes_s = self._sum('peer_bytes') / seconds
+        platform_bytes_s = moved / seconds
+        return {
+            'requests_per_core_s': requests / max(self._sum('cpu_s'), _LEAST),
+            'control_bytes_s': peer_bytes_s + platform_bytes_s,
+            'peer_bytes_s': peer_bytes_s,
+            'platform_bytes_s': platform_bytes_s,
+            'platform_writes_per_1000': writes * _THOUSAND / max(requests, 1),
+        }
+
+    def _sum(self, name: str) -> float:
+        return sum(
+            getattr(last, name) - getattr(self._first_of(router), name)
+            for router, last in self._last.items()
+        )
+
+    def _first_of(self, router: Process) -> Reading:
+        return self._first.get(router, Reading(router.began_at))
+
+    def _alive(self) -> list[Process]:
+        return [router for router in self.fleet.routers if router.alive]
+
+    async def _read_platform(self) -> dict[str, Any]:
+        return await fetch(f'http://{self.fleet.platform.address}/control')
+
+
+async def read(router: Process) -> Reading:
+    """Read a router's counters and CPU time."""
+    url = f'http://{router.started["operators"]}/metrics'
+    reply = await AsyncHTTPClient().fetch(url)
+    peer_bytes = sum(
+        float(line.rpartition(' ')[2])
+        for line in reply.body.decode().splitlines()
+        if line.startswith(BYTES)
+    )
+    return Reading(time.monotonic(), router.cpu_s(), peer_bytes)
--- /dev/null
+++ b/bench/probe.py
@@ -0,0 +1,92 @@
+"""Small requests sent directly and through a router, by turns."""
+
+import asyncio
+import contextlib
+import itertools
+import statistics
+
+import attrs
+
+from bench.callers import Ask, Callers
+from bench.fleet import Fleet
+from bench.processes import Process
+from bench.run import Run
+
+TEAM = 'probe'
+_PAUSE_S = 0.05
+_MS = 1000
+
+
+@attrs.define
+class Probe:
+    """Measures, under the load of a run, what a router adds to a request.
+
+    Parameters
+    ----------
+    run : Run
+        Draws the router asked.
+    engine : Process
+        The target that is asked directly.
+    direct, routed : list of float
+        Seconds that answers took, pair by pair.
+    """
+
+    run: Run
+    engine: Process
+    direct: list[float] = attrs.field(factory=list)
+    routed: list[float] = attrs.field(factory=list)
+    _callers: Callers = attrs.field(factory=Callers)
+    _task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to ask."""
+        self._task = asyncio.create_task(self._ask_on())
+
+    async def stop(self) -> None:
+        """Ask no more."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+
+    def figures(self) -> tuple[dict[str, float], dict[str, float]]:
+        """Return figures of the router's way and of the direct one."""
+        direct, routed = quantiles(self.direct), quantiles(self.routed)
+        added = {
+            'added_p50_ms': routed[0] - direct[0],
+            'added_p99_ms': routed[1] - direct[1],
+            'p50_ms': routed[0],
+            'p99_ms': routed[1],
+        }
+        return added, {'p50_ms': direct[0], 'p99_ms': direct[1]}
+
+    async def _ask_on(self) -> None:
+        for number in itertools.count():
+            await self._ask(number)
+            await asyncio.sleep(_PAUSE_S)
+
+    async def _ask(self, number: int) -> None:
+        router = _any_alive(self.run.fleet, number)
+        direct = Ask(TEAM, f'direct-{number}', words=1)
+        by_target = await self._callers.ask(direct, self.engine)
+        routed = Ask(TEAM, f'routed-{number}', words=1)
+        by_router = await self._callers.ask(routed, router)
+        # Refused and broken ones would pass for quick answers.
+        if by_target.right and by_router.right:
+            self.direct.append(by_target.took_s)
+            self.routed.append(by_router.took_s)
+
+
+def quantiles(seconds: list[float]) -> tuple[float, float]:
+    """Return median and 99th percentile in milliseconds."""
+    if len(seconds) < 2:
+        return 0, 0
+    cuts = statistics.quantiles(seconds, n=100, method='inclusive')
+    return cuts[49] * _MS, cuts[98] * _MS
+
+
+def _any_alive(fleet: Fleet, number: int) -> Process:
+    alive = [router for router in fleet.routers if router.alive]
+    return alive[number % len(alive)]
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -31,11 +32,14 @@
         What the harness calls it.
     started : dict
         The JSON of its first line.
+    began_at : float
+        The moment of that line.
     """
 
     name: str
     started: dict[str, Any]
     _child: asyncio.subprocess.Process
+    began_at: float = attrs.field(factory=time.monotonic)
 
     @property
     def address(self) -> str:
--- /dev/null
+++ b/bench/progress.py
@@ -0,0 +1,61 @@
+"""A table of what the callers have met so far, printed as a run goes on."""
+
+import asyncio
+import contextlib
+import sys
+
+import attrs
+
+from bench.load import Load
+from bench.run import Run
+
+_STEP_S = 2
+_COLUMNS = ('sent', 'open', 'answered', 'refused', 'cut')
+_WIDTH = 10
+
+
+@attrs.define
+class Progress:
+    """Prints a line of the table from time to time.
+
+    Parameters
+    ----------
+    run : Run
+        The run.
+    loads : list of Load
+        Its callers; a scenario adds to them.
+    """
+
+    run: Run
+    loads: list[Load] = attrs.field(factory=list)
+    _task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Print the head of the table and begin."""
+        self._print('', _COLUMNS)
+        self._task = asyncio.create_task(self._go_on())
+
+    async def stop(self) -> None:
+        """Print the last line."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+        self._task = None
+        self._print_counts()
+
+    async def _go_on(self) -> None:
+        while True:
+            await asyncio.sleep(_STEP_S)
+            self._print_counts()
+
+    def _print_counts(self) -> None:
+        passed = self.run.now() - self.run.began
+        counts = [load.counts() for load in self.loads]
+        columns = [sum(column) for column in zip(*counts, strict=True)]
+        self._print(f'[{passed:6.1f} s]', columns)
+
+    def _print(self, head: str, cells: object) -> None:
+        row = ''.join(f'{cell!s:>{_WIDTH}}' for cell in cells)
+        sys.stderr.write(f'{head:<10} {self.run.name:<10}{row}\n')
--- a/bench/report.py
+++ b/bench/report.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from bench.series import Series
+
 #: Keys that must be zero in every run, by the promise behind them.
 PROMISES = {
     'overspend_tokens': "a team's spend stays within its prepaid budget",
@@ -16,6 +18,22 @@
     'cut_by_shutdown': 'a graceful shutdown cuts off no request',
     'late_work': 'a leaving target gets no new work after seconds',
 }
+#: Keys of every scenario whose callers ask for answers.
+COMMON_KEYS = (
+    'overspend_tokens',
+    'false_refusals',
+    'refusals',
+    'double_bills',
+    'missing_bills',
+    'non_idempotent_max_runs',
+    'cut_streams',
+    'wrong_answers',
+    'added_p50_ms',
+    'added_p99_ms',
+    'requests_per_core_s',
+    'control_bytes_s',
+    'platform_writes_per_1000',
+)
 _MOST_RUNS = 'non_idempotent_max_runs'
 
 
@@ -33,12 +51,15 @@
         Figures by the keys that the documents use.
     baseline : dict
         The same of the baseline in the same run.
+    series : Series
+        What is drawn.
     """
 
     scenario: str
     seed: int
     figures: dict[str, Any] = attrs.field(factory=dict)
     baseline: dict[str, Any] = attrs.field(factory=dict)
+    series: Series = attrs.field(factory=Series)
 
     def broken(self) -> list[str]:
         """Return the promises that the run saw broken."""
@@ -81,4 +102,8 @@
 def _show(figure: Any) -> str:
     if figure is None:
         return ''
+    if isinstance(figure, list):
+        return ' '.join(f'{part:.1f}' for part in figure)
+    if isinstance(figure, dict):
+        return ' '.join(f'{name}={part}' for name, part in figure.items())
     return f'{figure:.2f}' if isinstance(figure, float) else str(figure)
--- a/bench/scenarios/crash.py
+++ b/bench/scenarios/crash.py
@@ -18,8 +18,7 @@
     for number in range(run.scale(3, 1)):
         await asyncio.sleep(run.scale(3, 1) / 2)
         victim = run.fleet.routers[number]
-        run.say(f'{victim.name} is killed')
-        await victim.kill()
+        await setup.kill(victim)
         load.routers.remove(victim)
         load.routers.append(await run.fleet.replace(victim))
     await sending
--- a/bench/scenarios/demand.py
+++ b/bench/scenarios/demand.py
@@ -1,8 +1,9 @@
 """Demand steps up to three times of what it was."""
 
+from bench.probe import quantiles
 from bench.report import Report
 from bench.run import Run
-from bench.scenarios.common import quantiles, set_up, warm
+from bench.scenarios.common import set_up, warm
 
 _STEP = 3
 
--- a/bench/scenarios/double.py
+++ b/bench/scenarios/double.py
@@ -21,8 +21,7 @@
     await weather(run, down=True)
     await asyncio.sleep(step_s)
     victim = run.fleet.routers[0]
-    run.say(f'{victim.name} is killed')
-    await victim.kill()
+    await setup.kill(victim)
     load.routers.remove(victim)
     await asyncio.sleep(step_s)
     run.say('the platform is back')
--- a/bench/scenarios/flood.py
+++ b/bench/scenarios/flood.py
@@ -2,9 +2,10 @@
 
 import asyncio
 
+from bench.probe import quantiles
 from bench.report import Report
 from bench.run import Run
-from bench.scenarios.common import quantiles, set_up, warm
+from bench.scenarios.common import set_up, warm
 
 _QUIET = ('team-b', 'team-c')
 _FLOOD = 'team-a'
--- a/bench/scenarios/leaving.py
+++ b/bench/scenarios/leaving.py
@@ -1,6 +1,7 @@
 """A target is marked as leaving, and a router shuts down, both under load."""
 
 import asyncio
+import time
 
 import attrs
 
@@ -12,6 +13,7 @@
 from bench.scenarios.common import set_up, warm
 
 _SECONDS = 3
+_STEP_S = 0.05
 
 
 async def run(run: Run) -> Report:
@@ -25,11 +27,12 @@
     run.say('engine-0 is marked as leaving')
     row = engine_row('engine-0', engine.address)
     await run.fleet.put(attrs.evolve(row, state=LEAVING))
-    await asyncio.sleep(_SECONDS)
+    in_force_s = await _time_last_work(engine)
     at_mark = await _runs(engine)
     going = run.fleet.routers[0]
     run.say(f'{going.name} leaves')
     load.routers.remove(going)
+    await setup.meter.note(going)
     await going.leave()
     await sending
     outcomes = await load.outcomes()
@@ -37,7 +40,24 @@
     # Nothing else fails in this scenario, so whoever was cut off was cut
     # off by the shutdown or by the target's leaving.
     cut = sum(outcome.cuts for outcome in outcomes)
-    return await setup.report(outcomes, late_work=late, cut_by_shutdown=cut)
+    report = await setup.report(outcomes, late_work=late, cut_by_shutdown=cut)
+    report.figures['in_force_p99_s'] = in_force_s
+    report.series.in_force_s = [in_force_s]
+    return report
+
+
+async def _time_last_work(engine: Process) -> float:
+    """Return seconds until the last new work, as far as it is looked at."""
+    began = time.monotonic()
+    last_s = 0.0
+    runs = await _runs(engine)
+    while time.monotonic() - began < _SECONDS:
+        await asyncio.sleep(_STEP_S)
+        seen = await _runs(engine)
+        if seen > runs:
+            last_s = time.monotonic() - began
+        runs = seen
+    return last_s
 
 
 async def _runs(engine: Process) -> int:
--- a/bench/scenarios/partition.py
+++ b/bench/scenarios/partition.py
@@ -1,9 +1,8 @@
 """A zone is cut off from the platform while a budget is topped up."""
 
 import asyncio
-import time
 
-from bench.baselines import central_counter, even_split
+from bench.baselines import even_split
 from bench.fleet import team
 from bench.links import Link
 from bench.report import Report
@@ -16,7 +15,7 @@
 
 async def run(run: Run) -> Report:
     """Cut one zone off, top up on the other side, heal and audit."""
-    setup = await set_up(run, ('zone-a',), _TEAMS)
+    setup = await set_up(run, ('zone-a',), dict(_TEAMS))
     link = Link(run.fleet.platform.address)
     run.fleet.platform_url = f'http://{await link.open()}'
     # It knows no router of the other zone, as if cut off from it.
@@ -27,7 +26,7 @@
     await asyncio.sleep(run.scale(4, 1) / 2)
     run.say(f'{lonely.name} is cut off from the platform')
     link.cut = True
-    since = time.monotonic()
+    run.lose_platform(lonely.name)
     await asyncio.sleep(run.scale(8, 1) / 2)
     run.say('team-a is topped up on the other side')
     prepaid = _TEAMS['team-a'] + _TOP_UP
@@ -35,12 +34,12 @@
     await sending
     run.say('the network heals')
     link.cut = False
-    until = time.monotonic()
+    run.regain_platform()
     outcomes = await load.outcomes()
     await asyncio.sleep(run.scale(6, 2))
-    report = await setup.report(outcomes, cut_s=until - since)
-    most = _TEAMS | {'team-a': prepaid}
-    report.baseline |= even_split(outcomes, most, len(run.fleet.routers))
-    central = central_counter(outcomes, {lonely.name}, since, until)
-    report.baseline['central_false_refusals'] = central['false_refusals']
+    outage = run.outages[0]
+    setup.prepaid['team-a'] = prepaid
+    report = await setup.report(outcomes, cut_s=outage.until - outage.since)
+    split = even_split(outcomes, setup.prepaid, len(run.fleet.routers))
+    report.baseline['even_split'] = split
     return report
--- a/bench/scenarios/relay.py
+++ b/bench/scenarios/relay.py
@@ -1,11 +1,18 @@
-"""What relaying one token costs, beside a process that only copies bytes."""
+"""What relaying one token costs, beside a process that only copies bytes.
+
+Direct, pump and router take turns, so that other work on the machine meets
+all three alike; the figures are medians over the rounds.
+"""
 
 import asyncio
 import json
+import statistics
 
 import attrs
 
+from bench.audit import read_books
 from bench.fleet import engine_row, secret_of, team
+from bench.meter import Meter
 from bench.processes import Process
 from bench.report import Report
 from bench.run import Run
@@ -17,6 +24,7 @@
 _READERS = 2
 _MICROSECONDS = 1_000_000
 _TEAM = 'team-a'
+_WAYS = ('direct', 'pump', 'router')
 
 
 @attrs.frozen
@@ -29,17 +37,40 @@
         CPU microseconds of the relay for each chunk.
     p50_ms, p99_ms : float
         How long chunks were on their way.
-    short, refused : int
-        Streams that did not come whole.
+    whole, short, refused : int
+        Streams that came whole, did not, or were refused.
     """
 
     chunk_us: float
     p50_ms: float
     p99_ms: float
+    whole: int
     short: int
     refused: int
 
 
+@attrs.define
+class Rounds:
+    """The costs of one way, round by round."""
+
+    costs: list[Cost] = attrs.field(factory=list)
+
+    def median(self, name: str) -> float:
+        """Return the median of a cost."""
+        return statistics.median(getattr(cost, name) for cost in self.costs)
+
+    def total(self, name: str) -> int:
+        """Return the sum of a count."""
+        return sum(getattr(cost, name) for cost in self.costs)
+
+    def added(self, name: str, direct: 'Rounds') -> list[float]:
+        """Return by how much it was above the direct way in each round."""
+        return [
+            getattr(cost, name) - getattr(base, name)
+            for cost, base in zip(self.costs, direct.costs, strict=True)
+        ]
+
+
 async def run(run: Run) -> Report:
     """Read the same streams directly, through the pump and the router."""
     report = Report(run.name, run.seed)
@@ -49,15 +80,46 @@
         await run.fleet.start('pump', 'bench.pump', engine.address)
         for engine in engines
     ]
+    ways = dict(zip(_WAYS, (engines, pumps, [router]), strict=True))
     streams = run.scale(400, 8)
-    full = await _compare(run, (engines, pumps, [router]), streams)
-    half = full
-    if not run.smoke:
-        half = await _compare(run, (engines, pumps, [router]), streams // 2)
+    meter = Meter(run.fleet)
+    await meter.begin()
+    full = await _compare(run, ways, streams)
+    half = full if run.smoke else await _compare(run, ways, streams // 2)
+    await meter.end()
     _fill(report, full, half)
+    await router.leave()
+    requests = await _audit(run, report, (full, half))
+    metered = meter.figures(requests)
+    # Streams of this length make few requests a core; that says nothing.
+    del metered['requests_per_core_s']
+    report.figures |= metered
     return report
 
 
+async def _audit(
+    run: Run,
+    report: Report,
+    loads: tuple[dict[str, Rounds], ...],
+) -> int:
+    routed = {id(load): load['router'] for load in loads}.values()
+    books = await read_books(run.fleet.table)
+    whole = sum(rounds.total('whole') for rounds in routed)
+    short = sum(rounds.total('short') for rounds in routed)
+    refused = sum(rounds.total('refused') for rounds in routed)
+    requests = whole + short + refused
+    report.figures |= {
+        'requests': requests,
+        'wrong_answers': short,
+        'cut_streams': short,
+        'refusals': refused,
+        'overspend_tokens': books.overspend(),
+        'double_bills': books.doubled(),
+        'missing_bills': max(0, whole - len(books.bills)),
+    }
+    return requests
+
+
 async def _start_engines(run: Run) -> list[Process]:
     engines = []
     for number in range(_ENGINES):
@@ -77,38 +139,61 @@
     return engines
 
 
-def _fill(report: Report, full: list[Cost], half: list[Cost]) -> None:
-    direct, pump, router = full
+def _fill(
+    report: Report,
+    full: dict[str, Rounds],
+    half: dict[str, Rounds],
+) -> None:
+    router_us = full['router'].median('chunk_us')
+    pump_us = full['pump'].median('chunk_us')
     report.figures |= {
-        'chunk_cpu_us': router.chunk_us,
-        'pump_cpu_us': pump.chunk_us,
-        'cost_ratio': router.chunk_us / max(pump.chunk_us, 0.01),
-        'added_full_p50_ms': router.p50_ms - direct.p50_ms,
-        'added_full_p99_ms': router.p99_ms - direct.p99_ms,
-        'added_p50_ms': half[2].p50_ms - half[0].p50_ms,
-        'added_p99_ms': half[2].p99_ms - half[0].p99_ms,
-        'wrong_answers': sum(cost.short for cost in (router, half[2])),
-        'refusals': sum(cost.refused for cost in (router, half[2])),
+        'chunk_cpu_us': router_us,
+        'pump_cpu_us': pump_us,
+        'cost_ratio': router_us / max(pump_us, 0.01),
     }
-    report.baseline |= {
-        'chunk_cpu_us': pump.chunk_us,
-        'added_full_p50_ms': pump.p50_ms - direct.p50_ms,
-        'added_full_p99_ms': pump.p99_ms - direct.p99_ms,
-        'added_p50_ms': half[1].p50_ms - half[0].p50_ms,
-        'added_p99_ms': half[1].p99_ms - half[0].p99_ms,
+    report.baseline['chunk_cpu_us'] = pump_us
+    _add_latencies(report, full, 'added_full_')
+    _add_latencies(report, half, 'added_')
+    report.series.ways = {
+        f'{load}, {way}': {
+            quantile: rounds.median(f'{quantile}_ms')
+            for quantile in ('p50', 'p99')
+        }
+        for load, ways in (('full', full), ('half', half))
+        for way, rounds in ways.items()
     }
 
 
+def _add_latencies(
+    report: Report,
+    ways: dict[str, Rounds],
+    prefix: str,
+) -> None:
+    for name in ('p50_ms', 'p99_ms'):
+        router = ways['router'].added(name, ways['direct'])
+        pump = ways['pump'].added(name, ways['direct'])
+        report.figures[prefix + name] = statistics.median(router)
+        report.baseline[prefix + name] = statistics.median(pump)
+        report.figures[f'{prefix}{name}_rounds'] = router
+        report.baseline[f'{prefix}{name}_rounds'] = pump
+
+
 async def _compare(
     run: Run,
-    ways: tuple[list[Process], ...],
+    ways: dict[str, list[Process]],
     streams: int,
-) -> list[Cost]:
-    costs = []
-    for way in ways:
-        run.say(f'{streams} streams by {way[0].name}')
-        costs.append(await _measure(run, way, streams))
-    return costs
+) -> dict[str, Rounds]:
+    rounds = {name: Rounds() for name in ways}
+    for number in range(run.scale(3, 1)):
+        for name, way in ways.items():
+            cost = await _measure(run, way, streams)
+            rounds[name].costs.append(cost)
+            run.say(
+                f'round {number + 1}: {streams:>4} streams, {name:<7}'
+                f'{cost.chunk_us:8.1f} us a chunk, p50 {cost.p50_ms:6.2f} ms,'
+                f' p99 {cost.p99_ms:7.2f} ms, {cost.refused} refused',
+            )
+    return rounds
 
 
 async def _measure(run: Run, way: list[Process], streams: int) -> Cost:
@@ -138,6 +223,7 @@
         chunk_us=used_s * _MICROSECONDS / chunks,
         p50_ms=max(tally['p50_ms'] for tally in tallies),
         p99_ms=max(tally['p99_ms'] for tally in tallies),
+        whole=sum(tally['whole'] for tally in tallies),
         short=sum(tally['short'] for tally in tallies),
         refused=sum(tally['refused'] for tally in tallies),
     )
--- a/bench/scenarios/skew.py
+++ b/bench/scenarios/skew.py
@@ -13,11 +13,13 @@
     """Ask for more than the teams have paid for, mostly at one router."""
     zones = ('zone-a',) * run.scale(4, 2)
     setup = await set_up(run, zones, _TEAMS, budget__least_draw=200)
+    await setup.begin()
     load = setup.load(rate=80, teams=_SHARES, retries=False)
     # The first router gets half of all requests.
     load.routers = run.fleet.routers[:1] * len(zones) + run.fleet.routers
     await load.run(run.scale(2400, 40))
     outcomes = await load.outcomes()
     report = await setup.report(outcomes)
-    report.baseline |= even_split(outcomes, _TEAMS, len(zones))
+    split = even_split(outcomes, _TEAMS, len(zones))
+    report.baseline['even_split'] = split
     return report
--- a/bench/scenarios/steady.py
+++ b/bench/scenarios/steady.py
@@ -10,7 +10,7 @@
 from bench.fleet import team
 from bench.report import Report
 from bench.run import Run
-from bench.scenarios.common import Setup, quantiles, set_up, warm
+from bench.scenarios.common import Setup, set_up, warm
 
 _PAUSED_CODE = 'team_paused'
 _STEP_S = 0.02
@@ -21,8 +21,6 @@
     """Send load, compare with direct calls, and edit the table."""
     setup = await set_up(run)
     await warm(setup)
-    run.say('direct calls beside calls through a router')
-    direct, routed = await _compare(setup, run.scale(200, 5))
     load = setup.load(rate=100, singles=0.2)
     run.say('load with edits')
     edits = asyncio.create_task(_edit(setup, run.scale(10, 1)))
@@ -30,27 +28,11 @@
     outcomes = await load.outcomes()
     in_force = await edits
     report = await setup.report(outcomes)
-    report.figures |= {
-        'added_p50_ms': routed[0] - direct[0],
-        'added_p99_ms': routed[1] - direct[1],
-        'in_force_p99_s': max(in_force),
-    }
-    report.baseline |= {'direct_p50_ms': direct[0], 'direct_p99_ms': direct[1]}
+    report.figures['in_force_p99_s'] = max(in_force)
+    report.series.in_force_s = in_force
     return report
 
 
-async def _compare(setup: Setup, count: int) -> list[tuple[float, float]]:
-    callers = Callers()
-    ways = (setup.engines[0], setup.run.fleet.routers[0])
-    taken: list[list[float]] = [[], []]
-    for number in range(count):
-        for way, process in enumerate(ways):
-            ask = Ask('team-a', f'way-{way}-{number}', words=1)
-            outcome = await callers.ask(ask, process)
-            taken[way].append(outcome.took_s)
-    return [quantiles(seconds) for seconds in taken]
-
-
 async def _edit(setup: Setup, count: int) -> list[float]:
     """Pause and reopen a team; return the times until all routers obey."""
     row = team('edited')
--- a/src/balsamreach/standins/platform.py
+++ b/src/balsamreach/standins/platform.py
@@ -25,7 +25,7 @@
     'lose_answers',
     'refuse_old_fences',
 )
-_COUNTERS = ('reads', 'writes', 'rows_written')
+_COUNTERS = ('reads', 'writes', 'rows_written', 'bytes_moved')
 
 
 class ObjectsHandler(PlatformHandler):
--- a/src/balsamreach/standins/platform_handler.py
+++ b/src/balsamreach/standins/platform_handler.py
@@ -1,5 +1,7 @@
 """What the handlers of the stand-in platform share."""
 
+from tornado.httputil import HTTPHeaders
+
 from balsamreach.platform.faults import (
     CONFLICT,
     INVALID,
@@ -26,9 +28,20 @@
         """Take the services in."""
         self.platform = platform
 
+    def on_finish(self) -> None:
+        """Count the bytes of a call that was answered."""
+        called = _size(self.request.headers) + len(self.request.body)
+        answered = _size(self._headers)
+        body = int(self._headers.get('Content-Length', 0))
+        self.platform.weather.bytes_moved += called + answered + body
+
     def refuse(self, fault: PlatformFault) -> None:
         """Answer a fault, or drop the connection where none may come."""
         if fault == UNKNOWN:
             self.drop()
             return
         self.reply(_STATUSES[fault], {'error': fault.reason})
+
+
+def _size(headers: HTTPHeaders) -> int:
+    return sum(len(name) + len(text) for name, text in headers.get_all())
--- a/src/balsamreach/standins/weather.py
+++ b/src/balsamreach/standins/weather.py
@@ -66,6 +66,8 @@
         Whether power orders with an older fencing number are refused.
     reads, writes, rows_written : int
         Calls admitted and rows written by commits so far.
+    bytes_moved : int
+        Bytes of all calls and answers so far, about: heads and bodies.
     """
 
     clock: Clock
@@ -79,6 +81,7 @@
     reads: int = 0
     writes: int = 0
     rows_written: int = 0
+    bytes_moved: int = 0
     _read_tokens: TokenBucket = attrs.field(init=False)
     _write_tokens: TokenBucket = attrs.field(init=False)
 
--- a/tests/bench/test_bench_scenarios.py
+++ b/tests/bench/test_bench_scenarios.py
@@ -12,10 +12,24 @@
 from parameterized import parameterized
 
 from bench.__main__ import SCENARIOS
+from bench.report import COMMON_KEYS
 
 _ROOT = Path(__file__).resolve().parents[2]
 _AT_A_TIME = 4
 _SABOTAGED = 'sabotaged'
+_OWN_KEYS = {
+    'steady': {'in_force_p99_s'},
+    'leaving': {'in_force_p99_s', 'late_work', 'cut_by_shutdown'},
+    'relay': {'chunk_cpu_us', 'pump_cpu_us'},
+}
+#: Relayed streams are read as bytes, from a team without an end to its budget.
+_ABSENT = {
+    'relay': {
+        'false_refusals',
+        'non_idempotent_max_runs',
+        'requests_per_core_s',
+    },
+}
 
 
 def _run(directory: str, name: str) -> subprocess.CompletedProcess[str]:
@@ -56,7 +70,15 @@
         figures = json.loads((self.out / f'{name}.json').read_text())
         self.assertEqual(figures['seed'], 1)
         self.assertEqual(figures['wrong_answers'], 0)
-        self.assertIn('refusals', figures)
+        common = set(COMMON_KEYS) - _ABSENT.get(name, set())
+        self.assertLessEqual(common, figures.keys())
+        self.assertLessEqual(_OWN_KEYS.get(name, set()), figures.keys())
+        self.assertTrue(figures['baseline'])
+        self.assertTrue((self.out / f'{name}.png').stat().st_size)
+
+    def test_progress_is_a_table(self) -> None:
+        done = self.runs['steady']
+        self.assertRegex(done.stderr, 'steady +sent +open +answered')
 
     def test_overspend_fails_the_run(self) -> None:
         """A promise that is broken on purpose is found and named."""
