Give back what a dead router may have lent once nobody has it

Cause: a closed allotment keeps the part that may be lent, and nearly all that a router holds may be. What nobody had borrowed, or a borrower died with, stayed there for good: each crash took it out of the budget. Change: whoever closes allotments and leaves such a part enters the lender in stranded/. The lender's home asks all routers every 75 rounds; if all have done with the lender, and the rows of addresses name nobody else who may have borrowed, the rest goes back to the account. A grant of that lender is not taken any more, and a lender that was paused reads its rows before it lends. A release strikes its router from the vacated row, which would count as waiting to be closed. The parts that work with peers have a module of their own. The histories have a step that reclaims, and compare what lives may spend with what is taken after each step.

--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -7,20 +7,19 @@
 from balsamreach.budget.account import Bill
 from balsamreach.budget.book import Book
 from balsamreach.budget.closing import Closer
-from balsamreach.budget.copies import Keeper, Sender
-from balsamreach.budget.copying import Copying
 from balsamreach.budget.draws import Drawer
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.leaving import Leaving
 from balsamreach.budget.ledger import Ledger, Reservation
-from balsamreach.budget.loans import Loans
+from balsamreach.budget.leftovers import Leftovers
 from balsamreach.budget.obtaining import Obtainer
+from balsamreach.budget.peer_parts import make_peer_parts
 from balsamreach.budget.recorder import Recorder
 from balsamreach.budget.settling import Settler
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.takeover import Takeover
-from balsamreach.budget.upkeep import PeerParts, Upkeep
+from balsamreach.budget.upkeep import Upkeep
 from balsamreach.budget.wakeup import Wakeup
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
@@ -96,8 +95,18 @@
             closer,
             self.metrics,
         )
-        peers = _peer_parts(self, sizing, closer, incarnations)
-        takeover = Takeover(closer, incarnations, self.metrics)
+        leftovers = Leftovers(self.service, self.clock)
+        takeover = Takeover(closer, incarnations, self.metrics, leftovers)
+        peers = None
+        if self.net is not None:
+            peers = make_peer_parts(
+                self.net,
+                self.recorder,
+                sizing,
+                takeover,
+                self.rng,
+                self.cfg.bills_limit,
+            )
         self._leaving = Leaving(
             self.book,
             sizing,
@@ -127,6 +136,8 @@
             self.clock,
             strict=not lenient,
         )
+        if peers is not None:
+            peers.loans.wakeup = self._wakeup
 
     @property
     def closed(self) -> BudgetFault | None:
@@ -214,26 +225,6 @@
         await self.upkeep.run(self.cfg.flush_interval, self._wakeup)
 
 
-def _peer_parts(
-    budgets: Budgets,
-    sizing: Sizing,
-    closer: Closer,
-    incarnations: Incarnations,
-) -> PeerParts | None:
-    net = budgets.net
-    if net is None:
-        return None
-    limit = budgets.cfg.bills_limit
-    sender = Sender(net)
-    keeper = Keeper(net, closer, incarnations, budgets.metrics, limit)
-    return PeerParts(
-        Loans(budgets.book, sizing, net, budgets.rng),
-        sender,
-        keeper,
-        Copying(budgets.recorder, sender, keeper, budgets.clock),
-    )
-
-
 def _refuse(metrics: Metrics, fault: BudgetFault) -> BudgetFault:
     metrics.count(REFUSALS, reason=fault.code)
     return fault
--- a/src/balsamreach/budget/copies.py
+++ b/src/balsamreach/budget/copies.py
@@ -9,6 +9,7 @@
 from balsamreach.budget.closing_plan import Closing
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.leftovers import Leftovers
 from balsamreach.budget.takeover import report
 from balsamreach.peers.base import PeerNet
 from balsamreach.telemetry.metrics import Metrics
@@ -191,6 +192,8 @@
         Settles and closes.
     incarnations : Incarnations
         Tells who is gone.
+    leftovers : Leftovers
+        List of those of whom something is left.
     metrics : Metrics
         Counts what is kept and settled.
     limit : int
@@ -200,6 +203,7 @@
     net: PeerNet
     closer: Closer
     incarnations: Incarnations
+    leftovers: Leftovers
     metrics: Metrics
     limit: int
     makers: dict[str, Member] = attrs.field(factory=dict)
@@ -280,7 +284,9 @@
         billed = {copy.team for copy in self.copies[maker].values()}
         for team in sorted(billed.union(teams)):
             await self._settle(maker, team)
-        if not self.copies.get(maker):
+        if self.copies.get(maker):
+            return
+        if await self.leftovers.note(maker) is None:
             self._forget(maker)
 
     def _forget(self, maker: str) -> None:
--- a/src/balsamreach/budget/leaving.py
+++ b/src/balsamreach/budget/leaving.py
@@ -64,6 +64,16 @@
             fault = await self._close(ledgers)
             if fault is not None:
                 return await self._hand_over(fault)
+        return await self._vacate()
+
+    @property
+    def _incarnation(self) -> str:
+        return self.takeover.incarnations.incarnation
+
+    async def _vacate(self) -> bool:
+        # Borrowers may have loans that are not recorded yet. Should they die
+        # with them, nobody else would know that tokens are left here.
+        await self.takeover.leftovers.note(self._incarnation)
         await self.takeover.incarnations.leave()
         return True
 
@@ -114,7 +124,7 @@
 
     def _closing(self, ledger: Ledger) -> Closing:
         return Closing(
-            self.takeover.incarnations.incarnation,
+            self._incarnation,
             ledger.team,
             lent=ledger.lent,
         )
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -10,6 +10,7 @@
 from balsamreach.budget.book import Book
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.sizing import Sizing
+from balsamreach.budget.wakeup import Wakeup
 from balsamreach.peers.base import PeerNet
 from balsamreach.peers.faults import NOT_CONNECTED, PeerFault
 from balsamreach.wire.messages import (
@@ -74,12 +75,17 @@
         The other routers.
     rng : Random
         Loan ids and the order of lenders.
+    wakeup : Wakeup or None
+        Tells whether this process may have been paused and taken over; set
+        after the router was put together.
     """
 
     book: Book
     sizing: Sizing
     net: PeerNet
     rng: random.Random
+    wakeup: Wakeup | None = None
+    _done_with: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     _receipts: list[tuple[str, LoanReceipt]] = attrs.field(factory=list)
     _called_off: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
 
@@ -127,6 +133,23 @@
                 unsent.append((lender, told))
         self._receipts = unsent
 
+    def has_done_with(self, lender: str) -> bool:
+        """Take no more loans of a lender; return whether none is here.
+
+        Parameters
+        ----------
+        lender : str
+            A router that is gone. A grant of it may still be on its way.
+        """
+        self._done_with[lender] = None
+        while len(self._done_with) > _MOST_CALLED_OFF:
+            self._done_with.popitem(last=False)
+        return not any(
+            loan.lender == lender
+            for ledger in self.book.ledgers.values()
+            for loan in ledger.borrowed.values()
+        )
+
     def _lenders(self) -> list[Member]:
         others = [
             member for member in self.net.neighbours() if not member.leaving
@@ -146,6 +169,9 @@
         bits = self.rng.getrandbits(_ID_BITS)
         ask = LoanAsk(f'{bits:032x}', ledger.team, tokens)
         answer = await self.net.ask(member.incarnation, ask)
+        # Others were told that nothing of this lender is here.
+        if member.incarnation in self._done_with:
+            return None
         if isinstance(answer, PeerFault):
             # The lender may have taken the tokens off already. An answer
             # that comes later is never taken, and only this side knows that,
@@ -165,6 +191,8 @@
 
     async def _take_ask(self, member: Member, ask: LoanAsk) -> LoanGrant:
         ledger = self.book.ledger(ask.team)
+        if self.wakeup is not None and self.wakeup.is_due():
+            await self.wakeup.check()
         if not self._may_lend(ask):
             return LoanGrant(ask.loan_id, ask.team, 0)
         # Of two routers whose requests wait, both with too little, one has to
@@ -228,7 +256,11 @@
     def _may_lend(self, ask: LoanAsk) -> bool:
         # An ask may arrive after the word that it was called off; lending
         # then would strand the tokens until the allotment is closed.
-        return self.book.closed is None and ask.loan_id not in self._called_off
+        # So may one whose tokens were given back while it was paused.
+        is_due = self.wakeup is not None and self.wakeup.is_due()
+        if self.book.closed is not None or is_due:
+            return False
+        return ask.loan_id not in self._called_off
 
     async def _take_receipt(self, member: Member, receipt: LoanReceipt) -> Done:
         for ledger in self.book.ledgers.values():
--- a/src/balsamreach/budget/releasing.py
+++ b/src/balsamreach/budget/releasing.py
@@ -10,6 +10,7 @@
     BudgetFault,
 )
 from balsamreach.budget.incarnations import ROUTER_PREFIX, Seating, live_check
+from balsamreach.budget.leftovers import Leftovers
 from balsamreach.clock import Clock
 from balsamreach.platform.base import (
     Commit,
@@ -153,8 +154,38 @@
                 return closed
             returned[team] = closed.returned
             kept += closed.kept
+        fault = await Leftovers(self.service, self.clock).note(incarnation)
+        fault = fault or await self._strike(incarnation)
+        if fault is not None:
+            return NO_ALLOTMENT.because(f'table service: {fault.code}')
         return Released(returned, kept)
 
+    async def _strike(self, incarnation: str) -> PlatformFault | None:
+        # A vacated row that goes on naming it would count as allotments that
+        # wait to be closed.
+        rows = await Leftovers(self.service, self.clock).rows(ROUTER_PREFIX)
+        if isinstance(rows, PlatformFault):
+            return rows
+        for row in rows:
+            if incarnation in row.value['before']:
+                return await self._replace(row, incarnation)
+        return None
+
+    async def _replace(
+        self,
+        row: Row,
+        incarnation: str,
+    ) -> PlatformFault | None:
+        seat = Seating(**row.value)
+        left = tuple(name for name in seat.before if name != incarnation)
+        seat = attrs.evolve(seat, before=left)
+        gone = not (seat.incarnation or left)
+        write = Write(row.key, None if gone else attrs.asdict(seat))
+        outcome = await self.service.commit(
+            Commit((write,), (live_check(row),)),
+        )
+        return outcome if isinstance(outcome, PlatformFault) else None
+
 
 def _vacated(seat: Row) -> Seating:
     held = Seating(**seat.value)
--- a/src/balsamreach/budget/takeover.py
+++ b/src/balsamreach/budget/takeover.py
@@ -8,6 +8,7 @@
 from balsamreach.budget.closing_plan import Closed, Closing
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.leftovers import Leftovers
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -29,11 +30,14 @@
         Names the predecessors.
     metrics : Metrics
         Counts tokens that came back and tokens left behind.
+    leftovers : Leftovers
+        List of those of whom something is left.
     """
 
     closer: Closer
     incarnations: Incarnations
     metrics: Metrics
+    leftovers: Leftovers
 
     async def close_predecessors(self) -> None:
         """Close whatever predecessors still hold."""
@@ -54,7 +58,7 @@
             if isinstance(outcome, BudgetFault):
                 return False
             report(self.metrics, Closing(incarnation, team), outcome)
-        return True
+        return await self.leftovers.note(incarnation) is None
 
 
 def report(metrics: Metrics, closing: Closing, outcome: Closed) -> None:
--- a/src/balsamreach/budget/upkeep.py
+++ b/src/balsamreach/budget/upkeep.py
@@ -7,11 +7,9 @@
 import attrs
 
 from balsamreach.budget.book import Book
-from balsamreach.budget.copies import Keeper, Sender
-from balsamreach.budget.copying import Copying
 from balsamreach.budget.faults import CONTENDED, NO_ALLOTMENT, BudgetFault
-from balsamreach.budget.loans import Loans
 from balsamreach.budget.moves import Move
+from balsamreach.budget.peer_parts import PeerParts
 from balsamreach.budget.recalling import Recalls
 from balsamreach.budget.recorder import OLDEST, WAITING, Recorder
 from balsamreach.budget.sizing import Sizing
@@ -24,16 +22,8 @@
 _MOST_TEAMS = 50
 #: Rounds for which buddies have time to settle a predecessor's bills.
 _ROUNDS_BEFORE_CLOSING = 3
-
-
-@attrs.frozen
-class PeerParts:
-    """What works with the other routers."""
-
-    loans: Loans
-    sender: Sender
-    keeper: Keeper
-    copying: Copying
+#: Rounds between two looks at what dead routers may have lent.
+_ROUNDS_BETWEEN_LOOKS = 75
 
 
 @attrs.define
@@ -74,8 +64,7 @@
         if self._rounds > _ROUNDS_BEFORE_CLOSING:
             await self.takeover.close_predecessors()
         if self.peers is not None:
-            await self.peers.loans.send_receipts()
-            await self.peers.keeper.settle_gone()
+            await self._look_after_others(self.peers)
         self._show()
 
     async def run(self, interval: float, wakeup: Wakeup) -> None:
@@ -99,6 +88,12 @@
         if self.peers is not None:
             self.peers.sender.send(self.recorder.bills())
 
+    async def _look_after_others(self, peers: PeerParts) -> None:
+        await peers.loans.send_receipts()
+        await peers.keeper.settle_gone()
+        if self._rounds % _ROUNDS_BETWEEN_LOOKS == 0:
+            await peers.reclaimer.reclaim_all()
+
     async def _enter(self) -> None:
         # Until this router stands in the row of its address, nobody has
         # proof that its predecessor is gone, and that one's bills wait at
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -46,6 +46,8 @@
     rateShares @36 :RateShares;
     recallAsk @37 :RecallAsk;
     recallTold @38 :RecallTold;
+    lenderAsk @39 :LenderAsk;
+    lenderGone @40 :LenderGone;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that an ask belongs to; empty for none,
@@ -275,3 +277,11 @@
   spent @1 :Int64;
   held @2 :Int64;
 }
+
+struct LenderAsk {
+  incarnation @0 :Text;
+}
+
+struct LenderGone {
+  clear @0 :Bool;
+}
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -263,6 +263,27 @@
     held: int = 0
 
 
+@attrs.frozen
+class LenderAsk(Message):
+    """Asks whether anything of a dead lender is left; LenderGone answers."""
+
+    incarnation: str
+
+
+@attrs.frozen
+class LenderGone(Message):
+    """Tells what the sender has to do with a dead lender.
+
+    Parameters
+    ----------
+    clear : bool
+        Whether it has no unrecorded loan of it, will take none, keeps no
+        bills of dead routers, and holds the lender for dead as well.
+    """
+
+    clear: bool
+
+
 @attrs.frozen
 class RunNote(Message):
     """Tells a key's home router who runs a request, and where.
--- a/tests/test_budget_histories.py
+++ b/tests/test_budget_histories.py
@@ -191,6 +191,14 @@
         self._run(self.world.rounds(full))
         gate.service = service
 
+    @rule(names=st.sets(_names, min_size=1))
+    def reclaim(self, names):
+        """Routers look at what dead ones may have lent."""
+        for name in names:
+            router = self.world.routers[self._now(name)]
+            work = router.upkeep.peers.reclaimer.reclaim_all()
+            self._run(self.world.clock.drive(work))
+
     @rule(name=_names, graceful=st.booleans())
     def end_and_succeed(self, name, graceful):
         """Let the successor look after all that its predecessor held."""
