--- a/tests/binary/test_ui_binary.py
+++ b/tests/binary/test_ui_binary.py
@@ -19,18 +19,19 @@
     def setUp(self):
         self.place = self.enterContext(tempfile.TemporaryDirectory())
 
-    def start(self, *args):
-        env = {
-            'PATH': os.defpath,
+    def environment(self):
+        return {
+            # The interpreter named in the file may lie outside the default.
+            'PATH': os.environ.get('PATH', os.defpath),
             'SHIV_ROOT': f'{self.place}/root',
             'HOME': self.place,
         }
-        # The interpreter named in the file may lie outside the default path.
-        env['PATH'] = os.environ.get('PATH', os.defpath)
+
+    def start(self, *args):
         return subprocess.run(
             [str(_BINARY), *args],
             cwd=self.place,
-            env=env,
+            env=self.environment(),
             stdin=subprocess.DEVNULL,
             capture_output=True,
             text=True,
@@ -47,3 +48,26 @@
         Path(self.place, 'a.ini').write_text('[host]\nzone=a\n')
         ran = self.start('check-config', 'a.ini')
         self.assertEqual(ran.returncode, 0, ran.stderr)
+
+    def test_serves_until_told_to_end(self):
+        """The file holds all that a router needs, the schema among it."""
+        free = ('callers.port=0', 'operators.port=0', 'peers.port=0')
+        quick = 'callers.leave_delay=0s'
+        settings = [
+            word
+            for text in ('host.zone=a', quick, *free)
+            for word in ('--set', text)
+        ]
+        router = subprocess.Popen(
+            [str(_BINARY), 'serve', *settings],
+            env=self.environment(),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(router.kill)
+        started = json.loads(router.stdout.readline())
+        self.assertEqual(set(started), {'callers', 'operators', 'peers'})
+        router.terminate()
+        _, logged = router.communicate(timeout=_SECONDS)
+        self.assertEqual(router.returncode, 0, logged)
--- a/tests/test_ui_main.py
+++ b/tests/test_ui_main.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 
+import click
 from click.testing import CliRunner
 from parameterized import parameterized
 
@@ -29,6 +30,36 @@
         ran = CliRunner().invoke(main, ['nothing'])
         self.assertEqual(ran.exit_code, exit_codes.USAGE)
 
+    def test_whatever_prints_takes_json(self):
+        """The long-lived roles print JSON anyway, in one line."""
+        lacking = {
+            path
+            for path, command in _leaves(main, 'balsamreach')
+            if '--json' not in _options(command)
+        }
+        roles = {'engine', 'platform', 'service'}
+        self.assertEqual(
+            lacking,
+            {f'balsamreach standin {role}' for role in roles}
+            | {'balsamreach serve'},
+        )
+
+    @parameterized.expand(
+        (
+            ('balsamreach ta', 1, 'plain,table\n'),
+            ('balsamreach team keys re', 3, 'plain,revoke\n'),
+            ('balsamreach table import --dr', 3, 'plain,--dry-run\n'),
+        )
+    )
+    def test_completion(self, words, place, offered):
+        environment = {
+            '_BALSAMREACH_COMPLETE': 'bash_complete',
+            'COMP_WORDS': words,
+            'COMP_CWORD': str(place),
+        }
+        ran = CliRunner().invoke(main, env=environment, prog_name='balsamreach')
+        self.assertEqual(ran.output, offered)
+
     @parameterized.expand(
         (
             ('port', ('standin', 'engine', '--port', 'PORT'), '--port'),
@@ -57,3 +88,19 @@
 def _shift_to(port: int) -> int:
     """Return the shift with which a trial needs the port."""
     return port - min(Plan().ports().values())
+
+
+def _leaves(command: click.Command, path: str):
+    """Yield the commands that do something, by the words that call them."""
+    if not isinstance(command, click.Group):
+        yield path, command
+        return
+    with click.Context(command) as ctx:
+        for name in command.list_commands(ctx):
+            inner = command.get_command(ctx, name)
+            yield from _leaves(inner, f'{path} {name}')
+
+
+def _options(command: click.Command) -> set[str]:
+    """Return the options that a command takes."""
+    return {word for param in command.params for word in param.opts}
