Let several daemons of a host share the callers' port

On Linux, a socket that closes in a group of SO_REUSEPORT resets what it has not accepted and whose handshake is under way, and a check that listens on the port and closes does the same. The check of ports binds a shared port without listening.

--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -13,6 +13,7 @@
 from bench.fleet import Fleet, engine_row, secret_of, start_fleet, team
 from bench.processes import Process
 from bench.slopes_kinds import Measure, Size
+from bench.slopes_ports import measure_shared
 
 _TEAM = 'team-a'
 _MICRO = 1_000_000
@@ -198,4 +199,5 @@
     'standin': _standin,
     'requests': _requests,
     'streams': _streams,
+    'shared_port': measure_shared,
 }
--- a/src/balsamreach/config/listeners.py
+++ b/src/balsamreach/config/listeners.py
@@ -49,6 +49,11 @@
     tls_key: str = key(views.read_text)
     tls_ca: str = key(views.read_text)
 
+    @property
+    def shared(self) -> bool:
+        """Whether other processes may listen on the same port."""
+        return False
+
 
 def check_listeners(listeners: dict[str, Listener]) -> ConfigFault | None:
     """Try to bind every listener, all at the same time, and let go again.
@@ -83,9 +88,14 @@
     # Without the reuse option a port whose last connections still linger
     # would be called in use, although the server itself could bind it.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if listener.shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     try:
         sock.bind((listener.address, listener.port))
-        sock.listen(1)
+        # A socket that listened only to be closed would be sent connections
+        # of a shared port and reset them.
+        if not listener.shared:
+            sock.listen(1)
     except OSError as exc:
         return exc
     return None
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -35,6 +35,7 @@
 class CallersSettings(Listener):
     """Section ``[callers]``: the listener for teams' requests."""
 
+    reuse_port: bool = key(units.read_flag)
     body_limit: int = key(units.read_size)
     header_limit: int = key(units.read_size)
     header_timeout: float = key(units.read_duration)
@@ -45,6 +46,11 @@
     leave_delay: float = key(units.read_duration)
     leave_timeout: float = key(units.read_duration)
 
+    @property
+    def shared(self) -> bool:
+        """Whether other daemons of the host may listen on the same port."""
+        return self.reuse_port
+
 
 @attrs.frozen
 class OperatorsSettings(Listener):
--- a/src/balsamreach/daemon/listeners.py
+++ b/src/balsamreach/daemon/listeners.py
@@ -1,5 +1,6 @@
 """Opens and closes the router's listeners."""
 
+import socket
 import ssl
 
 import attrs
@@ -11,6 +12,7 @@
 from balsamreach.config.listeners import Listener
 from balsamreach.config.settings import Settings
 from balsamreach.config.tls import server_context
+from balsamreach.daemon.closing import drop_openings
 from balsamreach.gateway.guard import HEADER_SLACK
 
 #: The guard bounds bodies and answers what is too large; the server's own
@@ -30,11 +32,26 @@
         Its section of the settings.
     server : HTTPServer
         The server behind it.
+    sockets : tuple of socket
+        Its listening sockets.
     """
 
     address: str
     section: Listener
     server: HTTPServer
+    sockets: tuple[socket.socket, ...] = ()
+
+    def turn_away(self) -> bool:
+        """Leave new connections to others on the port, if there may be any.
+
+        Returns
+        -------
+        bool
+            Whether the listener has to be kept open for a little longer.
+        """
+        if self.section.shared:
+            drop_openings(self.sockets)
+        return self.section.shared
 
     def stop(self) -> None:
         """Take no more connections; those that are open go on."""
@@ -87,7 +104,7 @@
     if isinstance(context, ConfigFault):
         raise ssl.SSLError(context.reason)
     address = section.address or cfg.host.address
-    sockets = bind_sockets(section.port, address)
+    sockets = bind_sockets(section.port, address, reuse_port=section.shared)
     server = HTTPServer(
         app,
         ssl_options=context,
@@ -97,4 +114,4 @@
     )
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
-    return OpenListener(f'{address}:{port}', section, server)
+    return OpenListener(f'{address}:{port}', section, server, tuple(sockets))
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -38,6 +38,9 @@
 _logger = logging.getLogger(__name__)
 _LAST_FLUSHES = 20
 _FLUSH_PAUSE_S = 1
+#: Handshakes under way on a shared port end in this time; a caller's machine
+#: tries again after a second, so the port must be closed by then.
+_HANDSHAKES_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -113,6 +116,8 @@
         # the listener closed at once, those callers would see a refused
         # connection; so it is kept open until the balancer must know.
         await self.parts.clock.sleep(self.cfg.callers.leave_delay)
+        if self.callers.turn_away():
+            await self.parts.clock.sleep(_HANDSHAKES_S)
         self.callers.stop()
         self.guard.leave()
 
