Name the cause that a test of a dead home finds

Cause: the test named a home that answers at once as what it finds. Change: its cause is a home that shares out the whole rate among those that it has heard. Conclusion: words alone.

--- a/tests/test_routing_rates.py
+++ b/tests/test_routing_rates.py
@@ -150,11 +150,11 @@
         self.assertEqual(min(admitted), 70)
 
     async def test_home_that_dies_lets_nobody_past_the_rate(self):
-        """The next home doesn't grant what old shares still use.
+        """The next home shares out only what is of those it has heard.
 
         Symptom: a team gets twice its rate for half a minute. Events: the
-        home dies, and the first router to tell the next one is taken for
-        the only one. Cause: a home that answers at once.
+        home dies, and some routers have told the next one. Cause: it shares
+        out the whole rate among those.
         """
         demand = dict.fromkeys(self.limits, 10)
         await self.run_for(40, demand)
