Keep the loop's reports out of the stream of spans

Cause: test_each_hop_has_a_span_below_the_callers failed in a run of all tests beside other work, 1 of 1152, with a JSONDecodeError. The stream that the test reads as spans takes standard error while the routers start, and there the event loop's debug mode reports callbacks of 100 ms and more.

--- a/tests/test_gateway_traced_upstream.py
+++ b/tests/test_gateway_traced_upstream.py
@@ -1,5 +1,6 @@
 """Tests of spans: one request followed over routers and targets."""
 
+import asyncio
 import contextlib
 import io
 import json
@@ -23,6 +24,10 @@
     """Two routers that write their spans to one stream."""
 
     async def asyncSetUp(self):
+        # In debug mode the loop reports each callback of 100 ms and more on
+        # standard error: on a busy machine the stream would hold lines that
+        # are no spans, and reading it would end in a JSONDecodeError.
+        asyncio.get_running_loop().set_debug(False)
         self.stream = io.StringIO()
         self.deployment = Deployment(('telemetry.traces=stderr',))
         with contextlib.redirect_stderr(self.stream):
