--- a/bench/plots.py
+++ b/bench/plots.py
@@ -2,11 +2,14 @@
 
 import math
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 
 import attrs
 from matplotlib.axes import Axes
+from matplotlib.axis import Axis
 from matplotlib.figure import Figure
+from matplotlib.ticker import FormatStrFormatter
 
 from bench.callers import Outcome
 from bench.report import Report
@@ -32,6 +35,11 @@
         self.axes.set_ylabel(upwards)
         self.axes.grid(visible=True, alpha=_FAINT)
 
+    def log(self, set_scale: Callable[[str], None], axis: Axis) -> None:
+        set_scale('log')
+        axis.set_major_formatter(FormatStrFormatter('%g'))
+        axis.set_minor_formatter(FormatStrFormatter('%g'))
+
     def shade_outages(self) -> None:
         latest = max(map(self.moment, self.series.outcomes), default=0)
         for outage in self.series.outages:
@@ -67,7 +75,7 @@
     moments = [panel.moment(outcome) for outcome in whole]
     taken = [outcome.took_s * _MS for outcome in whole]
     panel.axes.plot(moments, taken, '.', markersize=2)
-    panel.axes.set_yscale('log')
+    panel.log(panel.axes.set_yscale, panel.axes.yaxis)
     panel.shade_outages()
     panel.title('whole answers (red: no platform)', 'asked at, s', 'took, ms')
 
@@ -103,7 +111,7 @@
     )
     for name, seconds in ways:
         _draw_shares(panel, [taken * _MS for taken in seconds], name)
-    panel.axes.set_xscale('log')
+    panel.log(panel.axes.set_xscale, panel.axes.xaxis)
     panel.axes.legend(fontsize=8)
     panel.title('small requests, by turns', 'took, ms', 'share')
 
@@ -128,6 +136,6 @@
             'o-',
             label=name,
         )
-    panel.axes.set_yscale('log')
+    panel.log(panel.axes.set_yscale, panel.axes.yaxis)
     panel.axes.legend(fontsize=8)
     panel.title('time of a token on its way', 'quantile', 'ms')
