Set operators' commands up for TLS by the class that routers use

Cause: the same three files were set on a curl handle in two places, and only the routers' named the oldest version accepted. Change: OperatorsClient takes a CurlTls. Conclusion: behaviour is the same; the commands name TLS 1.2 as well.

--- a/src/balsamreach/client/operators.py
+++ b/src/balsamreach/client/operators.py
@@ -20,6 +20,7 @@
     UNTRUSTED,
     ClientFault,
 )
+from balsamreach.curl_tls import CurlTls
 
 _CONNECT_S = 5
 _WHOLE_S = 60
@@ -77,20 +78,15 @@
         Base address, like ``http://127.0.0.1:8081``.
     key : str
         Operator key.
-    ca : str
-        PEM file of the CA for https; empty for the machine's own.
-    certificate, certificate_key : str
-        PEM files to show to a listener that asks for a certificate; the
-        key may stand in the certificate's file.
+    tls : CurlTls
+        PEM files for https; the key may stand in the certificate's file.
     author : str
         Who edits, for the history.
     """
 
     url: str
     key: str
-    ca: str = ''
-    certificate: str = ''
-    certificate_key: str = ''
+    tls: CurlTls = attrs.Factory(CurlTls)
     author: str = 'operator'
     _curl: pycurl.Curl = attrs.field(factory=pycurl.Curl)
 
@@ -178,16 +174,9 @@
             pycurl.WRITEDATA: sink,
         }
         self._curl.reset()
-        for option, setting in (options | self._tls_options()).items():
+        for option, setting in options.items():
             self._curl.setopt(option, setting)
-
-    def _tls_options(self) -> dict[int, str]:
-        files = {
-            pycurl.CAINFO: self.ca,
-            pycurl.SSLCERT: self.certificate,
-            pycurl.SSLKEY: self.certificate_key,
-        }
-        return {option: path for option, path in files.items() if path}
+        self.tls.prepare(self._curl)
 
     def _headers(self) -> list[str]:
         return [
--- a/src/balsamreach/ui/operator_options.py
+++ b/src/balsamreach/ui/operator_options.py
@@ -18,6 +18,7 @@
     ClientFault,
 )
 from balsamreach.client.operators import OperatorsClient
+from balsamreach.curl_tls import CurlTls
 from balsamreach.ui import exit_codes
 from balsamreach.ui.errors import CommandError
 
@@ -105,9 +106,11 @@
     client = OperatorsClient(
         url=options.pop('router'),
         key=_read_key(options.pop('secret'), options.pop('key_file')),
-        ca=options.pop('ca') or '',
-        certificate=options.pop('certificate') or '',
-        certificate_key=options.pop('certificate_key') or '',
+        tls=CurlTls(
+            ca=options.pop('ca') or '',
+            certificate=options.pop('certificate') or '',
+            key=options.pop('certificate_key') or '',
+        ),
         author=options.pop('author'),
     )
     try:
