Leave debug mode before the stream of spans begins

The loop still reports the callback in which debug mode is turned off, and the stream begins in the same one. Change: the case lets that callback end first.

--- a/tests/test_gateway_traced_upstream.py
+++ b/tests/test_gateway_traced_upstream.py
@@ -27,7 +27,9 @@
         # In debug mode the loop reports each callback of 100 ms and more on
         # standard error: on a busy machine the stream would hold lines that
         # are no spans, and reading it would end in a JSONDecodeError.
+        # The callback that turns it off is itself still reported.
         asyncio.get_running_loop().set_debug(False)
+        await asyncio.sleep(0)
         self.stream = io.StringIO()
         self.deployment = Deployment(('telemetry.traces=stderr',))
         with contextlib.redirect_stderr(self.stream):
