End an open claim on an operator's word

Cause: a certificate that ran at a router killed before its answer came is billed by nobody; its claim stayed open for good, counted by the audit and not named in its text. The claim stays, so the request never runs again, and a bill that comes after all is the second one and is dropped. Measured: tests of test_ui_audit: billed, closed, refused beyond the budget, refused without a claim or a second time; no such command before. Conclusion: what only the service knows can be settled by whoever asks it.

--- a/src/balsamreach/budget/faults.py
+++ b/src/balsamreach/budget/faults.py
@@ -32,6 +32,8 @@
 CONTENDED = BudgetFault('account_contended', retry_after=1)
 #: The host list still shows a router that is said to be dead.
 STILL_LISTED = BudgetFault('still_listed')
+#: The request has no claim, or has its bill.
+NOT_OPEN = BudgetFault('claim_not_open')
 #: This router is shutting down and has given its allotments back.
 LEFT = BudgetFault('router_left', retry_after=1)
 
--- a/src/balsamreach/ui/audit.py
+++ b/src/balsamreach/ui/audit.py
@@ -70,6 +70,11 @@
             f'{lost.incarnation} ({why}), {hours:.1f} h',
         )
     click.echo(f'claims: {report.claims}, without a bill {report.claims_open}')
+    for claim in report.open_claims:
+        click.echo(
+            f'open claim: {claim.team}/{claim.key}, made by {claim.holder} '
+            f'{claim.commits} commits ago',
+        )
     for team in report.unjudged:
         click.echo(f'{team}: changed while read, audit again', err=True)
     for breach in report.breaches:
--- a/src/balsamreach/ui/budget.py
+++ b/src/balsamreach/ui/budget.py
@@ -6,7 +6,12 @@
 import attrs
 import click
 
-from balsamreach.budget.faults import STILL_LISTED, BudgetFault
+from balsamreach.budget.ending import ClaimEnder
+from balsamreach.budget.faults import (
+    NO_ALLOTMENT,
+    STILL_LISTED,
+    BudgetFault,
+)
 from balsamreach.budget.releasing import Released, Releaser
 from balsamreach.clock import SystemClock
 from balsamreach.config.settings import Settings
@@ -61,6 +66,45 @@
         click.echo(f'{outcome.kept} tokens stay: borrowers may hold them')
 
 
+@command.command('settle')
+@click.argument('request_name', metavar='TEAM/KEY')
+@click.option(
+    '--tokens',
+    type=click.IntRange(min=0),
+    required=True,
+    help='Tokens to bill; 0 closes the claim without a charge.',
+)
+@click.option('--by', required=True, help='Who says how it ended.')
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+@settings_options('Settings file that names the platform.')
+def settle(
+    request_name: str,
+    tokens: int,
+    by: str,
+    path: str | None,
+    overrides: tuple[str, ...],
+    *,
+    as_json: bool,
+) -> None:
+    """End a claim of which no router knows how its run ended.
+
+    Ask the service first whether it ran. The claim stays: the request is
+    never run again under its key.
+    """
+    cfg = load_settings(path, overrides)
+    team, _slash, key = request_name.partition('/')
+    table = HttpTableService(platform_client(cfg, cfg.platform.table))
+    fault = asyncio.run(ClaimEnder(table, by).end(team, key, tokens))
+    if fault is not None:
+        away = fault == NO_ALLOTMENT
+        code = exit_codes.UNREACHABLE if away else exit_codes.CONFLICT
+        raise CommandError('settle the claim', fault, code)
+    if as_json:
+        click.echo(json.dumps({'team': team, 'key': key, 'billed': tokens}))
+    else:
+        click.echo(f'{request_name}: billed with {tokens} tokens')
+
+
 async def _release(
     cfg: Settings,
     incarnation: str,
--- a/tests/test_ui_audit.py
+++ b/tests/test_ui_audit.py
@@ -114,6 +114,42 @@
             (open_claim['key'], open_claim['holder']), ('open', 'b')
         )
 
+    @parameterized.expand(
+        [
+            ('bill', 30, exit_codes.OK, 190),
+            ('close', 0, exit_codes.OK, 160),
+            ('beyond_the_budget', 10**6, exit_codes.CONFLICT, 160),
+        ],
+    )
+    def test_settle(self, _name, tokens, code, recorded):
+        """Symptom: a certificate that ran is never billed, and stays listed.
+
+        Sequence: a router dies before the service answers. Cause: nobody
+        else can know how the run ended.
+        """
+        self.server.put('claim/team/open', {'holder': 'b'})
+        self.assertEqual(self.settle('open', tokens).exit_code, code)
+        report = self.report()
+        self.assertEqual(report['breaches'], [])
+        self.assertEqual(report['teams']['team']['recorded'], recorded)
+        left = int(code != exit_codes.OK)
+        self.assertEqual(report['claims_open'], left)
+        # Nobody runs it again, and a second word changes nothing.
+        self.assertIsNotNone(self.server.read('claim/team/open'))
+        again = self.settle('open', 7)
+        if not left:
+            self.assertEqual(again.exit_code, exit_codes.CONFLICT)
+            self.assertIn('billed already', again.output)
+
+    def test_settle_without_a_claim(self):
+        self.assertEqual(self.settle('new', 1).exit_code, exit_codes.CONFLICT)
+
+    def settle(self, key, tokens):
+        """Run the command that ends a claim."""
+        told = ['--tokens', str(tokens), '--by', 'Éva']
+        arguments = ['budget', 'settle', f'team/{key}', *told]
+        return CliRunner().invoke(main, arguments + self.server.options())
+
     @parameterized.expand(
         [
             ('of a router without an address', False),
