--- a/tests/test_gateway_curl_upstream.py
+++ b/tests/test_gateway_curl_upstream.py
@@ -205,6 +205,12 @@
         (('before the head', b''), ('within the stream', _STREAM_HEAD)),
     )
     async def test_silent_stream(self, _name: str, said: bytes) -> None:
+        """A caller waits for a stream until its deadline.
+
+        Symptom: half an answer, then nothing. Sequence: the target takes the
+        request; the connection stands and carries nothing more.
+        Cause: only closed connections counted as broken.
+        """
         fake, address = await self.fake(said)
         outcome = await self.make().send(_attempt(address), Memory())
         self.assertEqual(outcome, SILENT)
@@ -213,8 +219,10 @@
     async def test_pooled_connections_are_not_used_after_silence(self) -> None:
         """Each request to a target hung for a gap timeout, one by one.
 
-        A device between lost track of all connections that stood. One was
-        found silent; the next request went out on another old one.
+        Symptom: gap timeout after gap timeout at a target that lives.
+        Sequence: a device between loses track of all connections that
+        stood; one is found silent; the next request goes out on another.
+        Cause: the pool outlived the silence of one of its connections.
         """
         fake, address = await self.fake(_WHOLE, b'', _WHOLE, _WHOLE)
         upstream = self.make()
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -206,7 +206,12 @@
         self.assertEqual(refused, 1)
 
     async def test_silent_link_ends_after_the_gap_timeout(self):
-        """The other end keeps the connection open and says nothing."""
+        """A dead peer is believed alive for as long as its connection stands.
+
+        Symptom: questions to a peer time out one by one. Sequence: the
+        other end keeps the connection open and says nothing.
+        Cause: only closed connections counted as ended.
+        """
         for _ in range(round(_CFG.gap_timeout / _CFG.heartbeat)):
             await self.pass_heartbeat()
         self.assertFalse(self.running.done())
