Check that links between pages lead somewhere

Cause: a page linked to one that was not there yet, and nothing showed it. Change: test_operators_pages looks for the file of each link in docs and in the pages at the root. Conclusion: a page that moves or is left out shows at once.

--- a/tests/test_operators_pages.py
+++ b/tests/test_operators_pages.py
@@ -27,6 +27,8 @@
 _DOCS = pathlib.Path(__file__).parent.parent / 'docs'
 _SOURCE = pathlib.Path(balsamreach.__file__).parent
 _QUOTED = re.compile(r'`([^`]+)`')
+#: A link to a file of the repository, without its place in the file.
+_LINK = re.compile(r'\]\(([^):#]+)(?:#[^)]*)?\)')
 _UNITS = {
     units.read_count: 'count',
     units.read_duration: 'duration',
@@ -200,6 +202,16 @@
         known = set(_members(exit_codes, int))
         self.assertEqual({int(row[0]) for row in rows}, known)
 
+    def test_links(self):
+        pages = (*_DOCS.rglob('*.md'), *_DOCS.parent.glob('*.md'))
+        broken = [
+            f'{page.name}: {link}'
+            for page in pages
+            for link in _LINK.findall(page.read_text())
+            if not (page.parent / link).exists()
+        ]
+        self.assertEqual(broken, [])
+
     def test_packages(self):
         rows = _rows('ARCHITECTURE.md', 'Packages')
         listed = {name for row in rows for name in _quoted(row[0])}
