Compare the counters of confirmed refusals and reclaimed tokens

Cause: both counters were new and no test read them. Change: two tests compare them with what happened. Conclusion: an operators' page may rest on them.

--- a/tests/test_budget_reclaiming.py
+++ b/tests/test_budget_reclaiming.py
@@ -3,6 +3,7 @@
 from parameterized import parameterized
 
 from balsamreach.budget.leftovers import STRANDED_PREFIX
+from balsamreach.budget.takeover import RECLAIMED
 from balsamreach.wire.messages import LenderAsk, LoanAsk
 from tests.test_budget_failures import FailureTest
 
@@ -50,6 +51,10 @@
         stranded = (await self.world.audit()).stranded
         self.assertTrue(stranded)
         self.assertEqual(await self.reclaim(), 0)
+        # The counter is that of the one router that looked after it.
+        routers = self.world.routers.values()
+        counted = sum(one.metrics.counted(RECLAIMED) for one in routers)
+        self.assertGreaterEqual(counted, stranded[0].tokens)
         entry = await self.world.peek(f'{STRANDED_PREFIX}a')
         self.assertIsNone(entry.value)
         await self.check(recorded=1000)
--- a/tests/test_dispatch_sharing.py
+++ b/tests/test_dispatch_sharing.py
@@ -7,6 +7,7 @@
 from parameterized import parameterized
 
 from balsamreach.dispatch import faults
+from balsamreach.dispatch.confirming import CONFIRMED
 from balsamreach.dispatch.sharing import LOOKUPS, Whereabouts
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.wire.messages import RunAsk, RunNote, RunsAsk
@@ -391,6 +392,9 @@
         asks = [one for one in self.fabric.sent if isinstance(one, RunsAsk)]
         self.assertEqual(told, {faults.NOT_RUN})
         self.assertLess(len(asks), 10)
+        metrics = self.theirs.parts.metrics
+        counted = metrics.counted(CONFIRMED, outcome='confirmed')
+        self.assertEqual(counted, len(calls))
 
     async def test_home_cut_off_costs_a_run_and_makes_refusals_unsure(self):
         """A wrong or missing home costs work, never correctness.
