--- a/tests/test_budget_waiters.py
+++ b/tests/test_budget_waiters.py
@@ -142,3 +142,19 @@
         self.routers['a'].bill(held[0], Bill('team', 'k', 30))
         self.world.clock.seconds += 0.1
         self.assertEqual(self.count(await self.reserve('b', 60)), 1)
+
+    async def test_tokens_that_cannot_be_lent(self):
+        """Symptom: requests wait for ``draw_wait`` and are refused then.
+
+        Sequence: what is left is at a router that the table service is away
+        from, and that may not lend it. Cause: it tells of those tokens, and
+        the borrower asks for them again and again.
+        """
+        await self.hold(b=300)
+        lender = self.routers['b'].book.ledger('team')
+        lender.lendable = 0
+        self.world.cut('b')
+        self.world.clock.seconds += 1
+        began = self.world.clock.seconds
+        self.assertEqual(await self.reserve('a', 100), [EXHAUSTED])
+        self.assertLess(self.world.clock.seconds - began, 1)
