Mark a target whose first word of leaving came before any look at it

A router that had not looked at the engine yet believed in no start of it; the header's word made it ask, the load report showed the start and no leaving, and the word was gone. A target that says so in its answers alone got new work. Ruled out: news lost between the routers; neither had marked it. Change: after asking, the word counts if it names the start that the target itself has just reported. Other words still mark nothing. The whole suite was not run again after it. Conclusion: the word holds whether it comes before the first look or after it.

--- a/src/balsamreach/targets/announcements.py
+++ b/src/balsamreach/targets/announcements.py
@@ -55,14 +55,22 @@
         if named == target.report.incarnation:
             self.marks.mark(target, named, FROM_ANSWER)
             return
-        self._look(target)
+        self._look(target, named)
 
-    def _look(self, target: Target) -> None:
+    def _look(self, target: Target, named: str) -> None:
         now = self.clock.now()
         if now - self._looked.get(target, -_PAUSE) < _PAUSE:
             return
         self._looked[target] = now
         self.metrics.count(_DOUBTED)
-        looking = asyncio.create_task(self.loads.poll(target))
+        looking = asyncio.create_task(self._ask(target, named))
         self._looks.add(looking)
         looking.add_done_callback(self._looks.discard)
+
+    async def _ask(self, target: Target, named: str) -> None:
+        await self.loads.poll(target)
+        # Before its first look a router believes in no start at all. Were
+        # the word dropped then, a target that says so in its answers alone,
+        # and gets no further request here, would never be marked.
+        if named == target.report.incarnation and not target.marked:
+            self.marks.mark(target, named, FROM_ANSWER)
--- a/tests/test_targets_announcements.py
+++ b/tests/test_targets_announcements.py
@@ -112,8 +112,15 @@
         self.assertEqual(self.target().left, set())
         self.assertEqual(len(self.client.asked), polls)
 
-    @parameterized.expand([('later start', 2), ('start not known', 1)])
-    async def test_unknown_start_is_asked_at_once(self, _what, start):
+    @parameterized.expand(
+        [
+            ('later start', 2, True),
+            ('start not known', 1, True),
+            ('later start, in answers alone', 2, False),
+            ('start not known, in answers alone', 1, False),
+        ]
+    )
+    async def test_unknown_start_is_asked_at_once(self, _what, start, reports):
         """A target's word is lost as its start is news to the router.
 
         Symptom: requests go on to a host that leaves, until the next round
@@ -123,7 +130,7 @@
         if start > 1:
             await self.watches[0].loads.poll(self.target())
         self.host.start = start
-        self.host.leaving = True
+        self.host.leaving = reports
         await self.answer(self.host.incarnation)
         self.assertTrue(self.target(0).leaving)
         self.assertTrue(self.target(1).leaving)
