Read all pages of a prefix by one function

Cause: reading page after page stood in Closer.teams and again in Leftovers.rows, which releasing and reclaiming called for rows that have nothing to do with leftovers, one of them by making a Leftovers for it. Change: platform/scanning.py has scan_all; the four call it. Behaviour is the same. The search for a router's seat keeps its loop, since it stops at the first hit, and the audit's works row by row. Conclusion: the general read is in the general layer.

--- a/src/balsamreach/budget/closing.py
+++ b/src/balsamreach/budget/closing.py
@@ -13,8 +13,9 @@
 from balsamreach.budget.closing_plan import Closed, Closing, Work, work_out
 from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.sorting import bill_keys
-from balsamreach.platform.base import Commit, Scan, TableService
+from balsamreach.platform.base import Commit, TableService
 from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.platform.scanning import scan_all
 
 _ATTEMPTS = 8
 #: Most bills that one commit of a closing
@@ -29,21 +30,15 @@
 
     async def teams(self, incarnation: str) -> tuple[str, ...] | BudgetFault:
         """Return the teams of which an incarnation holds open allotments."""
-        found: list[str] = []
         prefix = allotment_key(incarnation, '')
-        page = await self.service.scan(Scan(prefix))
-        while not isinstance(page, PlatformFault):
-            found.extend(
-                row.key.removeprefix(prefix)
-                for row in page.rows
-                if not decode_allotment(row.value).closed
-            )
-            if not page.more:
-                return tuple(found)
-            page = await self.service.scan(
-                Scan(prefix, after=page.rows[-1].key),
-            )
-        return NO_ALLOTMENT.because(f'table service: {page.code}')
+        rows = await scan_all(self.service, prefix)
+        if isinstance(rows, PlatformFault):
+            return NO_ALLOTMENT.because(f'table service: {rows.code}')
+        return tuple(
+            row.key.removeprefix(prefix)
+            for row in rows
+            if not decode_allotment(row.value).closed
+        )
 
     async def close(self, closing: Closing) -> Closed | BudgetFault:
         """Record the bills and give the rest back, in one commit.
--- a/src/balsamreach/budget/leftovers.py
+++ b/src/balsamreach/budget/leftovers.py
@@ -14,11 +14,11 @@
 from balsamreach.platform.base import (
     Commit,
     Row,
-    Scan,
     TableService,
     Write,
 )
 from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.platform.scanning import scan_all
 
 #: Rows that name incarnations with such allotments.
 STRANDED_PREFIX = 'stranded/'
@@ -53,7 +53,7 @@
 
     async def lenders(self) -> tuple[str, ...]:
         """Return the lenders entered; none while the service is away."""
-        entries = await self.rows(STRANDED_PREFIX)
+        entries = await scan_all(self.service, STRANDED_PREFIX)
         if isinstance(entries, PlatformFault):
             return ()
         return tuple(
@@ -76,21 +76,8 @@
         await self.service.commit(Commit((entry,)))
         return returned
 
-    async def rows(self, prefix: str) -> tuple[Row, ...] | PlatformFault:
-        """Return all rows under a prefix."""
-        found: list[Row] = []
-        scan = Scan(prefix)
-        while True:
-            page = await self.service.scan(scan)
-            if isinstance(page, PlatformFault):
-                return page
-            found.extend(page.rows)
-            if not page.more:
-                return tuple(found)
-            scan = Scan(prefix, after=page.rows[-1].key)
-
     async def _left(self, lender: str) -> tuple[Row, ...] | PlatformFault:
-        rows = await self.rows(allotment_key(lender, ''))
+        rows = await scan_all(self.service, allotment_key(lender, ''))
         if isinstance(rows, PlatformFault):
             return rows
         return tuple(row for row in rows if row.value.get('closed'))
--- a/src/balsamreach/budget/reclaiming.py
+++ b/src/balsamreach/budget/reclaiming.py
@@ -13,6 +13,7 @@
 from balsamreach.peers.base import PeerNet
 from balsamreach.peers.homes import heaviest
 from balsamreach.platform.faults import PlatformFault
+from balsamreach.platform.scanning import scan_all
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import LenderAsk, LenderGone, Member
@@ -99,7 +100,7 @@
         return isinstance(answer, LenderGone) and answer.clear
 
     async def _nobody_else(self, lender: str, answered: set[str]) -> bool:
-        seats = await self.leftovers.rows(ROUTER_PREFIX)
+        seats = await scan_all(self.leftovers.service, ROUTER_PREFIX)
         if isinstance(seats, PlatformFault):
             return False
         for seat in seats:
--- a/src/balsamreach/budget/releasing.py
+++ b/src/balsamreach/budget/releasing.py
@@ -21,6 +21,7 @@
     Write,
 )
 from balsamreach.platform.faults import PlatformFault
+from balsamreach.platform.scanning import scan_all
 
 RELEASE_PREFIX = 'release/'
 
@@ -163,7 +164,7 @@
     async def _strike(self, incarnation: str) -> PlatformFault | None:
         # A vacated row that goes on naming it would count as allotments that
         # wait to be closed.
-        rows = await Leftovers(self.service, self.clock).rows(ROUTER_PREFIX)
+        rows = await scan_all(self.service, ROUTER_PREFIX)
         if isinstance(rows, PlatformFault):
             return rows
         for row in rows:
