Name the package of the platform services' clients for what it is

Cause: the adapter to the users' platform is to live in one folder named platform/, and the package of that name held the abstract bases and our own HTTP clients of the four services. Change: balsamreach.platform is balsamreach.services; nothing else moved.

--- a/bench/audit.py
+++ b/bench/audit.py
@@ -13,8 +13,8 @@
     decode_account,
     decode_allotment,
 )
-from balsamreach.platform.base import Row, Scan, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
 from bench.callers import Outcome
 from bench.fleet import fetch
 from bench.processes import Process
--- a/bench/budget_policies.py
+++ b/bench/budget_policies.py
@@ -10,8 +10,8 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.budget.faults import EXHAUSTED, NO_ALLOTMENT, BudgetFault
 from balsamreach.config.settings import BudgetSettings
-from balsamreach.platform.base import Check, Commit, Write
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Check, Commit, Write
+from balsamreach.services.faults import PlatformFault
 from balsamreach.standins.memory import MemoryPlatform
 from bench.budget_trace import Call
 from bench.routing_loop import LoopClock
--- a/bench/budget_runs.py
+++ b/bench/budget_runs.py
@@ -9,7 +9,7 @@
 from balsamreach.budget.auditor import Auditor
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.config.settings import BudgetSettings
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.standins.memory import MemoryPlatform
 from bench.budget_policies import Central, Escrow, Policy, Static
 from bench.budget_trace import Call, Load, demand, draw_calls
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -9,8 +9,8 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from balsamreach.clock import SystemClock
-from balsamreach.platform.http import PlatformClient
-from balsamreach.platform.table_http import HttpTableService
+from balsamreach.services.http import PlatformClient
+from balsamreach.services.table_http import HttpTableService
 from balsamreach.table.editor import Edit, Editor
 from balsamreach.table.faults import TableFault
 from balsamreach.table.rows import TargetRow, TeamRow, encode
--- a/bench/scenarios/common.py
+++ b/bench/scenarios/common.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamreach.budget.account import Allotment, allotment_key, encode
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.table.rows import PLAIN_SERVICE, TargetRow
 from bench import probe
 from bench.audit import figures_of, read_books, runs_of
--- a/bench/slopes_budgets.py
+++ b/bench/slopes_budgets.py
@@ -11,8 +11,8 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import Commit
-from balsamreach.platform.faults import CONFLICT
+from balsamreach.services.base import Commit
+from balsamreach.services.faults import CONFLICT
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.standins.memory_table import MemoryTableService
 from bench.routing_loop import LoopClock, run_virtually
--- a/bench/slopes_fleet.py
+++ b/bench/slopes_fleet.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from bench.callers import Ask, Callers
 from bench.fleet import Fleet, engine_row, secret_of, start_fleet, team
 from bench.processes import Process
--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -9,7 +9,7 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.requests.answers import End
 from balsamreach.requests.identity import RequestId
 from balsamreach.requests.registry import Answers
--- a/bench/slopes_table.py
+++ b/bench/slopes_table.py
@@ -9,7 +9,7 @@
 import attrs
 
 from balsamreach.clock import SystemClock
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.exchange import TableExchange
 from balsamreach.table.reader import TableReader
--- a/bench/table_size.py
+++ b/bench/table_size.py
@@ -9,7 +9,7 @@
 import attrs
 
 from balsamreach.clock import SystemClock
-from balsamreach.platform.base import Commit, Row, Write
+from balsamreach.services.base import Commit, Row, Write
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table import rows
 from balsamreach.table.reader import TableReader
--- a/bench/table_spread.py
+++ b/bench/table_spread.py
@@ -16,7 +16,7 @@
 from balsamreach.peers.counters import BYTES
 from balsamreach.peers.discovery import Discovery
 from balsamreach.peers.net import TcpPeerNet
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.editor import Editor
 from balsamreach.table.edits import Edit
--- a/src/balsamreach/budget/auditor.py
+++ b/src/balsamreach/budget/auditor.py
@@ -17,8 +17,8 @@
 from balsamreach.budget.audit import OpenClaim, Report, Stranded, TeamSums
 from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.incarnations import ROUTER_PREFIX
-from balsamreach.platform.base import Row, Scan, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
 
 CLAIM_PREFIX = 'claim/'
 CLAIMED = 'claimed'
--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -24,7 +24,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import TableService
+from balsamreach.services.base import TableService
 from balsamreach.telemetry.metrics import Metrics
 
 REFUSALS = 'balsamreach_budget_refusals_total'
--- a/src/balsamreach/budget/closing.py
+++ b/src/balsamreach/budget/closing.py
@@ -13,9 +13,9 @@
 from balsamreach.budget.closing_plan import Closed, Closing, Work, work_out
 from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.sorting import bill_keys
-from balsamreach.platform.base import Commit, TableService
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
-from balsamreach.platform.scanning import scan_all
+from balsamreach.services.base import Commit, TableService
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.scanning import scan_all
 
 _ATTEMPTS = 8
 #: Most bills that one commit of a closing
--- a/src/balsamreach/budget/closing_plan.py
+++ b/src/balsamreach/budget/closing_plan.py
@@ -11,7 +11,7 @@
     encode,
 )
 from balsamreach.budget.sorting import insert_bills, sort_bills
-from balsamreach.platform.base import ABSENT, Check, Commit, Row, Write
+from balsamreach.services.base import ABSENT, Check, Commit, Row, Write
 
 
 @attrs.frozen
--- a/src/balsamreach/budget/draws.py
+++ b/src/balsamreach/budget/draws.py
@@ -13,8 +13,8 @@
 )
 from balsamreach.budget.moves import Move, Moved, Plan, Records, plan_move
 from balsamreach.clock import Clock
-from balsamreach.platform.base import Commit, Row, TableService
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.base import Commit, Row, TableService
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 
 _ATTEMPTS = 8
 _FIRST_PAUSE_S = 0.01
--- a/src/balsamreach/budget/ending.py
+++ b/src/balsamreach/budget/ending.py
@@ -19,8 +19,8 @@
 )
 from balsamreach.budget.incarnations import live_check
 from balsamreach.budget.sorting import insert_bills
-from balsamreach.platform.base import Commit, Row, TableService, Write
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.base import Commit, Row, TableService, Write
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 
 #: Flag of a bill that an operator made.
 BY_OPERATOR = 'ended_by_operator'
--- a/src/balsamreach/budget/incarnations.py
+++ b/src/balsamreach/budget/incarnations.py
@@ -3,7 +3,7 @@
 import attrs
 
 from balsamreach.budget.faults import NO_ALLOTMENT, TAKEN_OVER, BudgetFault
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     ABSENT,
     Check,
     Commit,
@@ -11,7 +11,7 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 
 ROUTER_PREFIX = 'router/'
 _ATTEMPTS = 8
--- a/src/balsamreach/budget/leftovers.py
+++ b/src/balsamreach/budget/leftovers.py
@@ -11,14 +11,14 @@
 )
 from balsamreach.budget.incarnations import live_check
 from balsamreach.clock import Clock
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Commit,
     Row,
     TableService,
     Write,
 )
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
-from balsamreach.platform.scanning import scan_all
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.scanning import scan_all
 
 #: Rows that name incarnations with such allotments.
 STRANDED_PREFIX = 'stranded/'
--- a/src/balsamreach/budget/moves.py
+++ b/src/balsamreach/budget/moves.py
@@ -17,7 +17,7 @@
     too_little,
 )
 from balsamreach.budget.recording import record_loans
-from balsamreach.platform.base import Check, Row, Write
+from balsamreach.services.base import Check, Row, Write
 
 
 @attrs.frozen(eq=False, kw_only=True)
--- a/src/balsamreach/budget/recalling.py
+++ b/src/balsamreach/budget/recalling.py
@@ -13,7 +13,7 @@
 from balsamreach.budget.moves import Move
 from balsamreach.budget.sizing import Sizing
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.faults import PlatformFault
 from balsamreach.wire.messages import Member, RecallAsk, RecallTold
 
 #: Seconds for which a router draws no more than its requests need.
--- a/src/balsamreach/budget/reclaiming.py
+++ b/src/balsamreach/budget/reclaiming.py
@@ -12,8 +12,8 @@
 from balsamreach.budget.takeover import RECLAIMED
 from balsamreach.peers.base import PeerNet
 from balsamreach.peers.homes import heaviest
-from balsamreach.platform.faults import PlatformFault
-from balsamreach.platform.scanning import scan_all
+from balsamreach.services.faults import PlatformFault
+from balsamreach.services.scanning import scan_all
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import LenderAsk, LenderGone, Member
--- a/src/balsamreach/budget/recording.py
+++ b/src/balsamreach/budget/recording.py
@@ -3,7 +3,7 @@
 import attrs
 
 from balsamreach.budget.account import Loan, decode_allotment, encode
-from balsamreach.platform.base import Row, Write
+from balsamreach.services.base import Row, Write
 
 
 @attrs.frozen
--- a/src/balsamreach/budget/releasing.py
+++ b/src/balsamreach/budget/releasing.py
@@ -12,7 +12,7 @@
 from balsamreach.budget.incarnations import ROUTER_PREFIX, Seating, live_check
 from balsamreach.budget.leftovers import Leftovers
 from balsamreach.clock import Clock
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Commit,
     HostList,
     Row,
@@ -20,8 +20,8 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import PlatformFault
-from balsamreach.platform.scanning import scan_all
+from balsamreach.services.faults import PlatformFault
+from balsamreach.services.scanning import scan_all
 
 RELEASE_PREFIX = 'release/'
 
--- a/src/balsamreach/budget/settling.py
+++ b/src/balsamreach/budget/settling.py
@@ -13,8 +13,8 @@
 )
 from balsamreach.budget.faults import NO_ALLOTMENT, TAKEN_OVER, BudgetFault
 from balsamreach.budget.sorting import bill_keys, insert_bills, sort_bills
-from balsamreach.platform.base import Check, Commit, Row, TableService, Write
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.base import Check, Commit, Row, TableService, Write
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 
 _ATTEMPTS = 8
 
--- a/src/balsamreach/budget/sorting.py
+++ b/src/balsamreach/budget/sorting.py
@@ -5,7 +5,7 @@
 import attrs
 
 from balsamreach.budget.account import Bill, bill_key, encode
-from balsamreach.platform.base import ABSENT, Check, Row, Write
+from balsamreach.services.base import ABSENT, Check, Row, Write
 
 
 @attrs.frozen
--- a/src/balsamreach/budget/wakeup.py
+++ b/src/balsamreach/budget/wakeup.py
@@ -9,8 +9,8 @@
 from balsamreach.budget.faults import NO_ALLOTMENT, TAKEN_OVER, BudgetFault
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.clock import Clock
-from balsamreach.platform.base import Row, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Row, TableService
+from balsamreach.services.faults import PlatformFault
 
 #: Seconds between two looks at the clock.
 BEAT_S = 1
--- a/src/balsamreach/daemon/clients.py
+++ b/src/balsamreach/daemon/clients.py
@@ -3,10 +3,10 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.curl_tls import CurlTls
-from balsamreach.platform.base import TableService
-from balsamreach.platform.http import PlatformClient
-from balsamreach.platform.table_http import HttpTableService
-from balsamreach.platform.traced import TracedTableService
+from balsamreach.services.base import TableService
+from balsamreach.services.http import PlatformClient
+from balsamreach.services.table_http import HttpTableService
+from balsamreach.services.traced import TracedTableService
 from balsamreach.telemetry.metrics import Metrics
 
 
--- a/src/balsamreach/daemon/net.py
+++ b/src/balsamreach/daemon/net.py
@@ -7,7 +7,7 @@
 from balsamreach.daemon.clients import platform_client
 from balsamreach.peers.discovery import Discovery
 from balsamreach.peers.net import TcpPeerNet
-from balsamreach.platform.hosts_http import HttpHostList
+from balsamreach.services.hosts_http import HttpHostList
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -26,7 +26,7 @@
     TargetsContext,
     TargetsHandler,
 )
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.routing.shares import Shares
 from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
--- a/src/balsamreach/daemon/table_parts.py
+++ b/src/balsamreach/daemon/table_parts.py
@@ -7,7 +7,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import ObjectStore, TableService
+from balsamreach.services.base import ObjectStore, TableService
 from balsamreach.table.editor import Editor
 from balsamreach.table.exchange import TableExchange
 from balsamreach.table.follower import TableFollower
--- a/src/balsamreach/daemon/target_watch.py
+++ b/src/balsamreach/daemon/target_watch.py
@@ -9,7 +9,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.gateway.target_client import HttpTargetClient
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import HostList, TableService, WeightStore
+from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.routing.routing import Routing
 from balsamreach.targets.registry import Targets
--- a/src/balsamreach/gateway/operators_base.py
+++ b/src/balsamreach/gateway/operators_base.py
@@ -10,7 +10,7 @@
 
 from balsamreach.budget.budgets import Budgets
 from balsamreach.config.settings import Settings
-from balsamreach.platform.base import TableService
+from balsamreach.services.base import TableService
 from balsamreach.table import faults
 from balsamreach.table.editor import Editor
 from balsamreach.table.faults import TableFault
--- a/src/balsamreach/gateway/operators_budgets.py
+++ b/src/balsamreach/gateway/operators_budgets.py
@@ -6,7 +6,7 @@
 
 from balsamreach.budget.account import account_key, decode_account
 from balsamreach.gateway.operators_base import OperatorHandler
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table import faults
 
 
--- a/src/balsamreach/gateway/operators_table.py
+++ b/src/balsamreach/gateway/operators_table.py
@@ -12,8 +12,8 @@
 )
 from balsamreach.gateway.operators_edits import Reading, describe_outcome
 from balsamreach.gateway.operators_lowering import apply_edit
-from balsamreach.platform.base import Scan
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Scan
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table import faults
 from balsamreach.table.editor import LARGEST_BATCH
 from balsamreach.table.edits import Accepted
--- a/src/balsamreach/peers/discovery.py
+++ b/src/balsamreach/peers/discovery.py
@@ -3,8 +3,8 @@
 import attrs
 
 from balsamreach.peers.faults import NOT_CONNECTED, PeerFault
-from balsamreach.platform.base import HostList
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import HostList
+from balsamreach.services.faults import PlatformFault
 
 #: Service under which the platform lists the routers.
 ROUTER_SERVICE = 'router'
--- a/src/balsamreach/power/idle.py
+++ b/src/balsamreach/power/idle.py
@@ -8,7 +8,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.target_settings import PowerSettings
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import HostEntry
+from balsamreach.services.base import HostEntry
 from balsamreach.targets.marks import FROM_POWER, Marks
 from balsamreach.targets.registry import Target
 from balsamreach.targets.reports import LoadReport
--- a/src/balsamreach/power/looking.py
+++ b/src/balsamreach/power/looking.py
@@ -7,8 +7,8 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.target_settings import PowerSettings
-from balsamreach.platform.base import HostEntry, HostList
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import HostEntry, HostList
+from balsamreach.services.faults import PlatformFault
 from balsamreach.power.idle import IdleProof
 from balsamreach.power.rows import HostRecord, PowerRow
 from balsamreach.power.scene import HostView, Scene
--- a/src/balsamreach/power/manager.py
+++ b/src/balsamreach/power/manager.py
@@ -7,7 +7,7 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.platform.base import HostList, TableService, WeightStore
+from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.power.decider import Decider
 from balsamreach.power.follower import PowerFollower
 from balsamreach.power.idle import IdleProof
--- a/src/balsamreach/power/store.py
+++ b/src/balsamreach/power/store.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from balsamreach.platform.base import Check, Commit, Row, TableService, Write
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.base import Check, Commit, Row, TableService, Write
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 from balsamreach.power.faults import OVERTAKEN, ROW_AWAY, PowerFault
 from balsamreach.power.rows import PowerRow, decode, encode
 
--- a/src/balsamreach/requests/claims.py
+++ b/src/balsamreach/requests/claims.py
@@ -11,7 +11,7 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     ABSENT,
     Check,
     Commit,
@@ -19,7 +19,7 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import CONFLICT, UNKNOWN, PlatformFault
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 from balsamreach.requests.faults import KEY_REUSED, NO_CLAIM, RequestFault
 from balsamreach.requests.identity import RequestId
 from balsamreach.telemetry.metrics import Metrics
--- a/src/balsamreach/platform/base.py
+++ b/src/balsamreach/services/base.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.faults import PlatformFault
 
 #: Version that stands for a key that has no row.
 ABSENT = 0
--- a/src/balsamreach/platform/hosts_http.py
+++ b/src/balsamreach/services/hosts_http.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from balsamreach.platform.base import HostEntry, HostList, WeightStore
-from balsamreach.platform.faults import UNKNOWN, PlatformFault
-from balsamreach.platform.http import Call, PlatformClient, json_call
+from balsamreach.services.base import HostEntry, HostList, WeightStore
+from balsamreach.services.faults import UNKNOWN, PlatformFault
+from balsamreach.services.http import Call, PlatformClient, json_call
 
 
 @attrs.frozen
--- a/src/balsamreach/platform/http.py
+++ b/src/balsamreach/services/http.py
@@ -9,7 +9,7 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from balsamreach.curl_tls import CurlTls
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     MISSING,
--- a/src/balsamreach/platform/objects_http.py
+++ b/src/balsamreach/services/objects_http.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from balsamreach.platform.base import ObjectStore
-from balsamreach.platform.faults import MISSING, UNKNOWN, PlatformFault
-from balsamreach.platform.http import Call, PlatformClient
+from balsamreach.services.base import ObjectStore
+from balsamreach.services.faults import MISSING, UNKNOWN, PlatformFault
+from balsamreach.services.http import Call, PlatformClient
 
 
 @attrs.frozen
--- a/src/balsamreach/platform/scanning.py
+++ b/src/balsamreach/services/scanning.py
@@ -1,7 +1,7 @@
 """Reads of the table service that take more than one page."""
 
-from balsamreach.platform.base import Row, Scan, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
 
 
 async def scan_all(
--- a/src/balsamreach/platform/table_http.py
+++ b/src/balsamreach/services/table_http.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from balsamreach.platform.base import Commit, Page, Row, Scan, TableService
-from balsamreach.platform.faults import UNKNOWN, PlatformFault
-from balsamreach.platform.http import Call, PlatformClient, json_call
+from balsamreach.services.base import Commit, Page, Row, Scan, TableService
+from balsamreach.services.faults import UNKNOWN, PlatformFault
+from balsamreach.services.http import Call, PlatformClient, json_call
 
 
 @attrs.frozen
--- a/src/balsamreach/platform/traced.py
+++ b/src/balsamreach/services/traced.py
@@ -6,8 +6,8 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.base import Commit, Page, Row, Scan, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Commit, Page, Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
 from balsamreach.telemetry import hops
 from balsamreach.telemetry.metrics import Metrics
 
--- a/src/balsamreach/standins/memory_stores.py
+++ b/src/balsamreach/standins/memory_stores.py
@@ -3,13 +3,13 @@
 import attrs
 from sortedcontainers import SortedDict
 
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     HostEntry,
     HostList,
     ObjectStore,
     WeightStore,
 )
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     MISSING,
     UNAVAILABLE,
--- a/src/balsamreach/standins/memory_table.py
+++ b/src/balsamreach/standins/memory_table.py
@@ -7,7 +7,7 @@
 import attrs
 from sortedcontainers import SortedDict, SortedSet
 
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     ABSENT,
     Check,
     Commit,
@@ -17,7 +17,7 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     UNKNOWN,
--- a/src/balsamreach/standins/platform.py
+++ b/src/balsamreach/standins/platform.py
@@ -5,8 +5,8 @@
 import attrs
 from tornado.web import Application
 
-from balsamreach.platform.base import HostEntry
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import HostEntry
+from balsamreach.services.faults import PlatformFault
 from balsamreach.standins.handlers import log_nothing
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.standins.platform_handler import PlatformHandler
--- a/src/balsamreach/standins/platform_handler.py
+++ b/src/balsamreach/standins/platform_handler.py
@@ -2,7 +2,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     MISSING,
--- a/src/balsamreach/standins/platform_table.py
+++ b/src/balsamreach/standins/platform_table.py
@@ -5,8 +5,8 @@
 import attrs
 from tornado.web import HTTPError
 
-from balsamreach.platform.base import Check, Commit, Row, Scan, Write
-from balsamreach.platform.faults import CONFLICT, PlatformFault
+from balsamreach.services.base import Check, Commit, Row, Scan, Write
+from balsamreach.services.faults import CONFLICT, PlatformFault
 from balsamreach.standins.platform_handler import PlatformHandler
 
 
--- a/src/balsamreach/standins/weather.py
+++ b/src/balsamreach/standins/weather.py
@@ -3,7 +3,7 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.faults import UNAVAILABLE, PlatformFault
+from balsamreach.services.faults import UNAVAILABLE, PlatformFault
 
 
 @attrs.define
--- a/src/balsamreach/table/editor.py
+++ b/src/balsamreach/table/editor.py
@@ -6,8 +6,8 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.base import Commit, Row, TableService
-from balsamreach.platform.faults import (
+from balsamreach.services.base import Commit, Row, TableService
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     UNKNOWN,
--- a/src/balsamreach/table/edits.py
+++ b/src/balsamreach/table/edits.py
@@ -8,7 +8,7 @@
 import xxhash
 
 from balsamreach.budget.account import account_key, decode_account, encode
-from balsamreach.platform.base import ABSENT, Check, Row, Write
+from balsamreach.services.base import ABSENT, Check, Row, Write
 from balsamreach.table import rows
 from balsamreach.table.faults import (
     BAD_ROW,
--- a/src/balsamreach/table/exchange.py
+++ b/src/balsamreach/table/exchange.py
@@ -7,7 +7,7 @@
 import attrs
 
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table.view import TableView, adopt
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import (
--- a/src/balsamreach/table/faults.py
+++ b/src/balsamreach/table/faults.py
@@ -5,7 +5,7 @@
 import attrs
 
 from balsamreach.faults import Fault
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 
 
 @attrs.frozen
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -8,7 +8,7 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table.exchange import SPREAD_ROWS, TableExchange
 from balsamreach.table.faults import TableFault
 from balsamreach.table.pruning import Pruner
--- a/src/balsamreach/table/history.py
+++ b/src/balsamreach/table/history.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Page, Scan, TableService
+from balsamreach.services.base import Page, Scan, TableService
 from balsamreach.table.faults import TABLE_AWAY, TableFault
 from balsamreach.table.rows import TABLE_PREFIX
 
--- a/src/balsamreach/table/pruning.py
+++ b/src/balsamreach/table/pruning.py
@@ -4,7 +4,7 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     ABSENT,
     Check,
     Commit,
@@ -14,7 +14,7 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table.faults import TABLE_AWAY, TableFault
 from balsamreach.table.history import EDIT_PREFIX, HISTORY_PREFIX
 from balsamreach.telemetry.metrics import Metrics
--- a/src/balsamreach/table/reader.py
+++ b/src/balsamreach/table/reader.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from balsamreach.platform.base import Page, Row, Scan, TableService
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import Page, Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table.faults import TABLE_AWAY, TableFault
 from balsamreach.table.rows import TABLE_PREFIX
 from balsamreach.table.view import TableView
--- a/src/balsamreach/table/row_versions.py
+++ b/src/balsamreach/table/row_versions.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 
 #: Deletions remembered for neighbours that are behind.
 _TOMBSTONES = 4096
--- a/src/balsamreach/table/snapshot_format.py
+++ b/src/balsamreach/table/snapshot_format.py
@@ -11,7 +11,7 @@
 import attrs
 import xxhash
 
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table.faults import BAD_SNAPSHOT, TableFault
 
 FORMAT = 1
--- a/src/balsamreach/table/snapshots.py
+++ b/src/balsamreach/table/snapshots.py
@@ -5,8 +5,8 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.base import ObjectStore
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import ObjectStore
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table.faults import BAD_SNAPSHOT, TABLE_AWAY, TableFault
 from balsamreach.table.snapshot_format import (
     Packer,
--- a/src/balsamreach/table/status.py
+++ b/src/balsamreach/table/status.py
@@ -7,7 +7,7 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table.follower import TableFollower
 from balsamreach.wire.messages import Member
 
--- a/src/balsamreach/table/view.py
+++ b/src/balsamreach/table/view.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table import rows
 from balsamreach.table.faults import TableFault
 from balsamreach.table.index import Indexes
--- a/src/balsamreach/targets/host_follower.py
+++ b/src/balsamreach/targets/host_follower.py
@@ -7,8 +7,8 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import HostEntry, HostList
-from balsamreach.platform.faults import PlatformFault
+from balsamreach.services.base import HostEntry, HostList
+from balsamreach.services.faults import PlatformFault
 from balsamreach.targets.marks import Marks
 from balsamreach.telemetry.logs import log_event
 
--- a/src/balsamreach/targets/marks.py
+++ b/src/balsamreach/targets/marks.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import HostEntry
+from balsamreach.services.base import HostEntry
 from balsamreach.targets.registry import Target, Targets
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
--- a/src/balsamreach/targets/watch.py
+++ b/src/balsamreach/targets/watch.py
@@ -8,7 +8,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.peers.base import PeerNet
-from balsamreach.platform.base import HostList
+from balsamreach.services.base import HostList
 from balsamreach.targets.announcements import Announcements
 from balsamreach.targets.cache_follower import CacheFollower
 from balsamreach.targets.client import TargetClient
--- a/src/balsamreach/trial/fleet.py
+++ b/src/balsamreach/trial/fleet.py
@@ -10,7 +10,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.router import Router
 from balsamreach.faults import Fault
-from balsamreach.platform.base import TableService
+from balsamreach.services.base import TableService
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.serve import (
     PlatformSettings,
--- a/src/balsamreach/ui/audit.py
+++ b/src/balsamreach/ui/audit.py
@@ -12,7 +12,7 @@
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.clients import platform_client
-from balsamreach.platform.table_http import HttpTableService
+from balsamreach.services.table_http import HttpTableService
 from balsamreach.ui import exit_codes
 from balsamreach.ui.errors import CommandError
 from balsamreach.ui.settings_file import load_settings, settings_options
--- a/src/balsamreach/ui/budget.py
+++ b/src/balsamreach/ui/budget.py
@@ -16,8 +16,8 @@
 from balsamreach.clock import SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.clients import platform_client
-from balsamreach.platform.hosts_http import HttpHostList
-from balsamreach.platform.table_http import HttpTableService
+from balsamreach.services.hosts_http import HttpHostList
+from balsamreach.services.table_http import HttpTableService
 from balsamreach.ui import exit_codes
 from balsamreach.ui.errors import CommandError
 from balsamreach.ui.settings_file import load_settings, settings_options
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -13,7 +13,7 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.budget.ledger import Reservation
 from balsamreach.config.settings import BudgetSettings
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Commit,
     Page,
     Row,
@@ -21,7 +21,7 @@
     TableService,
     Write,
 )
-from balsamreach.platform.faults import UNKNOWN, UNREACHABLE, PlatformFault
+from balsamreach.services.faults import UNKNOWN, UNREACHABLE, PlatformFault
 from balsamreach.standins.memory import MemoryPlatform
 from tests.fake_net import FakeNet
 from tests.support import HeldClock
--- a/tests/deployment.py
+++ b/tests/deployment.py
@@ -9,7 +9,7 @@
 from balsamreach.config.faults import ConfigFault
 from balsamreach.config.reader import read_settings
 from balsamreach.daemon.router import READY, Router
-from balsamreach.platform.base import TableService
+from balsamreach.services.base import TableService
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.serve import (
     PlatformSettings,
--- a/tests/failure_rig.py
+++ b/tests/failure_rig.py
@@ -15,7 +15,7 @@
 
 from balsamreach.clock import SystemClock
 from balsamreach.daemon.router import READY, Router
-from balsamreach.platform.base import Commit
+from balsamreach.services.base import Commit
 from balsamreach.standins.engine_settings import EngineSettings
 from balsamreach.standins.memory_table import MemoryTableService
 from balsamreach.standins.serve import (
--- a/tests/failure_session.py
+++ b/tests/failure_session.py
@@ -8,7 +8,7 @@
 import attrs
 
 from balsamreach.budget.auditor import Auditor
-from balsamreach.platform.base import Scan
+from balsamreach.services.base import Scan
 from tests.deployment import Answer, parse_answer
 from tests.failure_rig import TEAM, Rig
 from tests.golden_support import normalise
--- a/tests/golden_support.py
+++ b/tests/golden_support.py
@@ -16,7 +16,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Scan
+from balsamreach.services.base import Scan
 from tests.deployment import Deployment, exchange, parse_answer, until
 
 REWRITE = 'BALSAMREACH_REWRITE_GOLDEN'
--- a/tests/passing_table.py
+++ b/tests/passing_table.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Commit, Scan, TableService
+from balsamreach.services.base import Commit, Scan, TableService
 
 
 @attrs.define(eq=False)
--- a/tests/peers_rig.py
+++ b/tests/peers_rig.py
@@ -9,8 +9,8 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.peers.discovery import Discovery
 from balsamreach.peers.net import TcpPeerNet
-from balsamreach.platform.base import HostEntry, HostList
-from balsamreach.platform.faults import UNREACHABLE, PlatformFault
+from balsamreach.services.base import HostEntry, HostList
+from balsamreach.services.faults import UNREACHABLE, PlatformFault
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
--- a/tests/platform_server.py
+++ b/tests/platform_server.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.standins.serve import (
     PlatformSettings,
     Running,
--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -7,8 +7,8 @@
 import attrs
 
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import Commit, HostEntry, HostList
-from balsamreach.platform.faults import UNAVAILABLE, UNKNOWN
+from balsamreach.services.base import Commit, HostEntry, HostList
+from balsamreach.services.faults import UNAVAILABLE, UNKNOWN
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.power.rows import decode
 from balsamreach.standins.memory import MemoryPlatform
--- a/tests/small_router.py
+++ b/tests/small_router.py
@@ -12,7 +12,7 @@
 from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
 from balsamreach.dispatch.tries import make_try_parts
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.requests.answers import Sink
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.identity import RequestId, mint_key
--- a/tests/table_fleet.py
+++ b/tests/table_fleet.py
@@ -13,14 +13,14 @@
     TableParts,
     make_table_parts,
 )
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Commit,
     ObjectStore,
     Row,
     Scan,
     TableService,
 )
-from balsamreach.platform.faults import UNREACHABLE
+from balsamreach.services.faults import UNREACHABLE
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.edits import Edit
 from balsamreach.table.rows import TeamRow
--- a/tests/test_budget_failures.py
+++ b/tests/test_budget_failures.py
@@ -16,7 +16,7 @@
 from balsamreach.budget.ledger import Reservation
 from balsamreach.budget.settling import Settled
 from balsamreach.budget.takeover import RECLAIMED, STRANDED
-from balsamreach.platform.faults import UNKNOWN
+from balsamreach.services.faults import UNKNOWN
 from balsamreach.wire.messages import LoanAsk, LoanReceipt
 from tests.budget_world import SETTINGS, Loser, World
 
--- a/tests/test_budget_releasing.py
+++ b/tests/test_budget_releasing.py
@@ -16,7 +16,7 @@
 from balsamreach.budget.faults import STILL_LISTED, TAKEN_OVER
 from balsamreach.budget.ledger import Reservation
 from balsamreach.budget.releasing import RELEASE_PREFIX, Released, Releaser
-from balsamreach.platform.base import HostEntry
+from balsamreach.services.base import HostEntry
 from balsamreach.ui import exit_codes
 from balsamreach.ui.main import main
 from tests.budget_world import World
--- a/tests/test_budget_sizing.py
+++ b/tests/test_budget_sizing.py
@@ -16,7 +16,7 @@
 from balsamreach.budget.moves import Move, Records, plan_move
 from balsamreach.budget.rate import Rate
 from balsamreach.budget.sizing import Sizing
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from tests.budget_world import SETTINGS, VirtualClock
 
 
--- a/tests/test_curl_tls.py
+++ b/tests/test_curl_tls.py
@@ -17,7 +17,7 @@
 from balsamreach.daemon.clients import platform_client
 from balsamreach.faults import Fault
 from balsamreach.gateway.target_client import HttpTargetClient
-from balsamreach.platform.table_http import HttpTableService
+from balsamreach.services.table_http import HttpTableService
 from balsamreach.standins.engine import Engine
 from balsamreach.standins.engine_http import make_engine_app
 from balsamreach.standins.engine_settings import EngineSettings
--- a/tests/test_dispatch_histories.py
+++ b/tests/test_dispatch_histories.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from balsamreach.dispatch import faults
-from balsamreach.platform.base import Scan
+from balsamreach.services.base import Scan
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.wire.messages import AnswerAsk, RunAsk, RunsAsk
 from tests import fake_upstream
--- a/tests/test_peers_net.py
+++ b/tests/test_peers_net.py
@@ -6,7 +6,7 @@
 
 from balsamreach.peers import counters
 from balsamreach.peers.faults import NOT_CONNECTED, PEER_REFUSED
-from balsamreach.platform.base import HostEntry
+from balsamreach.services.base import HostEntry
 from balsamreach.wire.messages import Heartbeat, InFlight, InFlightAsk, RunAsk
 from tests.peers_rig import Rig, crash, linked, names
 from tests.tcp_fakes import SwallowingProxy
--- a/tests/test_power_orders.py
+++ b/tests/test_power_orders.py
@@ -6,8 +6,8 @@
 import attrs
 
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import WeightStore
-from balsamreach.platform.faults import UNREACHABLE
+from balsamreach.services.base import WeightStore
+from balsamreach.services.faults import UNREACHABLE
 from balsamreach.power.orders import Orders
 from balsamreach.power.scene import HostView
 from balsamreach.targets.registry import Target
--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from balsamreach.platform.base import Write
+from balsamreach.services.base import Write
 from balsamreach.requests.claims import Claim, Claims, Held, claim_key
 from balsamreach.requests.faults import KEY_REUSED, NO_CLAIM
 from balsamreach.requests.identity import RequestId
--- a/tests/test_platform_http.py
+++ b/tests/test_services_http.py
@@ -9,7 +9,7 @@
 from tornado.tcpserver import TCPServer
 
 from balsamreach.clock import SystemClock
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Check,
     Commit,
     HostEntry,
@@ -18,7 +18,7 @@
     Scan,
     Write,
 )
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     MISSING,
@@ -26,10 +26,10 @@
     UNKNOWN,
     UNREACHABLE,
 )
-from balsamreach.platform.hosts_http import HttpHostList, HttpWeightStore
-from balsamreach.platform.http import PlatformClient
-from balsamreach.platform.objects_http import HttpObjectStore
-from balsamreach.platform.table_http import HttpTableService
+from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
+from balsamreach.services.http import PlatformClient
+from balsamreach.services.objects_http import HttpObjectStore
+from balsamreach.services.table_http import HttpTableService
 from balsamreach.standins.serve import PlatformSettings, start_platform
 
 _CHANGE = Commit((Write('a', {'n': 1}),))
--- a/tests/test_sessions_store.py
+++ b/tests/test_sessions_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from balsamreach.platform.base import Scan
+from balsamreach.services.base import Scan
 from tests.deployment import OPERATOR_SECRET, exchange, request
 from tests.failure_case import FailureCase, ask, certificate
 from tests.failure_rig import TEAM, HeldCommit, Rig, wait
--- a/tests/test_standins_memory.py
+++ b/tests/test_standins_memory.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from balsamreach.platform.base import (
+from balsamreach.services.base import (
     Check,
     Commit,
     HostEntry,
@@ -13,7 +13,7 @@
     Scan,
     Write,
 )
-from balsamreach.platform.faults import (
+from balsamreach.services.faults import (
     CONFLICT,
     INVALID,
     MISSING,
--- a/tests/test_table_convergence.py
+++ b/tests/test_table_convergence.py
@@ -6,7 +6,7 @@
 import attrs
 from parameterized import parameterized
 
-from balsamreach.platform.base import Scan
+from balsamreach.services.base import Scan
 from balsamreach.table.edits import Edit
 from balsamreach.wire.messages import TableRows
 from tests.table_fleet import Station, TableFleet
--- a/tests/test_table_editor.py
+++ b/tests/test_table_editor.py
@@ -8,8 +8,8 @@
 from parameterized import parameterized
 
 from balsamreach.budget.account import account_key
-from balsamreach.platform.base import Commit, Write
-from balsamreach.platform.faults import CONFLICT, UNAVAILABLE, UNKNOWN
+from balsamreach.services.base import Commit, Write
+from balsamreach.services.faults import CONFLICT, UNAVAILABLE, UNKNOWN
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.editor import Editor
 from balsamreach.table.edits import Accepted, Edit
--- a/tests/test_table_exchange.py
+++ b/tests/test_table_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from balsamreach.platform.base import Commit, Write
+from balsamreach.services.base import Commit, Write
 from balsamreach.table.edits import Edit
 from balsamreach.wire.messages import Heartbeat, TableAsk, TableRow, TableRows
 from tests.table_fleet import TEAM, TableFleet, edit, gone, row
--- a/tests/test_table_pruning.py
+++ b/tests/test_table_pruning.py
@@ -3,7 +3,7 @@
 import unittest
 
 from balsamreach.config.reader import read_settings
-from balsamreach.platform.base import Commit, Scan, Write
+from balsamreach.services.base import Commit, Scan, Write
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.editor import Editor
 from balsamreach.table.faults import TABLE_AWAY
--- a/tests/test_table_view.py
+++ b/tests/test_table_view.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from balsamreach.platform.base import Row
+from balsamreach.services.base import Row
 from balsamreach.table.rows import ENGINE, PLAIN_SERVICE
 from balsamreach.table.view import TableView, adopt, hash_key
 from tests.table_fleet import TEAM, gone, row
--- a/tests/test_targets_poller.py
+++ b/tests/test_targets_poller.py
@@ -12,7 +12,7 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.dispatch.attempts import Attempts
 from balsamreach.dispatch.upstream import Attempt
-from balsamreach.platform.base import HostEntry
+from balsamreach.services.base import HostEntry
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.rows import TargetRow
 from balsamreach.targets.registry import Targets
