--- a/bench/slopes_memory.py
+++ b/bench/slopes_memory.py
@@ -9,10 +9,10 @@
 from balsamreach.budget.budgets import Budgets
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.reader import read_settings
-from balsamreach.services.base import Commit, Write
 from balsamreach.requests.answers import End
 from balsamreach.requests.identity import RequestId
 from balsamreach.requests.registry import Answers
+from balsamreach.services.base import Commit, Write
 from balsamreach.standins.memory import MemoryPlatform
 from bench import table_size
 from bench.slopes_kinds import Measure, Size, bytes_each
--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -11,7 +11,7 @@
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.moves import Move, Moved
-from balsamreach.budget.rate import Rate
+from balsamreach.budget.rate import WINDOW_S, Rate
 from balsamreach.clock import Clock
 from balsamreach.telemetry.metrics import Metrics
 
@@ -41,6 +41,8 @@
         Counts moves.
     spends_loans : bool
         Whether loans may be spent before they are recorded.
+    rate_window : float
+        Seconds over which rates of spending are averaged.
     """
 
     drawer: Drawer
@@ -48,6 +50,7 @@
     clock: Clock
     metrics: Metrics
     spends_loans: bool
+    rate_window: float = WINDOW_S
     closed: BudgetFault | None = None
     ledgers: dict[str, Ledger] = attrs.field(factory=dict)
     recorded: list[Loan] = attrs.field(factory=list)
@@ -58,7 +61,7 @@
         if team not in self.ledgers:
             self.ledgers[team] = Ledger(
                 team,
-                Rate(self.clock.now()),
+                Rate(self.clock.now(), self.rate_window),
                 spends_loans=self.spends_loans,
             )
         return self.ledgers[team]
--- /dev/null
+++ b/src/balsamreach/budget/holdings.py
@@ -0,0 +1,183 @@
+"""What one router may spend where nothing is recorded request by request.
+
+Each router draws tokens from a team's account ahead of need and counts in
+memory what its requests use of them. What a router that died was granted
+counts as spent: nobody knows how much of it was used, and giving it back
+could spend it twice. So grants are small, and cover seconds, not hours.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from functools import partial
+
+import attrs
+
+from balsamreach.budget.account import ACCOUNT_PREFIX, Account, encode
+from balsamreach.budget.book import Book
+from balsamreach.budget.draws import Drawer
+from balsamreach.budget.faults import BudgetFault
+from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.ledger import Ledger, Reservation
+from balsamreach.budget.moves import Move
+from balsamreach.budget.obtaining import Obtainer
+from balsamreach.budget.sizing import Sizing
+from balsamreach.budget.upkeep import HELD
+from balsamreach.clock import Clock
+from balsamreach.config.settings import BudgetSettings
+from balsamreach.services.base import Commit, Page, Row, Scan, TableService
+from balsamreach.services.faults import PlatformFault
+from balsamreach.telemetry.metrics import Metrics
+
+#: Returns a team's prepaid tokens, None where it is not metered.
+Prepaid = Callable[[str], int | None]
+
+
+@attrs.define
+class PrepaidAccounts(TableService):
+    """Accounts whose prepaid tokens stand in the operators' configuration.
+
+    The row keeps what was taken. Were the prepaid tokens kept there too, a
+    top-up would need a change of its own, which could be lost or doubled.
+
+    Parameters
+    ----------
+    service : TableService
+        Where the rows are.
+    prepaid : callable
+        What the configuration in force says.
+    """
+
+    service: TableService
+    prepaid: Prepaid
+
+    async def commit(self, change: Commit) -> int | PlatformFault:
+        """Apply a conditional commit."""
+        return await self.service.commit(change)
+
+    async def read(
+        self,
+        keys: tuple[str, ...],
+    ) -> tuple[Row, ...] | PlatformFault:
+        """Read rows, accounts with what is prepaid now."""
+        rows = await self.service.read(keys)
+        if isinstance(rows, PlatformFault):
+            return rows
+        return tuple(map(self._with_prepaid, rows))
+
+    async def scan(self, scan: Scan) -> Page | PlatformFault:
+        """Read one page of the rows under a prefix."""
+        return await self.service.scan(scan)
+
+    def _with_prepaid(self, row: Row) -> Row:
+        if not row.key.startswith(ACCOUNT_PREFIX):
+            return row
+        prepaid = self.prepaid(row.key.removeprefix(ACCOUNT_PREFIX))
+        if prepaid is None:
+            return row
+        taken = (row.value or encode(Account())) | {'prepaid': prepaid}
+        return Row(row.key, row.version, taken)
+
+
+@attrs.define
+class Holdings:
+    """Admits requests against what this router holds.
+
+    Parameters
+    ----------
+    service : TableService
+        Where accounts and allotments are kept.
+    incarnation : str
+        Identity of this start of the router.
+    cfg : BudgetSettings
+        Sizes and intervals.
+    rate_window : float
+        Seconds over which rates of spending are averaged.
+    clock, rng, metrics
+        Time, jitter and counters.
+    """
+
+    service: TableService
+    incarnation: str
+    cfg: BudgetSettings
+    rate_window: float
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    book: Book = attrs.field(init=False)
+    _sizing: Sizing = attrs.field(init=False)
+    _obtainer: Obtainer = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Put the parts together."""
+        # Without an address nobody succeeds this router on its allotments:
+        # what a dead router held stays taken for good.
+        incarnations = Incarnations(
+            self.service,
+            '',
+            self.incarnation,
+            self.clock.wall(),
+        )
+        self.book = Book(
+            Drawer(self.service, self.incarnation, self.clock, self.rng),
+            incarnations,
+            self.clock,
+            self.metrics,
+            spends_loans=False,
+            rate_window=self.rate_window,
+        )
+        self._sizing = Sizing(self.cfg, self.clock)
+        self._obtainer = Obtainer(self.book, self._sizing, None, self.cfg)
+
+    async def reserve(
+        self,
+        team: str,
+        tokens: int,
+    ) -> Reservation | BudgetFault:
+        """Set a request's worst case aside before it runs.
+
+        Returns
+        -------
+        Reservation or BudgetFault
+            EXHAUSTED only where the account itself has too little left.
+        """
+        ledger = self.book.ledger(team)
+        reservation = None
+        if not ledger.queue:
+            reservation = ledger.reserve(tokens)
+        if reservation is not None:
+            ledger.rate.add(tokens, self.clock.now())
+            return reservation
+        return await self._obtainer.obtain(ledger, tokens)
+
+    def charge(self, reservation: Reservation, tokens: int) -> None:
+        """Charge what a request used; the rest of it is free again."""
+        ledger = self.book.ledger(reservation.team)
+        unused = reservation.tokens - tokens
+        ledger.release(reservation, tokens)
+        ledger.rate.add(-unused, self.clock.now())
+
+    async def run(self) -> None:
+        """Draw ahead and hand back in rounds, until cancelled."""
+        while True:
+            await self.clock.sleep(self.cfg.flush_interval)
+            await self.round()
+
+    async def round(self) -> None:
+        """Do what is due for each team once."""
+        for team in tuple(self.book.ledgers):
+            await self.book.move(partial(self._due, team))
+        held = sum(ledger.own for ledger in self.book.ledgers.values())
+        self.metrics.gauge(HELD, held)
+
+    async def leave(self) -> None:
+        """Hand back all that is not in use, for good."""
+        for ledger in tuple(self.book.ledgers.values()):
+            await self.book.move(partial(self._rest, ledger))
+
+    def _due(self, team: str) -> Iterable[Move]:
+        move = self._sizing.in_background(self.book.ledgers[team])
+        return () if move is None else (move,)
+
+    def _rest(self, ledger: Ledger) -> Iterable[Move]:
+        move = self._sizing.for_recall(ledger)
+        return () if move is None else (move,)
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -125,11 +125,20 @@
             if reservation is not None:
                 self.queue.answer(waiter, reservation)
 
-    def release(self, reservation: Reservation) -> None:
-        """Give a reservation back; a second call does nothing."""
+    def release(self, reservation: Reservation, used: int = 0) -> None:
+        """Give a reservation back; a second call does nothing.
+
+        Parameters
+        ----------
+        reservation : Reservation
+            What was set aside.
+        used : int
+            Tokens of it that count as spent where no bill is made.
+        """
         if reservation.open:
             reservation.open = False
             self.reserved -= reservation.tokens
+            self.billed += used
             self.hand_out()
 
     def bill(self, reservation: Reservation, bill: Bill) -> None:
--- a/src/balsamreach/budget/rate.py
+++ b/src/balsamreach/budget/rate.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-#: Seconds after which an amount counts for a third in the average.
+#: Usual seconds after which an amount counts for a third in the average.
 WINDOW_S = 60
 _SHORTEST_S = 1
 
@@ -17,9 +17,12 @@
     ----------
     since : float
         Time of the first amount.
+    window : float
+        Seconds after which an amount counts for a third.
     """
 
     since: float
+    window: float = WINDOW_S
     _weight: float = 0
     _at: float = 0
 
@@ -34,8 +37,8 @@
         # A young average has seen less than its window; without this
         # correction the first minute would show a fraction of the rate and
         # every request of that minute would wait for a draw of its own.
-        seen = WINDOW_S * -math.expm1(-age / WINDOW_S)
+        seen = self.window * -math.expm1(-age / self.window)
         return max(0, self._decayed(now) / seen)
 
     def _decayed(self, now: float) -> float:
-        return self._weight * math.exp((self._at - now) / WINDOW_S)
+        return self._weight * math.exp((self._at - now) / self.window)
--- /dev/null
+++ b/src/balsamreach/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""What operators have configured: routes, services, teams and limits."""
--- /dev/null
+++ b/src/balsamreach/catalogue/view.py
@@ -0,0 +1,75 @@
+"""The configuration in force at this router."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from balsamreach.catalogue.catalogue import Catalogue
+from balsamreach.telemetry.logs import log_event
+
+_logger = logging.getLogger(__name__)
+
+Watcher = Callable[[Catalogue], None]
+
+
+@attrs.define
+class CatalogueView:
+    """Holds the newest configuration that has come, by any way.
+
+    Parameters
+    ----------
+    current : Catalogue or None
+        None until the first one came.
+    watchers : list of callable
+        Told of each configuration that comes into force.
+    """
+
+    current: Catalogue | None = None
+    watchers: list[Watcher] = attrs.field(factory=list)
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 before the first."""
+        return 0 if self.current is None else self.current.version
+
+    def prepaid(self, team: str) -> int | None:
+        """Return a team's prepaid tokens, None where it is not metered."""
+        if self.current is None or team not in self.current.teams:
+            return None
+        return self.current.teams[team].prepaid
+
+    def offer(self, catalogue: Catalogue, source: str) -> bool:
+        """Take a configuration if it is newer than what is in force.
+
+        The ways by which one comes overtake each other. Were an older one
+        taken, a removed key would be let in again; it would show as a
+        version that goes back.
+
+        Parameters
+        ----------
+        catalogue : Catalogue
+            What came.
+        source : str
+            The way it came, for the log.
+
+        Returns
+        -------
+        bool
+            Whether it is in force now.
+        """
+        if catalogue.version <= self.version:
+            return False
+        log_event(
+            _logger,
+            logging.INFO,
+            'configuration_in_force',
+            version=catalogue.version,
+            before=self.version,
+            source=source,
+            routes=len(catalogue.routes),
+        )
+        self.current = catalogue
+        for watcher in self.watchers:
+            watcher(catalogue)
+        return True
--- a/src/balsamreach/config/reader.py
+++ b/src/balsamreach/config/reader.py
@@ -19,6 +19,8 @@
 from balsamreach.config.tls import check_client, check_listener, check_mutual
 
 _OVERRIDES = 'override'
+#: Sections of the listeners that ``serve`` opens.
+_SERVED = ('callers', 'operators', 'peers')
 
 
 def read_settings(
@@ -57,20 +59,26 @@
     return settings
 
 
-def check_ports(settings: Settings) -> ConfigFault | None:
-    """Try to bind every listener that the settings name.
+def check_ports(
+    settings: Settings,
+    sections: tuple[str, ...] = _SERVED,
+) -> ConfigFault | None:
+    """Try to bind the listeners that a daemon opens.
 
     Parameters
     ----------
     settings : Settings
         Settings whose listeners are not yet bound.
+    sections : tuple of str
+        Sections of the listeners; by default those of ``serve``.
 
     Returns
     -------
     ConfigFault or None
         Every port that is in use or address that isn't this machine's.
     """
-    return check_listeners(dict(_listeners(settings)))
+    listeners = dict(_listeners(settings))
+    return check_listeners({name: listeners[name] for name in sections})
 
 
 def check_certificates(settings: Settings) -> ConfigFault | None:
--- /dev/null
+++ b/src/balsamreach/config/relay_settings.py
@@ -0,0 +1,26 @@
+"""Settings objects of the sections for requests that are passed through."""
+
+import attrs
+
+from balsamreach.config import units
+from balsamreach.config.listeners import Listener, key
+
+
+@attrs.frozen
+class ProbesSettings(Listener):
+    """Section ``[probes]``: the listener for readiness and metrics."""
+
+
+@attrs.frozen
+class RelaySettings:
+    """Section ``[relay]``: requests that routes pass through."""
+
+    connect_timeout: float = key(units.read_duration)
+    stream_gap: float = key(units.read_duration)
+    retry_share: float = key(units.read_share)
+    retry_slack: int = key(units.read_count)
+    retry_window: float = key(units.read_duration)
+    spend_window: float = key(units.read_duration)
+    grace: float = key(units.read_duration)
+    apply_within: float = key(units.read_duration)
+    drain_within: float = key(units.read_duration)
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -10,6 +10,7 @@
 
 from balsamreach.config import units, views
 from balsamreach.config.listeners import Listener, key
+from balsamreach.config.relay_settings import ProbesSettings, RelaySettings
 from balsamreach.config.target_settings import PowerSettings, TargetsSettings
 
 #: Names of the policies that choose among targets.
@@ -159,11 +160,13 @@
     host: HostSettings
     callers: CallersSettings
     operators: OperatorsSettings
+    probes: ProbesSettings
     peers: PeersSettings
     platform: PlatformSettings
     budget: BudgetSettings
     requests: RequestsSettings
     routing: RoutingSettings
+    relay: RelaySettings
     table: TableSettings
     targets: TargetsSettings
     power: PowerSettings
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -27,12 +27,12 @@
 from balsamreach.gateway.curl_upstream import CurlUpstream
 from balsamreach.gateway.traced_upstream import TracedUpstream
 from balsamreach.peers.net import TcpPeerNet
-from balsamreach.services.base import TableService
-from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
-from balsamreach.services.objects_http import HttpObjectStore
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.registry import Answers
 from balsamreach.routing.routing import Routing, make_routing
+from balsamreach.services.base import TableService
+from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
+from balsamreach.services.objects_http import HttpObjectStore
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
 
--- /dev/null
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -0,0 +1,146 @@
+"""Puts the parts of a router together that passes requests through."""
+
+import random
+import uuid
+
+import attrs
+
+from balsamreach.budget.holdings import Holdings, PrepaidAccounts
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.clock import Clock, SystemClock
+from balsamreach.config.settings import Settings
+from balsamreach.gateway.relay_curl import RelayCurl
+from balsamreach.placement.engines import EngineChooser
+from balsamreach.placement.places import Places
+from balsamreach.placement.services import ServiceChooser
+from balsamreach.relay.chooser import Chooser
+from balsamreach.relay.codec import Codec
+from balsamreach.relay.journal import RequestLog
+from balsamreach.relay.metered import MeteredSpending
+from balsamreach.relay.repeats import Repeats
+from balsamreach.relay.run import RunParts
+from balsamreach.relay.suspects import Suspects
+from balsamreach.relay.tries import TryParts
+from balsamreach.relay.verdicts import Judge
+from balsamreach.routing.quarantine import Quarantine
+from balsamreach.routing.suspects import Suspects as SuspectRecords
+from balsamreach.services.base import TableService
+from balsamreach.telemetry.metrics import Metrics
+
+#: Routers that share the fleet's slack of repeats; a router can't know how
+#: many there are while it is cut off.
+_SHARERS = 16
+
+
+@attrs.define(kw_only=True)
+class RelayParts:
+    """Everything such a router consists of, except listeners and feeds."""
+
+    cfg: Settings
+    clock: Clock
+    rng: random.Random
+    metrics: Metrics
+    view: CatalogueView
+    places: Places
+    chooser: Chooser
+    exchange: RelayCurl
+    holdings: Holdings
+    run: RunParts
+
+
+def make_relay_parts(
+    cfg: Settings,
+    codec: Codec,
+    service: TableService,
+) -> RelayParts:
+    """Make the parts of a router; nothing is started or sent yet.
+
+    Parameters
+    ----------
+    cfg : Settings
+        The router's settings.
+    codec : Codec
+        Translates between the relay and the wire.
+    service : TableService
+        Where accounts are kept.
+    """
+    core = _Core(cfg)
+    exchange = RelayCurl(cfg.relay.connect_timeout)
+    holdings = core.make_holdings(service)
+    chooser = core.make_chooser()
+    return RelayParts(
+        cfg=cfg,
+        clock=core.clock,
+        rng=core.rng,
+        metrics=core.metrics,
+        view=core.view,
+        places=chooser.places,
+        chooser=chooser,
+        exchange=exchange,
+        holdings=holdings,
+        run=core.make_run(codec, exchange, chooser, holdings),
+    )
+
+
+@attrs.define
+class _Core:
+    """What all parts share."""
+
+    cfg: Settings
+    clock: Clock = attrs.field(factory=SystemClock)
+    rng: random.Random = attrs.field(factory=random.Random)
+    metrics: Metrics = attrs.field(factory=Metrics)
+    view: CatalogueView = attrs.field(factory=CatalogueView)
+
+    def make_holdings(self, service: TableService) -> Holdings:
+        """Make what keeps the budgets."""
+        return Holdings(
+            PrepaidAccounts(service, self.view.prepaid),
+            uuid.uuid4().hex,
+            self.cfg.budget,
+            self.cfg.relay.spend_window,
+            self.clock,
+            self.rng,
+            self.metrics,
+        )
+
+    def make_chooser(self) -> Chooser:
+        """Make what places requests."""
+        zone = self.cfg.host.zone
+        return Chooser(
+            Places(self.rng),
+            EngineChooser(zone),
+            ServiceChooser(zone, self.rng),
+            self.view,
+            self.clock,
+        )
+
+    def make_run(
+        self,
+        codec: Codec,
+        exchange: RelayCurl,
+        chooser: Chooser,
+        holdings: Holdings,
+    ) -> RunParts:
+        """Make what every request runs on."""
+        cfg = self.cfg
+        records = SuspectRecords(cfg.routing.crash_targets)
+        suspects = Suspects(Quarantine(records, self.clock, self.metrics))
+        slack = cfg.relay.retry_slack / _SHARERS
+        tries = TryParts(
+            codec=codec,
+            chooser=chooser,
+            exchange=exchange,
+            repeats=Repeats(cfg.relay.retry_share, slack),
+            judge=Judge(chooser, suspects),
+            clock=self.clock,
+            stream_gap=cfg.relay.stream_gap,
+        )
+        return RunParts(
+            codec=codec,
+            spending=MeteredSpending(holdings, self.view),
+            suspects=suspects,
+            tries=tries,
+            clock=self.clock,
+            log=RequestLog(self.clock, self.metrics),
+        )
--- /dev/null
+++ b/src/balsamreach/daemon/relay_router.py
@@ -0,0 +1,175 @@
+"""The life of a router that passes requests through: start, serve, leave."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import attrs
+from tornado.web import Application
+
+from balsamreach.daemon.listeners import OpenListener, open_listener
+from balsamreach.daemon.relay_parts import RelayParts
+from balsamreach.gateway.health import MetricsHandler, ReadyHandler
+from balsamreach.gateway.relay_server import RelayServer
+from balsamreach.relay import faults
+from balsamreach.relay.codec import CallerRequest
+from balsamreach.relay.faults import RelayFault
+from balsamreach.relay.outlet import Outlet
+from balsamreach.relay.run import RelayRun
+from balsamreach.telemetry.logs import log_event
+
+_logger = logging.getLogger(__name__)
+_STARTING = 'starting'
+_READY = 'ready'
+_LEAVING = 'leaving'
+#: Seconds for which a leaving router takes new connections, so that the
+#: balancer has looked twice and sends none when the listener closes.
+_LEAVE_DELAY_S = 2.5
+#: Part of the grace after which requests in progress are no longer waited
+#: for; the rest is for handing tokens back.
+_DRAIN_SHARE = 0.85
+_TICK_S = 0.1
+
+Runner = Callable[[], Awaitable[None]]
+
+
+@attrs.define(eq=False)
+class RelayRouter:
+    """One router daemon.
+
+    Parameters
+    ----------
+    parts : RelayParts
+        What it consists of.
+    ready_path : str
+        Path under which the balancer asks whether it is ready.
+    feeds : tuple of callable
+        What follows the outside world, each run in a task of its own.
+    tick : callable
+        Called every tenth of a second.
+    """
+
+    parts: RelayParts
+    ready_path: str
+    feeds: tuple[Runner, ...]
+    tick: Callable[[], None]
+    state: str = _STARTING
+    server: RelayServer = attrs.field(init=False)
+    callers: OpenListener = attrs.field(init=False)
+    probes: OpenListener = attrs.field(init=False)
+    _tasks: list[asyncio.Task] = attrs.field(factory=list)
+
+    async def start(self) -> None:
+        """Open the listeners and begin to follow configuration and targets."""
+        cfg = self.parts.cfg
+        self.server = RelayServer(
+            self._answer,
+            self.parts.clock,
+            self._body_limit,
+        )
+        self.callers = open_listener(cfg, cfg.callers, self.server)
+        self.probes = open_listener(cfg, cfg.probes, self._probes_app())
+        runners = (*self.feeds, self.parts.holdings.run, self._tick)
+        self._tasks = [asyncio.ensure_future(run()) for run in runners]
+        log_event(
+            _logger,
+            logging.INFO,
+            'router_started',
+            reason=f'callers on {self.callers.address}',
+        )
+
+    async def leave(self) -> None:
+        """Finish the requests in progress, hand tokens back and stop."""
+        self.state = _LEAVING
+        log_event(_logger, logging.INFO, 'router_leaving')
+        began = self.parts.clock.now()
+        self.server.leaving = True
+        await self.parts.clock.sleep(_LEAVE_DELAY_S)
+        self.callers.stop()
+        self.server.leave()
+        await self._drain(began + self.parts.cfg.relay.grace * _DRAIN_SHARE)
+        await self.parts.holdings.leave()
+        await self._stop()
+        log_event(_logger, logging.INFO, 'router_left')
+
+    async def _stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.probes.stop()
+        self.parts.exchange.close()
+
+    async def _drain(self, until: float) -> None:
+        try:
+            async with asyncio.timeout(until - self.parts.clock.now()):
+                await self.server.drain()
+        except TimeoutError:
+            log_event(
+                _logger,
+                logging.ERROR,
+                'requests_cut_off',
+                reason='the grace is over',
+                requests=len(self.server.running),
+            )
+
+    async def _answer(self, request: CallerRequest, outlet: Outlet) -> None:
+        parts = self.parts
+        catalogue = parts.view.current
+        if catalogue is None:
+            self._refuse(faults.NOT_READY.because('no configuration'), outlet)
+            return
+        call = parts.run.codec.read_request(request, catalogue)
+        if isinstance(call, RelayFault):
+            self._refuse(call, outlet)
+            return
+        await RelayRun(parts.run, call, outlet).run()
+
+    def _refuse(self, fault: RelayFault, outlet: Outlet) -> None:
+        log_event(
+            _logger,
+            logging.WARNING,
+            'request_refused',
+            reason=fault.reason,
+            outcome=fault.code,
+            configuration=self.parts.view.version,
+        )
+        answer = self.parts.run.codec.refuse(fault)
+        outlet.start(answer.status, answer.headers)
+        outlet.write(answer.body)
+        outlet.finish()
+
+    def _body_limit(self) -> int:
+        catalogue = self.parts.view.current
+        if catalogue is None:
+            return self.parts.cfg.callers.body_limit
+        return catalogue.limits.body_bytes
+
+    async def _tick(self) -> None:
+        while True:
+            await self.parts.clock.sleep(_TICK_S)
+            self.tick()
+            if self.state == _STARTING and self._knows_enough():
+                self.state = _READY
+                log_event(_logger, logging.INFO, 'router_ready')
+
+    def _knows_enough(self) -> bool:
+        return (
+            self.parts.view.current is not None and len(self.parts.places) > 0
+        )
+
+    def _probes_app(self) -> Application:
+        return Application(
+            [
+                (
+                    self.ready_path,
+                    ReadyHandler,
+                    {'state': lambda: self.state},
+                ),
+                ('/metrics', MetricsHandler, {'metrics': self.parts.metrics}),
+            ],
+            log_function=_log_nothing,
+        )
+
+
+def _log_nothing(_handler: object) -> None:
+    """Leave probes out of the log: there is one each second."""
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -26,8 +26,8 @@
     TargetsContext,
     TargetsHandler,
 )
-from balsamreach.services.base import Row
 from balsamreach.routing.shares import Shares
+from balsamreach.services.base import Row
 from balsamreach.table.rows import TARGET_PREFIX
 from balsamreach.telemetry.logs import log_event
 
--- a/src/balsamreach/daemon/target_watch.py
+++ b/src/balsamreach/daemon/target_watch.py
@@ -9,9 +9,9 @@
 from balsamreach.config.settings import Settings
 from balsamreach.gateway.target_client import HttpTargetClient
 from balsamreach.peers.base import PeerNet
-from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.routing.routing import Routing
+from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.targets.registry import Targets
 from balsamreach.targets.watch import TargetWatch, WatchParts, make_watch
 from balsamreach.telemetry.metrics import Metrics
--- /dev/null
+++ b/src/balsamreach/placement/places.py
@@ -0,0 +1,191 @@
+"""The targets of all services as this router sees them."""
+
+import random
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from balsamreach.routing.breaker import Breaker
+
+#: Failures in a row after which a target gets no requests for a while. One
+#: that fails a part of its requests is told from one that crashed by it.
+_FAILURES = 3
+
+
+@attrs.frozen(kw_only=True)
+class TargetEntry:
+    """A target as the platform's list shows it.
+
+    Parameters
+    ----------
+    incarnation : str
+        Identity of this start of the target.
+    service : str
+        Service that it runs.
+    address : str
+        ``ip:port``.
+    zone : str
+        Availability zone.
+    leaving : bool
+        Whether it has said that it will leave.
+    slots : int
+        Requests that it runs at once.
+    cold_for : float
+        Seconds for which it is still slow after its start.
+    """
+
+    incarnation: str
+    service: str
+    address: str
+    zone: str
+    leaving: bool = False
+    slots: int = 1
+    cold_for: float = 0
+
+
+@attrs.define(eq=False)
+class Place:
+    """One target with what this router knows and has sent there.
+
+    Parameters
+    ----------
+    entry : TargetEntry
+        Its newest entry in the list.
+    running : int
+        Requests of this router that are there.
+    unread : int
+        Prompt tokens of this router's requests there whose first event has
+        not come.
+    others_running, others_unread : int
+        The same of all other routers, as far as they have told.
+    slowness : float
+        How many times as long it takes as the others, 1 for the usual.
+    breaker : Breaker
+        Keeps requests away after failures.
+    gone_at : float or None
+        Monotonic seconds at which it counts as gone, where it is missing
+        from a list that may have lost entries.
+    """
+
+    entry: TargetEntry
+    running: int = 0
+    unread: int = 0
+    others_running: int = 0
+    others_unread: int = 0
+    slowness: float = 1
+    breaker: Breaker = attrs.field(factory=lambda: Breaker(_FAILURES))
+    gone_at: float | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of this start of the target."""
+        return self.entry.incarnation
+
+    @property
+    def busy(self) -> int:
+        """Requests there of all routers, as far as is known."""
+        return self.running + self.others_running
+
+    @property
+    def queued(self) -> int:
+        """Prompt tokens that wait there, as far as is known."""
+        return self.unread + self.others_unread
+
+
+@attrs.define
+class Places:
+    """All targets, by service.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Jitter of pauses after failures.
+    """
+
+    rng: random.Random
+    _by_name: dict[str, Place] = attrs.field(factory=dict)
+    _by_service: dict[str, dict[str, Place]] = attrs.field(factory=dict)
+
+    def __iter__(self) -> Iterator[Place]:
+        """Iterate over all targets."""
+        return iter(tuple(self._by_name.values()))
+
+    def __len__(self) -> int:
+        """Return the number of targets."""
+        return len(self._by_name)
+
+    def find(self, incarnation: str) -> Place | None:
+        """Return a target by its incarnation."""
+        return self._by_name.get(incarnation)
+
+    def of(self, service: str) -> tuple[Place, ...]:
+        """Return all targets of a service."""
+        return tuple(self._by_service.get(service, {}).values())
+
+    def put(self, entry: TargetEntry) -> None:
+        """Take in an entry, new or changed.
+
+        A target that said once that it leaves stays so: lists come by
+        several ways and an older one would send it new work.
+        """
+        known = self._by_name.get(entry.incarnation)
+        if known is None:
+            place = Place(entry)
+            self._by_name[entry.incarnation] = place
+            services = self._by_service.setdefault(entry.service, {})
+            services[entry.incarnation] = place
+            return
+        leaving = entry.leaving or known.entry.leaving
+        known.entry = attrs.evolve(entry, leaving=leaving)
+        known.gone_at = None
+
+    def remove(self, incarnation: str) -> None:
+        """Forget a target that is gone."""
+        place = self._by_name.pop(incarnation, None)
+        if place is None:
+            return
+        # Requests that wait for a try of their own may still hold it.
+        place.entry = attrs.evolve(place.entry, leaving=True)
+        self._by_service[place.entry.service].pop(incarnation)
+
+    def miss(self, present: Iterable[str], gone_at: float) -> None:
+        """Note which targets a whole list lacks.
+
+        Parameters
+        ----------
+        present : iterable of str
+            Incarnations that the list holds.
+        gone_at : float
+            Monotonic seconds at which the others count as gone.
+        """
+        held = set(present)
+        for place in self:
+            if place.incarnation in held:
+                place.gone_at = None
+            elif place.gone_at is None:
+                place.gone_at = gone_at
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Forget targets that have been missing for long enough."""
+        over = tuple(
+            place.incarnation
+            for place in self
+            if place.gone_at is not None and place.gone_at <= now
+        )
+        for incarnation in over:
+            self.remove(incarnation)
+        return over
+
+    def failed(self, place: Place, now: float, *, certain: bool) -> bool:
+        """Note a failure; True if the target gets no requests from now on.
+
+        Parameters
+        ----------
+        place : Place
+            The target.
+        now : float
+            Monotonic seconds.
+        certain : bool
+            Whether one failure is enough, as where nobody listens.
+        """
+        return place.breaker.fail(now, self.rng, certain=certain)
--- /dev/null
+++ b/src/balsamreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""All that only translates between balsamreach and the users' platform."""
--- /dev/null
+++ b/src/balsamreach/platform/configuration.py
@@ -0,0 +1,138 @@
+"""The operators' configuration and the list of targets, as stored there."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from balsamreach.catalogue.catalogue import Catalogue
+from balsamreach.catalogue.entries import (
+    CallerLimits,
+    EngineTraits,
+    Route,
+    Service,
+    Split,
+    Team,
+)
+from balsamreach.placement.places import TargetEntry
+
+_MS = 1000
+_DEFAULT_TIMEOUT_MS = 30_000
+_DEFAULT_AIM_MS = 1000
+_STREAM = 'streaming'
+_IDEMPOTENT = 'idempotent'
+_READY = 'ready'
+
+Fields = Mapping[str, Any]
+
+
+def read_catalogue(fields: Fields) -> Catalogue:
+    """Read a whole configuration.
+
+    Parameters
+    ----------
+    fields : mapping
+        The stored object; the store takes only valid ones.
+
+    Returns
+    -------
+    Catalogue
+        The same in our terms.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If the object is none that the store would take.
+    """
+    services = [_read_service(entry) for entry in fields['services']]
+    teams = [_read_team(entry) for entry in fields.get('tenants') or ()]
+    return Catalogue(
+        version=int(fields['version']),
+        routes=tuple(_read_route(entry) for entry in fields['routes']),
+        services={service.name: service for service in services},
+        teams={team.name: team for team in teams},
+        limits=_read_limits(fields.get('limits') or {}),
+    )
+
+
+def read_target(incarnation: str, fields: Fields) -> TargetEntry:
+    """Read a target's entry in the list.
+
+    The platform calls targets servers, and each start of one an instance.
+    """
+    return TargetEntry(
+        incarnation=incarnation,
+        service=fields['service'],
+        address=fields['address'],
+        zone=fields.get('zone', ''),
+        leaving=fields.get('state', _READY) != _READY,
+        slots=int(fields.get('slots') or 1),
+        cold_for=(fields.get('cold_left_ms') or 0) / _MS,
+    )
+
+
+def _read_route(fields: Fields) -> Route:
+    kind = fields['route_type']
+    return Route(
+        name=fields['name'],
+        host=fields['host'].lower(),
+        prefix=fields['prefix'],
+        splits=_read_splits(fields),
+        streams=kind == _STREAM,
+        idempotent=kind == _IDEMPOTENT,
+        resumable=bool(fields.get('stream_resume')),
+        timeout=(fields.get('timeout_ms') or _DEFAULT_TIMEOUT_MS) / _MS,
+        aim=(fields.get('target_latency_ms') or _DEFAULT_AIM_MS) / _MS,
+        event_gap=(fields.get('gap_aim_ms') or 0) / _MS,
+        priority=int(fields.get('priority') or 0),
+        most_targets=int(fields.get('max_attempts') or 1),
+        public=bool(fields.get('public_access')),
+    )
+
+
+def _read_splits(fields: Fields) -> tuple[Split, ...]:
+    # A route names either one service or a list of services by weight.
+    split = fields.get('traffic_split')
+    if split:
+        return tuple(Split(one['service'], one['weight']) for one in split)
+    return (Split(fields['service']),)
+
+
+def _read_service(fields: Fields) -> Service:
+    engine = fields.get('engine')
+    traits = None
+    if engine:
+        traits = EngineTraits(
+            slots=int(engine['slots']),
+            cache_tokens=int(engine['kv_capacity']),
+            # A stride is the number of tokens in one event of a stream.
+            tokens_per_event=int(engine.get('stride') or 1),
+        )
+    return Service(
+        name=fields['name'],
+        most_connections=int(fields.get('max_conns') or 0),
+        engine=traits,
+    )
+
+
+def _read_team(fields: Fields) -> Team:
+    prepaid = fields.get('prepaid')
+    return Team(
+        name=fields['name'],
+        keys=tuple(fields.get('api_keys') or ()),
+        priority=fields.get('priority'),
+        prepaid=None if prepaid is None else int(prepaid),
+    )
+
+
+def _read_limits(fields: Fields) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        header_bytes=int(fields.get('max_header_bytes') or usual.header_bytes),
+        body_bytes=int(fields.get('max_body_bytes') or usual.body_bytes),
+        header_time=_seconds(fields, 'header_timeout_ms', usual.header_time),
+        idle_time=_seconds(fields, 'idle_timeout_ms', usual.idle_time),
+    )
+
+
+def _seconds(fields: Fields, name: str, usual: float) -> float:
+    milliseconds = fields.get(name)
+    return milliseconds / _MS if milliseconds else usual
--- /dev/null
+++ b/src/balsamreach/platform/feeds.py
@@ -0,0 +1,216 @@
+"""Follows the configuration and the list of targets in the store."""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.clock import Clock
+from balsamreach.placement.places import Places
+from balsamreach.platform.configuration import read_catalogue, read_target
+from balsamreach.platform.rows import (
+    HISTORY_GONE,
+    RowStore,
+    StoredRow,
+    StoredRows,
+)
+from balsamreach.services.faults import PlatformFault
+from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.metrics import Metrics
+
+FAULTS = 'balsamreach_store_feed_faults_total'
+
+_logger = logging.getLogger(__name__)
+#: Seconds between two tries at a store that refuses.
+_PAUSE_S = 0.2
+#: Seconds for which entries that vanished while the store was away may come
+#: back; targets write there again once it answers. Source: the users' pages.
+_BACK_WITHIN_S = 2.2
+#: Seconds after a failed call in which entries may have vanished by it.
+_DOUBT_S = 4.0
+
+_CONFIG_TABLE = 'op'
+_CONFIG_KEY = 'config'
+#: The platform calls targets servers.
+_TARGETS_TABLE = 'servers'
+
+
+@attrs.define
+class Feed:
+    """Follows one table: first all of it, then what changes.
+
+    Parameters
+    ----------
+    table : str
+        The table.
+    store : RowStore
+        Where it is.
+    clock : Clock
+        Time.
+    metrics : Metrics
+        Counts calls that failed.
+    take : callable
+        Takes rows, and whether they are all there are.
+    """
+
+    table: str
+    store: RowStore
+    clock: Clock
+    metrics: Metrics
+    take: Callable[[StoredRows, bool], None]
+    failed_at: float = float('-inf')
+    _since: int | None = None
+    _away: bool = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            page = await self._next()
+            if page == HISTORY_GONE:
+                self._since = None
+            elif isinstance(page, PlatformFault):
+                self._fail(page)
+                await self.clock.sleep(_PAUSE_S)
+            else:
+                self._take(page)
+
+    async def _next(self) -> StoredRows | PlatformFault:
+        if self._since is None:
+            return await self.store.read(self.table, '')
+        return await self.store.follow(self.table, self._since)
+
+    def _take(self, page: StoredRows) -> None:
+        if self._away:
+            self._away = False
+            self._log('store_feed_back')
+        whole = self._since is None
+        self._since = page.version
+        if whole or page.rows:
+            self.take(page, whole)
+
+    def _fail(self, fault: PlatformFault) -> None:
+        self.failed_at = self.clock.now()
+        self.metrics.count(FAULTS, table=self.table, code=fault.code)
+        if not self._away:
+            self._away = True
+            self._log('store_feed_lost', fault.reason or fault.code)
+
+    def _log(self, event: str, reason: str | None = None) -> None:
+        log_event(
+            _logger,
+            logging.WARNING if reason else logging.INFO,
+            event,
+            reason=reason,
+            table=self.table,
+            version=self._since,
+        )
+
+
+@attrs.define
+class ConfigurationFeed:
+    """Brings the operators' configuration into force."""
+
+    view: CatalogueView
+    feed: Feed = attrs.field(init=False)
+
+    def open(self, store: RowStore, clock: Clock, metrics: Metrics) -> Feed:
+        """Return the feed, to be run."""
+        self.feed = Feed(_CONFIG_TABLE, store, clock, metrics, self._take)
+        return self.feed
+
+    def _take(self, page: StoredRows, _whole: bool) -> None:
+        for row in page.rows:
+            if row.key == _CONFIG_KEY and row.fields is not None:
+                self._offer(row)
+
+    def _offer(self, row: StoredRow) -> None:
+        try:
+            catalogue = read_catalogue(row.fields)
+        except (KeyError, TypeError, ValueError) as exc:
+            # The one in force is the best there is; an operator sees this.
+            log_event(
+                _logger,
+                logging.ERROR,
+                'configuration_unreadable',
+                reason=f'{type(exc).__name__}: {exc}',
+                row_version=row.version,
+            )
+            return
+        self.view.offer(catalogue, 'store')
+
+
+@attrs.define
+class TargetsFeed:
+    """Keeps the list of targets up to date.
+
+    Parameters
+    ----------
+    places : Places
+        The list.
+    clock : Clock
+        Time.
+    on_gone : callable
+        Told of incarnations that are gone.
+    """
+
+    places: Places
+    clock: Clock
+    on_gone: Callable[[str], None]
+    feed: Feed = attrs.field(init=False)
+
+    def open(self, store: RowStore, metrics: Metrics) -> Feed:
+        """Return the feed, to be run."""
+        self.feed = Feed(
+            _TARGETS_TABLE,
+            store,
+            self.clock,
+            metrics,
+            self._take,
+        )
+        return self.feed
+
+    def expire(self) -> None:
+        """Forget targets that stayed missing."""
+        for incarnation in self.places.expire(self.clock.now()):
+            self.on_gone(incarnation)
+
+    def _take(self, page: StoredRows, whole: bool) -> None:
+        for row in page.rows:
+            if row.fields is not None:
+                self._put(row)
+        self.places.miss(self._present(page, whole=whole), self._gone_at())
+        self.expire()
+
+    def _present(self, page: StoredRows, *, whole: bool) -> set[str]:
+        removed = {row.key for row in page.rows if row.fields is None}
+        listed = {row.key for row in page.rows} - removed
+        if whole:
+            return listed
+        known = {place.incarnation for place in self.places}
+        return known - removed
+
+    def _put(self, row: StoredRow) -> None:
+        known = self.places.find(row.key)
+        entry = read_target(row.key, row.fields)
+        if known is None or known.entry.leaving != entry.leaving:
+            log_event(
+                _logger,
+                logging.INFO,
+                'target_listed',
+                target=entry.incarnation,
+                service=entry.service,
+                address=entry.address,
+                target_zone=entry.zone,
+                leaving=entry.leaving,
+                row_version=row.version,
+            )
+        self.places.put(entry)
+
+    def _gone_at(self) -> float:
+        # While the store was away targets could not keep their entries, and
+        # at its return the list lacks sound ones for a moment. Taken at its
+        # word it would leave a service without any target.
+        now = self.clock.now()
+        doubted = now - self.feed.failed_at < _DOUBT_S
+        return now + _BACK_WITHIN_S if doubted else now
--- /dev/null
+++ b/src/balsamreach/platform/rows.py
@@ -0,0 +1,226 @@
+"""Calls to the platform's store of rows."""
+
+import base64
+import binascii
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+from urllib.parse import urlencode
+
+import attrs
+
+from balsamreach.services.base import Check, Write
+from balsamreach.services.faults import (
+    CONFLICT,
+    INVALID,
+    UNAVAILABLE,
+    UNKNOWN,
+    PlatformFault,
+)
+from balsamreach.services.http import Call, PlatformClient
+
+_OK = 200
+_GONE = 410
+_PRECONDITION_FAILED = 412
+_FAULTS = {
+    400: INVALID,
+    403: INVALID,
+    429: UNAVAILABLE,
+    503: UNAVAILABLE,
+    _PRECONDITION_FAILED: CONFLICT,
+}
+#: The store no longer has the history that was asked for.
+HISTORY_GONE = PlatformFault('history_gone')
+
+
+@attrs.frozen(kw_only=True)
+class StoredRow:
+    """A row of the store.
+
+    Parameters
+    ----------
+    table, part, key : str
+        Where it lies. Rows of one part are changed one after the other.
+    fields : mapping or None
+        Its JSON object; None for a row that was removed.
+    version : int
+        Number of the change that wrote it.
+    """
+
+    table: str
+    part: str
+    key: str
+    fields: Mapping[str, Any] | None
+    version: int
+
+
+@attrs.frozen
+class StoredRows:
+    """Rows and the newest version of the store at their moment."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+
+@attrs.frozen
+class RowPlace:
+    """Where a row lies."""
+
+    table: str
+    part: str
+    key: str
+
+
+@attrs.define
+class RowStore:
+    """Reads, follows and changes rows.
+
+    Parameters
+    ----------
+    client : PlatformClient
+        Sends the calls.
+    follow_wait : float
+        Seconds that a call that follows a table may wait for news.
+    """
+
+    client: PlatformClient
+    follow_wait: float
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        first: str = '',
+        end: str = '',
+    ) -> StoredRows | PlatformFault:
+        """Read all rows of one part whose keys lie in a range.
+
+        Parameters
+        ----------
+        table, part : str
+            Where to read.
+        first, end : str
+            Keys; the range leaves the second out. Empty for no bound.
+        """
+        rows: list[StoredRow] = []
+        while True:
+            query = {'table': table, 'part': part}
+            query |= {'from': first} if first else {}
+            query |= {'to': end} if end else {}
+            page = await self._get('/v1/rows-get', query)
+            if isinstance(page, PlatformFault):
+                return page
+            rows.extend(map(_read_row, page['rows']))
+            if not page.get('more_pages') or not page['rows']:
+                return StoredRows(tuple(rows), page['ver'])
+            last = page['rows'][-1]['key']
+            first = f'{last}\0'
+
+    async def follow(
+        self,
+        table: str,
+        since: int,
+    ) -> StoredRows | PlatformFault:
+        """Wait a while for rows of a table that changed after a version.
+
+        Returns
+        -------
+        StoredRows or PlatformFault
+            HISTORY_GONE where the whole table must be read anew.
+        """
+        # ``after_rev`` holds a version here; elsewhere a name of an object.
+        query = {
+            'table': table,
+            'after_rev': since,
+            'wait_ms': int(self.follow_wait * 1000),
+        }
+        page = await self._get('/v1/rows-feed', query)
+        if isinstance(page, PlatformFault):
+            return page
+        return StoredRows(tuple(map(_read_row, page['rows'])), page['ver'])
+
+    async def change(
+        self,
+        writes: Iterable[tuple[RowPlace, Write]],
+        checks: Iterable[tuple[RowPlace, Check]],
+    ) -> int | PlatformFault:
+        """Write and remove rows if all checks hold.
+
+        Returns
+        -------
+        int or PlatformFault
+            The number of the change, or as ``TableService.commit``.
+        """
+        written = list(writes)
+        checked = list(checks)
+        parts = {place.part for place, _ in (*written, *checked)}
+        body = {
+            'expected_rev': [
+                _place_fields(place) | {'ver': check.version}
+                for place, check in checked
+            ],
+            'writes': [
+                _place_fields(place) | {'value': _encode(write.value)}
+                for place, write in written
+                if write.value is not None
+            ],
+            'remove': [
+                _place_fields(place)
+                for place, write in written
+                if write.value is None
+            ],
+        }
+        if len(parts) > 1:
+            body['across'] = True
+        call = Call('POST', '/v1/rows-tx', json.dumps(body).encode(), True)
+        answer = await self._exchange(call)
+        return answer if isinstance(answer, PlatformFault) else answer['ver']
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, Any],
+    ) -> dict[str, Any] | PlatformFault:
+        return await self._exchange(Call('GET', f'{path}?{urlencode(query)}'))
+
+    async def _exchange(self, call: Call) -> dict[str, Any] | PlatformFault:
+        answer = await self.client.exchange(call)
+        if isinstance(answer, PlatformFault):
+            return answer
+        if answer.code == _GONE:
+            return HISTORY_GONE
+        if answer.code != _OK:
+            fault = _FAULTS.get(answer.code, UNKNOWN)
+            return fault.because(f'the store answered {answer.code}')
+        try:
+            return json.loads(answer.body)
+        except ValueError:
+            return UNKNOWN.because('the answer is not JSON')
+
+
+def _place_fields(place: RowPlace) -> dict[str, Any]:
+    return attrs.asdict(place)
+
+
+def _encode(fields: Mapping[str, Any]) -> str:
+    text = json.dumps(fields, separators=(',', ':'))
+    return base64.b64encode(text.encode()).decode()
+
+
+def _read_row(fields: Mapping[str, Any]) -> StoredRow:
+    removed = fields.get('deleted') or fields.get('value') is None
+    return StoredRow(
+        table=fields['table'],
+        part=fields.get('part', ''),
+        key=fields['key'],
+        fields=None if removed else _decode(fields['value']),
+        version=fields['ver'],
+    )
+
+
+def _decode(encoded: str) -> Mapping[str, Any] | None:
+    try:
+        return json.loads(base64.b64decode(encoded))
+    except (ValueError, binascii.Error):
+        # Rows of others may hold anything; none of ours is like that.
+        return None
--- a/src/balsamreach/power/follower.py
+++ b/src/balsamreach/power/follower.py
@@ -9,9 +9,9 @@
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
 from balsamreach.peers.base import PeerNet
-from balsamreach.services.base import Page, Row, RowValue, Scan, TableService
 from balsamreach.power.faults import PowerFault
 from balsamreach.power.rows import PREFIX, PowerRow, decode
+from balsamreach.services.base import Page, Row, RowValue, Scan, TableService
 from balsamreach.targets.holds import STARTING, Hold
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.logs import log_event
--- a/src/balsamreach/power/looking.py
+++ b/src/balsamreach/power/looking.py
@@ -7,11 +7,11 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.target_settings import PowerSettings
-from balsamreach.services.base import HostEntry, HostList
-from balsamreach.services.faults import PlatformFault
 from balsamreach.power.idle import IdleProof
 from balsamreach.power.rows import HostRecord, PowerRow
 from balsamreach.power.scene import HostView, Scene
+from balsamreach.services.base import HostEntry, HostList
+from balsamreach.services.faults import PlatformFault
 from balsamreach.table.rows import ACTIVE
 from balsamreach.targets.client import TargetClient
 from balsamreach.targets.holds import LEAVING, OFF, STARTING, STOPPING
--- a/src/balsamreach/power/manager.py
+++ b/src/balsamreach/power/manager.py
@@ -7,7 +7,6 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.power.decider import Decider
 from balsamreach.power.follower import PowerFollower
 from balsamreach.power.idle import IdleProof
@@ -15,6 +14,7 @@
 from balsamreach.power.orders import Orders
 from balsamreach.power.rows import encode
 from balsamreach.power.store import PowerStore, Stored
+from balsamreach.services.base import HostList, TableService, WeightStore
 from balsamreach.targets.client import TargetClient
 from balsamreach.targets.marks import Marks
 from balsamreach.telemetry.metrics import Metrics
--- a/src/balsamreach/power/orders.py
+++ b/src/balsamreach/power/orders.py
@@ -6,9 +6,9 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.target_settings import PowerSettings
+from balsamreach.power.scene import HostView
 from balsamreach.services.base import HostList, WeightStore
 from balsamreach.services.faults import UNKNOWN, PlatformFault
-from balsamreach.power.scene import HostView
 from balsamreach.targets.client import (
     LEAVE,
     LOAD_MODEL,
--- a/src/balsamreach/power/store.py
+++ b/src/balsamreach/power/store.py
@@ -4,10 +4,10 @@
 
 import attrs
 
-from balsamreach.services.base import Check, Commit, Row, TableService, Write
-from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 from balsamreach.power.faults import OVERTAKEN, ROW_AWAY, PowerFault
 from balsamreach.power.rows import PowerRow, decode, encode
+from balsamreach.services.base import Check, Commit, Row, TableService, Write
+from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/balsamreach/relay/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request that is passed through by a route."""
--- /dev/null
+++ b/src/balsamreach/relay/chooser.py
@@ -0,0 +1,127 @@
+"""Finds the target for a request and keeps what is known of each."""
+
+import attrs
+
+from balsamreach.catalogue.entries import EngineTraits
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.clock import Clock
+from balsamreach.placement.engines import EngineChooser
+from balsamreach.placement.places import Place, Places
+from balsamreach.placement.services import ServiceChooser
+from balsamreach.relay.call import RelayCall
+
+
+@attrs.define
+class Chooser:
+    """Chooses among the targets of a call's service.
+
+    Parameters
+    ----------
+    places : Places
+        All targets.
+    engines : EngineChooser
+        For prompts.
+    services : ServiceChooser
+        For all else.
+    view : CatalogueView
+        What is known of the services.
+    clock : Clock
+        Time.
+    """
+
+    places: Places
+    engines: EngineChooser
+    services: ServiceChooser
+    view: CatalogueView
+    clock: Clock
+
+    def choose(self, call: RelayCall, tried: set[str]) -> Place | None:
+        """Return the target for a call, None if none may be used.
+
+        Parameters
+        ----------
+        call : RelayCall
+            The request.
+        tried : set of str
+            Incarnations that it went to already.
+        """
+        present = [
+            place
+            for place in self.places.of(call.service)
+            if not place.entry.leaving and place.incarnation not in tried
+        ]
+        now = self.clock.now()
+        usable = [place for place in present if place.breaker.passes(now)]
+        # Where all are kept away from, the failures may be this router's
+        # own view; a refusal without a try would serve nobody.
+        candidates = usable or present
+        if call.prompt is None:
+            return self.services.choose(candidates)
+        return self.engines.choose(call.prompt, candidates)
+
+    def visit(self, call: RelayCall, place: Place) -> 'Visit':
+        """Take note that a request is being sent."""
+        place.breaker.begin()
+        if call.prompt is None:
+            return Visit(place)
+        capacity = self._engine(call).cache_tokens
+        self.engines.note(call.prompt, place, capacity)
+        return Visit(place, call.prompt.tokens)
+
+    def succeeded(self, place: Place) -> None:
+        """Take note of a good end."""
+        place.breaker.succeed()
+
+    def failed(self, place: Place, *, certain: bool) -> None:
+        """Take note of a failure."""
+        self.places.failed(place, self.clock.now(), certain=certain)
+
+    def shed(self, place: Place) -> None:
+        """Take note that a target had no room."""
+        place.breaker.let_go()
+
+    def tokens_per_event(self, call: RelayCall) -> int:
+        """Return the most tokens that an event of the answer holds."""
+        return self._engine(call).tokens_per_event
+
+    def _engine(self, call: RelayCall) -> EngineTraits:
+        catalogue = self.view.current
+        service = catalogue.services.get(call.service) if catalogue else None
+        if service is None or service.engine is None:
+            return _UNKNOWN_ENGINE
+        return service.engine
+
+
+@attrs.define(eq=False)
+class Visit:
+    """One request at one target, counted there until it ends.
+
+    Parameters
+    ----------
+    place : Place
+        The target.
+    unread : int
+        Prompt tokens that it has not read yet.
+    """
+
+    place: Place
+    unread: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Count the request in."""
+        self.place.running += 1
+        self.place.unread += self.unread
+
+    def heard(self, _headers: object = None) -> None:
+        """Take note that the target has read the prompt, or never will."""
+        self.place.unread -= self.unread
+        self.unread = 0
+
+    def end(self) -> None:
+        """Count the request out."""
+        self.heard()
+        self.place.running -= 1
+        self.place.breaker.let_go()
+
+
+_UNKNOWN_ENGINE = EngineTraits(slots=1, cache_tokens=0)
--- /dev/null
+++ b/src/balsamreach/relay/metered.py
@@ -0,0 +1,59 @@
+"""Meters passed-through requests against prepaid budgets."""
+
+import attrs
+
+from balsamreach.budget.faults import EXHAUSTED, BudgetFault
+from balsamreach.budget.holdings import Holdings
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.relay import faults
+from balsamreach.relay.call import RelayCall
+from balsamreach.relay.faults import RelayFault
+from balsamreach.relay.spending import Spending, Tab
+
+
+@attrs.define
+class MeteredSpending(Spending):
+    """Charges teams whose tokens are prepaid.
+
+    Parameters
+    ----------
+    holdings : Holdings
+        What this router may spend.
+    view : CatalogueView
+        What is prepaid.
+    """
+
+    holdings: Holdings
+    view: CatalogueView
+
+    async def open(self, call: RelayCall) -> Tab | RelayFault:
+        """Set the request's worst case aside."""
+        prepaid = self.view.prepaid(call.team_name)
+        if call.prompt is None or prepaid is None:
+            return Tab()
+        tokens = call.prompt.most_tokens
+        reserved = await self.holdings.reserve(call.team_name, tokens)
+        if isinstance(reserved, BudgetFault):
+            return self._refuse(call, prepaid, reserved)
+        return Tab(most=tokens, hold=reserved)
+
+    def close(self, call: RelayCall, tab: Tab) -> None:
+        """Charge what was used; the rest is free again."""
+        if tab.hold is not None:
+            self.holdings.charge(tab.hold, tab.used)
+
+    def _refuse(
+        self,
+        call: RelayCall,
+        prepaid: int,
+        fault: BudgetFault,
+    ) -> RelayFault:
+        # The account may have nothing left while other routers hold tokens
+        # that they will hand back. "Exhausted" is told only where what this
+        # router alone has seen spent proves it for the whole balance.
+        spent = self.holdings.book.ledger(call.team_name).billed
+        if fault == EXHAUSTED and call.prompt.most_tokens > prepaid - spent:
+            return faults.BUDGET_EXHAUSTED.because(fault.reason)
+        return faults.BUDGET_UNREACHABLE.because(
+            f'{fault.code}: {fault.reason}',
+        )
--- /dev/null
+++ b/src/balsamreach/relay/suspects.py
@@ -0,0 +1,63 @@
+"""Keeps requests that crash their targets away from further ones."""
+
+import hashlib
+
+import attrs
+
+from balsamreach.placement.places import Place
+from balsamreach.relay import faults
+from balsamreach.relay.call import RelayCall
+from balsamreach.relay.faults import RelayFault
+from balsamreach.routing.quarantine import Quarantine
+
+_DIGEST_BYTES = 12
+
+
+@attrs.define
+class Suspects:
+    """The quarantine, in the terms of the relay.
+
+    A request that crashes its target is sent again by its caller, with the
+    same path, team and body but another identity. Without this it would take
+    one target after the other; it would show as targets of one service that
+    restart in turn.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        What is known of requests that were at crashes.
+    """
+
+    quarantine: Quarantine
+
+    def check(self, call: RelayCall) -> RelayFault | None:
+        """Return why a request must not run, None if it may."""
+        refusal = self.quarantine.check(fingerprint(call))
+        if refusal is None:
+            return None
+        return faults.QUARANTINED.because(refusal.reason)
+
+    def ended(self, call: RelayCall, place: Place) -> None:
+        """Take note of an exchange that ended in order."""
+        self.quarantine.finished(fingerprint(call), place.incarnation)
+
+    def broke(self, call: RelayCall, place: Place) -> None:
+        """Take note of a connection that broke while the request ran."""
+        self.quarantine.broken(
+            fingerprint(call),
+            call.team_name,
+            place.entry.address,
+            place.incarnation,
+        )
+
+    def refused(self, place: Place) -> None:
+        """Take note that nobody listens at a target: it has crashed."""
+        self.quarantine.refused(place.entry.address)
+
+
+def fingerprint(call: RelayCall) -> str:
+    """Return what stays the same where a caller sends a request again."""
+    digest = hashlib.blake2b(call.body, digest_size=_DIGEST_BYTES)
+    digest.update(call.path.encode())
+    digest.update(call.team_name.encode())
+    return digest.hexdigest()
--- a/src/balsamreach/requests/claims.py
+++ b/src/balsamreach/requests/claims.py
@@ -11,6 +11,8 @@
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.requests.faults import KEY_REUSED, NO_CLAIM, RequestFault
+from balsamreach.requests.identity import RequestId
 from balsamreach.services.base import (
     ABSENT,
     Check,
@@ -20,8 +22,6 @@
     Write,
 )
 from balsamreach.services.faults import CONFLICT, UNKNOWN, PlatformFault
-from balsamreach.requests.faults import KEY_REUSED, NO_CLAIM, RequestFault
-from balsamreach.requests.identity import RequestId
 from balsamreach.telemetry.metrics import Metrics
 
 CLAIM_PREFIX = 'claim/'
--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -65,6 +65,7 @@
 
     writes: bool
     tls: CurlTls
+    fresh: bool = False
     tries: int = 0
 
     def prepare(self, curl: pycurl.Curl) -> None:
@@ -72,6 +73,7 @@
         # dead without either side having said so: calls on it would hang
         # until their timeout, once per pooled connection.
         curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_AGE_S)
+        curl.setopt(pycurl.FRESH_CONNECT, int(self.fresh))
         # Services are given by address: a proxy named in the environment
         # must not come between.
         curl.setopt(pycurl.NOPROXY, '*')
@@ -117,6 +119,7 @@
     tls: CurlTls = attrs.Factory(CurlTls)
     max_clients: int = 32
     _client: CurlAsyncHTTPClient | None = None
+    _doubtful: bool = False
 
     async def send(self, call: Call) -> bytes | PlatformFault:
         """Send one call and return the body of its answer.
@@ -127,13 +130,30 @@
             UNREACHABLE means that nothing was sent, UNKNOWN that no answer
             came to what was sent.
         """
-        sending = _Sending(call.writes, self.tls)
+        response = await self.exchange(call)
+        if isinstance(response, PlatformFault):
+            return response
+        return _outcome(response)
+
+    async def exchange(self, call: Call) -> HTTPResponse | PlatformFault:
+        """Send one call and return its answer, whatever its status.
+
+        Returns
+        -------
+        HTTPResponse or PlatformFault
+            UNREACHABLE or UNKNOWN as from ``send``.
+        """
+        sending = _Sending(call.writes, self.tls, fresh=self._doubtful)
         request = self._request(call, sending)
         try:
             response = await self._fetcher().fetch(request, raise_error=False)
         except CurlError as exc:
+            # What silenced one kept connection most likely silenced the
+            # others; each would cost a call its whole timeout.
+            self._doubtful = True
             return sending.fault(exc)
-        return _outcome(response)
+        self._doubtful = False
+        return response
 
     async def send_json(self, call: Call) -> Any | PlatformFault:
         """Send one call and return the JSON of its answer."""
--- a/src/balsamreach/ui/main.py
+++ b/src/balsamreach/ui/main.py
@@ -9,6 +9,7 @@
     'audit': 'balsamreach.ui.audit',
     'budget': 'balsamreach.ui.budget',
     'check-config': 'balsamreach.ui.check_config',
+    'relay': 'balsamreach.ui.relay',
     'serve': 'balsamreach.ui.serve',
     'standin': 'balsamreach.ui.standin',
     'table': 'balsamreach.ui.table',
--- a/tests/power_world.py
+++ b/tests/power_world.py
@@ -7,10 +7,10 @@
 import attrs
 
 from balsamreach.config.reader import read_settings
-from balsamreach.services.base import Commit, HostEntry, HostList
-from balsamreach.services.faults import UNAVAILABLE, UNKNOWN
 from balsamreach.power.manager import PowerManager, PowerParts, make_power
 from balsamreach.power.rows import decode
+from balsamreach.services.base import Commit, HostEntry, HostList
+from balsamreach.services.faults import UNAVAILABLE, UNKNOWN
 from balsamreach.standins.memory import MemoryPlatform
 from balsamreach.table.rows import TargetRow
 from balsamreach.targets.registry import Target, Targets
--- a/tests/small_router.py
+++ b/tests/small_router.py
@@ -12,12 +12,12 @@
 from balsamreach.dispatch.elsewhere import make_others
 from balsamreach.dispatch.run import RunParts
 from balsamreach.dispatch.tries import make_try_parts
-from balsamreach.services.base import Commit, Write
 from balsamreach.requests.answers import Sink
 from balsamreach.requests.claims import Claims
 from balsamreach.requests.identity import RequestId, mint_key
 from balsamreach.requests.registry import Answers
 from balsamreach.routing.routing import Routing, make_routing
+from balsamreach.services.base import Commit, Write
 from balsamreach.table.rows import TargetRow, TeamRow
 from balsamreach.targets.registry import Targets
 from balsamreach.telemetry.metrics import Metrics
--- a/tests/test_power_orders.py
+++ b/tests/test_power_orders.py
@@ -6,10 +6,10 @@
 import attrs
 
 from balsamreach.config.reader import read_settings
-from balsamreach.services.base import WeightStore
-from balsamreach.services.faults import UNREACHABLE
 from balsamreach.power.orders import Orders
 from balsamreach.power.scene import HostView
+from balsamreach.services.base import WeightStore
+from balsamreach.services.faults import UNREACHABLE
 from balsamreach.targets.registry import Target
 from balsamreach.telemetry.metrics import Metrics
 from tests.fake_targets import FakeHost, FakeTargets, VirtualClock, settle
--- a/tests/test_requests_claims.py
+++ b/tests/test_requests_claims.py
@@ -4,10 +4,10 @@
 
 from parameterized import parameterized
 
-from balsamreach.services.base import Write
 from balsamreach.requests.claims import Claim, Claims, Held, claim_key
 from balsamreach.requests.faults import KEY_REUSED, NO_CLAIM
 from balsamreach.requests.identity import RequestId
+from balsamreach.services.base import Write
 from balsamreach.standins.memory import MemoryPlatform
 from tests.support import FakeClock
 
--- a/tests/test_ui_main.py
+++ b/tests/test_ui_main.py
@@ -41,7 +41,7 @@
         self.assertEqual(
             lacking,
             {f'balsamreach standin {role}' for role in roles}
-            | {'balsamreach serve'},
+            | {'balsamreach relay', 'balsamreach serve'},
         )
 
     @parameterized.expand(
