Pass nothing on from a connection that is closed, and test the relay

Change: a request whose connection is closed is not passed on; a connection ends after the answer that says so. Ruled out: the drain ending early (requests_cut_off counted it to the end).

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 	$(VENV)/bin/ruff check $(CHECKED)
 	$(VENV)/bin/flake8 $(CHECKED)
 	$(VENV)/bin/python tools/check_imports.py src
+	$(VENV)/bin/python tools/check_names.py src
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format $(CHECKED)
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -21,11 +21,9 @@
 from balsamreach.relay.metered import MeteredSpending
 from balsamreach.relay.repeats import Repeats
 from balsamreach.relay.run import RunParts
-from balsamreach.relay.suspects import Suspects
+from balsamreach.relay.suspects import make_suspects
 from balsamreach.relay.tries import TryParts
 from balsamreach.relay.verdicts import Judge
-from balsamreach.routing.quarantine import Quarantine
-from balsamreach.routing.suspects import Suspects as SuspectRecords
 from balsamreach.services.base import HostList, TableService
 from balsamreach.telemetry.metrics import Metrics
 
@@ -137,9 +135,12 @@
     ) -> RunParts:
         """Make what every request runs on."""
         cfg = self.cfg
-        records = SuspectRecords(cfg.routing.crash_targets)
-        quarantine = Quarantine(records, self.clock, self.metrics, self.net)
-        suspects = Suspects(quarantine)
+        suspects = make_suspects(
+            cfg.routing.crash_targets,
+            self.clock,
+            self.metrics,
+            self.net,
+        )
         tries = TryParts(
             codec=codec,
             chooser=chooser,
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -74,6 +74,17 @@
             reason=f'callers on {self.callers.address}',
         )
 
+    async def leave(self) -> None:
+        """Finish the requests in progress, hand tokens back and stop."""
+        self.state = _LEAVING
+        log_event(_logger, logging.INFO, 'router_leaving')
+        began = self.parts.clock.now()
+        await self._turn_away()
+        await self._drain(began + self.parts.cfg.relay.grace * _DRAIN_SHARE)
+        await self.parts.holdings.leave()
+        await self._stop()
+        log_event(_logger, logging.INFO, 'router_left')
+
     def _listen(self) -> None:
         cfg = self.parts.cfg
         self.server = RelayServer(
@@ -84,20 +95,12 @@
         self.callers = open_listener(cfg, cfg.callers, self.server)
         self.probes = open_listener(cfg, cfg.probes, self._probes_app())
 
-    async def leave(self) -> None:
-        """Finish the requests in progress, hand tokens back and stop."""
-        self.state = _LEAVING
-        log_event(_logger, logging.INFO, 'router_leaving')
-        began = self.parts.clock.now()
+    async def _turn_away(self) -> None:
         self.server.leaving = True
         await self.parts.net.leave()
         await self.parts.clock.sleep(_LEAVE_DELAY_S)
         self.callers.stop()
         self.server.leave()
-        await self._drain(began + self.parts.cfg.relay.grace * _DRAIN_SHARE)
-        await self.parts.holdings.leave()
-        await self._stop()
-        log_event(_logger, logging.INFO, 'router_left')
 
     async def _stop(self) -> None:
         for task in self._tasks:
--- a/src/balsamreach/gateway/relay_server.py
+++ b/src/balsamreach/gateway/relay_server.py
@@ -1,6 +1,7 @@
 """Reads callers' requests off their connections and writes the answers."""
 
 import asyncio
+import weakref
 from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from http import HTTPStatus
@@ -116,6 +117,7 @@
     leaving: bool = False
     running: set[asyncio.Task] = attrs.field(factory=set)
     idle: set['RelayRequest'] = attrs.field(factory=set)
+    _known: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
 
     def start_request(
         self,
@@ -125,6 +127,10 @@
         """Wait for the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
         request = RelayRequest(self, request_conn)
+        if self.leaving and server_conn in self._known:
+            # The answer before this was said to be the last one.
+            request_conn.stream.close()
+        self._known.add(server_conn)
         self.idle.add(request)
         return request
 
@@ -180,6 +186,11 @@
 
     def finish(self) -> None:
         """Answer the request, which is whole."""
+        # The connection may have been closed between the reading of the last
+        # byte and this turn of the loop. Passed on now, the request would run
+        # for nobody, and its caller could never learn that it did.
+        if self.conn.stream.closed():
+            return
         request = CallerRequest(
             method=self._line.method,
             path=self._line.path,
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -66,6 +66,8 @@
         if refusal is not None:
             return refusal
         left = self.call.deadline - self.parts.clock.now()
+        if left <= 0:
+            return faults.TOO_LATE.because('its time was over as it came')
         try:
             async with asyncio.timeout(left):
                 return await self._spend(tries)
--- a/src/balsamreach/relay/suspects.py
+++ b/src/balsamreach/relay/suspects.py
@@ -4,11 +4,15 @@
 
 import attrs
 
+from balsamreach.clock import Clock
+from balsamreach.peers.base import PeerNet
 from balsamreach.placement.places import Place
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
 from balsamreach.routing.quarantine import Quarantine
+from balsamreach.routing.suspects import Suspects as SuspectRecords
+from balsamreach.telemetry.metrics import Metrics
 
 _DIGEST_BYTES = 12
 
@@ -46,13 +50,34 @@
         self.quarantine.broken(
             fingerprint(call),
             call.team_name,
-            place.entry.address,
+            place.incarnation,
             place.incarnation,
         )
 
     def refused(self, place: Place) -> None:
         """Take note that nobody listens at a target: it has crashed."""
-        self.quarantine.refused(place.entry.address)
+        self.quarantine.refused(place.incarnation)
+
+
+def make_suspects(
+    crash_targets: int,
+    clock: Clock,
+    metrics: Metrics,
+    net: PeerNet | None = None,
+) -> Suspects:
+    """Make a quarantine that other routers share.
+
+    Parameters
+    ----------
+    crash_targets : int
+        Targets after which a request is kept away.
+    clock, metrics
+        Time and counters.
+    net : PeerNet or None
+        Other routers, which are told of requests that were at a crash.
+    """
+    records = SuspectRecords(crash_targets)
+    return Suspects(Quarantine(records, clock, metrics, net))
 
 
 def fingerprint(call: RelayCall) -> str:
--- /dev/null
+++ b/tests/test_budget_holdings.py
@@ -0,0 +1,239 @@
+"""Tests of budgets where nothing is recorded request by request."""
+
+import random
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.budget.account import account_key
+from balsamreach.budget.covering import Covering
+from balsamreach.budget.faults import BudgetFault
+from balsamreach.budget.holdings import Holdings, PrepaidAccounts
+from balsamreach.budget.ledger import Ledger, Reservation
+from balsamreach.budget.rate import Rate
+from balsamreach.standins.memory import MemoryPlatform
+from balsamreach.telemetry.metrics import Metrics
+from tests.budget_world import SETTINGS, Gate, VirtualClock
+from tests.fake_net import FakeNet
+
+_TEAM = 'team'
+_CFG = attrs.evolve(
+    SETTINGS,
+    draw_ahead=1,
+    partition_cover=8,
+    least_draw=100,
+    largest_share=0.35,
+)
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Routers that hold tokens of one team, and what they let through."""
+
+    prepaid: int
+    seed: int = 1
+    clock: VirtualClock = attrs.field(factory=VirtualClock)
+    fabric: FakeNet = attrs.field(factory=FakeNet)
+    platform: MemoryPlatform = attrs.field(init=False)
+    gates: dict[str, Gate] = attrs.field(factory=dict)
+    routers: dict[str, Holdings] = attrs.field(factory=dict)
+    spent: int = 0
+    started: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start the platform."""
+        self.platform = MemoryPlatform.start(self.clock)
+
+    def start(self) -> str:
+        """Start a router and return its name."""
+        self.started += 1
+        name = f'router-{self.started}'
+        self.gates[name] = Gate(self.platform.table)
+        self.routers[name] = Holdings(
+            PrepaidAccounts(self.gates[name], lambda _team: self.prepaid),
+            name,
+            _CFG,
+            5,
+            self.fabric.join(name),
+            self.clock,
+            random.Random(f'{self.seed}{name}'),
+            Metrics(),
+        )
+        return name
+
+    def kill(self, name: str) -> None:
+        """End a router without a word."""
+        self.routers.pop(name)
+        self.fabric.kill(name)
+
+    async def serve(
+        self,
+        name: str,
+        tokens: int,
+        used: int,
+    ) -> Reservation | BudgetFault:
+        """Let one request through, if its router may."""
+        router = self.routers[name]
+        held = await self.clock.drive(router.reserve(_TEAM, tokens))
+        if isinstance(held, Reservation):
+            self.spent += used
+            router.charge(held, used)
+        return held
+
+    async def round(self, name: str) -> None:
+        """Let one router draw ahead or hand back."""
+        await self.clock.drive(self.routers[name].round())
+
+    async def taken(self) -> int:
+        """Return what counts as taken of the account."""
+        rows = await self.platform.table.read((account_key(_TEAM),))
+        return (rows[0].value or {}).get('taken', 0)
+
+
+class HoldingsTest(unittest.IsolatedAsyncioTestCase):
+    """Spending stays within what is prepaid, whoever dies."""
+
+    async def test_nothing_is_spent_beyond_the_prepaid(self):
+        fleet = Fleet(1000)
+        names = [fleet.start() for _ in range(3)]
+        for number in range(60):
+            await fleet.serve(names[number % 3], 50, 50)
+        self.assertEqual(fleet.spent, 1000)
+
+    async def test_what_a_dead_router_held_is_not_spent_again(self):
+        """Symptom: a team gets more than it paid for.
+
+        Sequence: a router dies with tokens that it had spent and never
+        recorded; the next one on its address draws.
+        Cause: what the dead one held went back to the account.
+        """
+        fleet = Fleet(1000)
+        name = fleet.start()
+        await fleet.serve(name, 300, 300)
+        fleet.kill(name)
+        name = fleet.start()
+        for _ in range(40):
+            await fleet.serve(name, 50, 50)
+        self.assertLessEqual(fleet.spent, 1000)
+        self.assertGreaterEqual(await fleet.taken(), fleet.spent)
+
+    async def test_peers_lend_while_the_store_is_away(self):
+        """Symptom: requests are refused although the budget has room.
+
+        Sequence: the store is cut off from all routers; the team's requests
+        come through one that holds little, while others hold plenty.
+        Cause: nobody asked the others.
+        """
+        fleet = Fleet(10_000)
+        rich, poor = fleet.start(), fleet.start()
+        await fleet.serve(rich, 2000, 10)
+        for gate in fleet.gates.values():
+            gate.open = False
+        held = await fleet.serve(poor, 1000, 1000)
+        self.assertIsInstance(held, Reservation)
+        self.assertLessEqual(fleet.spent, await fleet.taken())
+
+    async def test_known_outage_holds_nobody_up(self):
+        """Symptom: requests wait for a store that doesn't answer.
+
+        Sequence: the store went silent a second ago; requests come.
+        Cause: each tried a draw of its own before its peers were asked.
+        """
+        fleet = Fleet(10_000)
+        name = fleet.start()
+        await fleet.serve(name, 10, 10)
+        fleet.routers[name].book.is_away = lambda: True
+        before = fleet.clock.now()
+        held = await fleet.serve(name, 9000, 0)
+        self.assertIsInstance(held, BudgetFault)
+        self.assertLess(fleet.clock.now() - before, _CFG.draw_wait)
+
+    async def test_a_graceful_end_hands_back(self):
+        fleet = Fleet(1000)
+        name = fleet.start()
+        await fleet.serve(name, 200, 150)
+        await fleet.clock.drive(fleet.routers[name].leave())
+        self.assertEqual(await fleet.taken(), 150)
+
+    async def test_a_top_up_is_there_at_once(self):
+        fleet = Fleet(100)
+        name = fleet.start()
+        self.assertIsInstance(await fleet.serve(name, 150, 0), BudgetFault)
+        fleet.prepaid = 300
+        fleet.clock.seconds += 5
+        self.assertIsInstance(await fleet.serve(name, 150, 0), Reservation)
+
+    @parameterized.expand([(seed,) for seed in range(40)])
+    async def test_random_histories(self, seed):
+        """Kills, cuts, lost answers, loans: never past the budget."""
+        fleet = Fleet(20_000, seed)
+        rng = random.Random(seed)
+        for _ in range(4):
+            fleet.start()
+        for _ in range(120):
+            await _step(fleet, rng)
+            self.assertLessEqual(fleet.spent, fleet.prepaid)
+        self.assertGreater(fleet.spent, 0)
+
+
+async def _step(fleet: Fleet, rng: random.Random) -> None:
+    name = rng.choice(sorted(fleet.routers))
+    steps = (_serve, _draw, _cut_store, _lose_answer, _restart, _cut_peers)
+    step = rng.choices(steps, (70, 15, 5, 4, 3, 3))[0]
+    done = step(fleet, name, rng)
+    if done is not None:
+        await done
+
+
+async def _serve(fleet: Fleet, name: str, rng: random.Random) -> None:
+    tokens = rng.randrange(1, 900)
+    await fleet.serve(name, tokens, rng.randrange(tokens + 1))
+
+
+async def _draw(fleet: Fleet, name: str, _rng: random.Random) -> None:
+    await fleet.round(name)
+
+
+def _cut_store(fleet: Fleet, name: str, _rng: random.Random) -> None:
+    fleet.gates[name].open = not fleet.gates[name].open
+
+
+def _lose_answer(fleet: Fleet, _name: str, _rng: random.Random) -> None:
+    fleet.platform.weather.lose_answers = 1
+
+
+def _restart(fleet: Fleet, name: str, _rng: random.Random) -> None:
+    fleet.kill(name)
+    fleet.start()
+
+
+def _cut_peers(fleet: Fleet, name: str, rng: random.Random) -> None:
+    fleet.fabric.heal()
+    if rng.choice((True, False)):
+        others = [one for one in fleet.routers if one != name]
+        fleet.fabric.cut([name], others)
+
+
+class CoveringTest(unittest.TestCase):
+    """What is held covers an outage, and shrinks with the budget."""
+
+    def ledger(self, free):
+        clock = VirtualClock()
+        ledger = Ledger(_TEAM, Rate(clock.now(), 5), free=free)
+        for _ in range(10):
+            clock.seconds += 1
+            ledger.rate.add(100, clock.now())
+        return Covering(_CFG, clock).target(ledger)
+
+    def test_early_in_a_budget(self):
+        self.assertAlmostEqual(self.ledger(free=100_000), 900, delta=150)
+
+    def test_towards_its_end(self):
+        """Symptom: after a power loss all teams are out of budget.
+
+        Sequence: the last tokens are shared out among all routers; then
+        the power of all hosts fails.
+        Cause: the cover was the same however little was left.
+        """
+        self.assertEqual(self.ledger(free=1000), 350)
--- /dev/null
+++ b/tests/test_platform_requests.py
@@ -0,0 +1,256 @@
+"""Tests of what is spoken with callers and targets on the platform."""
+
+import inspect
+import random
+import unittest
+
+from parameterized import parameterized
+
+from balsamreach.platform.configuration import (
+    decode_catalogue,
+    read_catalogue,
+    read_target,
+)
+from balsamreach.platform.requests import PlatformCodec
+from balsamreach.relay import faults
+from balsamreach.relay.codec import CallerRequest
+from balsamreach.relay.faults import RelayFault
+from tests.relay_samples import entry
+
+_FIELDS = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'short',
+            'host': 'Host.example',
+            'prefix': '/a/',
+            'route_type': 'idempotent',
+            'timeout_ms': 800,
+            'target_latency_ms': 100,
+            'priority': 2,
+            'service': 'desk',
+            'max_attempts': 2,
+            'public_access': True,
+        },
+        {
+            'name': 'long',
+            'host': 'host.example',
+            'prefix': '/a/b/',
+            'route_type': 'streaming',
+            'timeout_ms': 12000,
+            'target_latency_ms': 600,
+            'priority': 0,
+            'traffic_split': [
+                {'service': 'engines', 'weight': 90},
+                {'service': 'others', 'weight': 10},
+            ],
+            'max_attempts': 2,
+            'stream_resume': True,
+            'gap_aim_ms': 300,
+        },
+    ],
+    'services': [
+        {
+            'name': 'engines',
+            'max_conns': 370,
+            'engine': {'slots': 64, 'kv_capacity': 1000, 'stride': 7},
+        },
+        {'name': 'desk', 'max_conns': 110},
+    ],
+    'limits': {'max_body_bytes': 4096, 'idle_timeout_ms': 15000},
+    'tenants': [
+        {'name': 't', 'api_keys': ['k1'], 'priority': 1, 'prepaid': 900},
+    ],
+}
+_CATALOGUE = read_catalogue(_FIELDS)
+
+
+def _request(path='/a/b/c', **headers):
+    lines = {
+        'Host': 'host.example:80',
+        'Attempt-Id': 'a1',
+        'Authorization': 'Bearer k1',
+        'Token-Counts': '1460,80',
+        'Prompt-Prefix': '5C1E:800,91bd:410',
+        'Deadline-Ms': '2000',
+        'Last-Event-Id': '12',
+        'X-Own': 'kept',
+    }
+    lines |= {name.replace('_', '-'): text for name, text in headers.items()}
+    return CallerRequest(
+        method='POST',
+        path=path,
+        headers=tuple((k, v) for k, v in lines.items() if v),
+        body=b'',
+        arrived=100,
+    )
+
+
+class CatalogueTest(unittest.TestCase):
+    """The stored configuration in our terms."""
+
+    def test_routes(self):
+        long = _CATALOGUE.find_route('HOST.example:80', '/a/b/c')
+        self.assertEqual(long.name, 'long')
+        self.assertTrue(long.streams and long.resumable)
+        self.assertFalse(long.idempotent)
+        self.assertEqual(long.timeout, 12)
+        self.assertEqual(long.splits[0].weight, 90)
+        short = _CATALOGUE.find_route('host.example', '/a/x')
+        self.assertTrue(short.idempotent and short.public)
+        self.assertIsNone(_CATALOGUE.find_route('host.example', '/b/'))
+
+    def test_services_teams_and_limits(self):
+        engine = _CATALOGUE.services['engines'].engine
+        self.assertEqual(engine.tokens_per_event, 7)
+        self.assertIsNone(_CATALOGUE.services['desk'].engine)
+        self.assertEqual(_CATALOGUE.teams['t'].prepaid, 900)
+        self.assertEqual(_CATALOGUE.limits.body_bytes, 4096)
+
+    def test_document_survives_the_way_to_a_peer(self):
+        again = decode_catalogue(_CATALOGUE.document)
+        self.assertEqual(again.version, 7)
+        self.assertEqual(again.routes, _CATALOGUE.routes)
+
+    @parameterized.expand((('no_json', '{'), ('no_routes', '{"version": 1}')))
+    def test_document_that_is_none(self, _, document):
+        self.assertIsNone(decode_catalogue(document))
+
+    def test_target(self):
+        fields = {'service': 's', 'address': '10.0.0.1:1', 'state': 'draining'}
+        target = read_target('i-1', fields, 9)
+        self.assertTrue(target.leaving)
+        self.assertEqual(target.version, 9)
+
+
+class ReadRequestTest(unittest.TestCase):
+    """Callers' requests: read, or refused with the reason."""
+
+    def setUp(self):
+        self.codec = PlatformCodec(random.Random(1))
+
+    def read(self, *args, **headers):
+        return self.codec.read_request(_request(*args, **headers), _CATALOGUE)
+
+    def test_a_prompt(self):
+        call = self.read()
+        self.assertEqual(call.request_id, 'a1')
+        self.assertEqual(call.prompt.tokens, 1460)
+        self.assertEqual(call.prompt.most_output, 80)
+        self.assertEqual(call.prompt.parts[0].part_id, '5c1e')
+        self.assertEqual(call.deadline, 102)
+        self.assertEqual(call.priority, 1)
+        self.assertEqual(call.last_event, '12')
+        self.assertEqual(call.team_name, 't')
+
+    def test_the_routes_time_bounds_the_callers(self):
+        call = self.read('/a/x', Deadline_Ms='60000')
+        self.assertEqual(call.deadline, 100.8)
+
+    def test_public_route_needs_no_key(self):
+        call = self.read('/a/x', Authorization='')
+        self.assertIsNone(call.team)
+
+    @parameterized.expand(
+        (
+            ('no_route', '/z/', {}, faults.NO_ROUTE),
+            ('no_key', '/a/b/', {'Authorization': ''}, faults.NO_TEAM),
+            (
+                'wrong_key',
+                '/a/b/',
+                {'Authorization': 'Bearer k2'},
+                faults.NO_TEAM,
+            ),
+            ('no_id', '/a/b/', {'Attempt_Id': ''}, faults.MALFORMED),
+            ('time', '/a/b/', {'Deadline_Ms': '-5'}, faults.MALFORMED),
+            ('counts', '/a/b/', {'Token_Counts': '5'}, faults.MALFORMED),
+            ('parts', '/a/b/', {'Prompt_Prefix': 'zz:1'}, faults.MALFORMED),
+        )
+    )
+    def test_refused(self, _, path, headers, fault):
+        self.assertEqual(self.read(path, **headers), fault)
+
+    def test_what_a_target_gets(self):
+        """Symptom: a caller takes another's memory, or hands its key on.
+
+        Sequence: it sends headers that only the router may set.
+        Cause: they were passed on.
+        """
+        forged = {
+            'Tenant_Name': 'other',
+            'Kv_Hold': 'h',
+            'Kv_From': '10.0.0.1:1/x',
+            'Kv_Backup': 'b',
+            'Pin_Ms': '9',
+            'Expect_Instance': 'i',
+            'Request_Priority': '0',
+            'Connection': 'X-Hop',
+            'X_Hop': 'dropped',
+        }
+        call = self.read(**forged)
+        target = entry('i-1', 'engines')
+        lines = self.codec.target_headers(call, target, 1.5, '3')
+        told = dict(lines)
+        self.assertEqual(len(lines), len(told))
+        self.assertEqual(
+            told,
+            {
+                'Host': 'host.example:80',
+                'Attempt-Id': 'a1',
+                'Token-Counts': '1460,80',
+                'Prompt-Prefix': '5C1E:800,91bd:410',
+                'X-Own': 'kept',
+                'Deadline-Ms': '1500',
+                'Expect-Instance': 'i-1',
+                'Request-Priority': '1',
+                'Tenant-Name': 't',
+                'Last-Event-Id': '3',
+            },
+        )
+
+    @parameterized.expand(
+        (fault.code, fault)
+        for _name, fault in inspect.getmembers(faults)
+        if isinstance(fault, RelayFault)
+    )
+    def test_a_promise_is_made_only_for_what_did_not_run(self, _, fault):
+        """408, 421, 429 and 503 promise that a request never runs."""
+        answer = self.codec.refuse(fault)
+        promises = answer.status in {408, 421, 429, 503}
+        if promises:
+            self.assertTrue(fault.not_run)
+        if not fault.not_run:
+            self.assertIn(answer.status, {502, 504})
+
+    def test_retry_after_may_be_a_fraction(self):
+        answer = self.codec.refuse(faults.NO_TARGET)
+        self.assertEqual(dict(answer.headers)['Retry-After'], '0.50')
+
+
+class ReadAnswerTest(unittest.TestCase):
+    """Heads of targets' answers."""
+
+    @parameterized.expand(
+        (
+            ('ok', 200, {'response-stamp': 's'}, 'signed'),
+            ('shed', 503, {'not-executed': '1'}, 'not_run'),
+            ('elsewhere', 421, {}, 'misdirected'),
+        )
+    )
+    def test_flags(self, _, status, headers, flag):
+        head = PlatformCodec(random.Random(1)).read_answer(status, headers)
+        flags = {
+            'signed': head.signed,
+            'not_run': head.not_run,
+            'misdirected': head.misdirected,
+        }
+        self.assertEqual(
+            [name for name, is_set in flags.items() if is_set], [flag]
+        )
+
+    def test_headers_of_one_connection_stay_there(self):
+        head = PlatformCodec(random.Random(1)).read_answer(
+            200,
+            {'connection': 'close', 'keep-alive': 'x', 'content-length': '5'},
+        )
+        self.assertEqual(head.headers, (('content-length', '5'),))
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,186 @@
+"""Tests of the store's client, table service and feeds, over HTTP."""
+
+import random
+
+from tornado.testing import AsyncHTTPTestCase, gen_test
+
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.clock import SystemClock
+from balsamreach.placement.places import Places
+from balsamreach.platform.feeds import ConfigurationFeed, TargetsFeed
+from balsamreach.platform.hosts import RouterList
+from balsamreach.platform.rows import HISTORY_GONE, RowStore
+from balsamreach.platform.table import RowTableService
+from balsamreach.services.base import Check, Commit, Write
+from balsamreach.services.faults import CONFLICT, UNAVAILABLE, UNKNOWN
+from balsamreach.services.http import PlatformClient
+from balsamreach.standins.row_store import RowStoreState, make_row_store
+from balsamreach.telemetry.metrics import Metrics
+from tests.support import FakeClock
+
+_TARGET = {'service': 'desk', 'address': '10.0.0.1:1', 'zone': 'a'}
+
+
+class StoreCase(AsyncHTTPTestCase):
+    """A stand-in store and a client of it."""
+
+    def get_app(self):
+        self.state = RowStoreState()
+        return make_row_store(self.state)
+
+    def setUp(self):
+        super().setUp()
+        client = PlatformClient(f'http://127.0.0.1:{self.get_http_port()}')
+        self.addCleanup(client.close)
+        self.store = RowStore(client, 0.01)
+
+
+class RowTableServiceTest(StoreCase):
+    """Our table service on the store's rows."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = RowTableService(self.store)
+
+    @gen_test
+    async def test_rows_of_one_team_lie_in_one_part(self):
+        writes = (
+            Write('account/t', {'taken': 1}),
+            Write('allotment/r/t', {'granted': 1}),
+        )
+        self.assertEqual(await self.table.commit(Commit(writes)), 1)
+        self.assertEqual({key[1] for key in self.state.rows}, {'t'})
+        rows = await self.table.read(('account/t', 'allotment/r/t', 'none/t'))
+        self.assertEqual([row.version for row in rows], [1, 1, 0])
+        self.assertEqual(rows[1].value, {'granted': 1})
+
+    @gen_test
+    async def test_a_check_that_does_not_hold(self):
+        write = (Write('account/t', {}),)
+        checks = (Check('account/t', 7),)
+        self.assertEqual(
+            await self.table.commit(Commit(write, checks)),
+            CONFLICT,
+        )
+        self.assertEqual(self.state.rows, {})
+
+    @gen_test
+    async def test_an_answer_that_is_lost(self):
+        """What may have been done is told to be unknown, and not redone."""
+        self.state.lose_answers = 1
+        outcome = await self.table.commit(Commit((Write('account/t', {}),)))
+        self.assertEqual(outcome, UNKNOWN)
+        self.assertEqual(self.state.version, 1)
+
+    @gen_test
+    async def test_a_store_that_refuses(self):
+        self.state.status = 503
+        outcome = await self.table.commit(Commit((Write('account/t', {}),)))
+        self.assertEqual(outcome, UNAVAILABLE)
+
+
+class FeedsTest(StoreCase):
+    """Following the configuration and the list of targets."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeClock()
+        self.view = CatalogueView()
+        self.places = Places(random.Random(1))
+        self.told = []
+        self.configuration = ConfigurationFeed(self.view)
+        self.targets = TargetsFeed(
+            self.places,
+            self.clock,
+            lambda _gone: None,
+            self.told.append,
+            lambda gone, version: self.told.append((gone, version)),
+        )
+        clock, metrics = SystemClock(), Metrics()
+        self.configuration.open(self.store, clock, metrics)
+        self.targets.open(self.store, metrics)
+
+    async def step(self, feed):
+        """Let a feed make one call and take what came."""
+        page = await feed._next()
+        if page == HISTORY_GONE:
+            feed._since = None
+        else:
+            feed._take(page)
+
+    @gen_test
+    async def test_configuration(self):
+        fields = {'version': 3, 'routes': [], 'services': []}
+        self.state.write('op', 'config', fields)
+        await self.step(self.configuration.feed)
+        self.assertEqual(self.view.version, 3)
+        self.state.write('op', 'config', fields | {'version': 9})
+        await self.step(self.configuration.feed)
+        self.assertEqual(self.view.version, 9)
+
+    @gen_test
+    async def test_a_configuration_that_can_not_be_read_changes_nothing(self):
+        fields = {'version': 3, 'routes': [], 'services': []}
+        self.state.write('op', 'config', fields)
+        await self.step(self.configuration.feed)
+        self.state.write('op', 'config', {'version': 4})
+        await self.step(self.configuration.feed)
+        self.assertEqual(self.view.version, 3)
+
+    @gen_test
+    async def test_history_that_is_gone(self):
+        """Symptom: a router stays at an old version for ever.
+
+        Sequence: the store drops its history while the router waits.
+        Cause: it went on following from a version that can't be followed.
+        """
+        await self.step(self.configuration.feed)
+        fields = {'version': 3, 'routes': [], 'services': []}
+        self.state.history_from = self.state.write('op', 'config', fields)
+        await self.step(self.configuration.feed)
+        await self.step(self.configuration.feed)
+        self.assertEqual(self.view.version, 3)
+
+    @gen_test
+    async def test_targets_come_leave_and_go(self):
+        self.state.write('servers', 'i-1', _TARGET)
+        await self.step(self.targets.feed)
+        self.state.write('servers', 'i-1', _TARGET | {'state': 'draining'})
+        await self.step(self.targets.feed)
+        self.assertTrue(self.places.find('i-1').entry.leaving)
+        version = self.state.write('servers', 'i-1', None)
+        await self.step(self.targets.feed)
+        self.assertEqual(len(self.places), 0)
+        self.assertEqual(self.told[-1], ('i-1', version))
+
+    @gen_test
+    async def test_entries_that_lapsed_while_the_store_was_down(self):
+        """Symptom: no target is left for seconds after an outage.
+
+        Sequence: the store is down, and entries lapse as nobody can write
+        them; it comes back and its list is empty for a moment.
+        Cause: the list was taken at its word.
+        """
+        self.state.write('servers', 'i-1', _TARGET)
+        await self.step(self.targets.feed)
+        self.targets.feed.failed_at = self.clock.now()
+        self.state.write('servers', 'i-1', None)
+        await self.step(self.targets.feed)
+        self.assertEqual(len(self.places), 1)
+        self.assertFalse(self.places.find('i-1').entry.leaving)
+        self.clock.advance(3)
+        self.targets.expire()
+        self.assertEqual(len(self.places), 0)
+
+
+class RouterListTest(StoreCase):
+    """Routers find each other by their rows."""
+
+    @gen_test
+    async def test_enter_and_leave(self):
+        hosts = RouterList(self.store, SystemClock())
+        await hosts.enter('10.0.0.1:5', 'zone-a')
+        entries = await hosts.hosts()
+        self.assertEqual([one.address for one in entries], ['10.0.0.1:5'])
+        await hosts.leave('10.0.0.1:5')
+        self.assertEqual(await hosts.hosts(), ())
--- /dev/null
+++ b/tests/test_relay_run.py
@@ -0,0 +1,230 @@
+"""Tests of a passed-through request's whole way."""
+
+import asyncio
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
+from balsamreach.relay.faults import BUDGET_EXHAUSTED
+from balsamreach.relay.run import RelayRun
+from balsamreach.relay.spending import Spending, Tab
+from tests import relay_samples
+from tests.relay_samples import ENGINES, ONE_RUN, PLAIN, STREAM, UNSAFE, event
+from tests.relay_world import (
+    RecordingOutlet,
+    RelayWorld,
+    Swallowed,
+    answer,
+    unsent,
+)
+
+_REFUSED = unsent(NOT_SENT.because('refused'))
+_SHED = answer(503, not_executed='1')
+_OK = answer(200, b'done')
+
+
+def _status(outlet):
+    return 'broken' if outlet.broken else outlet.status
+
+
+class RelayRunTest(unittest.TestCase):
+    """Each request gets one final answer, and a true one."""
+
+    def setUp(self):
+        self.world = RelayWorld()
+
+    @parameterized.expand(
+        (
+            ('whole', PLAIN, [_OK], 200, 1),
+            ('whole_once', UNSAFE, [_OK], 200, 1),
+            ('unreached_target', PLAIN, [_REFUSED, _OK], 200, 2),
+            ('unreached_once', UNSAFE, [_REFUSED, _OK], 200, 2),
+            ('declined', PLAIN, [_SHED, _OK], 200, 2),
+            ('declined_once', UNSAFE, [_SHED, _OK], 200, 2),
+            ('all_declined', PLAIN, [_SHED, _SHED], 503, 2),
+            ('broken', PLAIN, [Swallowed(BROKEN), _OK], 200, 2),
+            ('broken_once', UNSAFE, [Swallowed(BROKEN)], 502, 1),
+            ('silent_once', UNSAFE, [Swallowed(SILENT)], 502, 1),
+            ('failed', PLAIN, [answer(500), _OK], 200, 2),
+            ('failed_twice', PLAIN, [answer(500), answer(500)], 500, 2),
+            ('failed_once', UNSAFE, [answer(500, b'no')], 500, 1),
+            ('refused_by_target', PLAIN, [answer(404, b'no')], 404, 1),
+        )
+    )
+    def test_plain(self, _, route, scripts, status, sent):
+        outlet = self.world.run(relay_samples.call(route), *scripts)
+        self.assertEqual(_status(outlet), status)
+        self.assertEqual(len(self.world.exchange.sent), sent)
+
+    @parameterized.expand(
+        (
+            ('late_answer', answer(200, b'x', attempt_id='another')),
+            ('unsigned', answer(200, b'x', response_stamp='')),
+            ('encoded', answer(200, b'x', content_encoding='gzip')),
+            ('cut', answer(200, b'x', end=BROKEN)),
+        )
+    )
+    def test_what_is_no_answer_reaches_no_caller(self, _, script):
+        """Symptom: a caller gets another's answer, or half of one.
+
+        Sequence: a target answers late, or breaks off in the body.
+        Cause: bytes were passed on before the answer was judged.
+        """
+        outlet = self.world.run(relay_samples.call(UNSAFE), script)
+        self.assertEqual(outlet.status, 502)
+        self.assertNotEqual(outlet.body, b'x')
+
+    def test_stream_goes_on_at_another_target(self):
+        outlet = self.world.run(
+            relay_samples.call(STREAM),
+            answer(200, event(1) + event(2)[:5], end=BROKEN),
+            answer(200, event(2) + event(3)),
+        )
+        self.assertEqual(outlet.body, event(1) + event(2) + event(3))
+        self.assertTrue(outlet.whole)
+        second = self.world.exchange.sent[1]
+        self.assertEqual(dict(second.headers)['Last-Event-Id'], '1')
+
+    @parameterized.expand(
+        (
+            ('not_resumable', ONE_RUN, [answer(200, event(1), end=BROKEN)]),
+            (
+                'within_an_event',
+                ONE_RUN,
+                [answer(200, event(1) + event(2)[:5])],
+            ),
+            (
+                'failed_then',
+                STREAM,
+                [answer(200, event(1), end=BROKEN), answer(500)],
+            ),
+        )
+    )
+    def test_a_stream_that_ends_early_never_looks_whole(
+        self,
+        _,
+        route,
+        scripts,
+    ):
+        """Symptom: a caller takes half a report for the whole.
+
+        Sequence: a stream breaks and can't go on.
+        Cause: the answer was ended in order.
+        """
+        outlet = self.world.run(relay_samples.call(route), *scripts)
+        self.assertEqual(outlet.body, event(1))
+        self.assertTrue(outlet.broken)
+        self.assertFalse(outlet.whole)
+
+    def test_address_of_another_target_is_left_at_once(self):
+        """Symptom: repeats beyond the users' share after a crash.
+
+        Sequence: a crashed target's address is taken over; each request that
+        goes there is turned back by the new one and sent on.
+        Cause: the list still had the old target, and being turned back
+        counted neither against it nor as a repeat.
+        """
+        turned = answer(421)
+        outlet = self.world.run(relay_samples.call(PLAIN), turned, _OK)
+        self.assertEqual(outlet.status, 200)
+        gone = self.world.exchange.sent[0].target
+        places = self.world.chooser.places
+        self.assertIsNone(places.find(gone.incarnation))
+        tries = self.world.parts.tries
+        steps = tries.repeats._steps['desk']
+        self.assertEqual(steps[0].again, 1)
+
+    def test_leaving_targets_get_nothing(self):
+        places = self.world.chooser.places
+        for place in places.of('desk'):
+            place.entry = attrs.evolve(place.entry, leaving=True)
+        outlet = self.world.run(relay_samples.call(PLAIN))
+        self.assertEqual(outlet.status, 503)
+        self.assertIn('retry-after', outlet.headers)
+        self.assertEqual(self.world.exchange.sent, [])
+
+    def test_request_that_crashes_targets_is_kept_away(self):
+        """Symptom: targets of one service restart in turn.
+
+        Sequence: a request crashes its target; its caller sends it again
+        under another identity, through this router.
+        Cause: nobody remembered it by its path, team and body.
+        """
+        crash = [Swallowed(BROKEN), Swallowed(BROKEN)]
+        self.world.run(relay_samples.call(STREAM), *crash)
+        outlet = self.world.run(relay_samples.call(STREAM), _OK)
+        self.assertEqual(outlet.status, 503)
+        self.assertEqual(len(self.world.exchange.sent), 2)
+
+    @parameterized.expand((('sent', True, 504), ('unsent', False, 503)))
+    def test_time_is_over(self, _, hangs, status):
+        """What may have run is never told to be not run."""
+        self.world.exchange.hang = hangs
+        call = relay_samples.call(UNSAFE, seconds=0.01 if hangs else -1)
+        outlet = self.world.run(call, _OK)
+        self.assertEqual(outlet.status, status)
+
+    def test_budget_that_is_exhausted(self):
+        world = RelayWorld(_EmptySpending())
+        outlet = world.run(relay_samples.call(STREAM))
+        self.assertEqual(outlet.status, 402)
+        self.assertEqual(world.exchange.sent, [])
+
+    def test_charges_what_went_to_the_caller(self):
+        spending = _NotingSpending()
+        world = RelayWorld(spending)
+        world.run(relay_samples.call(STREAM), answer(200, event(1) + event(2)))
+        self.assertEqual(spending.used, [100 + 2 * 7])
+
+    def test_charges_nothing_for_what_did_not_run(self):
+        spending = _NotingSpending()
+        world = RelayWorld(spending)
+        world.run(relay_samples.call(STREAM), _SHED, _SHED)
+        self.assertEqual(spending.used, [0])
+
+    def test_caller_that_left_frees_the_target(self):
+        """Symptom: targets stay busy for callers that have gone.
+
+        Sequence: a caller closes its connection while its request runs.
+        Cause: the attempt went on.
+        """
+        self.world.exchange.hang = True
+        asyncio.run(self._leave())
+        busy = [place.running for place in self.world.chooser.places]
+        self.assertEqual(set(busy), {0})
+
+    async def _leave(self):
+        run = RelayRun(
+            self.world.parts,
+            relay_samples.call(STREAM),
+            RecordingOutlet(),
+        )
+        task = asyncio.ensure_future(run.run())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        busy = [one.running for one in self.world.chooser.places.of(ENGINES)]
+        self.assertEqual(sum(busy), 1)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+
+
+class _EmptySpending(Spending):
+    async def open(self, call):
+        return BUDGET_EXHAUSTED.because('nothing left')
+
+    def close(self, call, tab):
+        raise AssertionError('nothing was opened')
+
+
+class _NotingSpending(Spending):
+    def __init__(self):
+        self.used = []
+
+    async def open(self, call):
+        return Tab(most=call.prompt.most_tokens)
+
+    def close(self, call, tab):
+        self.used.append(tab.used)
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -7,7 +7,17 @@
 
 PACKAGE = 'balsamreach'
 #: Packages that only decide: clock, randomness and platform reach them.
-DECISIONS = ('budget', 'requests', 'routing', 'targets', 'table', 'power')
+DECISIONS = (
+    'budget',
+    'catalogue',
+    'placement',
+    'power',
+    'relay',
+    'requests',
+    'routing',
+    'table',
+    'targets',
+)
 #: What a decision package may not reach, not even through another module.
 TRANSPORTS = frozenset(('tornado', 'capnp', 'pycapnp', 'pycurl'))
 #: What no module may import: a process of the product starts no other one.
--- /dev/null
+++ b/tools/check_names.py
@@ -0,0 +1,59 @@
+"""Check that only the adapter knows the names of the users' platform."""
+
+import ast
+import re
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+#: Packages that may know them: the adapter, and the stand-ins for what it
+#: speaks to.
+KNOWING = ('platform', 'standins')
+#: Headers, paths, fields and variables of the platform. Words that are
+#: common elsewhere as well, such as ``zone`` or ``priority``, can't be told.
+NAMES = re.compile(
+    r'(?<!X-)(?<!x-)Attempt-Id|Response-Stamp|Prompt-Prefix|Token-Counts|Not-Executed'
+    r'|Expect-Instance|Deadline-Ms|Tenant-Name|Request-Priority|Weight-Versions'
+    r'|Kv-(?:Hold|Fetch|From|Backup)|Pin-Ms|Length-Hint'
+    r'|rows-(?:get|tx|feed|parts)|blob-(?:put|get|drop|list)'
+    r'|/v1/(?:ready|report|kv-|hold-)'
+    r'|route_type|\btimeout_ms|target_latency_ms|max_attempts|stream_resume'
+    r'|traffic_split|public_access|gap_aim_ms|api_keys|kv_capacity|stride'
+    r'|expected_rev|after_rev|more_pages|cold_left_ms|health_path'
+    r'|config_apply_ms|drain_ms|grace_s|port_range|BALSAMREACH_BOOT',
+    re.IGNORECASE,
+)
+
+
+def main(root: Path) -> int:
+    """Print every name that stands outside the adapter; 1 if there is one."""
+    paths = sorted(root.rglob('*.py'))
+    breaches = [breach for path in paths for breach in _breaches(path, root)]
+    for breach in breaches:
+        sys.stdout.write(f'{breach}\n')
+    sys.stdout.write(f'name rule: {len(paths)} files, {len(breaches)} found\n')
+    return 1 if breaches or not paths else 0
+
+
+def _breaches(path: Path, root: Path) -> Iterator[str]:
+    parts = path.relative_to(root).parts
+    if set(parts[1:2]) & set(KNOWING):
+        return
+    for number, text in _texts(path):
+        for name in NAMES.findall(text):
+            yield f'{path.relative_to(root)}:{number}: {name}'
+
+
+def _texts(path: Path) -> Iterator[tuple[int, str]]:
+    """Yield the strings and names of a module with their lines."""
+    for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+        if isinstance(node, ast.Constant) and isinstance(node.value, str):
+            yield node.lineno, node.value
+        elif isinstance(node, ast.Name):
+            yield node.lineno, node.id
+        elif isinstance(node, ast.Attribute):
+            yield node.lineno, node.attr
+
+
+if __name__ == '__main__':
+    sys.exit(main(Path(sys.argv[1])))
