--- /dev/null
+++ b/src/balsamreach/ui/explain.py
@@ -0,0 +1,63 @@
+"""Command ``explain``."""
+
+import json
+from collections.abc import Iterator
+
+import attrs
+import click
+
+from balsamreach.client.stories import Line, Story, read_lines, tell_story
+from balsamreach.faults import Fault
+from balsamreach.ui import exit_codes
+from balsamreach.ui.errors import CommandError
+
+_NOT_FOUND = Fault('request_not_found')
+
+
+@click.command('explain')
+@click.argument('request_id')
+@click.argument('files', nargs=-1, type=click.File(errors='replace'))
+@click.option('--json', 'as_json', is_flag=True, help='Print JSON.')
+def command(
+    request_id: str,
+    files: tuple[click.utils.LazyFile, ...],
+    as_json: bool,
+) -> None:
+    """Print a request's story from the log lines of routers.
+
+    FILES are logs of any number of routers; without one, lines come from
+    standard input.
+    """
+    sources = files or (click.get_text_stream('stdin'),)
+    texts = (text for source in sources for text in source)
+    story = tell_story(request_id, read_lines(texts))
+    if not story.lines:
+        fault = _NOT_FOUND.because(
+            f'no line of these logs names request {request_id}; give the '
+            'logs of all routers, as each try reaches another one',
+        )
+        raise CommandError('explain', fault, exit_codes.FAILED)
+    if as_json:
+        click.echo(json.dumps(attrs.asdict(story)))
+        return
+    for text in _texts(story):
+        click.echo(text)
+
+
+def _texts(story: Story) -> Iterator[str]:
+    yield 'What its routers knew:'
+    yield from map(_text, story.beliefs)
+    yield 'What they did:'
+    yield from map(_text, story.lines)
+    deciding = story.deciding
+    if deciding is None:
+        yield 'Its end is not in these logs.'
+        return
+    outcome = deciding.fields.get('outcome', deciding.event)
+    reason = deciding.fields.get('reason', 'no reason given')
+    yield f'Decided at {deciding.time} by {deciding.host}: {outcome}, {reason}'
+
+
+def _text(line: Line) -> str:
+    said = ' '.join(f'{name}={text}' for name, text in line.fields.items())
+    return f'  {line.time} {line.host} {line.event} {said}'
--- a/src/balsamreach/ui/main.py
+++ b/src/balsamreach/ui/main.py
@@ -9,6 +9,7 @@
     'audit': 'balsamreach.ui.audit',
     'budget': 'balsamreach.ui.budget',
     'check-config': 'balsamreach.ui.check_config',
+    'explain': 'balsamreach.ui.explain',
     'relay': 'balsamreach.ui.relay',
     'serve': 'balsamreach.ui.serve',
     'standin': 'balsamreach.ui.standin',
