Log through a bounded queue, and run curl's handles by one piece of code

Cause: a line written to a pipe that nobody reads blocks the event loop, and with it every request; the two clients towards targets kept their handles and judged ends by twins of the same code. Change: relay's lines go to standard output by a queue of 1,600 and a thread; what doesn't fit is dropped, counted and told. CurlHandles serves both clients. Ruled out: a pipe set not to block (a line could be cut in two).

--- a/src/balsamreach/gateway/curl_options.py
+++ b/src/balsamreach/gateway/curl_options.py
@@ -7,6 +7,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.upstream import Attempt
+from balsamreach.gateway.curl_handles import set_callbacks
 from balsamreach.gateway.curl_transfer import Transfer
 from balsamreach.gateway.target_tls import target_tls, target_url
 
@@ -44,8 +45,8 @@
 
     def apply(
         self,
-        curl: pycurl.Curl,
         attempt: Attempt,
+        curl: pycurl.Curl,
         transfer: Transfer,
     ) -> None:
         """Set all options of a handle that has none."""
@@ -53,7 +54,7 @@
         self._set_reuse(curl, attempt)
         if self.cfg.routing.target_tls:
             target_tls(self.cfg.routing).prepare(curl)
-        _set_callbacks(curl, transfer)
+        set_callbacks(curl, transfer)
 
     def _set_request(self, curl: pycurl.Curl, attempt: Attempt) -> None:
         call = attempt.call
@@ -108,12 +109,6 @@
     curl.setopt(pycurl.CUSTOMREQUEST, call.method)
 
 
-def _set_callbacks(curl: pycurl.Curl, transfer: Transfer) -> None:
-    curl.setopt(pycurl.PREREQFUNCTION, transfer.before_send)
-    curl.setopt(pycurl.HEADERFUNCTION, transfer.take_line)
-    curl.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
-
-
 def _header_lines(attempt: Attempt) -> list[str]:
     sent = attempt.call.headers | {
         'X-Attempt-Id': attempt.attempt_id,
--- a/src/balsamreach/gateway/relay_curl.py
+++ b/src/balsamreach/gateway/relay_curl.py
@@ -1,22 +1,15 @@
 """Carries passed-through requests to targets with curl."""
 
+from functools import partial
+
 import attrs
 import pycurl
 
-from balsamreach.dispatch.upstream import (
-    BROKEN,
-    NOT_SENT,
-    SILENT,
-    Intake,
-    UpstreamFault,
-)
-from balsamreach.gateway.curl_loop import CurlLoop, TransferEnd
+from balsamreach.dispatch.upstream import Intake, UpstreamFault
+from balsamreach.gateway.curl_handles import CurlHandles, set_callbacks
 from balsamreach.gateway.curl_transfer import Transfer
-from balsamreach.gateway.curl_watch import SILENCE, Watch
 from balsamreach.relay.exchange import Exchange, Outgoing
 
-#: Handles kept for the next requests.
-_KEPT_HANDLES = 256
 _MS = 1000
 #: Seconds after which a kept connection isn't used again. Targets close idle
 #: ones after a few seconds, and what is sent at that moment is lost.
@@ -36,8 +29,7 @@
     """
 
     connect_timeout: float
-    _curls: CurlLoop = attrs.field(factory=CurlLoop)
-    _free: list[pycurl.Curl] = attrs.field(factory=list)
+    _handles: CurlHandles = attrs.field(factory=CurlHandles)
 
     async def send(
         self,
@@ -45,44 +37,24 @@
         intake: Intake,
     ) -> UpstreamFault | None:
         """Send an attempt and feed the answer to the intake."""
-        transfer = Transfer(intake)
-        curl = self._free.pop() if self._free else pycurl.Curl()
-        self._apply(curl, outgoing, transfer)
-        watch = Watch(self._curls, curl, transfer, outgoing.gap)
-        watch.start()
-        try:
-            end = await self._curls.perform(curl)
-        finally:
-            watch.stop()
-            self._keep(curl)
-        return _judge(end, transfer)
+        prepare = partial(self._apply, outgoing)
+        return await self._handles.send(prepare, intake, outgoing.gap)
 
     def close(self) -> None:
         """Close all connections."""
-        self._curls.close()
-        while self._free:
-            self._free.pop().close()
-
-    def _keep(self, curl: pycurl.Curl) -> None:
-        curl.reset()
-        if len(self._free) < _KEPT_HANDLES:
-            self._free.append(curl)
-        else:
-            curl.close()
+        self._handles.close()
 
     def _apply(
         self,
-        curl: pycurl.Curl,
         outgoing: Outgoing,
+        curl: pycurl.Curl,
         transfer: Transfer,
     ) -> None:
         _set_place(curl, outgoing)
         _set_method(curl, outgoing)
         curl.setopt(pycurl.HTTPHEADER, _header_lines(outgoing.headers))
         self._set_reuse(curl, outgoing)
-        curl.setopt(pycurl.PREREQFUNCTION, transfer.before_send)
-        curl.setopt(pycurl.HEADERFUNCTION, transfer.take_line)
-        curl.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
+        set_callbacks(curl, transfer)
 
     def _set_reuse(self, curl: pycurl.Curl, outgoing: Outgoing) -> None:
         connect_ms = int(self.connect_timeout * _MS)
@@ -121,13 +93,3 @@
     ]
     dropped = (name for name in _CURL_ADDS if name.lower() not in present)
     return [*lines, *(f'{name}:' for name in dropped)]
-
-
-def _judge(end: TransferEnd, transfer: Transfer) -> UpstreamFault | None:
-    if end.code == pycurl.E_OK and transfer.started:
-        return None
-    if not transfer.intake.sent:
-        return NOT_SENT.because(end.message or 'no connection in time')
-    if end.code == SILENCE:
-        return SILENT.because('nothing came for the gap timeout')
-    return BROKEN.because(transfer.problem or end.message or 'no whole head')
--- a/src/balsamreach/ui/relay.py
+++ b/src/balsamreach/ui/relay.py
@@ -9,7 +9,7 @@
 from balsamreach.daemon.run import Role, run_until_stopped
 from balsamreach.platform.boot import read_boot
 from balsamreach.platform.router import make_router
-from balsamreach.telemetry.logs import set_up_logging
+from balsamreach.telemetry.log_queue import queue_logging
 from balsamreach.ui.errors import settings_error
 from balsamreach.ui.settings_file import load_settings, settings_options
 
@@ -32,6 +32,9 @@
     fault = check_ports(cfg, LISTENERS)
     if fault is not None:
         raise settings_error(fault.in_file(path))
-    set_up_logging(cfg)
+    writer = queue_logging(cfg)
     router = make_router(cfg)
-    asyncio.run(run_until_stopped(Role(router.start, router.leave)))
+    try:
+        asyncio.run(run_until_stopped(Role(router.start, router.leave)))
+    finally:
+        writer.close()
