--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -24,11 +24,10 @@
 _logger = logging.getLogger(__name__)
 #: Seconds between two tries at a store that refuses.
 _PAUSE_S = 0.2
-#: Seconds for which entries that vanished while the store was away may come
-#: back; targets write there again once it answers. Source: the users' pages.
+#: Seconds after the last failed call in which entries that vanished while the
+#: store was away may come back; targets write there again once it answers.
+#: Source: the users' pages.
 _BACK_WITHIN_S = 2.2
-#: Seconds after a failed call in which entries may have vanished by it.
-_DOUBT_S = 4.0
 
 _CONFIG_TABLE = 'op'
 _CONFIG_KEY = 'config'
@@ -225,6 +224,6 @@
         # While the store was away targets could not keep their entries, and
         # at its return the list lacks sound ones for a moment. Taken at its
         # word it would leave a service without any target.
-        now = self.clock.now()
-        doubted = now - self.feed.failed_at < _DOUBT_S
-        return now + _BACK_WITHIN_S if doubted else now
+        # The time runs from the store's return, not from this list: a target
+        # that leaves a little later must not be kept beyond that.
+        return max(self.clock.now(), self.feed.failed_at + _BACK_WITHIN_S)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -172,6 +172,26 @@
         self.targets.expire()
         self.assertEqual(len(self.places), 0)
 
+    @gen_test
+    async def test_a_target_that_vanishes_soon_after_an_outage(self):
+        """Symptom: a request reaches a target 2.1 s after it left the list.
+
+        Sequence: the store is cut off from a router and comes back; 1.8 s
+        later a target's entry is removed without a word before.
+        Cause: the time for entries to come back ran from the removal, so
+        the target was kept for 2.2 s more, beyond the bound of 2 s.
+        """
+        self.state.write('servers', 'i-1', _TARGET)
+        await self.step(self.targets.feed)
+        self.targets.feed.failed_at = self.clock.now()
+        self.clock.advance(1.8)
+        self.state.write('servers', 'i-1', None)
+        await self.step(self.targets.feed)
+        self.assertEqual(len(self.places), 1)
+        self.clock.advance(0.5)
+        self.targets.expire()
+        self.assertEqual(len(self.places), 0)
+
 
 class RouterListTest(StoreCase):
     """Routers find each other by their rows."""
