Drop two settings that nothing reads

Cause: the platform's bounds of a configuration and a leaving target were decoded into settings, and no code used them: routers follow both with calls of 0.6 s whatever the bounds are.

--- a/src/balsamreach/config/relay_settings.py
+++ b/src/balsamreach/config/relay_settings.py
@@ -22,5 +22,3 @@
     retry_window: float = key(units.read_duration)
     spend_window: float = key(units.read_duration)
     grace: float = key(units.read_duration)
-    apply_within: float = key(units.read_duration)
-    drain_within: float = key(units.read_duration)
--- a/src/balsamreach/platform/boot.py
+++ b/src/balsamreach/platform/boot.py
@@ -12,7 +12,6 @@
 
 #: Environment variable that holds the path of the platform's file.
 PATH_VARIABLE = 'BALSAMREACH_BOOT'
-_MS = 'ms'
 
 
 @attrs.frozen
@@ -56,8 +55,6 @@
     _Key('bounds.budget_slack', 'relay.retry_slack', unit='whole'),
     _Key('bounds.budget_window_s', 'relay.retry_window', unit='s'),
     _Key('bounds.grace_s', 'relay.grace', unit='s'),
-    _Key('bounds.config_apply_ms', 'relay.apply_within', unit=_MS),
-    _Key('bounds.drain_ms', 'relay.drain_within', unit=_MS),
 )
 _STORE = 'platform.address'
 
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -23,8 +23,6 @@
 control = "10.1.0.40:8229"
 [bounds]
 grace_s = 8
-config_apply_ms = 2000
-drain_ms = 2000
 retry_budget_ratio = 0.2
 budget_window_s = 10
 budget_slack = 56
