Let only a later entry bring a vanished target back

Cause: found by reading. A target whose entry vanished within 2.2 s of an outage is kept for a moment; the next change of any other entry, or a peer's whole list, was taken for its coming back, and it stayed for good. Change: a change names what vanished, a whole list what it lacks; only an entry of a later version ends the wait. The test that let the same version end it was wrong (the store's counter rises with each change) and is replaced by one for both cases.

--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -143,9 +143,9 @@
         if known is None:
             self._add(entry)
             return True
-        known.gone_at = None
         if entry.version <= known.entry.version:
             return False
+        known.gone_at = None
         leaving = entry.leaving or known.entry.leaving
         news = leaving != known.entry.leaving
         known.entry = attrs.evolve(entry, leaving=leaving)
@@ -173,21 +173,25 @@
         while len(self._removed) > _MOST_REMOVED:
             self._removed.pop(next(iter(self._removed)))
 
-    def miss(self, present: Iterable[str], gone_at: float) -> None:
-        """Note which targets a whole list lacks.
+    def besides(self, present: Iterable[str]) -> set[str]:
+        """Return the incarnations that a whole list lacks."""
+        return set(self._by_name) - set(present)
+
+    def miss(self, incarnations: Iterable[str], gone_at: float) -> None:
+        """Note that targets have vanished from the list.
+
+        Only an entry of its own brings a target back before it is gone.
 
         Parameters
         ----------
-        present : iterable of str
-            Incarnations that the list holds.
+        incarnations : iterable of str
+            The targets.
         gone_at : float
-            Monotonic seconds at which the others count as gone.
+            Monotonic seconds at which they count as gone.
         """
-        held = set(present)
-        for place in self:
-            if place.incarnation in held:
-                place.gone_at = None
-            elif place.gone_at is None:
+        for incarnation in incarnations:
+            place = self._by_name.get(incarnation)
+            if place is not None and place.gone_at is None:
                 place.gone_at = gone_at
 
     def expire(self, now: float) -> tuple[str, ...]:
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -187,21 +187,20 @@
         return gone
 
     def _take(self, page: StoredRows, whole: bool) -> None:
-        for row in page.rows:
-            if row.fields is not None:
-                self._put(row)
-        self.places.miss(self._present(page, whole=whole), self._gone_at())
+        # A row may come twice; the later one holds.
+        newest = {row.key: row for row in page.rows}
+        listed = [row for row in newest.values() if row.fields is not None]
+        for entry in listed:
+            self._put(entry)
+        present = [row.key for row in listed]
+        if whole:
+            missing = self.places.besides(present)
+        else:
+            missing = set(newest).difference(present)
+        self.places.miss(missing, self._gone_at())
         for incarnation in self.expire():
             self.tell_gone(incarnation, page.version)
 
-    def _present(self, page: StoredRows, *, whole: bool) -> set[str]:
-        removed = {row.key for row in page.rows if row.fields is None}
-        listed = {row.key for row in page.rows} - removed
-        if whole:
-            return listed
-        known = {place.incarnation for place in self.places}
-        return known - removed
-
     def _put(self, row: StoredRow) -> None:
         known = self.places.find(row.key)
         entry = read_target(row.key, row.fields, row.version)
--- a/tests/test_placement_places.py
+++ b/tests/test_placement_places.py
@@ -55,12 +55,19 @@
 
     def test_missing_from_a_list_that_may_have_lost_entries(self):
         self.put('two', version=6)
-        self.places.miss({'two'}, gone_at=103)
+        self.places.miss(self.places.besides({'two'}), gone_at=103)
         self.assertEqual(self.places.expire(102), ())
         self.assertEqual(len(self.places.of('desk')), 2)
         self.assertEqual(self.places.expire(103), ('one',))
 
-    def test_back_in_time(self):
-        self.places.miss(set(), gone_at=103)
-        self.put('one', version=5)
-        self.assertEqual(self.places.expire(200), ())
+    @parameterized.expand((('same', 5, ('one',)), ('later', 6, ())))
+    def test_word_of_a_target_that_has_vanished(self, _, version, gone):
+        """Symptom: a target that is gone stays in the list for ever.
+
+        Sequence: its entry vanishes soon after an outage, so that it is kept
+        for a moment; a peer that has not seen that tells all it knows.
+        Cause: any word of it was taken for its coming back.
+        """
+        self.places.miss({'one'}, gone_at=103)
+        self.put('one', version=version)
+        self.assertEqual(self.places.expire(200), gone)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -192,6 +192,36 @@
         self.targets.expire()
         self.assertEqual(len(self.places), 0)
 
+    @gen_test
+    async def test_other_changes_do_not_bring_a_vanished_target_back(self):
+        """Symptom: a target that is gone gets requests for good.
+
+        Sequence: its entry vanishes soon after an outage, so that it is kept
+        for a moment; meanwhile another target's entry changes.
+        Cause: the second change was taken for a list that has the first.
+        """
+        self.state.write('servers', 'i-1', _TARGET)
+        self.state.write('servers', 'i-2', _TARGET)
+        await self.step(self.targets.feed)
+        self.targets.feed.failed_at = self.clock.now()
+        self.state.write('servers', 'i-1', None)
+        await self.step(self.targets.feed)
+        self.state.write('servers', 'i-2', _TARGET | {'slots': 2})
+        await self.step(self.targets.feed)
+        self.clock.advance(3)
+        self.targets.expire()
+        self.assertIsNone(self.places.find('i-1'))
+        self.assertIsNotNone(self.places.find('i-2'))
+
+    @gen_test
+    async def test_a_target_that_is_back_in_the_same_page(self):
+        self.state.write('servers', 'i-1', _TARGET)
+        await self.step(self.targets.feed)
+        self.state.write('servers', 'i-1', None)
+        self.state.write('servers', 'i-1', _TARGET)
+        await self.step(self.targets.feed)
+        self.assertIsNotNone(self.places.find('i-1'))
+
 
 class RouterListTest(StoreCase):
     """Routers find each other by their rows."""
