Do work once and drop state that nothing sets or reads

Cause: read again as a whole. A request's fingerprint was hashed up to three times; a look for another target scored all of them; the rendezvous hash and the loan id stood twice; slowness was always 1, watchers always empty, a second count of events and a logger were read by nobody. Change: the fingerprint is kept with the call, has_target looks without scores, peers.homes.weigh and new_loan_id serve both; the rest is gone. Homes of prompt parts differ from those of the commit before (another text is hashed); otherwise behaviour is as it was.

--- a/src/balsamreach/budget/gifts.py
+++ b/src/balsamreach/budget/gifts.py
@@ -9,7 +9,7 @@
 
 from balsamreach.budget.account import Loan
 from balsamreach.budget.ledger import Ledger
-from balsamreach.budget.loans import BORROWED, ID_BITS, LENT, Loans
+from balsamreach.budget.loans import BORROWED, LENT, Loans, new_loan_id
 from balsamreach.peers.faults import NOT_CONNECTED
 from balsamreach.wire.messages import Done, LoanGrant, Member
 
@@ -39,8 +39,7 @@
             Tokens that a peer has taken.
         """
         for member in self.loans.lenders():
-            bits = self.loans.rng.getrandbits(ID_BITS)
-            gift_id = f'{bits:032x}'
+            gift_id = new_loan_id(self.loans.rng)
             tokens = ledger.lend(gift_id, ledger.own)
             if tokens <= 0:
                 return 0
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -32,8 +32,7 @@
 #: Receipt of a loan whose grant never arrived and never will be taken.
 NEVER_CAME = ''
 
-#: Bits of a loan's id, drawn at random.
-ID_BITS = 128
+_ID_BITS = 128
 _MOST_RECEIPTS = 1000
 _MOST_CALLED_OFF = 10000
 
@@ -172,8 +171,7 @@
         ledger: Ledger,
         tokens: int,
     ) -> LoanGrant | None:
-        bits = self.rng.getrandbits(ID_BITS)
-        ask = LoanAsk(f'{bits:032x}', ledger.team, tokens)
+        ask = LoanAsk(new_loan_id(self.rng), ledger.team, tokens)
         answer = await self.net.ask(member.incarnation, ask)
         # Others were told that nothing of this lender is here.
         if member.incarnation in self._done_with:
@@ -292,3 +290,8 @@
             while len(self._called_off) > _MOST_CALLED_OFF:
                 self._called_off.popitem(last=False)
         return Done()
+
+
+def new_loan_id(rng: random.Random) -> str:
+    """Return an id that no other loan has."""
+    return f'{rng.getrandbits(_ID_BITS):032x}'
--- a/src/balsamreach/catalogue/view.py
+++ b/src/balsamreach/catalogue/view.py
@@ -1,7 +1,6 @@
 """The configuration in force at this router."""
 
 import logging
-from collections.abc import Callable
 
 import attrs
 
@@ -10,8 +9,6 @@
 
 _logger = logging.getLogger(__name__)
 
-Watcher = Callable[[Catalogue], None]
-
 
 @attrs.define
 class CatalogueView:
@@ -21,12 +18,9 @@
     ----------
     current : Catalogue or None
         None until the first one came.
-    watchers : list of callable
-        Told of each configuration that comes into force.
     """
 
     current: Catalogue | None = None
-    watchers: list[Watcher] = attrs.field(factory=list)
 
     @property
     def version(self) -> int:
@@ -70,6 +64,4 @@
             routes=len(catalogue.routes),
         )
         self.current = catalogue
-        for watcher in self.watchers:
-            watcher(catalogue)
         return True
--- a/src/balsamreach/placement/engines.py
+++ b/src/balsamreach/placement/engines.py
@@ -9,8 +9,9 @@
 
 import attrs
 
+from balsamreach.peers.homes import weigh
 from balsamreach.placement.places import Place
-from balsamreach.placement.prompts import CacheMemory, Prompt, rank
+from balsamreach.placement.prompts import CacheMemory, Prompt
 
 #: Prompt tokens that an engine of the usual speed reads in a millisecond.
 #: Source: the users' sheets; only ratios of scores matter.
@@ -67,8 +68,7 @@
         shared = sum(part.tokens for part in prompt.shared)
         held = shared if is_home else self._held(prompt, place)
         to_read = place.queued + prompt.tokens - held
-        wait = to_read / READ_PER_MS * place.slowness
-        wait += place.busy * RUNNING_MS * place.slowness
+        wait = to_read / READ_PER_MS + place.busy * RUNNING_MS
         wait += (shared - held) * REREAD_MS
         if place.entry.zone != self.zone:
             wait += ZONE_MS
@@ -97,8 +97,10 @@
     ) -> Place | None:
         if not prompt.shared:
             return None
+        # Rendezvous hashing: routers that know the same engines agree on the
+        # home without a message, and one that goes moves only its own parts.
         deepest = prompt.shared[-1].part_id
         return max(
             candidates,
-            key=lambda place: rank(place.incarnation, deepest),
+            key=lambda place: weigh(deepest, place.incarnation),
         )
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -64,8 +64,6 @@
         not come.
     others_running, others_unread : int
         The same of all other routers, as far as they have told.
-    slowness : float
-        How many times as long it takes as the others, 1 for the usual.
     breaker : Breaker
         Keeps requests away after failures.
     gone_at : float or None
@@ -78,7 +76,6 @@
     unread: int = 0
     others_running: int = 0
     others_unread: int = 0
-    slowness: float = 1
     breaker: Breaker = attrs.field(factory=lambda: Breaker(_FAILURES))
     gone_at: float | None = None
 
--- a/src/balsamreach/placement/prompts.py
+++ b/src/balsamreach/placement/prompts.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 
 import attrs
-import xxhash
 
 #: Share of an engine's memory that is taken to hold parts; the rest is in
 #: use by requests that run.
@@ -93,12 +92,3 @@
             self._tokens += part.tokens
         while self._tokens > self.capacity * _CACHE_SHARE and self._parts:
             self._tokens -= self._parts.popitem(last=False)[1]
-
-
-def rank(name: str, part_id: str) -> int:
-    """Return a target's rank for a part: the highest one is its home.
-
-    Rendezvous hashing: routers that know the same targets agree on the home
-    without a message, and a target that goes moves only its own parts.
-    """
-    return xxhash.xxh3_64_intdigest(f'{part_id}@{name}'.encode())
--- a/src/balsamreach/placement/services.py
+++ b/src/balsamreach/placement/services.py
@@ -40,5 +40,5 @@
 
     def _score(self, place: Place) -> float:
         away = 0 if place.entry.zone == self.zone else _ZONE_REQUESTS
-        busy = (place.busy + away) * place.slowness / max(1, place.entry.slots)
-        return busy + self.rng.random() / max(1, place.entry.slots)
+        busy = place.busy + away + self.rng.random()
+        return busy / max(1, place.entry.slots)
--- a/src/balsamreach/relay/call.py
+++ b/src/balsamreach/relay/call.py
@@ -1,10 +1,15 @@
 """A request that a route passes through."""
 
+import functools
+import hashlib
+
 import attrs
 
 from balsamreach.catalogue.entries import Route, Team
 from balsamreach.placement.prompts import Prompt
 
+_DIGEST_BYTES = 12
+
 
 @attrs.frozen(kw_only=True)
 class RelayCall:
@@ -57,6 +62,14 @@
         """Name of the team, empty for none."""
         return '' if self.team is None else self.team.name
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What stays the same where a caller sends the request again."""
+        digest = hashlib.blake2b(self.body, digest_size=_DIGEST_BYTES)
+        digest.update(self.path.encode())
+        digest.update(self.team_name.encode())
+        return digest.hexdigest()
+
     @property
     def repeatable(self) -> bool:
         """Whether it may go on at another target after it ran."""
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -45,11 +45,7 @@
         tried : set of str
             Incarnations that it went to already.
         """
-        present = [
-            place
-            for place in self.places.of(call.service)
-            if not place.entry.leaving and place.incarnation not in tried
-        ]
+        present = self._present(call, tried)
         now = self.clock.now()
         usable = [place for place in present if place.breaker.passes(now)]
         # Where all are kept away from, the failures may be this router's
@@ -59,6 +55,10 @@
             return self.services.choose(candidates)
         return self.engines.choose(call.prompt, candidates)
 
+    def has_target(self, call: RelayCall, tried: set[str]) -> bool:
+        """Return whether ``choose`` would find a target."""
+        return bool(self._present(call, tried))
+
     def visit(self, call: RelayCall, place: Place) -> 'Visit':
         """Take note that a request is being sent."""
         place.breaker.begin()
@@ -89,6 +89,13 @@
         """Return the most tokens that an event of the answer holds."""
         return self._engine(call).tokens_per_event
 
+    def _present(self, call: RelayCall, tried: set[str]) -> list[Place]:
+        return [
+            place
+            for place in self.places.of(call.service)
+            if not place.entry.leaving and place.incarnation not in tried
+        ]
+
     def _engine(self, call: RelayCall) -> EngineTraits:
         catalogue = self.view.current
         service = catalogue.services.get(call.service) if catalogue else None
--- a/src/balsamreach/relay/intakes.py
+++ b/src/balsamreach/relay/intakes.py
@@ -105,7 +105,6 @@
         self.outlet = outlet
         self.cutter = cutter
         self.on_events = on_events
-        self.events = 0
 
     @property
     def full(self) -> bool:
@@ -122,7 +121,6 @@
         if not events:
             return
         self._start_outlet()
-        self.events += len(events)
         self.on_events(len(events))
         self.outlet.write(b''.join(event.raw for event in events))
 
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -1,7 +1,6 @@
 """One passed-through request from its admission to its last byte."""
 
 import asyncio
-import logging
 
 import attrs
 
@@ -16,8 +15,6 @@
 from balsamreach.relay.suspects import Suspects
 from balsamreach.relay.tries import Tries, TryParts
 
-_logger = logging.getLogger(__name__)
-
 
 @attrs.frozen(kw_only=True)
 class RunParts:
--- a/src/balsamreach/relay/suspects.py
+++ b/src/balsamreach/relay/suspects.py
@@ -1,7 +1,5 @@
 """Keeps requests that crash their targets away from further ones."""
 
-import hashlib
-
 import attrs
 
 from balsamreach.clock import Clock
@@ -14,8 +12,6 @@
 from balsamreach.routing.suspects import Suspects as SuspectRecords
 from balsamreach.telemetry.metrics import Metrics
 
-_DIGEST_BYTES = 12
-
 
 @attrs.define
 class Suspects:
@@ -36,19 +32,19 @@
 
     def check(self, call: RelayCall) -> RelayFault | None:
         """Return why a request must not run, None if it may."""
-        refusal = self.quarantine.check(fingerprint(call))
+        refusal = self.quarantine.check(call.fingerprint)
         if refusal is None:
             return None
         return faults.QUARANTINED.because(refusal.reason)
 
     def ended(self, call: RelayCall, place: Place) -> None:
         """Take note of an exchange that ended in order."""
-        self.quarantine.finished(fingerprint(call), place.incarnation)
+        self.quarantine.finished(call.fingerprint, place.incarnation)
 
     def broke(self, call: RelayCall, place: Place) -> None:
         """Take note of a connection that broke while the request ran."""
         self.quarantine.broken(
-            fingerprint(call),
+            call.fingerprint,
             call.team_name,
             place.incarnation,
             place.incarnation,
@@ -78,11 +74,3 @@
     """
     records = SuspectRecords(crash_targets)
     return Suspects(Quarantine(records, clock, metrics, net))
-
-
-def fingerprint(call: RelayCall) -> str:
-    """Return what stays the same where a caller sends a request again."""
-    digest = hashlib.blake2b(call.body, digest_size=_DIGEST_BYTES)
-    digest.update(call.path.encode())
-    digest.update(call.team_name.encode())
-    return digest.hexdigest()
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -197,7 +197,7 @@
             return False
         if self.outlet.started and not self.call.route.resumable:
             return False
-        return self.parts.chooser.choose(self.call, self._tried) is not None
+        return self.parts.chooser.has_target(self.call, self._tried)
 
     def _deliver(
         self,
