Count the failure of a probe

Cause: found by reading. The breaker was let go as an attempt ended, before the verdict; a failed probe then passed for a request of before the pause and closed nothing, so a dead target got every request after its first pause. Change: only an attempt that nobody judges lets the breaker go. Ruled out: attempts that end unjudged otherwise; every verdict tells the breaker, or takes the target away. Measured: the new test fails before and passes now; 60 tests of the relay and placement pass.

--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -133,7 +133,6 @@
         """Count the request out."""
         self.heard()
         self.place.running -= 1
-        self.place.breaker.let_go()
 
 
 _UNKNOWN_ENGINE = EngineTraits(slots=1, cache_tokens=0)
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -112,6 +112,9 @@
         try:
             end = await self.parts.exchange.send(self._outgoing(place), intake)
         except asyncio.CancelledError:
+            # Nobody judges this attempt; a probe would keep its target
+            # closed for good.
+            place.breaker.let_go()
             self.told.append(f'{place.incarnation} cancelled')
             raise
         finally:
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -136,6 +136,24 @@
         repeats = self.world.repeats
         self.assertEqual(repeats._steps['desk'][0].again, 1)
 
+    def test_a_probe_that_fails_closes_the_target_again(self):
+        """Symptom: a dead target gets every request after its first pause.
+
+        Sequence: nobody listens at a target; its pause ends, and a probe
+        meets the same.
+        Cause: the breaker forgot that a probe was under way before it was
+        told how it ended, and took the failure for an old one.
+        """
+        place = self.world.chooser.places.of('desk')[0]
+        for other in self.world.chooser.places.of('desk')[1:]:
+            other.entry = attrs.evolve(other.entry, leaving=True)
+        self.world.run(relay_samples.call(PLAIN), _REFUSED)
+        self.world.clock.advance(2)
+        self.assertTrue(place.breaker.passes(self.world.clock.now()))
+        call = relay_samples.call(PLAIN, seconds=60)
+        self.world.run(call, _REFUSED)
+        self.assertFalse(place.breaker.passes(self.world.clock.now()))
+
     def test_leaving_targets_get_nothing(self):
         places = self.world.chooser.places
         for place in places.of('desk'):
