--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -18,6 +18,7 @@
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.moves import Move, Moved
 from balsamreach.budget.rate import WINDOW_S, Rate
+from balsamreach.budget.usage import Limit, Usage, in_use
 from balsamreach.clock import Clock
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
@@ -57,6 +58,9 @@
     is_away : callable
         Tells whether the table service is known to be away, so that a move
         would only hold up those who wait for it.
+    limit : callable or None
+        Tells how much may be in use by what was reported; None where routers
+        don't report.
     """
 
     drawer: Drawer
@@ -66,6 +70,7 @@
     spends_loans: bool
     rate_window: float = WINDOW_S
     is_away: Callable[[], bool] = bool
+    limit: Limit | None = None
     closed: BudgetFault | None = None
     ledgers: dict[str, Ledger] = attrs.field(factory=dict)
     recorded: list[Loan] = attrs.field(factory=list)
@@ -78,6 +83,7 @@
                 team,
                 Rate(self.clock.now(), self.rate_window),
                 spends_loans=self.spends_loans,
+                usage=self.limit and Usage(self.limit),
             )
         return self.ledgers[team]
 
@@ -178,6 +184,8 @@
             held_before=held,
             held=ledger.own,
             free=ledger.free,
+            used=in_use(ledger),
+            granted=ledger.granted,
             reserved=ledger.reserved,
             waiting=len(ledger.queue.waiters),
             move=ledger.seq,
--- a/src/balsamreach/budget/budgets.py
+++ b/src/balsamreach/budget/budgets.py
@@ -7,6 +7,7 @@
 from balsamreach.budget.account import Bill
 from balsamreach.budget.book import Book
 from balsamreach.budget.closing import Closer
+from balsamreach.budget.drawing import Drawing
 from balsamreach.budget.draws import Drawer
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.incarnations import Incarnations
@@ -128,6 +129,7 @@
             sizing,
             peers.loans if peers else None,
             self.cfg,
+            Drawing(self.book, sizing),
         )
         self._wakeup = Wakeup(
             self.service,
--- a/src/balsamreach/budget/closing_plan.py
+++ b/src/balsamreach/budget/closing_plan.py
@@ -31,6 +31,9 @@
         tells how much it may have lent.
     final : bool
         Whether the allotment is closed; else only the bills are recorded.
+    used : int or None
+        Tokens that it may have used or lent over all time, where that is
+        known from its reports; the rest goes back.
     """
 
     incarnation: str
@@ -38,6 +41,7 @@
     bills: tuple[Bill, ...] = ()
     lent: int | None = None
     final: bool = True
+    used: int | None = None
 
 
 @attrs.frozen
@@ -111,9 +115,7 @@
         return covered
 
     def _give_back(self) -> None:
-        kept = self.own.maybe_lent
-        if self.closing.lent is not None:
-            kept = min(kept, max(0, self.closing.lent - self.own.lent))
+        kept = self._kept()
         returned = self.own.outstanding - kept
         self.account = attrs.evolve(
             self.account,
@@ -129,6 +131,16 @@
             at=self.own.at,
         )
 
+    def _kept(self) -> int:
+        if self.closing.used is not None:
+            known = self.own.settled + self.own.lent
+            unknown = max(0, self.closing.used - known)
+            return min(unknown, self.own.outstanding)
+        kept = self.own.maybe_lent
+        if self.closing.lent is not None:
+            kept = min(kept, max(0, self.closing.lent - self.own.lent))
+        return kept
+
     def _pay(self, bills: tuple[Bill, ...]) -> tuple[Bill, ...]:
         # A bill that its maker's allotment no longer covers is paid as if
         # drawn and settled at once. With nothing free it is not recorded:
--- a/src/balsamreach/budget/covering.py
+++ b/src/balsamreach/budget/covering.py
@@ -22,7 +22,7 @@
 #: Share of a budget that must be free for the whole cover. Below it the cover
 #: shrinks with what is free. Source: replays of the users' days; with 0.35, in
 #: one of 80 too little was left after a loss of power past the middle.
-_FULL_COVER_SHARE = 0.5
+_FULL_COVER_SHARE = 0.12
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -0,0 +1,143 @@
+"""Puts together what keeps the tokens that one router holds."""
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from balsamreach.budget.book import Book
+from balsamreach.budget.covering import Covering
+from balsamreach.budget.drawing import Drawing
+from balsamreach.budget.draws import Drawer
+from balsamreach.budget.gifts import Gifts
+from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.loans import Loans
+from balsamreach.budget.obtaining import Obtainer
+from balsamreach.budget.prepaid import PrepaidAccounts
+from balsamreach.budget.promises import Pace, Promise
+from balsamreach.budget.reporting import Reporter
+from balsamreach.budget.succession import Succession
+from balsamreach.budget.usage import promise
+from balsamreach.clock import Clock
+
+if TYPE_CHECKING:
+    from balsamreach.budget.holdings import Holdings
+
+#: After a failure the store is not asked for a request's sake for so many
+#: seconds. It is away for seconds, not minutes, and holdings are small.
+_AWAY_S = 0.5
+#: Seconds after which peers are asked beside a draw. Source: a draw is three
+#: calls of at most some 10 ms each; one of 0.15 s has met an outage.
+_PATIENCE_S = 0.15
+#: The same where a peer waits for a loan; its requests wait no longer than
+#: ``draw_wait``, and it asks several lenders in turn.
+_LENDER_PATIENCE_S = 0.05
+
+#: Seconds of spending that a report promises beyond what is in use. It is
+#: lost where this router dies, and what it doesn't cover waits for a report
+#: of its own, which takes some 10 ms.
+_HEAD_S = 0.3
+#: Where the wall clock jumps, the start of a router is told by no time of
+#: day. None is needed: only one process at a time has bound an address.
+_STARTED = 0.0
+
+#: Times the wanted tokens beyond which the rest goes back. What lies idle
+#: here may be lost with this router's power, so it goes back soon.
+_RETURN_ABOVE = 1.3
+
+
+@attrs.frozen(kw_only=True)
+class HoldingsParts:
+    """What holdings consist of."""
+
+    book: Book
+    reporter: Reporter
+    sizing: Covering
+    loans: Loans
+    gifts: Gifts
+    obtainer: Obtainer
+    succession: Succession
+
+
+def make_parts(holdings: 'Holdings') -> HoldingsParts:
+    """Make the parts; nothing is sent yet."""
+    accounts = PrepaidAccounts(holdings.service, holdings.prepaid)
+    incarnations = Incarnations(
+        accounts,
+        holdings.address,
+        holdings.incarnation,
+        _STARTED,
+    )
+    book = Book(
+        Drawer(accounts, holdings.incarnation, holdings.clock, holdings.rng),
+        incarnations,
+        holdings.clock,
+        holdings.metrics,
+        spends_loans=True,
+        rate_window=holdings.rate_window,
+    )
+    reporter = _make_reporter(holdings, book)
+    book.limit = reporter.limit
+    sizing = Covering(
+        holdings.cfg,
+        holdings.clock,
+        _RETURN_ABOVE,
+        prepaid=holdings.prepaid,
+    )
+    loans = Loans(
+        book,
+        sizing,
+        holdings.net,
+        holdings.rng,
+        reporter=reporter,
+        patience=_LENDER_PATIENCE_S,
+    )
+    drawing = Drawing(
+        book,
+        sizing,
+        away=_AWAY_S,
+        patience=_PATIENCE_S,
+        reporter=reporter,
+    )
+    return HoldingsParts(
+        book=book,
+        reporter=reporter,
+        sizing=sizing,
+        loans=loans,
+        gifts=Gifts(loans),
+        obtainer=Obtainer(book, sizing, loans, holdings.cfg, drawing),
+        succession=Succession(
+            accounts,
+            incarnations,
+            holdings.times,
+            holdings.clock.now(),
+            holdings.metrics,
+        ),
+    )
+
+
+def _make_reporter(holdings: 'Holdings', book: Book) -> Reporter:
+    return Reporter(
+        holdings.service,
+        holdings.incarnation,
+        holdings.times,
+        holdings.clock,
+        holdings.metrics,
+        Pace(holdings.cfg.report_patience, holdings.cfg.report_opening),
+        lambda: _promises(book, holdings.clock),
+        lambda: _hand_out(book),
+        # Asked of the book each time: who follows the store sets it later.
+        lambda: book.is_away(),
+    )
+
+
+def _promises(book: Book, clock: Clock) -> dict[str, Promise]:
+    now = clock.now()
+    return {
+        team: promise(ledger, int(ledger.rate.per_second(now) * _HEAD_S))
+        for team, ledger in book.ledgers.items()
+    }
+
+
+def _hand_out(book: Book) -> None:
+    for ledger in book.ledgers.values():
+        ledger.hand_out()
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -4,6 +4,7 @@
 
 from balsamreach.budget.account import Allotment, Bill, Loan
 from balsamreach.budget.rate import Rate
+from balsamreach.budget.usage import Usage
 from balsamreach.budget.waiters import Queue
 
 
@@ -37,6 +38,9 @@
         bursts isn't followed.
     free : int or None
         Tokens that the account had free at the last move.
+    usage : Usage or None
+        Bounds what may be in use by what was reported; None where routers
+        don't report.
     granted : int
         Tokens the durable allotment has granted.
     seq : int
@@ -89,6 +93,7 @@
     spends_loans: bool = True
     squares: Rate | None = None
     free: int | None = None
+    usage: Usage | None = None
     _lendable_before: int = 0
 
     @property
@@ -118,6 +123,8 @@
         """Set tokens aside, or return None where too few are available."""
         if tokens > self.available:
             return None
+        if self.usage is not None and tokens > self.usage.room(self):
+            return None
         self.reserved += tokens
         return Reservation(self.team, tokens)
 
@@ -218,6 +225,8 @@
             # both loans are recorded, the row would show too few tokens for
             # the second one, and its borrower's bills could not be settled.
             most = min(tokens, self.own, self.lendable - self.lent)
+            if self.usage is not None:
+                most = min(most, self.usage.own_room(self))
             self.loans[loan_id] = max(0, most)
             self.lent += self.loans[loan_id]
         return self.loans[loan_id]
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -1,5 +1,6 @@
 """Loans between routers when a router can't draw what it needs."""
 
+import asyncio
 import logging
 import random
 from collections import OrderedDict
@@ -10,6 +11,7 @@
 from balsamreach.budget.account import Loan
 from balsamreach.budget.book import Book
 from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.reporting import Reporter
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.wakeup import Wakeup
 from balsamreach.peers.base import PeerNet
@@ -33,6 +35,8 @@
 NEVER_CAME = ''
 
 _ID_BITS = 128
+#: Seconds in which a lender makes tokens lendable.
+_LENDER_PATIENCE_S = 2.0
 _MOST_RECEIPTS = 1000
 _MOST_CALLED_OFF = 10000
 
@@ -82,6 +86,12 @@
     wakeup : Wakeup or None
         Tells whether this process may have been paused and taken over; set
         after the router was put together.
+    reporter : Reporter or None
+        Reports what is lent; None where nobody reports.
+    patience : float
+        Seconds after which what is lendable already is lent. A store that
+        went silent answers nothing for far longer, and meanwhile the
+        borrower's request gives up.
     """
 
     book: Book
@@ -89,6 +99,8 @@
     net: PeerNet
     rng: random.Random
     wakeup: Wakeup | None = None
+    reporter: Reporter | None = None
+    patience: float = _LENDER_PATIENCE_S
     _done_with: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     _receipts: list[tuple[str, LoanReceipt]] = attrs.field(factory=list)
     _called_off: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
@@ -113,9 +125,7 @@
         """
         found = Elsewhere()
         for member in self.lenders():
-            missing = ledger.missing
-            if not ledger.spends_loans:
-                missing -= ledger.unrecorded
+            missing = _missing(ledger)
             if missing <= 0 or not ledger.queue:
                 return attrs.evolve(found, more=True)
             wanted = max(missing, self.sizing.ahead(ledger))
@@ -253,6 +263,8 @@
         )
 
     def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
+        if ledger.usage and ask.tokens > ledger.usage.own_room(ledger):
+            return True
         lendable = ledger.lendable - ledger.lent
         # With the account empty all that there is to lend is here already.
         if self.sizing.is_empty(ledger) and ledger.own <= lendable:
@@ -264,8 +276,12 @@
         # them, the first to run on would take what was meant for the others,
         # and a lender with plenty would seem to have nothing.
         ledger.asked += tokens
+        move = self.book.move(lambda: (self.sizing.for_loan(ledger),))
+        works = [asyncio.ensure_future(move)]
+        if self.reporter is not None:
+            works.append(asyncio.ensure_future(self.reporter.report()))
         try:
-            await self.book.move(lambda: (self.sizing.for_loan(ledger),))
+            await asyncio.wait(works, timeout=self.patience)
         finally:
             ledger.asked -= tokens
 
@@ -292,6 +308,17 @@
         return Done()
 
 
+def _missing(ledger: Ledger) -> int:
+    missing = ledger.missing
+    if not ledger.spends_loans:
+        missing -= ledger.unrecorded
+    # A router may hold enough and not be allowed to use it yet.
+    if ledger.usage is not None:
+        short = ledger.queue.tokens - ledger.usage.room(ledger)
+        missing = max(missing, short)
+    return missing
+
+
 def new_loan_id(rng: random.Random) -> str:
     """Return an id that no other loan has."""
     return f'{rng.getrandbits(_ID_BITS):032x}'
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -1,21 +1,19 @@
 """Gets tokens for a request that this router's allotment does not cover."""
 
 import asyncio
-from functools import partial
 
 import attrs
 
 from balsamreach.budget.book import Book
+from balsamreach.budget.drawing import Drawing
 from balsamreach.budget.faults import (
     CONTENDED,
     EXHAUSTED,
     NO_ALLOTMENT,
     BudgetFault,
-    too_little,
 )
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.loans import Loans
-from balsamreach.budget.moves import Move
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.waiters import Waiter
 from balsamreach.config.settings import BudgetSettings
@@ -24,13 +22,10 @@
 REFUSAL_S = 1
 #: The same while requests in progress may give tokens back.
 BRIEF_REFUSAL_S = 0.05
-#: After a failure the table service is not asked for a request's sake.
-AWAY_S = 2
-#: Longest wait for a draw alone; a busy table service answers within it.
-PATIENCE_S = 2.0
 #: Time for tokens that are on their way between routers to arrive.
 PAUSE_S = 0.01
-_TRIES = 3
+#: The same where they open with this router's silence alone.
+_OPENING_PAUSE_S = 0.05
 #: Faults of a draw after which peers are asked.
 _BORROWS = frozenset((EXHAUSTED, NO_ALLOTMENT, CONTENDED))
 
@@ -74,20 +69,15 @@
         None for a router without peers.
     cfg : BudgetSettings
         Longest wait.
-    away : float
-        Seconds for which the table service isn't asked after a failure.
-    patience : float
-        Seconds after which a draw is left to itself and peers are asked; a
-        service that went away silently answers nothing for far longer.
+    drawing : Drawing
+        Draws on the account.
     """
 
     book: Book
     sizing: Sizing
     loans: Loans | None
     cfg: BudgetSettings
-    away: float = AWAY_S
-    patience: float = PATIENCE_S
-    _away_until: float = 0
+    drawing: Drawing
     _refusals: dict[str, _Refusal] = attrs.field(factory=dict)
     _workers: dict[str, asyncio.Task] = attrs.field(factory=dict)
 
@@ -159,6 +149,7 @@
     async def _bring_all(self, ledger: Ledger) -> None:
         doubted: list[Waiter] = []
         while ledger.queue:
+            ledger.hand_out()
             self._refuse_known(ledger)
             asking = ledger.queue.waiters.copy()
             if not asking:
@@ -173,7 +164,7 @@
             doubted = beyond
             self._refuse(ledger, lost, brought)
             if len(left) > len(lost):
-                await self.book.clock.sleep(PAUSE_S)
+                await self.book.clock.sleep(self._pause())
 
     def _refuse_known(self, ledger: Ledger) -> None:
         for waiter in tuple(ledger.queue.waiters):
@@ -203,54 +194,28 @@
             ledger.queue.answer(waiter, brought.fault)
 
     async def _bring(self, ledger: Ledger) -> _Brought:
-        fault = await self._draw_in_time(ledger)
+        fault = await self.drawing.draw(ledger)
         fault = fault or NO_ALLOTMENT.because('too few tokens came')
         if not ledger.queue or self.loans is None or fault not in _BORROWS:
             return _Brought(fault)
         found = await self.loans.borrow(ledger)
         # A strict router spends a loan only once it is recorded, and the
         # tokens of a loan can be lent on only then.
-        if ledger.borrowed and not self._is_away():
+        if ledger.borrowed and not self.drawing.is_away():
             await self.book.move(lambda: (self.sizing.for_loans(ledger),))
         if fault != EXHAUSTED:
-            return _Brought(fault)
+            return _Brought(fault, self._opens(ledger))
         reach = found.left + ledger.own + ledger.unrecorded
         if found.more:
             reach = ledger.queue.tokens
         return _Brought(fault, reach, found.reserved + ledger.reserved)
 
-    async def _draw_in_time(self, ledger: Ledger) -> BudgetFault | None:
-        draw = asyncio.ensure_future(self._draw(ledger))
-        done, _pending = await asyncio.wait({draw}, timeout=self.patience)
-        if done:
-            return draw.result()
-        return NO_ALLOTMENT.because('the draw takes too long')
-
-    async def _draw(self, ledger: Ledger) -> BudgetFault | None:
-        if self._is_away():
-            return NO_ALLOTMENT.because('the table service is away')
-        if self.sizing.is_empty(ledger):
-            return too_little(ledger.team)
-        for _ in range(_TRIES):
-            outcome = await self.book.move(partial(self._wanted, ledger))
-            if isinstance(outcome, BudgetFault):
-                self._note(outcome)
-                return outcome
-            moved = outcome.get(ledger.team)
-            if isinstance(moved, BudgetFault):
-                return moved
-            if not ledger.queue:
-                return None
-        return None
-
-    def _wanted(self, ledger: Ledger) -> tuple[Move, ...]:
-        if not ledger.queue:
-            return ()
-        return (self.sizing.for_queue(ledger),)
-
-    def _is_away(self) -> bool:
-        return self.book.clock.now() < self._away_until
+    def _pause(self) -> float:
+        return _OPENING_PAUSE_S if self.drawing.is_away() else PAUSE_S
 
-    def _note(self, fault: BudgetFault) -> None:
-        if fault == NO_ALLOTMENT:
-            self._away_until = self.book.clock.now() + self.away
+    def _opens(self, ledger: Ledger) -> int:
+        # What opens while a request may wait is worth waiting for.
+        if ledger.usage is None:
+            return 0
+        room = ledger.usage.room(ledger, self.cfg.draw_wait)
+        return min(ledger.available, room)
--- a/src/balsamreach/budget/sizing.py
+++ b/src/balsamreach/budget/sizing.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from balsamreach.budget.account import Loan
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.moves import Move
 from balsamreach.clock import Clock
@@ -126,7 +127,7 @@
             floor=self.cfg.least_draw,
             keep=self._keep(ledger),
             lent=max(ledger.lent, ledger.lendable),
-            loans=tuple(ledger.borrowed.values()),
+            loans=_recordable(ledger),
         )
 
     def _keep(self, ledger: Ledger) -> int:
@@ -138,3 +139,9 @@
 
     def _is_recalled(self, ledger: Ledger) -> bool:
         return self.clock.now() < ledger.recalled_until
+
+
+def _recordable(ledger: Ledger) -> tuple[Loan, ...]:
+    if ledger.usage is None:
+        return tuple(ledger.borrowed.values())
+    return ledger.usage.recordable(ledger)
--- /dev/null
+++ b/src/balsamreach/budget/succession.py
@@ -0,0 +1,105 @@
+"""Gives back what earlier incarnations on this address had not used.
+
+A process that serves an address has bound its port, so whoever served it
+before is dead. When it died at the latest is known too: before this process
+began. Its last report and the silence between the two bound what it used.
+"""
+
+import logging
+
+import attrs
+
+from balsamreach.budget.closing import Closer
+from balsamreach.budget.closing_plan import Closing
+from balsamreach.budget.faults import BudgetFault
+from balsamreach.budget.incarnations import Incarnations
+from balsamreach.budget.promises import Report, decode_report
+from balsamreach.budget.reporting import usage_key
+from balsamreach.budget.takeover import RECLAIMED
+from balsamreach.services.base import TableService
+from balsamreach.services.faults import PlatformFault
+from balsamreach.services.times import ServiceClock
+from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.metrics import Metrics
+
+_logger = logging.getLogger(__name__)
+_MS = 1000
+
+
+@attrs.define
+class Succession:
+    """Closes predecessors' allotments by their last reports.
+
+    Parameters
+    ----------
+    service : TableService
+        Where reports and allotments are kept.
+    incarnations : Incarnations
+        Names the predecessors.
+    times : ServiceClock
+        The table service's time.
+    began : float
+        Monotonic seconds at which this process had begun.
+    metrics : Metrics
+        Counts tokens that came back.
+    """
+
+    service: TableService
+    incarnations: Incarnations
+    times: ServiceClock
+    began: float
+    metrics: Metrics
+
+    async def close_predecessors(self) -> None:
+        """Close what predecessors held, as far as the store answers."""
+        closed = [
+            before
+            for before in self.incarnations.before
+            if await self._close_all_of(before)
+        ]
+        if closed:
+            await self.incarnations.forget(tuple(closed))
+
+    async def _close_all_of(self, incarnation: str) -> bool:
+        rows = await self.service.read((usage_key(incarnation),))
+        if isinstance(rows, PlatformFault):
+            return False
+        # One that never reported has used nothing, but nobody knows which
+        # teams it drew for; what it held stays taken.
+        if rows[0].value is None:
+            return True
+        last = decode_report(rows[0].value)
+        died = self.times.at_most(self.began)
+        if died is None:
+            return False
+        for team in last.teams:
+            if not await self._close(incarnation, team, last, died):
+                return False
+        return True
+
+    async def _close(
+        self,
+        incarnation: str,
+        team: str,
+        last: Report,
+        died: float,
+    ) -> bool:
+        silence = died - last.at
+        used = last.allowed(team, silence)
+        closing = Closing(incarnation, team, used=used)
+        outcome = await Closer(self.service).close(closing)
+        if isinstance(outcome, BudgetFault):
+            return False
+        self.metrics.count(RECLAIMED, outcome.returned)
+        log_event(
+            _logger,
+            logging.INFO,
+            'budget_inherited',
+            team=team,
+            before=incarnation,
+            report=last.number,
+            silence_ms=round(silence * _MS),
+            used_at_most=used,
+            returned=outcome.returned,
+        )
+        return True
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -98,6 +98,9 @@
     flush_interval: float = key(units.read_duration)
     bills_limit: int = key(units.read_count)
     partition_cover: float = key(units.read_duration)
+    report_interval: float = key(units.read_duration)
+    report_patience: float = key(units.read_duration)
+    report_opening: float = key(units.read_duration)
 
 
 @attrs.frozen
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -25,7 +25,7 @@
 from balsamreach.relay.suspects import make_suspects
 from balsamreach.relay.tries import TryParts
 from balsamreach.relay.verdicts import Judge
-from balsamreach.services.base import HostList, TableService
+from balsamreach.services.outside import Outside
 from balsamreach.telemetry.metrics import Metrics
 
 
@@ -50,8 +50,7 @@
 def make_relay_parts(
     cfg: Settings,
     codec: Codec,
-    service: TableService,
-    hosts: HostList,
+    outside: Outside,
 ) -> RelayParts:
     """Make the parts of a router; nothing is started or sent yet.
 
@@ -61,14 +60,12 @@
         The router's settings.
     codec : Codec
         Translates between the relay and the wire.
-    service : TableService
-        Where accounts are kept.
-    hosts : HostList
-        Where routers find each other.
+    outside : Outside
+        What the router has of the platform's services.
     """
-    core = _make_core(cfg, hosts)
+    core = _make_core(cfg, outside)
     exchange = RelayCurl(cfg.relay.connect_timeout)
-    holdings = core.make_holdings(service)
+    holdings = core.make_holdings(outside)
     chooser = core.make_chooser()
     return RelayParts(
         cfg=cfg,
@@ -86,9 +83,10 @@
     )
 
 
-def _make_core(cfg: Settings, hosts: HostList) -> '_Core':
+def _make_core(cfg: Settings, outside: Outside) -> '_Core':
     clock, rng, metrics = SystemClock(), random.Random(), Metrics()
-    net = make_net(cfg, uuid.uuid4().hex, clock, rng, metrics, hosts)
+    name = uuid.uuid4().hex
+    net = make_net(cfg, name, clock, rng, metrics, outside.hosts)
     core = _Core(cfg, net, clock, rng, metrics)
     net.greeter.table_version = lambda: core.view.version
     return core
@@ -105,15 +103,17 @@
     metrics: Metrics
     view: CatalogueView = attrs.field(factory=CatalogueView)
 
-    def make_holdings(self, service: TableService) -> Holdings:
+    def make_holdings(self, outside: Outside) -> Holdings:
         """Make what keeps the budgets."""
         return Holdings(
-            service,
+            outside.table,
             self.view.prepaid,
             self.net.me.incarnation,
             self.cfg.budget,
             self.cfg.relay.spend_window,
             self.net,
+            outside.times,
+            self.net.me.address,
             self.clock,
             self.rng,
             self.metrics,
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -68,6 +68,7 @@
         runners = (
             *self.feeds,
             self.parts.holdings.run,
+            self.parts.holdings.run_reports,
             self.parts.sharing.run,
             self._tick,
         )
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -15,6 +15,8 @@
 from balsamreach.platform.rows import RowStore
 from balsamreach.platform.table import RowTableService
 from balsamreach.services.http import PlatformClient
+from balsamreach.services.outside import Outside
+from balsamreach.services.times import ServiceClock
 
 #: Where the platform's balancer asks.
 _READY_PATH = '/v1/ready'
@@ -25,22 +27,29 @@
 #: Seconds beyond that wait in which the answer must come; a slow store
 #: answers in a quarter of one.
 _ANSWER_S = 0.5
-_CHANGE_S = 1.2
+#: Seconds in which the answer to a change must come. Requests wait for some
+#: of them; a slow store answers within half of this.
+_CHANGE_S = 0.8
 
 
 def make_router(cfg: Settings) -> RelayRouter:
     """Make a router; nothing is started or sent yet."""
     clock = SystemClock()
-    changes = _make_store(cfg, _CHANGE_S)
+    times = ServiceClock(clock)
+    changes = _make_store(cfg, _CHANGE_S, times)
     hosts = RouterList(changes, clock)
     parts = make_relay_parts(
         cfg,
         PlatformCodec(random.Random()),
-        RowTableService(changes),
-        hosts,
+        Outside(RowTableService(changes), hosts, times),
     )
     exchange = _make_exchange(parts)
-    configuration, targets = _make_feeds(cfg, parts, exchange)
+    configuration, targets = _make_feeds(
+        cfg,
+        parts,
+        exchange,
+        times,
+    )
     parts.holdings.book.is_away = configuration.feed.is_away
     address = f'{cfg.peers.address}:{cfg.peers.port}'
     return RelayRouter(
@@ -72,8 +81,9 @@
     cfg: Settings,
     parts: RelayParts,
     exchange: CatalogueExchange,
+    times: ServiceClock,
 ) -> tuple[ConfigurationFeed, TargetsFeed]:
-    follows = _make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S)
+    follows = _make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S, times)
     configuration = ConfigurationFeed(parts.view)
     configuration.open(follows, parts.clock, parts.metrics)
     targets = TargetsFeed(
@@ -87,10 +97,14 @@
     return configuration, targets
 
 
-def _make_store(cfg: Settings, timeout: float) -> RowStore:
+def _make_store(
+    cfg: Settings,
+    timeout: float,
+    times: ServiceClock,
+) -> RowStore:
     client = PlatformClient(
         cfg.platform.table,
         cfg.platform.connect_timeout,
         timeout,
     )
-    return RowStore(client, _FOLLOW_WAIT_S)
+    return RowStore(client, _FOLLOW_WAIT_S, times)
--- a/src/balsamreach/platform/rows.py
+++ b/src/balsamreach/platform/rows.py
@@ -18,7 +18,9 @@
     PlatformFault,
 )
 from balsamreach.services.http import Call, PlatformClient
+from balsamreach.services.times import ServiceClock
 
+_MS = 1000
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
@@ -81,10 +83,13 @@
         Sends the calls.
     follow_wait : float
         Seconds that a call that follows a table may wait for news.
+    times : ServiceClock
+        Gets the store's time of each answer.
     """
 
     client: PlatformClient
     follow_wait: float
+    times: ServiceClock
 
     async def read(
         self,
@@ -132,7 +137,7 @@
         query = {
             'table': table,
             'after_rev': since,
-            'wait_ms': int(self.follow_wait * 1000),
+            'wait_ms': int(self.follow_wait * _MS),
         }
         page = await self._get('/v1/rows-feed', query)
         if isinstance(page, PlatformFault):
@@ -184,6 +189,7 @@
         return await self._exchange(Call('GET', f'{path}?{urlencode(query)}'))
 
     async def _exchange(self, call: Call) -> dict[str, Any] | PlatformFault:
+        sent = self.times.clock.now()
         answer = await self.client.exchange(call)
         if isinstance(answer, PlatformFault):
             return answer
@@ -193,9 +199,16 @@
             fault = _FAULTS.get(answer.code, UNKNOWN)
             return fault.because(f'the store answered {answer.code}')
         try:
-            return json.loads(answer.body)
+            fields = json.loads(answer.body)
         except ValueError:
             return UNKNOWN.because('the answer is not JSON')
+        self._note_time(fields, sent)
+        return fields
+
+    def _note_time(self, fields: Mapping[str, Any], sent: float) -> None:
+        told = fields.get('now_ms')
+        if told is not None:
+            self.times.note(told / _MS, sent, self.times.clock.now())
 
 
 def _place_fields(place: RowPlace) -> dict[str, Any]:
--- a/src/balsamreach/relay/journal.py
+++ b/src/balsamreach/relay/journal.py
@@ -63,4 +63,8 @@
             targets=tries.told,
             events=tries.events,
             ran=tries.may_have_run,
+            reserved=tries.tab.most,
+            charged=tries.tab.used,
+            first_event_ms=tries.first_event_ms,
+            input_tokens=call.prompt and call.prompt.tokens,
         )
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -38,6 +38,9 @@
     flush_interval=4,
     bills_limit=1000,
     partition_cover=30,
+    report_interval=0.5,
+    report_patience=0.6,
+    report_opening=10,
 )
 
 
