--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -21,6 +21,7 @@
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.metered import MeteredSpending
 from balsamreach.relay.repeats import Repeats
+from balsamreach.relay.returns import Returns
 from balsamreach.relay.run import RunParts
 from balsamreach.relay.suspects import make_suspects
 from balsamreach.relay.tries import TryParts
@@ -77,7 +78,7 @@
         places=chooser.places,
         chooser=chooser,
         exchange=exchange,
-        sharing=core.make_sharing(chooser.places),
+        sharing=core.make_sharing(chooser),
         holdings=holdings,
         run=core.make_run(codec, exchange, chooser, holdings),
     )
@@ -130,9 +131,10 @@
             self.clock,
         )
 
-    def make_sharing(self, places: Places) -> LoadSharing:
+    def make_sharing(self, chooser: Chooser) -> LoadSharing:
         """Make what tells peers of the load at engines."""
-        sharing = LoadSharing(self.net, places, self.clock)
+        sharing = LoadSharing(self.net, chooser.places, self.clock)
+        chooser.on_sent = sharing.sent
         sharing.start()
         return sharing
 
@@ -167,6 +169,7 @@
             tries=tries,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
+            returns=Returns(self.rng),
         )
 
     def _make_repeats(self) -> Repeats:
--- a/src/balsamreach/placement/sharing.py
+++ b/src/balsamreach/placement/sharing.py
@@ -5,6 +5,8 @@
 older than the clump. Without this all send to the same idle engine.
 """
 
+from collections.abc import Iterable
+
 import attrs
 
 from balsamreach.clock import Clock
@@ -21,6 +23,12 @@
 _TOLD_TOKENS = 2000
 #: Running requests by which it must change.
 _TOLD_RUNNING = 3
+#: Prompt tokens of one request that are told of at once. Source: an engine
+#: reads as many in 40 ms, in which others would send to it.
+_URGENT_TOKENS = 4000
+#: Seconds between two urgent words for each neighbour that hears them, so
+#: that they stay below 6 KB a second; a word of one engine has some 60 bytes.
+_URGENT_EVERY_S = 0.01
 
 
 @attrs.frozen
@@ -52,6 +60,7 @@
     net: PeerNet
     places: Places
     clock: Clock
+    _urgent_after: float = 0
     _told: dict[str, _Word] = attrs.field(factory=dict)
     _words: dict[str, dict[str, _Word]] = attrs.field(factory=dict)
 
@@ -85,11 +94,34 @@
             self._told[load.target] = _Word(load.running, load.queued, now)
         self.net.spread(TargetLoads(loads))
 
+    def sent(self, unread: int) -> None:
+        """Take note that a request has just been sent to an engine.
+
+        A long prompt keeps its engine busy for a good part of the time that
+        others have for their first event. Told with the next round, it would
+        be too late: clumps come through all routers within milliseconds, and
+        would show as late first events on one engine while others idle.
+
+        Parameters
+        ----------
+        unread : int
+            Tokens of its prompt that the engine has to read.
+        """
+        now = self.clock.now()
+        if unread < _URGENT_TOKENS or now < self._urgent_after:
+            return
+        pause = _URGENT_EVERY_S * len(self.net.neighbours())
+        self._urgent_after = now + pause
+        self.tell()
+
     def sum_up(self) -> None:
         """Count in what peers said lately."""
+        self._sum_up(self.places)
+
+    def _sum_up(self, places: Iterable[Place]) -> None:
         oldest = self.clock.now() - _STALE_S
         share = self._heard_share()
-        for place in self.places:
+        for place in places:
             words = [
                 said[place.incarnation]
                 for said in self._words.values()
@@ -116,8 +148,9 @@
         # stand until it is stale.
         if not place.running:
             return told.running > 0
+        # A word that is about to be stale is as good as none.
         if self.clock.now() - told.at > _STALE_S / 2:
-            return place.running >= _TOLD_RUNNING
+            told = _NOTHING
         more_running = abs(place.running - told.running) >= _TOLD_RUNNING
         more_unread = abs(place.unread - told.unread) >= _TOLD_TOKENS
         return more_running or more_unread
@@ -127,6 +160,8 @@
         said = self._words.setdefault(member.incarnation, {})
         for load in message.loads:
             said[load.target] = _Word(load.running, load.queued, now)
+        told = (self.places.find(word.target) for word in message.loads)
+        self._sum_up(filter(None, told))
         alive = {peer.incarnation for peer in self.net.members()}
         for gone in set(self._words) - alive:
             self._words.pop(gone)
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -1,5 +1,7 @@
 """Finds the target for a request and keeps what is known of each."""
 
+from collections.abc import Callable
+
 import attrs
 
 from balsamreach.catalogue.entries import EngineTraits
@@ -11,6 +13,10 @@
 from balsamreach.relay.call import RelayCall
 
 
+def _ignore(_unread: int) -> None:
+    """Tell nobody."""
+
+
 @attrs.define
 class Chooser:
     """Chooses among the targets of a call's service.
@@ -27,6 +33,8 @@
         What is known of the services.
     clock : Clock
         Time.
+    on_sent : callable
+        Told of the unread tokens of each prompt that is sent.
     """
 
     places: Places
@@ -34,6 +42,7 @@
     services: ServiceChooser
     view: CatalogueView
     clock: Clock
+    on_sent: Callable[[int], None] = _ignore
 
     def choose(self, call: RelayCall, tried: set[str]) -> Place | None:
         """Return the target for a call, None if none may be used.
@@ -66,7 +75,9 @@
             return Visit(place)
         capacity = self._engine(call).cache_tokens
         self.engines.note(call.prompt, place, capacity)
-        return Visit(place, call.prompt.tokens)
+        visit = Visit(place, call.prompt.tokens)
+        self.on_sent(visit.unread)
+        return visit
 
     def succeeded(self, place: Place) -> None:
         """Take note of a good end."""
--- a/src/balsamreach/relay/faults.py
+++ b/src/balsamreach/relay/faults.py
@@ -33,8 +33,10 @@
 BODY_TOO_LARGE = RelayFault('body_too_large')
 #: The team's balance doesn't cover the request at its largest.
 BUDGET_EXHAUSTED = RelayFault('budget_exhausted')
-#: The balance may cover it, but this router can't draw on it now.
-BUDGET_UNREACHABLE = RelayFault('budget_unreachable', retry_after=0.1)
+#: The balance may cover it, but this router can't draw on it now. Source of
+#: the time: in an outage of the store a router may use a sixth more of what
+#: it holds each second; sooner there is hardly more than now.
+BUDGET_UNREACHABLE = RelayFault('budget_unreachable', retry_after=0.8)
 #: No target of the service can take the request now.
 NO_TARGET = RelayFault('no_target', retry_after=0.5)
 #: Another target has the address by now; the one meant is gone.
--- a/src/balsamreach/relay/journal.py
+++ b/src/balsamreach/relay/journal.py
@@ -65,6 +65,7 @@
             ran=tries.may_have_run,
             reserved=tries.tab.most,
             charged=tries.tab.used,
-            first_event_ms=tries.first_event_ms,
+            first_event_ms=tries.rhythm.first_event_ms,
+            longest_gap_ms=tries.rhythm.longest_gap_ms,
             input_tokens=call.prompt and call.prompt.tokens,
         )
--- /dev/null
+++ b/src/balsamreach/relay/returns.py
@@ -0,0 +1,31 @@
+"""When callers of refused requests come back."""
+
+import random
+
+import attrs
+
+from balsamreach.relay.faults import RelayFault
+
+#: Times the least wait within which callers come back. Refused together in a
+#: clump, and told the same time, they would come back as the same clump.
+_SPREAD = 2
+
+
+@attrs.define
+class Returns:
+    """Spreads the times at which refused callers come back.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the spread.
+    """
+
+    rng: random.Random
+
+    def spread(self, fault: RelayFault) -> RelayFault:
+        """Return a fault with a time to come back of its own."""
+        if not fault.retry_after:
+            return fault
+        wait = fault.retry_after * self.rng.uniform(1, _SPREAD)
+        return attrs.evolve(fault, retry_after=wait)
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -11,6 +11,7 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.outlet import Outlet
+from balsamreach.relay.returns import Returns
 from balsamreach.relay.spending import Spending, Tab
 from balsamreach.relay.suspects import Suspects
 from balsamreach.relay.tries import Tries, TryParts
@@ -26,6 +27,7 @@
     tries: TryParts
     clock: Clock
     log: RequestLog
+    returns: Returns
 
 
 @attrs.define(eq=False)
@@ -94,7 +96,7 @@
             # tells the caller that its answer is not whole.
             self.outlet.abort()
             return
-        answer = self.parts.codec.refuse(fault)
+        answer = self.parts.codec.refuse(self.parts.returns.spread(fault))
         self.outlet.start(answer.status, answer.headers)
         self.outlet.write(answer.body)
         self.outlet.finish()
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -17,13 +17,13 @@
 from balsamreach.relay.intakes import AnswerIntake, StreamIntake
 from balsamreach.relay.outlet import Outlet
 from balsamreach.relay.repeats import Repeats
+from balsamreach.relay.rhythm import Rhythm
 from balsamreach.relay.spending import Tab
 from balsamreach.relay.verdicts import Judge, Verdict
 
 #: Tries to connect for one request; those that got no connection reached no
 #: target and don't count against the route's own limit.
 _MOST_CONNECTS = 4
-_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -65,8 +65,8 @@
         Events that went to the caller.
     told : list of str
         Targets and how each attempt ended, for the log.
-    first_event_ms : int or None
-        Milliseconds from the first attempt to the first event.
+    rhythm : Rhythm
+        When its events came.
     """
 
     parts: TryParts
@@ -76,14 +76,14 @@
     may_have_run: bool = False
     events: int = 0
     told: list[str] = attrs.field(factory=list)
-    first_event_ms: int | None = None
-    _began: float = 0
+    rhythm: Rhythm = attrs.field(init=False)
     _cutter: EventCutter = attrs.field(factory=EventCutter)
     _tried: set[str] = attrs.field(factory=set)
     _sent: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Begin where the caller wants the stream to go on."""
+        self.rhythm = Rhythm(self.parts.clock.now())
         if self.call.last_event.isdecimal():
             self._cutter.last = int(self.call.last_event)
 
@@ -96,7 +96,6 @@
             None if the caller has its answer.
         """
         self.parts.repeats.first(self.call.service)
-        self._began = self.parts.clock.now()
         fault = faults.NO_TARGET.because('no target takes requests')
         for _ in range(_MOST_CONNECTS):
             place = self.parts.chooser.choose(self.call, self._tried)
@@ -167,9 +166,7 @@
         )
 
     def _count_events(self, events: int) -> None:
-        if self.first_event_ms is None:
-            lasted = self.parts.clock.now() - self._began
-            self.first_event_ms = round(lasted * _MS)
+        self.rhythm.note(self.parts.clock.now())
         self.events += events
         most = self.parts.chooser.tokens_per_event(self.call)
         self.tab.output += events * most
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -18,6 +18,7 @@
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.outlet import Outlet
 from balsamreach.relay.repeats import Repeats
+from balsamreach.relay.returns import Returns
 from balsamreach.relay.run import RelayRun, RunParts
 from balsamreach.relay.spending import FreeSpending, Spending
 from balsamreach.relay.suspects import make_suspects
@@ -189,6 +190,7 @@
             tries=tries,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
+            returns=Returns(random.Random(1)),
         )
 
     def run(self, call: RelayCall, *scripts: Script) -> RecordingOutlet:
--- a/tests/test_placement_sharing.py
+++ b/tests/test_placement_sharing.py
@@ -53,8 +53,37 @@
         self.place(self.one).unread = 1000
         self.place(self.one).running = 1
         await self.exchange()
-        told = [one for one in self.fabric.sent if isinstance(one, TargetLoads)]
-        self.assertEqual(told, [])
+        self.assertEqual(self.told(), [])
+
+    async def test_a_clump_of_long_prompts(self):
+        """Symptom: first events are late at one engine while others idle.
+
+        Sequence: long prompts come through two routers within milliseconds;
+        both choose the same engine.
+        Cause: each told of its own with the next round, 0.15 s later.
+        """
+        self.place(self.one).running = 1
+        self.place(self.one).unread = 20_000
+        self.one.sent(20_000)
+        await self.fabric.settle()
+        self.assertEqual(self.place(self.two).queued, 20_000)
+        # More of them at once cost no more messages than a round would.
+        for number in range(2, 40):
+            self.place(self.one).unread = 20_000 * number
+            self.one.sent(20_000)
+        self.assertEqual(len(self.told()), 1)
+        self.clock.advance(0.02)
+        self.one.sent(20_000)
+        self.assertEqual(len(self.told()), 2)
+
+    async def test_a_short_prompt_waits_for_the_round(self):
+        self.place(self.one).running = 1
+        self.place(self.one).unread = 3000
+        self.one.sent(3000)
+        self.assertEqual(self.told(), [])
+
+    def told(self):
+        return [one for one in self.fabric.sent if isinstance(one, TargetLoads)]
 
     async def test_a_word_of_a_router_that_was_cut_off(self):
         """Symptom: an idle engine gets no requests.
