--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -14,7 +14,11 @@
 
 from balsamreach.budget.book import Book
 from balsamreach.budget.faults import BudgetFault
-from balsamreach.budget.holdings_parts import HoldingsParts, make_parts
+from balsamreach.budget.holdings_parts import (
+    HoldingsParts,
+    make_parts,
+    report_interval,
+)
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.moves import Move
 from balsamreach.budget.prepaid import Prepaid
@@ -113,7 +117,7 @@
         """
         while True:
             await self.parts.reporter.report()
-            await self.clock.sleep(self.cfg.report_interval)
+            await self.clock.sleep(report_interval(self.cfg, self.net))
 
     async def run(self) -> None:
         """Draw ahead and hand back in rounds, until cancelled."""
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -17,7 +17,8 @@
 from balsamreach.budget.reporting import Reporter
 from balsamreach.budget.succession import Succession
 from balsamreach.budget.usage import promise
-from balsamreach.clock import Clock
+from balsamreach.config.settings import BudgetSettings
+from balsamreach.peers.base import PeerNet
 
 if TYPE_CHECKING:
     from balsamreach.budget.holdings import Holdings
@@ -32,10 +33,10 @@
 #: ``draw_wait``, and it asks several lenders in turn.
 _LENDER_PATIENCE_S = 0.05
 
-#: Seconds of spending that a report promises beyond what is in use. It is
-#: lost where this router dies, and what it doesn't cover waits for a report
-#: of its own, which takes some 10 ms.
-_HEAD_S = 0.3
+#: Part of the time to the next report whose spending a report promises beyond
+#: what is in use. It is lost where this router dies, and what it doesn't cover
+#: waits for a report of its own, which takes some 10 ms.
+_HEAD_SHARE = 0.6
 #: Where the wall clock jumps, the start of a router is told by no time of
 #: day. None is needed: only one process at a time has bound an address.
 _STARTED = 0.0
@@ -129,17 +130,34 @@
         holdings.clock,
         holdings.metrics,
         Pace(holdings.cfg.report_patience, holdings.cfg.report_opening),
-        lambda: _promises(book, holdings.clock),
+        lambda: _promises(holdings, book),
         lambda: _hand_out(book),
         # Asked of the book each time: who follows the store sets it later.
         lambda: book.is_away(),
     )
 
 
-def _promises(book: Book, clock: Clock) -> dict[str, Promise]:
-    now = clock.now()
+def report_interval(cfg: BudgetSettings, net: PeerNet) -> float:
+    """Return the seconds between two reports of one router.
+
+    A fleet of 910 that reports twice a second would take more writes than
+    the store has; it would show as calls that it turns away.
+
+    Parameters
+    ----------
+    cfg : BudgetSettings
+        The least interval, and the reports of all routers a second.
+    net : PeerNet
+        Tells how many routers there are.
+    """
+    return max(cfg.report_interval, len(net.members()) / cfg.report_rate)
+
+
+def _promises(holdings: 'Holdings', book: Book) -> dict[str, Promise]:
+    now = holdings.clock.now()
+    ahead = report_interval(holdings.cfg, holdings.net) * _HEAD_SHARE
     return {
-        team: promise(ledger, int(ledger.rate.per_second(now) * _HEAD_S))
+        team: promise(ledger, int(ledger.rate.per_second(now) * ahead))
         for team, ledger in book.ledgers.items()
     }
 
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -99,6 +99,7 @@
     bills_limit: int = key(units.read_count)
     partition_cover: float = key(units.read_duration)
     report_interval: float = key(units.read_duration)
+    report_rate: int = key(units.read_count)
     report_patience: float = key(units.read_duration)
     report_opening: float = key(units.read_duration)
 
--- a/tests/budget_world.py
+++ b/tests/budget_world.py
@@ -39,6 +39,7 @@
     bills_limit=1000,
     partition_cover=30,
     report_interval=0.5,
+    report_rate=100,
     report_patience=0.6,
     report_opening=10,
 )
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -11,6 +11,7 @@
 from balsamreach.budget.covering import Covering
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.holdings import Holdings
+from balsamreach.budget.holdings_parts import report_interval
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.rate import Rate
 from balsamreach.services.base import Commit, Row
@@ -418,6 +419,16 @@
         fleet.fabric.cut([name], others)
 
 
+class ReportIntervalTest(unittest.TestCase):
+    """A large fleet reports no more often than the store bears."""
+
+    @parameterized.expand([(8, 0.5), (50, 0.5), (910, 9.1)])
+    def test_by_routers(self, routers, expected):
+        fabric = FakeNet()
+        nets = [fabric.join(f'router-{number}') for number in range(routers)]
+        self.assertAlmostEqual(report_interval(_CFG, nets[0]), expected)
+
+
 class CoveringTest(unittest.TestCase):
     """What is held covers an outage, and shrinks with the budget."""
 
