--- a/src/balsamreach/budget/succession.py
+++ b/src/balsamreach/budget/succession.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import attrs
 
@@ -23,7 +24,6 @@
 from balsamreach.telemetry.metrics import Metrics
 
 _logger = logging.getLogger(__name__)
-_MS = 1000
 
 
 @attrs.define
@@ -84,7 +84,7 @@
         last: Report,
         died: float,
     ) -> bool:
-        silence = died - last.at
+        silence = _silence(died, last)
         used = last.allowed(team, silence)
         closing = Closing(incarnation, team, used=used)
         outcome = await Closer(self.service).close(closing)
@@ -98,8 +98,17 @@
             team=team,
             before=incarnation,
             report=last.number,
-            silence_ms=round(silence * _MS),
+            silence_s=round(silence, 3) if math.isfinite(silence) else None,
             used_at_most=used,
             returned=outcome.returned,
         )
         return True
+
+
+def _silence(died: float, last: Report) -> float:
+    # A report from after the death can't be: the service's clock went back.
+    # Taken for no silence, it would give back what was used, and a team
+    # would get more than it paid for.
+    if died < last.at:
+        return math.inf
+    return died - last.at
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -35,7 +35,7 @@
 )
 
 
-#: Lead of the table service's clock over the hosts'.
+#: Lead of the table service's clock over the hosts', in seconds.
 _LEAD_S = 1000
 
 
@@ -44,6 +44,7 @@
     """A way to the table service whose answers tell its time."""
 
     times: ServiceClock = attrs.field(kw_only=True)
+    lead: float = _LEAD_S
     read_keys: list[str] = attrs.field(factory=list)
 
     async def commit(self, change: Commit) -> int | PlatformFault:
@@ -60,7 +61,7 @@
     def _note(self, outcome: Outcome) -> Outcome:
         if not isinstance(outcome, PlatformFault):
             now = self.times.clock.now()
-            self.times.note(now + _LEAD_S, now, now)
+            self.times.note(now + self.lead, now, now)
         return outcome
 
 
@@ -76,6 +77,7 @@
     gates: dict[str, Gate] = attrs.field(factory=dict)
     routers: dict[str, Holdings] = attrs.field(factory=dict)
     addresses: dict[str, str] = attrs.field(factory=dict)
+    lead: float = _LEAD_S
     spent: int = 0
     started: int = 0
 
@@ -88,7 +90,11 @@
         self.started += 1
         name = f'router-{self.started}'
         times = ServiceClock(self.clock)
-        self.gates[name] = TimedGate(self.platform.table, times=times)
+        self.gates[name] = TimedGate(
+            self.platform.table,
+            times=times,
+            lead=self.lead,
+        )
         self.addresses[name] = address or name
         self.routers[name] = Holdings(
             self.gates[name],
@@ -239,6 +245,28 @@
         await fleet.round(name)
         self.assertGreaterEqual(await fleet.taken(), fleet.spent)
 
+    async def test_the_service_clock_goes_back(self):
+        """Symptom: a team gets more than it paid for.
+
+        Sequence: a router serves on without the store and dies; the service
+        starts anew with a clock that is behind; the next router takes over.
+        Cause: the last report seemed to come from after the death, which
+        passed for no silence at all.
+        """
+        fleet = Fleet(10_000)
+        name = fleet.start()
+        await fleet.serve(name, 3000, 10)
+        await fleet.report(name)
+        fleet.gates[name].open = False
+        fleet.clock.seconds += 12
+        await fleet.serve(name, 2500, 2500)
+        self.assertGreater(fleet.spent, 2000)
+        fleet.kill(name)
+        fleet.lead -= 600
+        name = fleet.start(fleet.addresses[name])
+        await fleet.round(name)
+        self.assertGreaterEqual(await fleet.taken(), fleet.spent)
+
     async def test_a_request_waits_for_what_opens(self):
         """Symptom: requests are refused as the store goes away.
 
