--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -263,7 +263,7 @@
         )
 
     def _is_short(self, ledger: Ledger, ask: LoanAsk) -> bool:
-        if ledger.usage and ask.tokens > ledger.usage.own_room(ledger):
+        if _lacks_room(ledger, ask.tokens):
             return True
         lendable = ledger.lendable - ledger.lent
         # With the account empty all that there is to lend is here already.
@@ -276,12 +276,9 @@
         # them, the first to run on would take what was meant for the others,
         # and a lender with plenty would seem to have nothing.
         ledger.asked += tokens
-        move = self.book.move(lambda: (self.sizing.for_loan(ledger),))
-        works = [asyncio.ensure_future(move)]
-        if self.reporter is not None:
-            works.append(asyncio.ensure_future(self.reporter.report()))
+        work = asyncio.ensure_future(_bring(self, ledger, tokens))
         try:
-            await asyncio.wait(works, timeout=self.patience)
+            await asyncio.wait({work}, timeout=self.patience)
         finally:
             ledger.asked -= tokens
 
@@ -319,6 +316,22 @@
     return missing
 
 
+async def _bring(loans: Loans, ledger: Ledger, tokens: int) -> None:
+    if tokens > min(ledger.own, ledger.lendable - ledger.lent):
+        await loans.book.move(lambda: (loans.sizing.for_loan(ledger),))
+    if loans.reporter is not None and _lacks_room(ledger, tokens):
+        await loans.reporter.report()
+
+
+def _lacks_room(ledger: Ledger, tokens: int) -> bool:
+    # A report makes room for what is here alone. Were one made for an ask
+    # that finds nothing, each of many lenders in turn would keep the
+    # borrower's request for some 10 ms, until ``draw_wait`` is over.
+    if ledger.usage is None:
+        return False
+    return min(tokens, ledger.own) > ledger.usage.own_room(ledger)
+
+
 def new_loan_id(rng: random.Random) -> str:
     """Return an id that no other loan has."""
     return f'{rng.getrandbits(_ID_BITS):032x}'
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -46,9 +46,11 @@
     times: ServiceClock = attrs.field(kw_only=True)
     lead: float = _LEAD_S
     read_keys: list[str] = attrs.field(factory=list)
+    commits: int = 0
 
     async def commit(self, change: Commit) -> int | PlatformFault:
         """Commit, and note the time unless no answer came."""
+        self.commits += 1
         return self._note(await super().commit(change))
 
     async def read(
@@ -302,6 +304,24 @@
         self.assertIsInstance(held, Reservation)
         self.assertLessEqual(fleet.spent, await fleet.taken())
 
+    async def test_a_lender_without_tokens_answers_at_once(self):
+        """Symptom: in a large fleet requests are refused near a budget's end.
+
+        Sequence: a request asks sixteen peers in turn; none has a token.
+        Cause: each made a report to the store before it said so.
+        """
+        fleet = Fleet(1000)
+        names = [fleet.start() for _ in range(3)]
+        for name in names:
+            await fleet.serve(name, 300, 300)
+            await fleet.report(name)
+        fleet.prepaid = 900
+        before = [fleet.gates[peer].commits for peer in names[1:]]
+        held = await fleet.serve(names[0], 400, 400)
+        self.assertIsInstance(held, BudgetFault)
+        after = [fleet.gates[peer].commits for peer in names[1:]]
+        self.assertEqual(after, before)
+
     async def test_a_router_that_leaves_while_the_store_is_away(self):
         """Symptom: after a rolling restart teams are out of budget.
 
