--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -23,6 +23,7 @@
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
+HELD = 'balsamreach_budget_held_tokens'
 MOVES = 'balsamreach_budget_moves_total'
 LOANS_RECORDED = 'balsamreach_budget_loans_recorded_total'
 LOANS_DROPPED = 'balsamreach_budget_loans_dropped_total'
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from balsamreach.budget.book import Book
+from balsamreach.budget.book import HELD, Book
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.holdings_parts import (
     HoldingsParts,
@@ -23,7 +23,6 @@
 from balsamreach.budget.moves import Move
 from balsamreach.budget.prepaid import Prepaid
 from balsamreach.budget.rate import Rate
-from balsamreach.budget.upkeep import HELD
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
 from balsamreach.peers.base import PeerNet
--- a/src/balsamreach/budget/upkeep.py
+++ b/src/balsamreach/budget/upkeep.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from balsamreach.budget.book import Book
+from balsamreach.budget.book import HELD, Book
 from balsamreach.budget.faults import CONTENDED, NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.moves import Move
 from balsamreach.budget.peer_parts import PeerParts
@@ -17,8 +17,6 @@
 from balsamreach.budget.wakeup import BEAT_S, Wakeup
 from balsamreach.telemetry.metrics import Metrics
 
-HELD = 'balsamreach_budget_held_tokens'
-
 _MOST_TEAMS = 50
 #: Rounds for which buddies have time to settle a predecessor's bills.
 _ROUNDS_BEFORE_CLOSING = 3
--- a/src/balsamreach/daemon/net.py
+++ b/src/balsamreach/daemon/net.py
@@ -4,11 +4,9 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.daemon.clients import platform_client
 from balsamreach.peers.discovery import Discovery
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.services.base import HostList
-from balsamreach.services.hosts_http import HttpHostList
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.messages import Member
@@ -20,7 +18,7 @@
     clock: Clock,
     rng: random.Random,
     metrics: Metrics,
-    hosts: HostList | None = None,
+    hosts: HostList,
 ) -> TcpPeerNet:
     """Make the net of a router; nothing is opened yet.
 
@@ -36,16 +34,14 @@
         Source of randomness.
     metrics : Metrics
         Where peers are counted.
-    hosts : HostList or None
-        Where routers are listed; None for the service of the settings.
+    hosts : HostList
+        Where routers are listed.
 
     Returns
     -------
     TcpPeerNet
         The net; its address has no port before it starts.
     """
-    if hosts is None:
-        hosts = HttpHostList(platform_client(cfg, cfg.platform.hosts))
     address = cfg.peers.address or cfg.host.address
     me = Member(
         incarnation=incarnation,
--- a/src/balsamreach/daemon/parts.py
+++ b/src/balsamreach/daemon/parts.py
@@ -85,6 +85,7 @@
         SystemClock(),
         random.Random(),
         Metrics(),
+        HttpHostList(platform_client(cfg, cfg.platform.hosts)),
     )
     clock = net.clock
     service = table_service(cfg, net.metrics, clock)
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -2,12 +2,15 @@
 
 import abc
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import attrs
 
-from balsamreach.dispatch.call import Call
 from balsamreach.faults import Fault
-from balsamreach.targets.registry import Target
+
+if TYPE_CHECKING:
+    from balsamreach.dispatch.call import Call
+    from balsamreach.targets.registry import Target
 
 
 class UpstreamFault(Fault):
@@ -45,8 +48,8 @@
     """
 
     attempt_id: str
-    call: Call
-    target: Target
+    call: 'Call'
+    target: 'Target'
 
 
 class Intake(abc.ABC):
--- a/src/balsamreach/gateway/base.py
+++ b/src/balsamreach/gateway/base.py
@@ -10,6 +10,7 @@
 from balsamreach.config.settings import Settings
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.faults import MAYBE_RUN, NOT_RUN
+from balsamreach.gateway.json_errors import JsonErrors
 from balsamreach.gateway.refusals import Refusal, from_status, send_refusal
 from balsamreach.gateway.sinks import HandlerSink
 from balsamreach.requests.answers import Answer
@@ -45,22 +46,6 @@
     tracing: Tracing
 
 
-class JsonErrors(RequestHandler):
-    """Handler whose every error is a JSON refusal, never a page of HTML."""
-
-    def set_default_headers(self) -> None:
-        """Name no server software."""
-        self.clear_header('Server')
-
-    def write_error(self, status_code: int, **_kwargs: Any) -> None:
-        """Answer an error of the framework in the form of a refusal."""
-        send_refusal(self, from_status(status_code, self.ran()))
-
-    def ran(self) -> str:
-        """Return whether the request may have run."""
-        return NOT_RUN
-
-
 class ObservedHandler(JsonErrors):
     """Handler of the callers' listener: identified, counted and logged."""
 
--- a/src/balsamreach/gateway/health.py
+++ b/src/balsamreach/gateway/health.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from balsamreach.gateway.base import JsonErrors
+from balsamreach.gateway.json_errors import JsonErrors
 from balsamreach.telemetry.metrics import CONTENT_TYPE, Metrics
 
 
--- a/src/balsamreach/telemetry/traces.py
+++ b/src/balsamreach/telemetry/traces.py
@@ -1,60 +1,58 @@
 """Spans by opentelemetry, and their context in W3C headers."""
 
-import json
-import sys
-from collections.abc import Mapping, Sequence
+import random
+from collections.abc import Mapping
 from typing import Any, TextIO
 
 from opentelemetry import context, trace
-from opentelemetry.sdk.resources import Resource
-from opentelemetry.sdk.trace import (
-    ReadableSpan,
-    SpanProcessor,
-    TracerProvider,
-)
-from opentelemetry.sdk.trace.export import (
-    SimpleSpanProcessor,
-    SpanExporter,
-    SpanExportResult,
-)
-from opentelemetry.sdk.trace.sampling import (
-    ALWAYS_OFF,
-    ParentBased,
-    Sampler,
-    TraceIdRatioBased,
-)
 from opentelemetry.trace.propagation.tracecontext import (
     TraceContextTextMapPropagator,
 )
 
-from balsamreach.config.settings import Settings, TelemetrySettings
+from balsamreach.config.settings import Settings
 
 Parent = Mapping[str, str] | trace.Span | None
 
 _NAME = 'balsamreach'
-_NANOSECONDS = 1_000_000_000
 _PROPAGATOR = TraceContextTextMapPropagator()
+_TRACE_ID_BITS = 128
+_SPAN_ID_BITS = 64
+#: Flag of a trace id that was drawn at random; none says "recorded".
+_RANDOM_ID = 2
 
 
-class LineExporter(SpanExporter):
-    """Writes each span as one JSON line.
+class SilentProvider:
+    """Makes spans that only bear an identity, where none are recorded.
 
-    Parameters
-    ----------
-    stream : text stream
-        Where lines go.
+    What records them takes a quarter of a router's processor time at its
+    start; only processes that are set to use it pay for it.
     """
 
-    def __init__(self, stream: TextIO):
-        self._stream = stream
+    def get_tracer(self, _name: str) -> 'SilentProvider':
+        """Return what makes spans."""
+        return self
+
+    def start_span(
+        self,
+        _name: str,
+        context: context.Context,
+        attributes: Mapping[str, Any],
+    ) -> trace.Span:
+        """Return a span of its parent's trace, or of a new one."""
+        parent = trace.get_current_span(context).get_span_context()
+        trace_number = random.getrandbits(_TRACE_ID_BITS)
+        return trace.NonRecordingSpan(
+            trace.SpanContext(
+                trace_id=parent.trace_id or trace_number,
+                span_id=random.getrandbits(_SPAN_ID_BITS),
+                is_remote=False,
+                trace_flags=trace.TraceFlags(_RANDOM_ID),
+                trace_state=parent.trace_state,
+            ),
+        )
 
-    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
-        """Write the spans in the order they ended."""
-        for span in spans:
-            line = json.dumps(_describe(span), default=str)
-            self._stream.write(f'{line}\n')
-        self._stream.flush()
-        return SpanExportResult.SUCCESS
+    def shutdown(self) -> None:
+        """Nothing waits to be sent."""
 
 
 class Tracing:
@@ -69,17 +67,7 @@
     """
 
     def __init__(self, settings: Settings, stream: TextIO | None = None):
-        self._provider = TracerProvider(
-            sampler=_make_sampler(settings.telemetry),
-            resource=_make_resource(settings),
-            shutdown_on_exit=False,
-        )
-        if settings.telemetry.traces == 'stderr':
-            exporter = LineExporter(stream or sys.stderr)
-            self._provider.add_span_processor(SimpleSpanProcessor(exporter))
-        if settings.telemetry.traces == 'otlp':
-            processor = _make_otlp(settings.telemetry)
-            self._provider.add_span_processor(processor)
+        self._provider = _make_provider(settings, stream)
         self._tracer = self._provider.get_tracer(_NAME)
 
     def start_span(
@@ -145,42 +133,9 @@
     return context.Context()
 
 
-def _make_sampler(settings: TelemetrySettings) -> Sampler:
-    if settings.traces == 'off':
-        return ALWAYS_OFF
-    return ParentBased(TraceIdRatioBased(settings.trace_share))
-
-
-def _make_resource(settings: Settings) -> Resource:
-    return Resource(
-        {
-            'service.name': _NAME,
-            'host.name': settings.host.name,
-            'cloud.availability_zone': settings.host.zone,
-        }
-    )
-
-
-def _make_otlp(settings: TelemetrySettings) -> SpanProcessor:
-    # The exporter takes a good part of a second to import; only processes
-    # that are set to use it pay for it.
-    from balsamreach.telemetry.otlp import CollectorProcessor
-
-    return CollectorProcessor(settings)
-
-
-def _describe(span: ReadableSpan) -> dict[str, Any]:
-    ids = span.get_span_context()
-    parent = span.parent
-    return {
-        'span': span.name,
-        'trace_id': trace.format_trace_id(ids.trace_id),
-        'span_id': trace.format_span_id(ids.span_id),
-        'parent_id': parent and trace.format_span_id(parent.span_id),
-        'start': span.start_time / _NANOSECONDS,
-        'seconds': (span.end_time - span.start_time) / _NANOSECONDS,
-        'status': span.status.status_code.name.lower(),
-        'host': span.resource.attributes['host.name'],
-        'zone': span.resource.attributes['cloud.availability_zone'],
-        'attributes': dict(span.attributes),
-    }
+def _make_provider(settings: Settings, stream: TextIO | None) -> Any:
+    if settings.telemetry.traces == 'off':
+        return SilentProvider()
+    from balsamreach.telemetry.trace_provider import make_provider
+
+    return make_provider(settings, stream)
