--- a/src/balsamreach/budget/incarnations.py
+++ b/src/balsamreach/budget/incarnations.py
@@ -1,5 +1,7 @@
 """Which incarnation serves an address, and which ones came before it."""
 
+from collections.abc import Awaitable, Callable
+
 import attrs
 
 from balsamreach.budget.faults import NO_ALLOTMENT, TAKEN_OVER, BudgetFault
@@ -101,6 +103,21 @@
                 return NO_ALLOTMENT.because(f'table service: {outcome.code}')
         return NO_ALLOTMENT.because('the row of our address is contended')
 
+    async def close_before(
+        self,
+        close: Callable[[str], Awaitable[bool]],
+    ) -> None:
+        """Close what each predecessor held, and strike those that are done.
+
+        Parameters
+        ----------
+        close : callable
+            Closes what one incarnation held; False if something is left.
+        """
+        closed = [name for name in self.before if await close(name)]
+        if closed:
+            await self.forget(tuple(closed))
+
     async def forget(self, closed: tuple[str, ...]) -> BudgetFault | None:
         """Strike predecessors whose allotments are all closed."""
         left = tuple(name for name in self.before if name not in closed)
--- a/src/balsamreach/budget/succession.py
+++ b/src/balsamreach/budget/succession.py
@@ -52,13 +52,7 @@
 
     async def close_predecessors(self) -> None:
         """Close what predecessors held, as far as the store answers."""
-        closed = [
-            before
-            for before in self.incarnations.before
-            if await self._close_all_of(before)
-        ]
-        if closed:
-            await self.incarnations.forget(tuple(closed))
+        await self.incarnations.close_before(self._close_all_of)
 
     async def _close_all_of(self, incarnation: str) -> bool:
         rows = await self.service.read((usage_key(incarnation),))
--- a/src/balsamreach/budget/takeover.py
+++ b/src/balsamreach/budget/takeover.py
@@ -41,13 +41,7 @@
 
     async def close_predecessors(self) -> None:
         """Close whatever predecessors still hold."""
-        closed = [
-            before
-            for before in self.incarnations.before
-            if await self._close_all_of(before)
-        ]
-        if closed:
-            await self.incarnations.forget(tuple(closed))
+        await self.incarnations.close_before(self._close_all_of)
 
     async def _close_all_of(self, incarnation: str) -> bool:
         teams = await self.closer.teams(incarnation)
