--- a/src/balsamreach/budget/covering.py
+++ b/src/balsamreach/budget/covering.py
@@ -1,9 +1,9 @@
-"""Sizes what a router holds where dead routers' tokens never come back.
+"""Sizes what a router holds where dead routers' tokens come back in part.
 
 Load pattern: the store is away for all routers for some seconds, twice a
 day, without a word before; and the power of all hosts may fail at any moment.
-What is held bridges the first and is lost with the second. Early in a budget
-the first weighs more, towards its end the second does.
+What is held bridges the first, and the part of it that had opened is lost with
+the second. Towards the end of a budget even that part counts.
 """
 
 import math
@@ -20,8 +20,8 @@
 
 
 #: Share of a budget that must be free for the whole cover. Below it the cover
-#: shrinks with what is free. Source: replays of the users' days; with 0.35, in
-#: one of 80 too little was left after a loss of power past the middle.
+#: shrinks with what is free. Source: measured on played days together with
+#: the reports of use, not by itself.
 _FULL_COVER_SHARE = 0.12
 
 
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -41,8 +41,8 @@
 #: day. None is needed: only one process at a time has bound an address.
 _STARTED = 0.0
 
-#: Times the wanted tokens beyond which the rest goes back. What lies idle
-#: here may be lost with this router's power, so it goes back soon.
+#: Times the wanted tokens beyond which the rest goes back. What lies idle here
+#: is of use to others, and a part may be lost with this router's power.
 _RETURN_ABOVE = 1.3
 
 
