--- a/src/balsamreach/budget/draws.py
+++ b/src/balsamreach/budget/draws.py
@@ -152,7 +152,8 @@
             self._unknown[self._number] = planned
         elif outcome == CONFLICT:
             self.conflicts += 1
-        self._remember(planned, outcome)
+        if self.remembers:
+            self._remember(planned, outcome)
         return outcome
 
     def _remember(
@@ -166,7 +167,7 @@
             if isinstance(outcome, PlatformFault):
                 continue
             written = {write.key: write.value for write in plan.writes}
-            if own in written and self.remembers:
+            if own in written:
                 self._written[own] = Row(own, outcome, written[own])
 
     def _resolve(self, plans: dict[str, Plan | BudgetFault]) -> None:
--- a/src/balsamreach/budget/reporting.py
+++ b/src/balsamreach/budget/reporting.py
@@ -33,6 +33,7 @@
 _logger = logging.getLogger(__name__)
 #: Times that a report whose answer was lost is sent again at once.
 _ATTEMPTS = 3
+_MS = 1000
 
 #: Returns what this router may use of each team's tokens.
 MakePromises = Callable[[], Mapping[str, Promise]]
@@ -205,7 +206,7 @@
             'usage_reported',
             report=sent.report.number,
             row_version=version,
-            age_ms=round((self.clock.now() - sent.made) * 1000),
+            age_ms=round((self.clock.now() - sent.made) * _MS),
             teams=len(sent.report.teams),
         )
 
--- /dev/null
+++ b/tests/holdings_fleet.py
@@ -0,0 +1,142 @@
+"""Routers that hold tokens and report what they may use, for tests."""
+
+import random
+from typing import TypeVar
+
+import attrs
+
+from balsamreach.budget.account import account_key
+from balsamreach.budget.faults import BudgetFault
+from balsamreach.budget.holdings import Holdings
+from balsamreach.budget.ledger import Reservation
+from balsamreach.services.base import Commit, Row
+from balsamreach.services.faults import PlatformFault
+from balsamreach.services.times import ServiceClock
+from balsamreach.standins.memory import MemoryPlatform
+from balsamreach.telemetry.metrics import Metrics
+from tests.budget_world import SETTINGS, Gate, VirtualClock
+from tests.fake_net import FakeNet
+
+Outcome = TypeVar('Outcome')
+
+TEAM = 'team'
+CFG = attrs.evolve(
+    SETTINGS,
+    draw_ahead=1,
+    partition_cover=8,
+    least_draw=100,
+    largest_share=0.35,
+    draw_wait=0.4,
+)
+
+
+#: Lead of the table service's clock over the hosts', in seconds.
+LEAD_S = 1000
+
+
+@attrs.define
+class TimedGate(Gate):
+    """A way to the table service whose answers tell its time."""
+
+    times: ServiceClock = attrs.field(kw_only=True)
+    lead: float = LEAD_S
+    read_keys: list[str] = attrs.field(factory=list)
+    commits: int = 0
+
+    async def commit(self, change: Commit) -> int | PlatformFault:
+        """Commit, and note the time unless no answer came."""
+        self.commits += 1
+        return self._note(await super().commit(change))
+
+    async def read(
+        self, keys: tuple[str, ...]
+    ) -> tuple[Row, ...] | PlatformFault:
+        """Read, and note the time unless no answer came."""
+        self.read_keys.extend(keys)
+        return self._note(await super().read(keys))
+
+    def _note(self, outcome: Outcome) -> Outcome:
+        if not isinstance(outcome, PlatformFault):
+            now = self.times.clock.now()
+            self.times.note(now + self.lead, now, now)
+        return outcome
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Routers that hold tokens of one team, and what they let through."""
+
+    prepaid: int
+    seed: int = 1
+    clock: VirtualClock = attrs.field(factory=VirtualClock)
+    fabric: FakeNet = attrs.field(factory=FakeNet)
+    platform: MemoryPlatform = attrs.field(init=False)
+    gates: dict[str, Gate] = attrs.field(factory=dict)
+    routers: dict[str, Holdings] = attrs.field(factory=dict)
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    lead: float = LEAD_S
+    spent: int = 0
+    started: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start the platform."""
+        self.platform = MemoryPlatform.start(self.clock)
+
+    def start(self, address: str = '') -> str:
+        """Start a router, on an address of its own or on one given."""
+        self.started += 1
+        name = f'router-{self.started}'
+        times = ServiceClock(self.clock)
+        self.gates[name] = TimedGate(
+            self.platform.table,
+            times=times,
+            lead=self.lead,
+        )
+        self.addresses[name] = address or name
+        self.routers[name] = Holdings(
+            self.gates[name],
+            lambda _team: self.prepaid,
+            name,
+            CFG,
+            5,
+            self.fabric.join(name),
+            times,
+            self.addresses[name],
+            self.clock,
+            random.Random(f'{self.seed}{name}'),
+            Metrics(),
+        )
+        return name
+
+    def kill(self, name: str) -> None:
+        """End a router without a word."""
+        self.routers.pop(name)
+        self.fabric.kill(name)
+
+    async def serve(
+        self,
+        name: str,
+        tokens: int,
+        used: int,
+    ) -> Reservation | BudgetFault:
+        """Let one request through, if its router may."""
+        router = self.routers[name]
+        held = await self.clock.drive(router.reserve(TEAM, tokens))
+        if isinstance(held, Reservation):
+            self.spent += used
+            router.charge(held, used)
+        return held
+
+    async def round(self, name: str) -> None:
+        """Let one router draw ahead or hand back."""
+        await self.clock.drive(self.routers[name].round())
+
+    async def report(self, name: str) -> None:
+        """Let one router report what it may use."""
+        parts = self.routers[name].parts
+        await self.clock.drive(parts.reporter.report())
+
+    async def taken(self) -> int:
+        """Return what counts as taken of the account."""
+        rows = await self.platform.table.read((account_key(TEAM),))
+        return (rows[0].value or {}).get('taken', 0)
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -2,149 +2,18 @@
 
 import random
 import unittest
-from typing import TypeVar
 
-import attrs
 from parameterized import parameterized
 
 from balsamreach.budget.account import account_key, allotment_key
 from balsamreach.budget.covering import Covering
 from balsamreach.budget.faults import BudgetFault
-from balsamreach.budget.holdings import Holdings
 from balsamreach.budget.holdings_parts import report_interval
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.rate import Rate
-from balsamreach.services.base import Commit, Row
-from balsamreach.services.faults import PlatformFault
-from balsamreach.services.times import ServiceClock
-from balsamreach.standins.memory import MemoryPlatform
-from balsamreach.telemetry.metrics import Metrics
-from tests.budget_world import SETTINGS, Gate, VirtualClock
+from tests.budget_world import VirtualClock
 from tests.fake_net import FakeNet
-
-Outcome = TypeVar('Outcome')
-
-_TEAM = 'team'
-_CFG = attrs.evolve(
-    SETTINGS,
-    draw_ahead=1,
-    partition_cover=8,
-    least_draw=100,
-    largest_share=0.35,
-    draw_wait=0.4,
-)
-
-
-#: Lead of the table service's clock over the hosts', in seconds.
-_LEAD_S = 1000
-
-
-@attrs.define
-class TimedGate(Gate):
-    """A way to the table service whose answers tell its time."""
-
-    times: ServiceClock = attrs.field(kw_only=True)
-    lead: float = _LEAD_S
-    read_keys: list[str] = attrs.field(factory=list)
-    commits: int = 0
-
-    async def commit(self, change: Commit) -> int | PlatformFault:
-        """Commit, and note the time unless no answer came."""
-        self.commits += 1
-        return self._note(await super().commit(change))
-
-    async def read(
-        self, keys: tuple[str, ...]
-    ) -> tuple[Row, ...] | PlatformFault:
-        """Read, and note the time unless no answer came."""
-        self.read_keys.extend(keys)
-        return self._note(await super().read(keys))
-
-    def _note(self, outcome: Outcome) -> Outcome:
-        if not isinstance(outcome, PlatformFault):
-            now = self.times.clock.now()
-            self.times.note(now + self.lead, now, now)
-        return outcome
-
-
-@attrs.define(eq=False)
-class Fleet:
-    """Routers that hold tokens of one team, and what they let through."""
-
-    prepaid: int
-    seed: int = 1
-    clock: VirtualClock = attrs.field(factory=VirtualClock)
-    fabric: FakeNet = attrs.field(factory=FakeNet)
-    platform: MemoryPlatform = attrs.field(init=False)
-    gates: dict[str, Gate] = attrs.field(factory=dict)
-    routers: dict[str, Holdings] = attrs.field(factory=dict)
-    addresses: dict[str, str] = attrs.field(factory=dict)
-    lead: float = _LEAD_S
-    spent: int = 0
-    started: int = 0
-
-    def __attrs_post_init__(self) -> None:
-        """Start the platform."""
-        self.platform = MemoryPlatform.start(self.clock)
-
-    def start(self, address: str = '') -> str:
-        """Start a router, on an address of its own or on one given."""
-        self.started += 1
-        name = f'router-{self.started}'
-        times = ServiceClock(self.clock)
-        self.gates[name] = TimedGate(
-            self.platform.table,
-            times=times,
-            lead=self.lead,
-        )
-        self.addresses[name] = address or name
-        self.routers[name] = Holdings(
-            self.gates[name],
-            lambda _team: self.prepaid,
-            name,
-            _CFG,
-            5,
-            self.fabric.join(name),
-            times,
-            self.addresses[name],
-            self.clock,
-            random.Random(f'{self.seed}{name}'),
-            Metrics(),
-        )
-        return name
-
-    def kill(self, name: str) -> None:
-        """End a router without a word."""
-        self.routers.pop(name)
-        self.fabric.kill(name)
-
-    async def serve(
-        self,
-        name: str,
-        tokens: int,
-        used: int,
-    ) -> Reservation | BudgetFault:
-        """Let one request through, if its router may."""
-        router = self.routers[name]
-        held = await self.clock.drive(router.reserve(_TEAM, tokens))
-        if isinstance(held, Reservation):
-            self.spent += used
-            router.charge(held, used)
-        return held
-
-    async def round(self, name: str) -> None:
-        """Let one router draw ahead or hand back."""
-        await self.clock.drive(self.routers[name].round())
-
-    async def report(self, name: str) -> None:
-        """Let one router report what it may use."""
-        parts = self.routers[name].parts
-        await self.clock.drive(parts.reporter.report())
-
-    async def taken(self) -> int:
-        """Return what counts as taken of the account."""
-        rows = await self.platform.table.read((account_key(_TEAM),))
-        return (rows[0].value or {}).get('taken', 0)
+from tests.holdings_fleet import CFG, TEAM, Fleet
 
 
 class HoldingsTest(unittest.IsolatedAsyncioTestCase):
@@ -282,7 +151,7 @@
         await fleet.report(name)
         fleet.gates[name].open = False
         fleet.clock.seconds += 1.2
-        ledger = fleet.routers[name].book.ledger(_TEAM)
+        ledger = fleet.routers[name].book.ledger(TEAM)
         wanted = ledger.usage.room(ledger, 0.2)
         self.assertGreater(wanted, ledger.usage.room(ledger))
         held = await fleet.serve(name, wanted, 0)
@@ -352,7 +221,7 @@
         before = fleet.clock.now()
         held = await fleet.serve(name, 9000, 0)
         self.assertIsInstance(held, BudgetFault)
-        self.assertLess(fleet.clock.now() - before, _CFG.draw_wait)
+        self.assertLess(fleet.clock.now() - before, CFG.draw_wait)
 
     async def test_a_draw_reads_the_account_alone(self):
         """What a router wrote last in its own row is not read again."""
@@ -362,8 +231,8 @@
         gate = fleet.gates[name]
         gate.read_keys.clear()
         await fleet.serve(name, 60_000, 0)
-        self.assertIn(account_key(_TEAM), gate.read_keys)
-        self.assertNotIn(allotment_key(name, _TEAM), gate.read_keys)
+        self.assertIn(account_key(TEAM), gate.read_keys)
+        self.assertNotIn(allotment_key(name, TEAM), gate.read_keys)
 
     async def test_a_loan_recorded_meanwhile(self):
         """Symptom: tokens are spent twice after a loan.
@@ -382,7 +251,7 @@
         fleet.prepaid = 9000
         fleet.clock.seconds += 5
         await fleet.serve(lender, 4000, 4000)
-        rows = await fleet.platform.table.read((allotment_key(lender, _TEAM),))
+        rows = await fleet.platform.table.read((allotment_key(lender, TEAM),))
         self.assertGreater(rows[0].value['lent'], 0)
         self.assertLessEqual(fleet.spent, await fleet.taken())
 
@@ -474,7 +343,7 @@
     def test_by_routers(self, routers, expected):
         fabric = FakeNet()
         nets = [fabric.join(f'router-{number}') for number in range(routers)]
-        self.assertAlmostEqual(report_interval(_CFG, nets[0]), expected)
+        self.assertAlmostEqual(report_interval(CFG, nets[0]), expected)
 
 
 class CoveringTest(unittest.TestCase):
@@ -482,11 +351,11 @@
 
     def ledger(self, free):
         clock = VirtualClock()
-        ledger = Ledger(_TEAM, Rate(clock.now(), 5), free=free)
+        ledger = Ledger(TEAM, Rate(clock.now(), 5), free=free)
         for _ in range(10):
             clock.seconds += 1
             ledger.rate.add(100, clock.now())
-        covering = Covering(_CFG, clock, prepaid=lambda _team: 100_000)
+        covering = Covering(CFG, clock, prepaid=lambda _team: 100_000)
         return covering.target(ledger)
 
     def test_early_in_a_budget(self):
