Tell the starts of a target apart, and take any entry of the list

Cause: a target may start again under its id; the list, the memory of its cache, its failures and 'leaving' were kept by the id alone, so a target that had left and started again got no request for good. And an entry of another writer (a field missing, of another type, an unknown state) raised inside the feed and ended it. Change: an incarnation is (id, born). A later start takes the place of the one before with counts of its own; an earlier one's word changes nothing; the request that was at the old start can't end the new one. Homes of prompt parts stay with the id, so a restart moves none.

--- a/src/balsamreach/catalogue/exchange.py
+++ b/src/balsamreach/catalogue/exchange.py
@@ -79,9 +79,9 @@
         """Tell all peers of a target that is new or leaves."""
         self.net.spread(TableRows(0, 0, (_target_row(entry),)))
 
-    def tell_gone(self, incarnation: str, version: int) -> None:
+    def tell_gone(self, target_id: str, version: int) -> None:
         """Tell all peers of a target that a change of the list took away."""
-        row = TableRow(f'{_TARGET}{incarnation}', version)
+        row = TableRow(f'{_TARGET}{target_id}', version)
         self.net.spread(TableRows(0, 0, (row,)))
 
     async def _compare(self, member: Member, beat: Heartbeat) -> None:
@@ -143,8 +143,8 @@
         if not row.body:
             self.places.remove(row.key.removeprefix(_TARGET), row.version)
             return
-        entry = TargetEntry(**json.loads(row.body))
-        if not self.places.put(entry):
+        entry = _decode_entry(row.body)
+        if entry is None or not self.places.put(entry):
             return
         self.metrics.count(LEARNT, what='target')
         log_event(
@@ -161,4 +161,12 @@
 
 def _target_row(entry: TargetEntry) -> TableRow:
     body = json.dumps(attrs.asdict(entry))
-    return TableRow(f'{_TARGET}{entry.incarnation}', entry.version, body)
+    return TableRow(f'{_TARGET}{entry.target_id}', entry.version, body)
+
+
+def _decode_entry(document: str) -> TargetEntry | None:
+    # A router of another version may tell of fields that this one lacks.
+    try:
+        return TargetEntry(**json.loads(document))
+    except (TypeError, ValueError):
+        return None
--- a/src/balsamreach/placement/engines.py
+++ b/src/balsamreach/placement/engines.py
@@ -38,7 +38,6 @@
     """
 
     zone: str
-    _memories: dict[str, CacheMemory] = attrs.field(factory=dict)
 
     def choose(
         self,
@@ -76,19 +75,14 @@
 
     def note(self, prompt: Prompt, place: Place, capacity: int) -> None:
         """Take note that a request was sent to an engine."""
-        memory = self._memories.get(place.incarnation)
-        if memory is None:
-            memory = CacheMemory(capacity)
-            self._memories[place.incarnation] = memory
-        memory.note(prompt.shared)
-
-    def forget(self, incarnation: str) -> None:
-        """Forget an engine that is gone."""
-        self._memories.pop(incarnation, None)
+        if place.cache is None:
+            place.cache = CacheMemory(capacity)
+        place.cache.note(prompt.shared)
 
     def _held(self, prompt: Prompt, place: Place) -> int:
-        memory = self._memories.get(place.incarnation)
-        return 0 if memory is None else memory.held(prompt.shared)
+        if place.cache is None:
+            return 0
+        return place.cache.held(prompt.shared)
 
     def _home(
         self,
@@ -99,8 +93,9 @@
             return None
         # Rendezvous hashing: routers that know the same engines agree on the
         # home without a message, and one that goes moves only its own parts.
+        # One that starts again under its id moves none.
         deepest = prompt.shared[-1].part_id
         return max(
             candidates,
-            key=lambda place: weigh(deepest, place.incarnation),
+            key=lambda place: weigh(deepest, place.entry.target_id),
         )
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from balsamreach.placement.prompts import CacheMemory
 from balsamreach.routing.breaker import Breaker
 
 #: Failures in a row after which a target gets no requests for a while. One
@@ -21,8 +22,8 @@
 
     Parameters
     ----------
-    incarnation : str
-        Identity of this start of the target.
+    target_id : str
+        Identity of the target, which it may keep when it starts again.
     service : str
         Service that it runs.
     address : str
@@ -37,9 +38,12 @@
         Seconds for which it is still slow after its start.
     version : int
         Number of the change of the list that this entry stems from.
+    born : int
+        Unix milliseconds of this start, 0 where the target tells none; of
+        two starts the later one holds.
     """
 
-    incarnation: str
+    target_id: str
     service: str
     address: str
     zone: str
@@ -47,6 +51,14 @@
     slots: int = 1
     cold_for: float = 0
     version: int = 0
+    born: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of this start of the target."""
+        if not self.born:
+            return self.target_id
+        return f'{self.target_id}@{self.born}'
 
 
 @attrs.define(eq=False)
@@ -69,6 +81,8 @@
     gone_at : float or None
         Monotonic seconds at which it counts as gone, where it is missing
         from a list that may have lost entries.
+    cache : CacheMemory or None
+        Parts of prompts that it was sent; None before the first.
     """
 
     entry: TargetEntry
@@ -78,6 +92,7 @@
     others_unread: int = 0
     breaker: Breaker = attrs.field(factory=lambda: Breaker(_FAILURES))
     gone_at: float | None = None
+    cache: CacheMemory | None = None
 
     @property
     def incarnation(self) -> str:
@@ -97,7 +112,11 @@
 
 @attrs.define
 class Places:
-    """All targets, by service.
+    """All targets, by service; of each the newest start alone.
+
+    A target may start again under its id. What was known of the start before
+    says nothing of this one: its memory is empty, its failures are over, and
+    that it was leaving is not true of the new one.
 
     Parameters
     ----------
@@ -106,21 +125,26 @@
     """
 
     rng: random.Random
-    _by_name: dict[str, Place] = attrs.field(factory=dict)
+    _by_id: dict[str, Place] = attrs.field(factory=dict)
+    _by_start: dict[str, Place] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Place]] = attrs.field(factory=dict)
     _removed: dict[str, int] = attrs.field(factory=dict)
 
     def __iter__(self) -> Iterator[Place]:
         """Iterate over all targets."""
-        return iter(tuple(self._by_name.values()))
+        return iter(tuple(self._by_id.values()))
 
     def __len__(self) -> int:
         """Return the number of targets."""
-        return len(self._by_name)
+        return len(self._by_id)
+
+    def find(self, target_id: str) -> Place | None:
+        """Return a target by its id."""
+        return self._by_id.get(target_id)
 
-    def find(self, incarnation: str) -> Place | None:
-        """Return a target by its incarnation."""
-        return self._by_name.get(incarnation)
+    def find_start(self, incarnation: str) -> Place | None:
+        """Return a target by the identity of its present start."""
+        return self._by_start.get(incarnation)
 
     def of(self, service: str) -> tuple[Place, ...]:
         """Return all targets of a service."""
@@ -131,93 +155,102 @@
 
         Entries come from the store and from peers, and overtake each other.
         A target that said once that it leaves stays so; one that is gone
-        comes back only by a later change of the list. Otherwise an older
-        word would send new work to it.
+        comes back only by a later change of the list, or as a later start.
+        Otherwise an older word would send new work to it.
         """
-        if entry.version < self._removed.get(entry.incarnation, -1):
+        if entry.version < self._removed.get(entry.target_id, -1):
             return False
-        known = self._by_name.get(entry.incarnation)
+        known = self._by_id.get(entry.target_id)
         if known is None:
             self._add(entry)
             return True
-        if entry.version <= known.entry.version:
+        if entry.born > known.entry.born:
+            self._take_out(known)
+            self._add(entry)
+            return True
+        is_older = entry.born < known.entry.born
+        if is_older or entry.version <= known.entry.version:
             return False
+        if entry.service != known.entry.service:
+            self._take_out(known)
+            self._add(entry)
+            return True
         known.gone_at = None
         leaving = entry.leaving or known.entry.leaving
         news = leaving != known.entry.leaving
         known.entry = attrs.evolve(entry, leaving=leaving)
         return news
 
-    def remove(self, incarnation: str, version: int = 0) -> None:
+    def drop(self, place: Place) -> None:
+        """Forget a target that another one has the address of.
+
+        A later start of it, which is listed by now, stays.
+        """
+        if self._by_id.get(place.entry.target_id) is place:
+            self.remove(place.entry.target_id)
+
+    def remove(self, target_id: str, version: int = 0) -> None:
         """Forget a target that is gone.
 
         Parameters
         ----------
-        incarnation : str
+        target_id : str
             The target.
         version : int
             Change of the list that lacks it; words up to it don't bring it
             back.
         """
-        place = self._by_name.get(incarnation)
+        place = self._by_id.get(target_id)
         if place is None or 0 < version <= place.entry.version:
             return
-        self._by_name.pop(incarnation)
-        # Requests that wait for a try of their own may still hold it.
-        place.entry = attrs.evolve(place.entry, leaving=True)
-        self._by_service[place.entry.service].pop(incarnation)
-        self._removed[incarnation] = max(version, place.entry.version + 1)
+        self._take_out(place)
+        self._removed[target_id] = max(version, place.entry.version + 1)
         while len(self._removed) > _MOST_REMOVED:
             self._removed.pop(next(iter(self._removed)))
 
     def besides(self, present: Iterable[str]) -> set[str]:
-        """Return the incarnations that a whole list lacks."""
-        return set(self._by_name) - set(present)
+        """Return the ids that a whole list lacks."""
+        return set(self._by_id) - set(present)
 
-    def miss(self, incarnations: Iterable[str], gone_at: float) -> None:
+    def miss(self, target_ids: Iterable[str], gone_at: float) -> None:
         """Note that targets have vanished from the list.
 
         Only an entry of its own brings a target back before it is gone.
 
         Parameters
         ----------
-        incarnations : iterable of str
+        target_ids : iterable of str
             The targets.
         gone_at : float
             Monotonic seconds at which they count as gone.
         """
-        for incarnation in incarnations:
-            place = self._by_name.get(incarnation)
+        for target_id in target_ids:
+            place = self._by_id.get(target_id)
             if place is not None and place.gone_at is None:
                 place.gone_at = gone_at
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Forget targets that have been missing for long enough."""
         over = tuple(
-            place.incarnation
+            place.entry.target_id
             for place in self
             if place.gone_at is not None and place.gone_at <= now
         )
-        for incarnation in over:
-            self.remove(incarnation)
+        for target_id in over:
+            self.remove(target_id)
         return over
 
-    def failed(self, place: Place, now: float, *, certain: bool) -> bool:
-        """Note a failure; True if the target gets no requests from now on.
-
-        Parameters
-        ----------
-        place : Place
-            The target.
-        now : float
-            Monotonic seconds.
-        certain : bool
-            Whether one failure is enough, as where nobody listens.
-        """
-        return place.breaker.fail(now, self.rng, certain=certain)
-
     def _add(self, entry: TargetEntry) -> None:
         place = Place(entry)
-        self._by_name[entry.incarnation] = place
+        self._by_id[entry.target_id] = place
+        self._by_start[entry.incarnation] = place
         services = self._by_service.setdefault(entry.service, {})
-        services[entry.incarnation] = place
+        services[entry.target_id] = place
+
+    def _take_out(self, place: Place) -> None:
+        entry = place.entry
+        self._by_id.pop(entry.target_id)
+        self._by_start.pop(entry.incarnation)
+        self._by_service[entry.service].pop(entry.target_id)
+        # Requests that wait for a try of their own may still hold it.
+        place.entry = attrs.evolve(entry, leaving=True)
--- a/src/balsamreach/placement/sharing.py
+++ b/src/balsamreach/placement/sharing.py
@@ -160,7 +160,7 @@
         said = self._words.setdefault(member.incarnation, {})
         for load in message.loads:
             said[load.target] = _Word(load.running, load.queued, now)
-        told = (self.places.find(word.target) for word in message.loads)
+        told = (self.places.find_start(word.target) for word in message.loads)
         self._sum_up(filter(None, told))
         alive = {peer.incarnation for peer in self.net.members()}
         for gone in set(self._words) - alive:
--- a/src/balsamreach/platform/configuration.py
+++ b/src/balsamreach/platform/configuration.py
@@ -1,4 +1,4 @@
-"""The operators' configuration and the list of targets, as stored there."""
+"""The operators' configuration as it is stored there."""
 
 import json
 from collections.abc import Mapping
@@ -13,14 +13,12 @@
     Split,
     Team,
 )
-from balsamreach.placement.places import TargetEntry
 
 _MS = 1000
 _DEFAULT_TIMEOUT_MS = 30_000
 _DEFAULT_AIM_MS = 1000
 _STREAM = 'streaming'
 _IDEMPOTENT = 'idempotent'
-_READY = 'ready'
 
 Fields = Mapping[str, Any]
 
@@ -63,27 +61,6 @@
     )
 
 
-def read_target(
-    incarnation: str,
-    fields: Fields,
-    version: int,
-) -> TargetEntry:
-    """Read a target's entry in the list.
-
-    The platform calls targets servers, and each start of one an instance.
-    """
-    return TargetEntry(
-        incarnation=incarnation,
-        service=fields['service'],
-        address=fields['address'],
-        zone=fields.get('zone', ''),
-        leaving=fields.get('state', _READY) != _READY,
-        slots=int(fields.get('slots') or 1),
-        cold_for=(fields.get('cold_left_ms') or 0) / _MS,
-        version=version,
-    )
-
-
 def _read_route(fields: Fields) -> Route:
     kind = fields['route_type']
     return Route(
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -8,13 +8,14 @@
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
 from balsamreach.placement.places import Places, TargetEntry
-from balsamreach.platform.configuration import read_catalogue, read_target
+from balsamreach.platform.configuration import read_catalogue
 from balsamreach.platform.rows import (
     HISTORY_GONE,
     RowStore,
     StoredRow,
     StoredRows,
 )
+from balsamreach.platform.targets import read_target
 from balsamreach.services.faults import PlatformFault
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
@@ -153,8 +154,6 @@
         The list.
     clock : Clock
         Time.
-    on_gone : callable
-        Told of incarnations that are gone.
     tell : callable
         Tells other routers of an entry that is news.
     tell_gone : callable
@@ -163,7 +162,6 @@
 
     places: Places
     clock: Clock
-    on_gone: Callable[[str], None]
     tell: Callable[[TargetEntry], None]
     tell_gone: Callable[[str, int], None]
     feed: Feed = attrs.field(init=False)
@@ -181,30 +179,40 @@
 
     def expire(self) -> tuple[str, ...]:
         """Forget targets that stayed missing, and return them."""
-        gone = self.places.expire(self.clock.now())
-        for incarnation in gone:
-            self.on_gone(incarnation)
-        return gone
+        return self.places.expire(self.clock.now())
 
     def _take(self, page: StoredRows, whole: bool) -> None:
         # A row may come twice; the later one holds.
         newest = {row.key: row for row in page.rows}
-        listed = [row for row in newest.values() if row.fields is not None]
+        listed = list(filter(None, map(self._read, newest.values())))
         for entry in listed:
             self._put(entry)
-        present = [row.key for row in listed]
+        present = {found.target_id for found in listed}
         if whole:
             missing = self.places.besides(present)
         else:
             missing = set(newest).difference(present)
         self.places.miss(missing, self._gone_at())
-        for incarnation in self.expire():
-            self.tell_gone(incarnation, page.version)
+        for target_id in self.expire():
+            self.tell_gone(target_id, page.version)
 
-    def _put(self, row: StoredRow) -> None:
-        known = self.places.find(row.key)
+    def _read(self, row: StoredRow) -> TargetEntry | None:
         entry = read_target(row.key, row.fields, row.version)
-        if known is None or known.entry.leaving != entry.leaving:
+        # Were a broken entry an error, one of another writer would end this
+        # feed; it would show as a list that no longer changes.
+        if entry is None and not row.removed:
+            log_event(
+                _logger,
+                logging.WARNING,
+                'target_unreadable',
+                target=row.key,
+                row_version=row.version,
+            )
+        return entry
+
+    def _put(self, entry: TargetEntry) -> None:
+        known = self.places.find(entry.target_id)
+        if known is None or _is_news(known.entry, entry):
             self.tell(entry)
             log_event(
                 _logger,
@@ -215,7 +223,7 @@
                 address=entry.address,
                 target_zone=entry.zone,
                 leaving=entry.leaving,
-                row_version=row.version,
+                row_version=entry.version,
             )
         self.places.put(entry)
 
@@ -226,3 +234,7 @@
         # The time runs from the store's return, not from this list: a target
         # that leaves a little later must not be kept beyond that.
         return max(self.clock.now(), self.feed.failed_at + _BACK_WITHIN_S)
+
+
+def _is_news(known: TargetEntry, entry: TargetEntry) -> bool:
+    return known.leaving != entry.leaving or known.born != entry.born
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -111,7 +111,7 @@
         """Return the headers of an attempt."""
         added = [
             (names.TIME_LEFT_MS, str(max(1, int(time_left * _MS)))),
-            (names.MEANT_FOR, target.incarnation),
+            (names.MEANT_FOR, target.target_id),
         ]
         if call.prompt is not None:
             rank = min(_LAST_RANK, max(0, call.priority))
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -89,7 +89,6 @@
     targets = TargetsFeed(
         parts.places,
         parts.clock,
-        parts.chooser.engines.forget,
         exchange.tell_target,
         exchange.tell_gone,
     )
--- a/src/balsamreach/platform/rows.py
+++ b/src/balsamreach/platform/rows.py
@@ -1,7 +1,6 @@
 """Calls to the platform's store of rows."""
 
 import base64
-import binascii
 import json
 from collections.abc import Iterable, Mapping
 from typing import Any
@@ -44,9 +43,12 @@
     table, part, key : str
         Where it lies. Rows of one part are changed one after the other.
     fields : mapping or None
-        Its JSON object; None for a row that was removed.
+        Its JSON object; None for a row that was removed, and for one of
+        another writer that holds none.
     version : int
         Number of the change that wrote it.
+    removed : bool
+        Whether it was removed.
     """
 
     table: str
@@ -54,6 +56,7 @@
     key: str
     fields: Mapping[str, Any] | None
     version: int
+    removed: bool = False
 
 
 @attrs.frozen
@@ -221,19 +224,21 @@
 
 
 def _read_row(fields: Mapping[str, Any]) -> StoredRow:
-    removed = fields.get('deleted') or fields.get('value') is None
+    removed = bool(fields.get('deleted')) or fields.get('value') is None
     return StoredRow(
         table=fields['table'],
         part=fields.get('part', ''),
         key=fields['key'],
         fields=None if removed else _decode(fields['value']),
         version=fields['ver'],
+        removed=removed,
     )
 
 
-def _decode(encoded: str) -> Mapping[str, Any] | None:
+def _decode(encoded: object) -> Mapping[str, Any] | None:
     try:
-        return json.loads(base64.b64decode(encoded))
-    except (ValueError, binascii.Error):
+        fields = json.loads(base64.b64decode(encoded))
+    except (TypeError, ValueError, RecursionError):
         # Rows of others may hold anything; none of ours is like that.
         return None
+    return fields if isinstance(fields, dict) else None
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -84,13 +84,21 @@
         place.breaker.succeed()
 
     def failed(self, place: Place, *, certain: bool) -> None:
-        """Take note of a failure."""
-        self.places.failed(place, self.clock.now(), certain=certain)
+        """Take note of a failure.
+
+        Parameters
+        ----------
+        place : Place
+            The target.
+        certain : bool
+            Whether one failure is enough, as where nobody listens.
+        """
+        now = self.clock.now()
+        place.breaker.fail(now, self.places.rng, certain=certain)
 
     def gone(self, place: Place) -> None:
         """Take note that a target is no more."""
-        self.places.remove(place.incarnation)
-        self.engines.forget(place.incarnation)
+        self.places.drop(place)
 
     def shed(self, place: Place) -> None:
         """Take note that a target had no room."""
--- a/tests/relay_samples.py
+++ b/tests/relay_samples.py
@@ -78,7 +78,7 @@
 def entry(name: str, service: str, **fields) -> TargetEntry:
     """Return an entry of the list of targets."""
     return TargetEntry(
-        incarnation=name,
+        target_id=name,
         service=service,
         address=f'10.0.0.1:{name}',
         zone=fields.pop('zone', 'zone-a'),
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -190,7 +190,7 @@
     async def send(self, **fields):
         """Send one attempt; return its end and the intake."""
         entry = TargetEntry(
-            incarnation='i',
+            target_id='i',
             service='s',
             address=f'127.0.0.1:{self.port}',
             zone='z',
--- a/tests/test_placement_places.py
+++ b/tests/test_placement_places.py
@@ -6,6 +6,7 @@
 from parameterized import parameterized
 
 from balsamreach.placement.places import Places
+from balsamreach.placement.prompts import CacheMemory
 from tests.relay_samples import entry
 
 
@@ -53,6 +54,53 @@
         self.places.remove('one', 11)
         self.assertIsNotNone(self.places.find('one'))
 
+    def test_a_later_start_under_the_same_id(self):
+        """Symptom: a target that has started again is taken for the old one.
+
+        Sequence: it fails, says that it leaves, and starts again; a peer
+        that was cut off tells of the start before.
+        Cause: counts, failures and leaving were kept by its id alone.
+        """
+        before = self.places.find('one')
+        before.running = 7
+        before.cache = CacheMemory(1000)
+        self.put('one', leaving=True, version=6)
+        self.assertTrue(self.put('one', born=2000, version=9))
+        self.assertFalse(self.put('one', born=1000, leaving=True, version=12))
+        after = self.places.find('one')
+        self.assertFalse(after.entry.leaving)
+        self.assertEqual(after.running, 0)
+        self.assertIsNone(after.cache)
+        self.assertTrue(before.entry.leaving)
+        self.assertEqual(len(self.places.of('desk')), 1)
+
+    def test_a_request_at_the_start_before_does_not_end_the_later_one(self):
+        """Symptom: a target that has just started again is not used.
+
+        Sequence: a request goes to the start before; the list brings the new
+        start; the request is told that another target has the address.
+        Cause: the answer took away whatever the list had under that id.
+        """
+        before = self.places.find('one')
+        self.put('one', born=2000, version=9)
+        self.places.drop(before)
+        self.assertIsNotNone(self.places.find('one'))
+        self.places.drop(self.places.find('one'))
+        self.assertIsNone(self.places.find('one'))
+
+    def test_words_of_a_start_are_found_by_its_own_name(self):
+        self.put('one', born=2000, version=9)
+        self.assertIsNone(self.places.find_start('one'))
+        self.assertIs(
+            self.places.find_start('one@2000'),
+            self.places.find('one'),
+        )
+
+    def test_another_service_under_the_same_id(self):
+        self.places.put(entry('one', 'other', version=9))
+        self.assertEqual(self.places.of('desk'), ())
+        self.assertEqual(len(self.places.of('other')), 1)
+
     def test_missing_from_a_list_that_may_have_lost_entries(self):
         self.put('two', version=6)
         self.places.miss(self.places.besides({'two'}), gone_at=103)
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -9,7 +9,6 @@
 from balsamreach.platform.configuration import (
     decode_catalogue,
     read_catalogue,
-    read_target,
 )
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.relay import faults
@@ -116,12 +115,6 @@
     def test_document_that_is_none(self, _, document):
         self.assertIsNone(decode_catalogue(document))
 
-    def test_target(self):
-        fields = {'service': 's', 'address': '10.0.0.1:1', 'state': 'draining'}
-        target = read_target('i-1', fields, 9)
-        self.assertTrue(target.leaving)
-        self.assertEqual(target.version, 9)
-
 
 class ReadRequestTest(unittest.TestCase):
     """Callers' requests: read, or refused with the reason."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -19,7 +19,14 @@
 from balsamreach.telemetry.metrics import Metrics
 from tests.support import FakeClock
 
-_TARGET = {'service': 'desk', 'address': '10.0.0.1:1', 'zone': 'a'}
+_TARGET = {
+    'service': 'desk',
+    'address': '10.0.0.1:1',
+    'zone': 'a',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 0,
+}
 
 
 class StoreCase(AsyncHTTPTestCase):
@@ -93,7 +100,6 @@
         self.targets = TargetsFeed(
             self.places,
             self.clock,
-            lambda _gone: None,
             self.told.append,
             lambda gone, version: self.told.append((gone, version)),
         )
@@ -214,6 +220,46 @@
         self.assertIsNone(self.places.find('i-1'))
         self.assertIsNotNone(self.places.find('i-2'))
 
+    @gen_test
+    async def test_an_entry_of_another_writer(self):
+        """Symptom: a router's list of targets no longer changes.
+
+        Sequence: another writer puts entries into the list that are none;
+        the router reads them among sound ones.
+        Cause: reading one ended the feed, and all later changes were lost.
+        """
+        self.state.write('servers', 'i-1', _TARGET)
+        self.state.write('servers', 'i-2', {'service': 7})
+        self.state.write('servers', 'i-3', ['no object'])
+        self.state.write('servers', 'i-4', _TARGET | {'state': 'asleep'})
+        await self.step(self.targets.feed)
+        self.state.write('servers', 'i-5', _TARGET)
+        await self.step(self.targets.feed)
+        self.assertEqual(
+            {place.entry.target_id for place in self.places},
+            {'i-1', 'i-5'},
+        )
+
+    @gen_test
+    async def test_a_target_that_starts_again_under_its_id(self):
+        """Symptom: a target that has started again gets no requests.
+
+        Sequence: it says that it leaves, ends, and starts again under its id.
+        Cause: the entry of the new start was taken for a word of the old one,
+        which stays leaving for good.
+        """
+        leaving = {'state': 'draining', 'born': 1_700_000_000_000}
+        self.state.write('servers', 'i-1', _TARGET | leaving)
+        await self.step(self.targets.feed)
+        before = self.places.find('i-1')
+        again = _TARGET | {'born': 1_700_000_009_000}
+        self.state.write('servers', 'i-1', again)
+        await self.step(self.targets.feed)
+        after = self.places.find('i-1')
+        self.assertTrue(before.entry.leaving)
+        self.assertFalse(after.entry.leaving)
+        self.assertNotEqual(before.incarnation, after.incarnation)
+
     @gen_test
     async def test_a_target_that_is_back_in_the_same_page(self):
         self.state.write('servers', 'i-1', _TARGET)
