Notice at once that the store is back, and give up connections sooner

After every outage requests were refused for that second more. Change: a store that is away is asked with short timeouts and without a wait for news. Test: test_a_store_that_is_back.

--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -46,6 +46,11 @@
         The table.
     store : RowStore
         Where it is.
+    probe : RowStore
+        The same, asked while it does not answer: with short timeouts, and
+        without a wait for news. Asked the usual way, a store that is back
+        would be noticed a second late or more, and requests of teams that
+        have nothing left here would be refused meanwhile.
     clock : Clock
         Time.
     metrics : Metrics
@@ -56,6 +61,7 @@
 
     table: str
     store: RowStore
+    probe: RowStore
     clock: Clock
     metrics: Metrics
     take: Callable[[StoredRows, bool], None]
@@ -80,9 +86,10 @@
         return self._away
 
     async def _next(self) -> StoredRows | PlatformFault:
+        store = self.probe if self._away else self.store
         if self._since is None:
-            return await self.store.read(self.table, '')
-        return await self.store.follow(self.table, self._since)
+            return await store.read(self.table, '')
+        return await store.follow(self.table, self._since)
 
     def _take(self, page: StoredRows) -> None:
         if self._away:
@@ -111,6 +118,31 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class FeedParts:
+    """What every feed runs on; the fields are those of ``Feed``."""
+
+    store: RowStore
+    probe: RowStore
+    clock: Clock
+    metrics: Metrics
+
+    def make(
+        self,
+        table: str,
+        take: Callable[[StoredRows, bool], None],
+    ) -> Feed:
+        """Return a feed of a table."""
+        return Feed(
+            table,
+            self.store,
+            self.probe,
+            self.clock,
+            self.metrics,
+            take,
+        )
+
+
 @attrs.define
 class ConfigurationFeed:
     """Brings the operators' configuration into force."""
@@ -118,9 +150,9 @@
     view: CatalogueView
     feed: Feed = attrs.field(init=False)
 
-    def open(self, store: RowStore, clock: Clock, metrics: Metrics) -> Feed:
+    def open(self, parts: FeedParts) -> Feed:
         """Return the feed, to be run."""
-        self.feed = Feed(_CONFIG_TABLE, store, clock, metrics, self._take)
+        self.feed = parts.make(_CONFIG_TABLE, self._take)
         return self.feed
 
     def _take(self, page: StoredRows, _whole: bool) -> None:
@@ -166,15 +198,9 @@
     tell_gone: Callable[[str, int], None]
     feed: Feed = attrs.field(init=False)
 
-    def open(self, store: RowStore, metrics: Metrics) -> Feed:
+    def open(self, parts: FeedParts) -> Feed:
         """Return the feed, to be run."""
-        self.feed = Feed(
-            _TARGETS_TABLE,
-            store,
-            self.clock,
-            metrics,
-            self._take,
-        )
+        self.feed = parts.make(_TARGETS_TABLE, self._take)
         return self.feed
 
     def expire(self) -> tuple[str, ...]:
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -9,7 +9,11 @@
 from balsamreach.daemon.relay_parts import RelayParts, make_relay_parts
 from balsamreach.daemon.relay_router import RelayRouter
 from balsamreach.platform.configuration import decode_catalogue
-from balsamreach.platform.feeds import ConfigurationFeed, TargetsFeed
+from balsamreach.platform.feeds import (
+    ConfigurationFeed,
+    FeedParts,
+    TargetsFeed,
+)
 from balsamreach.platform.hosts import RouterList
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.platform.rows import RowStore
@@ -27,6 +31,10 @@
 #: Seconds beyond that wait in which the answer must come; a slow store
 #: answers in a quarter of one.
 _ANSWER_S = 0.5
+#: Seconds in which a store that was away must accept a connection, and answer
+#: a question. A slow one answers in a quarter of a second.
+_PROBE_CONNECT_S = 0.25
+_PROBE_S = 0.6
 #: Seconds in which the answer to a change must come. Requests wait for some
 #: of them; a slow store answers within half of this.
 _CHANGE_S = 0.8
@@ -83,16 +91,21 @@
     exchange: CatalogueExchange,
     times: ServiceClock,
 ) -> tuple[ConfigurationFeed, TargetsFeed]:
-    follows = _make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S, times)
+    feeds = FeedParts(
+        store=_make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S, times),
+        probe=_make_probe(cfg, times),
+        clock=parts.clock,
+        metrics=parts.metrics,
+    )
     configuration = ConfigurationFeed(parts.view)
-    configuration.open(follows, parts.clock, parts.metrics)
+    configuration.open(feeds)
     targets = TargetsFeed(
         parts.places,
         parts.clock,
         exchange.tell_target,
         exchange.tell_gone,
     )
-    targets.open(follows, parts.metrics)
+    targets.open(feeds)
     return configuration, targets
 
 
@@ -107,3 +120,8 @@
         timeout,
     )
     return RowStore(client, _FOLLOW_WAIT_S, times)
+
+
+def _make_probe(cfg: Settings, times: ServiceClock) -> RowStore:
+    client = PlatformClient(cfg.platform.table, _PROBE_CONNECT_S, _PROBE_S)
+    return RowStore(client, 0, times)
--- a/src/balsamreach/standins/row_store.py
+++ b/src/balsamreach/standins/row_store.py
@@ -34,6 +34,8 @@
         Status that every call gets; 0 while the store works.
     lose_answers : int
         Changes that are made and not answered.
+    waits : list of int
+        Milliseconds that each call which followed a table would wait.
     """
 
     rows: dict[_Key, tuple[str, int]] = attrs.field(factory=dict)
@@ -42,6 +44,7 @@
     history_from: int = 0
     status: int = 0
     lose_answers: int = 0
+    waits: list[int] = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def write(self, table: str, key: str, fields: Any, part: str = '') -> int:
@@ -105,6 +108,7 @@
     async def get(self) -> None:
         """Answer with what changed, waiting a while for the first."""
         since = int(self.get_argument('after_rev'))
+        self.state.waits.append(int(self.get_argument('wait_ms')))
         if since < self.state.history_from:
             self.set_status(HTTPStatus.GONE)
             return
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,7 +7,11 @@
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import SystemClock
 from balsamreach.placement.places import Places
-from balsamreach.platform.feeds import ConfigurationFeed, TargetsFeed
+from balsamreach.platform.feeds import (
+    ConfigurationFeed,
+    FeedParts,
+    TargetsFeed,
+)
 from balsamreach.platform.hosts import RouterList
 from balsamreach.platform.rows import HISTORY_GONE, RowStore
 from balsamreach.platform.table import RowTableService
@@ -38,9 +42,12 @@
 
     def setUp(self):
         super().setUp()
+        self.store = self.make_store(wait=0.01)
+
+    def make_store(self, wait):
         client = PlatformClient(f'http://127.0.0.1:{self.get_http_port()}')
         self.addCleanup(client.close)
-        self.store = RowStore(client, 0.01, ServiceClock(SystemClock()))
+        return RowStore(client, wait, ServiceClock(SystemClock()))
 
 
 class RowTableServiceTest(StoreCase):
@@ -103,9 +110,14 @@
             self.told.append,
             lambda gone, version: self.told.append((gone, version)),
         )
-        clock, metrics = SystemClock(), Metrics()
-        self.configuration.open(self.store, clock, metrics)
-        self.targets.open(self.store, metrics)
+        parts = FeedParts(
+            store=self.store,
+            probe=self.make_store(wait=0),
+            clock=SystemClock(),
+            metrics=Metrics(),
+        )
+        self.configuration.open(parts)
+        self.targets.open(parts)
 
     async def step(self, feed):
         """Let a feed make one call and take what came."""
@@ -148,6 +160,27 @@
         await self.step(self.configuration.feed)
         self.assertEqual(self.view.version, 3)
 
+    @gen_test
+    async def test_a_store_that_is_back(self):
+        """Symptom: requests are refused for a second after an outage.
+
+        Sequence: the store goes away and comes back, and nothing changes.
+        Cause: the first call that got through waited for news, and the ones
+        before it for connections that a cut had swallowed.
+        """
+        await self.step(self.configuration.feed)
+        self.state.status = 503
+        feed = self.configuration.feed
+        feed._fail(await feed._next())
+        self.assertTrue(feed.is_away())
+        self.state.status = 0
+        self.state.waits.clear()
+        await self.step(feed)
+        self.assertEqual(self.state.waits, [0])
+        self.assertFalse(feed.is_away())
+        await self.step(feed)
+        self.assertEqual(self.state.waits, [0, 10])
+
     @gen_test
     async def test_targets_come_leave_and_go(self):
         self.state.write('servers', 'i-1', _TARGET)
