Refuse a time to warm up that can't be divided

Found by reading: a whole number of 400 digits in an entry of the list raised in the feed. It names no target now; the table of broken entries has it.

--- a/src/balsamreach/platform/targets.py
+++ b/src/balsamreach/platform/targets.py
@@ -11,6 +11,9 @@
 _STATES = {'ready': False, 'draining': True}
 _ADDRESS = re.compile(r'\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}')
 _LAST_PORT = 65535
+#: Milliseconds beyond which nobody means a time to warm up: a day. A whole
+#: number of any length may stand there, and one can't be divided.
+_LONGEST_COLD_MS = 86_400_000
 
 Fields = Mapping[str, Any]
 
@@ -93,4 +96,4 @@
 def _is_amount(value: object) -> bool:
     if isinstance(value, bool) or not isinstance(value, int | float):
         return False
-    return 0 <= value < float('inf')
+    return 0 <= value <= _LONGEST_COLD_MS
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -38,6 +38,7 @@
     ('slots_as_truth', {'slots': True}),
     ('cold_time_as_text', {'cold_left_ms': '5'}),
     ('cold_time_without_end', {'cold_left_ms': float('inf')}),
+    ('cold_time_of_400_digits', {'cold_left_ms': 10**400}),
     ('cold_time_below_zero', {'cold_left_ms': -1}),
     ('birth_as_text', {'born': '1700000000000'}),
     ('birth_in_part', {'born': 1.5}),
