Let feeds share their parts, and replace a target's start in one place

Cause: Feed held the four fields of FeedParts again, which told of itself only that they were Feed's, and copied them one by one; Places.put took a start out and put one in by the same lines twice, under three conditions. Change: a feed holds its parts; the order of entries is one comparison of (born, version), and one block replaces a start. Behaviour is as before. Seen and left: _make_store and _make_probe differ in two times alone; the pairs of holdings_parts with other modules share imports and constants only.

--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -164,14 +164,13 @@
         if known is None:
             self._add(entry)
             return True
-        if entry.born > known.entry.born:
-            self._take_out(known)
-            self._add(entry)
-            return True
-        is_older = entry.born < known.entry.born
-        if is_older or entry.version <= known.entry.version:
+        # A later start holds whatever its version; of one start the later
+        # change does.
+        age = (entry.born, entry.version)
+        if age <= (known.entry.born, known.entry.version):
             return False
-        if entry.service != known.entry.service:
+        is_later = entry.born > known.entry.born
+        if is_later or entry.service != known.entry.service:
             self._take_out(known)
             self._add(entry)
             return True
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -36,16 +36,14 @@
 _TARGETS_TABLE = 'servers'
 
 
-@attrs.define
-class Feed:
-    """Follows one table: first all of it, then what changes.
+@attrs.frozen(kw_only=True)
+class FeedParts:
+    """What every feed runs on.
 
     Parameters
     ----------
-    table : str
-        The table.
     store : RowStore
-        Where it is.
+        Where the tables are.
     probe : RowStore
         The same, asked while it does not answer: with short timeouts, and
         without a wait for news. Asked the usual way, a store that is back
@@ -55,15 +53,30 @@
         Time.
     metrics : Metrics
         Counts calls that failed.
-    take : callable
-        Takes rows, and whether they are all there are.
     """
 
-    table: str
     store: RowStore
     probe: RowStore
     clock: Clock
     metrics: Metrics
+
+
+@attrs.define
+class Feed:
+    """Follows one table: first all of it, then what changes.
+
+    Parameters
+    ----------
+    table : str
+        The table.
+    parts : FeedParts
+        What it runs on.
+    take : callable
+        Takes rows, and whether they are all there are.
+    """
+
+    table: str
+    parts: FeedParts
     take: Callable[[StoredRows, bool], None]
     failed_at: float = float('-inf')
     _since: int | None = None
@@ -77,7 +90,7 @@
                 self._since = None
             elif isinstance(page, PlatformFault):
                 self._fail(page)
-                await self.clock.sleep(_PAUSE_S)
+                await self.parts.clock.sleep(_PAUSE_S)
             else:
                 self._take(page)
 
@@ -86,7 +99,7 @@
         return self._away
 
     async def _next(self) -> StoredRows | PlatformFault:
-        store = self.probe if self._away else self.store
+        store = self.parts.probe if self._away else self.parts.store
         if self._since is None:
             return await store.read(self.table, '')
         return await store.follow(self.table, self._since)
@@ -101,8 +114,8 @@
             self.take(page, whole)
 
     def _fail(self, fault: PlatformFault) -> None:
-        self.failed_at = self.clock.now()
-        self.metrics.count(FAULTS, table=self.table, code=fault.code)
+        self.failed_at = self.parts.clock.now()
+        self.parts.metrics.count(FAULTS, table=self.table, code=fault.code)
         if not self._away:
             self._away = True
             self._log('store_feed_lost', fault.reason or fault.code)
@@ -118,31 +131,6 @@
         )
 
 
-@attrs.frozen(kw_only=True)
-class FeedParts:
-    """What every feed runs on; the fields are those of ``Feed``."""
-
-    store: RowStore
-    probe: RowStore
-    clock: Clock
-    metrics: Metrics
-
-    def make(
-        self,
-        table: str,
-        take: Callable[[StoredRows, bool], None],
-    ) -> Feed:
-        """Return a feed of a table."""
-        return Feed(
-            table,
-            self.store,
-            self.probe,
-            self.clock,
-            self.metrics,
-            take,
-        )
-
-
 @attrs.define
 class ConfigurationFeed:
     """Brings the operators' configuration into force."""
@@ -152,7 +140,7 @@
 
     def open(self, parts: FeedParts) -> Feed:
         """Return the feed, to be run."""
-        self.feed = parts.make(_CONFIG_TABLE, self._take)
+        self.feed = Feed(_CONFIG_TABLE, parts, self._take)
         return self.feed
 
     def _take(self, page: StoredRows, _whole: bool) -> None:
@@ -200,7 +188,7 @@
 
     def open(self, parts: FeedParts) -> Feed:
         """Return the feed, to be run."""
-        self.feed = parts.make(_TARGETS_TABLE, self._take)
+        self.feed = Feed(_TARGETS_TABLE, parts, self._take)
         return self.feed
 
     def expire(self) -> tuple[str, ...]:
