--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # memory file system; SHIV_ROOT in the environment overrides it.
 BINARY_ROOT = /dev/shm/balsamreach
 SOURCES = $(shell find src -name '*.py' -o -name '*.ini' -o -name '*.capnp')
-CHECKED = src tests tools bench
+CHECKED = src tests tools bench deploy
 
 .PHONY: test-bench bench slopes venv trial test test-binary lint format binary
 
--- a/src/balsamreach/budget/gifts.py
+++ b/src/balsamreach/budget/gifts.py
@@ -38,7 +38,7 @@
         int
             Tokens that a peer has taken.
         """
-        for member in self.loans.lenders():
+        for member in self.loans.lenders(ledger.team):
             gift_id = new_loan_id(self.loans.rng)
             tokens = ledger.lend(gift_id, ledger.own)
             if tokens <= 0:
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -1,9 +1,9 @@
 """What one router may spend where nothing is recorded request by request.
 
-Each router draws tokens from a team's account ahead of need and counts in
-memory what its requests use of them. It reports beforehand how much it may
-use. Who serves its address after it gives the rest of what it held back to
-the account.
+Each router, or in a large fleet each hub for its zone, draws tokens from a
+team's account ahead of need and counts in memory what its requests use of
+them. It reports beforehand how much it may use. Who serves its address after
+it gives the rest of what it held back to the account.
 """
 
 import random
@@ -19,6 +19,7 @@
     make_parts,
     report_interval,
 )
+from balsamreach.budget.homing import HomeReservation
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.moves import Move
 from balsamreach.budget.prepaid import Prepaid
@@ -30,6 +31,9 @@
 from balsamreach.services.times import ServiceClock
 from balsamreach.telemetry.metrics import Metrics
 
+#: Seconds between two looks whether what others had set aside is settled.
+_LEAVE_PAUSE_S = 0.1
+
 
 @attrs.define
 class Holdings:
@@ -91,6 +95,20 @@
         Reservation or BudgetFault
             EXHAUSTED only where the account itself has too little left.
         """
+        homing = self.parts.homing
+        home = homing.find(team)
+        if home is not None:
+            outcome = await homing.reserve(home, team, tokens)
+            if outcome is not None:
+                return outcome
+        return await self.reserve_here(team, tokens)
+
+    async def reserve_here(
+        self,
+        team: str,
+        tokens: int,
+    ) -> Reservation | BudgetFault:
+        """Set a request's worst case aside from what this router holds."""
         ledger = self._ledger(team)
         ledger.squares.add(tokens**2, self.clock.now())
         reservation = None
@@ -103,19 +121,30 @@
 
     def charge(self, reservation: Reservation, tokens: int) -> None:
         """Charge what a request used; the rest of it is free again."""
+        if isinstance(reservation, HomeReservation):
+            self.parts.homing.charge(reservation, tokens)
+            return
         ledger = self.book.ledger(reservation.team)
         unused = reservation.tokens - tokens
         ledger.release(reservation, tokens)
         ledger.rate.add(-unused, self.clock.now())
 
+    def spent(self, team: str) -> int:
+        """Return the tokens that a team has used, as far as is known here."""
+        ledger = self.book.ledgers.get(team)
+        billed = ledger.billed if ledger else 0
+        return max(billed, self.parts.homing.spent(team))
+
     async def run_reports(self) -> None:
         """Report in rounds what may be used, until cancelled.
 
         A successor takes all silence for time in which tokens were used, so
-        this router is never silent for long.
+        this router is never silent for long. One that holds nothing has
+        nothing to tell.
         """
         while True:
-            await self.parts.reporter.report()
+            if self.book.ledgers:
+                await self.parts.reporter.report()
             await self.clock.sleep(report_interval(self.cfg, self.net))
 
     async def run(self) -> None:
@@ -131,11 +160,22 @@
         for team in tuple(self.book.ledgers):
             await self.book.move(partial(self._due, team))
         await self.parts.loans.send_receipts()
+        self.parts.hosting.sweep()
         held = sum(ledger.own for ledger in self.book.ledgers.values())
         self.metrics.gauge(HELD, held)
 
-    async def leave(self) -> None:
-        """Hand back all that is not in use, for good."""
+    async def leave(self, until: float = 0) -> None:
+        """Hand back all that is not in use, for good.
+
+        Parameters
+        ----------
+        until : float
+            Monotonic seconds up to which requests of other routers are
+            waited for; what they have set aside here is lost after that.
+        """
+        await self.parts.homing.settle()
+        while self.parts.hosting.is_held() and self.clock.now() < until:
+            await self.clock.sleep(_LEAVE_PAUSE_S)
         for ledger in tuple(self.book.ledgers.values()):
             outcome = await self.book.move(partial(self._rest, ledger))
             if isinstance(outcome, BudgetFault):
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -9,6 +9,9 @@
 from balsamreach.budget.drawing import Drawing
 from balsamreach.budget.draws import Drawer
 from balsamreach.budget.gifts import Gifts
+from balsamreach.budget.homes import count_holders, count_reporting
+from balsamreach.budget.homing import Homing
+from balsamreach.budget.hosting import Hosting
 from balsamreach.budget.incarnations import Incarnations
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.loans import Loans
@@ -33,6 +36,9 @@
 #: The same where a peer waits for a loan; its requests wait no longer than
 #: ``draw_wait``, and it asks several lenders in turn.
 _LENDER_PATIENCE_S = 0.05
+#: The same for a team's home. It may have to draw, and to ask lenders where
+#: the store is away; one that is gone must not use up the time for the rest.
+_HOME_PATIENCE_S = 0.3
 
 #: Part of the time to the next report whose spending a report promises beyond
 #: what is in use. It is lost where this router dies, and what it doesn't cover
@@ -61,6 +67,8 @@
     gifts: Gifts
     obtainer: Obtainer
     succession: Succession
+    homing: Homing
+    hosting: Hosting
 
 
 def make_parts(holdings: 'Holdings') -> HoldingsParts:
@@ -91,7 +99,7 @@
         holdings.clock,
         _RETURN_ABOVE,
         prepaid=holdings.prepaid,
-        routers=lambda: len(holdings.net.members()),
+        routers=lambda: count_holders(holdings.net),
     )
     reporter = _make_reporter(holdings, book, sizing)
     book.limit = reporter.limit
@@ -102,6 +110,7 @@
         holdings.rng,
         reporter=reporter,
         patience=_LENDER_PATIENCE_S,
+        from_homes=True,
     )
     drawing = Drawing(
         book,
@@ -124,6 +133,19 @@
             holdings.clock.now(),
             holdings.metrics,
         ),
+        homing=Homing(
+            holdings.net,
+            holdings.clock,
+            holdings.metrics,
+            _HOME_PATIENCE_S,
+        ),
+        hosting=Hosting(
+            holdings.net,
+            holdings.clock,
+            holdings.reserve_here,
+            holdings.charge,
+            holdings.spent,
+        ),
     )
 
 
@@ -157,9 +179,9 @@
     cfg : BudgetSettings
         The least interval, and the reports of all routers a second.
     net : PeerNet
-        Tells how many routers there are.
+        Tells how many routers report.
     """
-    return max(cfg.report_interval, len(net.members()) / cfg.report_rate)
+    return max(cfg.report_interval, count_reporting(net) / cfg.report_rate)
 
 
 def _promises(
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -10,6 +10,7 @@
 
 from balsamreach.budget.account import Loan
 from balsamreach.budget.book import Book
+from balsamreach.budget.homes import homes_of
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.reporting import Reporter
 from balsamreach.budget.sizing import Sizing
@@ -92,6 +93,8 @@
         Seconds after which what is lendable already is lent. A store that
         went silent answers nothing for far longer, and meanwhile the
         borrower's request gives up.
+    from_homes : bool
+        Whether only homes of teams hold tokens, in a fleet that has hubs.
     """
 
     book: Book
@@ -101,6 +104,7 @@
     wakeup: Wakeup | None = None
     reporter: Reporter | None = None
     patience: float = _LENDER_PATIENCE_S
+    from_homes: bool = False
     _done_with: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     _receipts: list[tuple[str, LoanReceipt]] = attrs.field(factory=list)
     _called_off: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
@@ -124,7 +128,7 @@
             What the peers that were asked have beyond what they lent.
         """
         found = Elsewhere()
-        for member in self.lenders():
+        for member in self.lenders(ledger.team):
             missing = _missing(ledger)
             if missing <= 0 or not ledger.queue:
                 return attrs.evolve(found, more=True)
@@ -133,11 +137,15 @@
             found = found.add(grant) if grant else found
         return found
 
-    def lenders(self) -> list[Member]:
-        """Return the routers to ask for tokens, in turn."""
-        others = [
-            member for member in self.net.neighbours() if not member.leaving
-        ]
+    def lenders(self, team: str) -> list[Member]:
+        """Return the routers to ask for a team's tokens, in turn.
+
+        In a large fleet the hubs alone hold tokens: of each zone the team's
+        home, and the others of the own zone, which may reach the service.
+        """
+        homes = homes_of(team, self.net) if self.from_homes else ()
+        candidates = homes or self.net.neighbours()
+        others = [member for member in candidates if not member.leaving]
         self.rng.shuffle(others)
         # The own zone first: its routers are a shorter way off and are
         # likely to stay in reach while zones are cut off from each other.
--- a/src/balsamreach/config/reader.py
+++ b/src/balsamreach/config/reader.py
@@ -2,7 +2,6 @@
 
 import difflib
 from collections.abc import Iterable, Iterator
-from importlib import resources
 from pathlib import Path
 from typing import Any
 
@@ -19,6 +18,8 @@
 from balsamreach.config.tls import check_client, check_listener, check_mutual
 
 _OVERRIDES = 'override'
+#: The documented file of all keys, beside this module.
+_DEFAULTS = 'defaults.ini'
 #: Sections of the listeners that ``serve`` opens.
 _SERVED = ('callers', 'operators', 'peers')
 
@@ -106,8 +107,7 @@
 
 def default_text() -> str:
     """Return the documented file of all keys and their defaults."""
-    package = resources.files('balsamreach.config')
-    return package.joinpath('defaults.ini').read_text(encoding='utf-8')
+    return Path(__file__).with_name(_DEFAULTS).read_text(encoding='utf-8')
 
 
 @attrs.define
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -67,6 +67,7 @@
     fleet: str = key(views.read_name)
     seeds: tuple[str, ...] = key(views.read_endpoints)
     max_peers: int = key(units.read_count)
+    hubs_per_zone: int = key(units.read_count)
     heartbeat: float = key(units.read_duration)
     gap_timeout: float = key(units.read_duration)
 
--- a/src/balsamreach/daemon/listeners.py
+++ b/src/balsamreach/daemon/listeners.py
@@ -13,8 +13,11 @@
 from balsamreach.config.settings import Settings
 from balsamreach.config.tls import server_context
 from balsamreach.daemon.closing import drop_openings
-from balsamreach.gateway.guard import HEADER_SLACK
+from balsamreach.gateway.probes import Probes
 
+#: The server itself reads headers up to this many times the limit, so that
+#: one that is a little too large can be answered.
+_HEADER_SLACK = 2
 #: The guard bounds bodies and answers what is too large; the server's own
 #: limit would close the connection without an answer.
 _NO_LIMIT = 1 << 62
@@ -75,7 +78,7 @@
 def open_listener(
     cfg: Settings,
     section: Listener,
-    app: HTTPServerConnectionDelegate,
+    app: HTTPServerConnectionDelegate | Probes,
 ) -> OpenListener:
     """Bind and serve one listener.
 
@@ -85,7 +88,7 @@
         The router's settings.
     section : Listener
         The listener's section of them, its files checked before.
-    app : HTTPServerConnectionDelegate
+    app : HTTPServerConnectionDelegate or Probes
         What it serves.
 
     Returns
@@ -109,7 +112,7 @@
         app,
         ssl_options=context,
         max_body_size=_NO_LIMIT,
-        max_header_size=cfg.callers.header_limit * HEADER_SLACK,
+        max_header_size=cfg.callers.header_limit * _HEADER_SLACK,
         idle_connection_timeout=cfg.callers.idle_timeout,
     )
     server.add_sockets(sockets)
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -5,11 +5,10 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from tornado.web import Application
 
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.relay_parts import RelayParts
-from balsamreach.gateway.health import MetricsHandler, ReadyHandler
+from balsamreach.gateway.probes import Probes
 from balsamreach.gateway.relay_server import RelayServer
 from balsamreach.relay import faults
 from balsamreach.relay.codec import CallerRequest
@@ -65,10 +64,12 @@
         fault = await self.parts.net.start()
         # Nothing but a TLS file can fail there, and those were read before.
         assert fault is None, fault
+        holdings = self.parts.holdings
         runners = (
             *self.feeds,
-            self.parts.holdings.run,
-            self.parts.holdings.run_reports,
+            holdings.run,
+            holdings.run_reports,
+            holdings.parts.homing.run,
             self.parts.sharing.run,
             self._tick,
         )
@@ -86,8 +87,9 @@
         log_event(_logger, logging.INFO, 'router_leaving')
         began = self.parts.clock.now()
         await self._turn_away()
-        await self._drain(began + self.parts.cfg.relay.grace * _DRAIN_SHARE)
-        await self.parts.holdings.leave()
+        until = began + self.parts.cfg.relay.grace * _DRAIN_SHARE
+        await self._drain(until)
+        await self.parts.holdings.leave(until)
         await self._stop()
         log_event(_logger, logging.INFO, 'router_left')
 
@@ -99,7 +101,12 @@
             self._body_limit,
         )
         self.callers = open_listener(cfg, cfg.callers, self.server)
-        self.probes = open_listener(cfg, cfg.probes, self._probes_app())
+        probes = Probes(
+            self.ready_path,
+            lambda: self.state,
+            self.parts.metrics,
+        )
+        self.probes = open_listener(cfg, cfg.probes, probes)
 
     async def _turn_away(self) -> None:
         self.server.leaving = True
@@ -173,20 +180,3 @@
         return (
             self.parts.view.current is not None and len(self.parts.places) > 0
         )
-
-    def _probes_app(self) -> Application:
-        return Application(
-            [
-                (
-                    self.ready_path,
-                    ReadyHandler,
-                    {'state': lambda: self.state},
-                ),
-                ('/metrics', MetricsHandler, {'metrics': self.parts.metrics}),
-            ],
-            log_function=_log_nothing,
-        )
-
-
-def _log_nothing(_handler: object) -> None:
-    """Leave probes out of the log: there is one each second."""
--- a/src/balsamreach/gateway/guard.py
+++ b/src/balsamreach/gateway/guard.py
@@ -22,9 +22,6 @@
 
 #: Seconds during which the rest of a refused body is read and dropped.
 LINGER = 2
-#: The server itself reads headers up to this many times the limit, so that
-#: one that is a little too large can be answered.
-HEADER_SLACK = 2
 #: Counter of requests that were refused before a handler saw them.
 GUARDED = 'balsamreach_guard_refusals_total'
 
--- /dev/null
+++ b/src/balsamreach/gateway/probes.py
@@ -0,0 +1,76 @@
+"""Answers probes without the web framework.
+
+A router that passes requests through uses the framework for nothing else;
+importing it takes a tenth of the processor time of a start.
+"""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import attrs
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPServerRequest,
+    ResponseStartLine,
+)
+
+from balsamreach.telemetry.metrics import CONTENT_TYPE, Metrics
+
+_METRICS = '/metrics'
+_JSON = 'application/json'
+_READY = 'ready'
+_METHODS = frozenset(('GET', 'HEAD'))
+
+
+@attrs.frozen
+class Probes:
+    """Serves readiness and metrics; called with each request.
+
+    Parameters
+    ----------
+    ready_path : str
+        Path under which readiness is asked for.
+    state : callable
+        Tells the router's state.
+    metrics : Metrics
+        The router's metrics.
+    """
+
+    ready_path: str
+    state: Callable[[], str]
+    metrics: Metrics
+
+    def __call__(self, request: HTTPServerRequest) -> None:
+        """Answer one request."""
+        if request.method not in _METHODS:
+            _answer(request, HTTPStatus.METHOD_NOT_ALLOWED, _JSON, b'{}')
+        elif request.path == self.ready_path:
+            self._tell_state(request)
+        elif request.path == _METRICS:
+            body = self.metrics.render().encode()
+            _answer(request, HTTPStatus.OK, CONTENT_TYPE, body)
+        else:
+            _answer(request, HTTPStatus.NOT_FOUND, _JSON, b'{}')
+
+    def _tell_state(self, request: HTTPServerRequest) -> None:
+        state = self.state()
+        status = HTTPStatus.OK
+        if state != _READY:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+        body = f'{{"status": "{state}"}}'.encode()
+        _answer(request, status, _JSON, body)
+
+
+def _answer(
+    request: HTTPServerRequest,
+    status: HTTPStatus,
+    content_type: str,
+    body: bytes,
+) -> None:
+    headers = HTTPHeaders()
+    headers['Content-Type'] = content_type
+    headers['Content-Length'] = str(len(body))
+    line = ResponseStartLine('HTTP/1.1', status.value, status.phrase)
+    shown = b'' if request.method == 'HEAD' else body
+    request.connection.write_headers(line, headers, shown)
+    request.connection.finish()
--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -12,6 +12,30 @@
 Taker = Callable[[Member, Message], Awaitable[Message | None]]
 
 
+class HubChoice(abc.ABC):
+    """Names the routers of each zone that the others of it turn to."""
+
+    @abc.abstractmethod
+    def of(self, zone: str) -> tuple[Member, ...]:
+        """Return a zone's hubs, the first one first; it may have none."""
+
+    @abc.abstractmethod
+    def zones(self) -> tuple[str, ...]:
+        """Return the zones that have hubs."""
+
+
+class NoHubs(HubChoice):
+    """A fleet so small that everyone has a connection to everyone."""
+
+    def of(self, _zone: str) -> tuple[Member, ...]:
+        """Return none."""
+        return ()
+
+    def zones(self) -> tuple[str, ...]:
+        """Return none."""
+        return ()
+
+
 @attrs.define
 class PeerNet(abc.ABC):
     """Reaches other routers by their incarnation.
@@ -20,9 +44,12 @@
     ----------
     me : Member
         This router.
+    hubs : HubChoice
+        Whom the routers of each zone turn to.
     """
 
     me: Member
+    hubs: HubChoice = attrs.field(factory=NoHubs, kw_only=True)
 
     @abc.abstractmethod
     def members(self) -> tuple[Member, ...]:
--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -26,7 +26,7 @@
 from balsamreach.telemetry.traces import Tracing
 from balsamreach.wire.codec import MOST_BYTES, Envelope, decode, encode
 from balsamreach.wire.faults import CLOSED, UNKNOWN_KIND, WireFault
-from balsamreach.wire.framing import frame, read_frame, write
+from balsamreach.wire.framing import FrameReader, frame, write
 from balsamreach.wire.messages import Heartbeat, Member, Message, Refused
 
 #: Code with which one end parts from a connection it no longer needs.
@@ -183,12 +183,13 @@
                 return LINK_CLOSED.because(fault.reason)
 
     async def _read(self) -> PeerFault:
-        packed = self.first or await read_frame(self.stream, MOST_BYTES)
+        frames = FrameReader(self.stream, MOST_BYTES)
+        packed = self.first or await frames.next()
         while not isinstance(packed, WireFault):
             ended = self._take(packed)
             if ended is not None:
                 return ended
-            packed = await read_frame(self.stream, MOST_BYTES)
+            packed = await frames.next()
         return _ended_by(packed)
 
     def _take(self, packed: bytes) -> PeerFault | None:
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -14,6 +14,7 @@
 from balsamreach.peers.gossip import Gossip
 from balsamreach.peers.greeter import Greeter
 from balsamreach.peers.homes import Homes
+from balsamreach.peers.hubs import Hubs
 from balsamreach.peers.keeper import Keeper
 from balsamreach.peers.link import Link, LinkContext
 from balsamreach.peers.links import Links
@@ -66,6 +67,7 @@
         """Put the parts together; nothing is opened yet."""
         membership = Membership(self.me, self.clock)
         self._homes = Homes(membership)
+        self.hubs = Hubs(membership, self.cfg.peers)
         self.greeter = Greeter(self.cfg.peers.fleet, membership)
         context = LinkContext(
             cfg=self.cfg.peers,
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -20,8 +20,9 @@
 PROBE_EVERY = 10
 #: Seconds between two reads of the host list while links stand.
 LIST_EVERY = 30
-#: Seconds after which an unwanted link without traffic is given up.
-IDLE_AFTER = 60
+#: Seconds after which an unwanted link without traffic is given up. Each costs
+#: four heartbeats a second, and a start opens as many as are lasting.
+IDLE_AFTER = 10
 
 # A router that lives has been told of this one, and has dialled it, long
 # before so many gap timeouts have passed.
@@ -133,14 +134,13 @@
         routers of a zone. Spread over them too, each piece of news would be
         sent several times as often as it takes to reach everyone.
         """
-        membership = self.keeper.membership
+        linked = {peer.incarnation for peer in self.keeper.links.peers()}
         lasting = {member.incarnation for member in self._chosen}
-        for peer in self.keeper.links.peers():
-            known = membership.find(peer.incarnation)
-            if known is None or known.dead or self._rings is None:
-                continue
-            if self._rings.chooses(known, membership.me):
-                lasting.add(known.incarnation)
+        lasting.update(
+            member.incarnation
+            for member in self._choosers
+            if member.incarnation in linked
+        )
         self.keeper.links.lasting = frozenset(lasting)
 
     def _part_unwanted(self, now: float) -> None:
--- a/src/balsamreach/placement/sharing.py
+++ b/src/balsamreach/placement/sharing.py
@@ -12,6 +12,7 @@
 from balsamreach.clock import Clock
 from balsamreach.peers.base import PeerNet
 from balsamreach.placement.places import Place, Places
+from balsamreach.placement.zone_loads import ZoneLoads
 from balsamreach.wire.messages import Member, TargetLoad, TargetLoads
 
 #: Seconds after which a peer's word counts no more: it was cut off, or died.
@@ -60,18 +61,31 @@
     net: PeerNet
     places: Places
     clock: Clock
+    zone_loads: ZoneLoads = attrs.field(init=False)
     _urgent_after: float = 0
     _told: dict[str, _Word] = attrs.field(factory=dict)
     _words: dict[str, dict[str, _Word]] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Make what large fleets use."""
+        self.zone_loads = ZoneLoads(self.net, self.places, self.clock)
+
     def start(self) -> None:
         """Take the words of peers from now on."""
         self.net.on(TargetLoads, self._take)
+        self.zone_loads.start()
 
     async def run(self) -> None:
         """Tell what changed and sum up what was told, until cancelled."""
         while True:
             await self.clock.sleep(_EVERY_S)
+            self.round()
+
+    def round(self) -> None:
+        """Tell what changed and sum up what was told."""
+        if self._has_hubs():
+            self.zone_loads.round()
+        else:
             self.tell()
             self.sum_up()
 
@@ -110,6 +124,10 @@
         now = self.clock.now()
         if unread < _URGENT_TOKENS or now < self._urgent_after:
             return
+        if self._has_hubs():
+            self._urgent_after = now + _URGENT_EVERY_S
+            self.zone_loads.tell_hub()
+            return
         pause = _URGENT_EVERY_S * len(self.net.neighbours())
         self._urgent_after = now + pause
         self.tell()
@@ -118,6 +136,9 @@
         """Count in what peers said lately."""
         self._sum_up(self.places)
 
+    def _has_hubs(self) -> bool:
+        return bool(self.net.hubs.of(self.net.me.zone))
+
     def _sum_up(self, places: Iterable[Place]) -> None:
         oldest = self.clock.now() - _STALE_S
         share = self._heard_share()
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -1,5 +1,11 @@
-"""Follows the configuration and the list of targets in the store."""
+"""Follows the configuration and the list of targets in the store.
 
+In a large fleet one router of each zone follows it for the others, and these
+ask the store only where they hear nothing. Did each ask for itself, the calls
+would grow with the fleet beyond what the store takes.
+"""
+
+import asyncio
 import logging
 from collections.abc import Callable
 
@@ -9,6 +15,7 @@
 from balsamreach.clock import Clock
 from balsamreach.placement.places import Places, TargetEntry
 from balsamreach.platform.configuration import read_catalogue
+from balsamreach.platform.pages import PageSharing
 from balsamreach.platform.rows import (
     HISTORY_GONE,
     RowStore,
@@ -25,6 +32,9 @@
 _logger = logging.getLogger(__name__)
 #: Seconds between two tries at a store that refuses.
 _PAUSE_S = 0.2
+#: Seconds after which a router that has heard nothing asks the store itself.
+#: Who follows it hears within 0.6 s, also where nothing changes.
+_FRESH_S = 1.0
 #: Seconds after the last failed call in which entries that vanished while the
 #: store was away may come back; targets write there again once it answers.
 #: Source: the users' pages.
@@ -53,12 +63,15 @@
         Time.
     metrics : Metrics
         Counts calls that failed.
+    pages : PageSharing
+        Passes on what is heard, and hands over what others heard.
     """
 
     store: RowStore
     probe: RowStore
     clock: Clock
     metrics: Metrics
+    pages: PageSharing
 
 
 @attrs.define
@@ -81,10 +94,17 @@
     failed_at: float = float('-inf')
     _since: int | None = None
     _away: bool = False
+    _told_at: float = float('-inf')
+    _missed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Take from now on what another router hears."""
+        self.parts.pages.on(self.table, self.hear)
 
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            await self._while_told()
             page = await self._next()
             if page == HISTORY_GONE:
                 self._since = None
@@ -92,23 +112,60 @@
                 self._fail(page)
                 await self.parts.clock.sleep(_PAUSE_S)
             else:
+                self._pass_on(page)
                 self._take(page)
 
     def is_away(self) -> bool:
         """Return whether the store does not answer this router."""
         return self._away
 
+    def hear(self, since: int, page: StoredRows) -> None:
+        """Take what the router that follows the store has heard.
+
+        Parameters
+        ----------
+        since : int
+            Version after which the rows changed.
+        page : StoredRows
+            The rows.
+        """
+        # A page that is missing between this one and the last may have told
+        # of a change that nobody would tell of again.
+        if self._since is None or since > self._since:
+            self._missed.set()
+            return
+        self._told_at = self.parts.clock.now()
+        self._take(page)
+
+    async def _while_told(self) -> None:
+        """Wait as long as another router tells all that there is."""
+        self._missed.clear()
+        while self._since is not None and not self._missed.is_set():
+            left = self._told_at + _FRESH_S - self.parts.clock.now()
+            if left <= 0 or self.parts.pages.follows():
+                return
+            missed = asyncio.ensure_future(self._missed.wait())
+            await asyncio.wait({missed}, timeout=left)
+            missed.cancel()
+
     async def _next(self) -> StoredRows | PlatformFault:
         store = self.parts.probe if self._away else self.parts.store
         if self._since is None:
             return await store.read(self.table, '')
         return await store.follow(self.table, self._since)
 
+    def _pass_on(self, page: StoredRows) -> None:
+        if self._since is not None:
+            self.parts.pages.tell(self.table, self._since, page)
+
     def _take(self, page: StoredRows) -> None:
         if self._away:
             self._away = False
             self._log('store_feed_back')
         whole = self._since is None
+        # An answer of the store may come behind what another router told.
+        if not whole and page.version < self._since:
+            return
         self._since = page.version
         if whole or page.rows:
             self.take(page, whole)
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -15,6 +15,7 @@
     TargetsFeed,
 )
 from balsamreach.platform.hosts import RouterList
+from balsamreach.platform.pages import PageSharing
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.platform.rows import RowStore
 from balsamreach.platform.table import RowTableService
@@ -91,11 +92,14 @@
     exchange: CatalogueExchange,
     times: ServiceClock,
 ) -> tuple[ConfigurationFeed, TargetsFeed]:
+    pages = PageSharing(parts.net)
+    pages.start()
     feeds = FeedParts(
         store=_make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S, times),
         probe=_make_probe(cfg, times),
         clock=parts.clock,
         metrics=parts.metrics,
+        pages=pages,
     )
     configuration = ConfigurationFeed(parts.view)
     configuration.open(feeds)
--- a/src/balsamreach/relay/metered.py
+++ b/src/balsamreach/relay/metered.py
@@ -50,8 +50,9 @@
     ) -> RelayFault:
         # The account may have nothing left while other routers hold tokens
         # that they will hand back. "Exhausted" is told only where what this
-        # router alone has seen spent proves it for the whole balance.
-        spent = self.holdings.book.ledger(call.team_name).billed
+        # router, or the team's home, has seen spent proves it for the whole
+        # balance.
+        spent = self.holdings.spent(call.team_name)
         if fault == EXHAUSTED and call.prompt.most_tokens > prepaid - spent:
             return faults.BUDGET_EXHAUSTED.because(fault.reason)
         return faults.BUDGET_UNREACHABLE.because(
--- a/src/balsamreach/wire/framing.py
+++ b/src/balsamreach/wire/framing.py
@@ -1,11 +1,14 @@
 """Frames on a connection: a length of four bytes, then so many bytes."""
 
+import attrs
 from tornado.iostream import IOStream, StreamClosedError
 
 from balsamreach.wire.faults import CLOSED, TOO_LARGE, WireFault
 
 #: Bytes of the length before each frame.
 HEAD = 4
+#: Most bytes that are taken from a connection at once.
+_MOST_READ = 64 * 1024
 
 
 def frame(packed: bytes) -> bytes:
@@ -38,6 +41,56 @@
     return await _read(stream, size)
 
 
+@attrs.define(eq=False)
+class FrameReader:
+    """Reads the frames of a connection that has been greeted on.
+
+    It takes whatever has arrived at once. A wait for each length and each
+    frame costs more than to read what they hold, and small messages come in
+    bunches.
+
+    Parameters
+    ----------
+    stream : IOStream
+        The connection; nobody else reads from it any more.
+    limit : int
+        Most bytes that a frame may have.
+    """
+
+    stream: IOStream
+    limit: int
+    _arrived: bytearray = attrs.field(factory=bytearray)
+
+    async def next(self) -> bytes | WireFault:
+        """Return the next frame, or a fault as ``read_frame`` does."""
+        while True:
+            packed = self._cut()
+            if packed is not None:
+                return packed
+            try:
+                chunk = await self.stream.read_bytes(_MOST_READ, partial=True)
+            except StreamClosedError as exc:
+                return CLOSED.because(
+                    str(exc.real_error or 'closed by the peer')
+                )
+            self._arrived += chunk
+
+    def _cut(self) -> bytes | WireFault | None:
+        if len(self._arrived) < HEAD:
+            return None
+        size = int.from_bytes(self._arrived[:HEAD])
+        if size > self.limit:
+            return TOO_LARGE.because(
+                f'frame of {size} bytes, {self.limit} are taken',
+            )
+        end = HEAD + size
+        if len(self._arrived) < end:
+            return None
+        packed = bytes(self._arrived[HEAD:end])
+        del self._arrived[:end]
+        return packed
+
+
 async def write(stream: IOStream, octets: bytes) -> WireFault | None:
     """Write bytes and wait until the connection has taken them.
 
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -48,6 +48,11 @@
     recallTold @38 :RecallTold;
     lenderAsk @39 :LenderAsk;
     lenderGone @40 :LenderGone;
+    loadWords @41 :LoadWords;
+    tablePage @42 :TablePage;
+    tokensAsk @43 :TokensAsk;
+    tokensGrant @44 :TokensGrant;
+    tokensUsed @45 :TokensUsed;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that an ask belongs to; empty for none,
@@ -285,3 +290,35 @@
 struct LenderGone {
   clear @0 :Bool;
 }
+
+struct LoadWords {
+  scope @0 :Text;
+  targets @1 :List(Text);
+  running @2 :List(UInt32);
+  unread @3 :List(UInt32);
+}
+
+struct TablePage {
+  table @0 :Text;
+  since @1 :UInt64;
+  version @2 :UInt64;
+  rows @3 :List(Text);
+}
+
+struct TokensAsk {
+  number @0 :UInt64;
+  team @1 :Text;
+  tokens @2 :Int64;
+}
+
+struct TokensGrant {
+  granted @0 :Bool;
+  code @1 :Text;
+  reason @2 :Text;
+  spent @3 :Int64;
+}
+
+struct TokensUsed {
+  numbers @0 :List(UInt64);
+  used @1 :List(Int64);
+}
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -9,8 +9,20 @@
 class Message:
     """Base of all messages."""
 
+    def __repr__(self) -> str:
+        """Return the class and its fields, as attrs would.
 
-@attrs.frozen
+        Made by attrs for each class, it would take a third of the time in
+        which this module is imported, at each start of a router.
+        """
+        fields = ', '.join(
+            f'{field.name}={getattr(self, field.name)!r}'
+            for field in attrs.fields(type(self))
+        )
+        return f'{type(self).__name__}({fields})'
+
+
+@attrs.frozen(repr=False)
 class Member(Message):
     """A router as others know it.
 
@@ -47,7 +59,7 @@
     dead: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Hello(Message):
     """First message on a connection, both ways."""
 
@@ -57,14 +69,14 @@
     table_version: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Heartbeat(Message):
     """Sent at a steady interval; its absence shows a silent connection."""
 
     table_version: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Members(Message):
     """Routers that the sender knows, dead ones among them.
 
@@ -81,7 +93,7 @@
     wanted: bytes = b''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class MembersAsk(Message):
     """Asks for what differs from the sender's list of routers.
 
@@ -94,7 +106,7 @@
     digest: bytes
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Refused(Message):
     """Answers a message, or a connection, that isn't taken.
 
@@ -110,14 +122,14 @@
     reason: str = ''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TableAsk(Message):
     """Asks for the rows written after a version."""
 
     since: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TableRow(Message):
     """A row of the table with its JSON; no JSON means deleted."""
 
@@ -126,7 +138,7 @@
     body: str = ''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TableRows(Message):
     """Rows written between two versions of the table.
 
@@ -144,7 +156,7 @@
     more: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Suspicion(Message):
     """A request that may crash targets, or the end of that suspicion.
 
@@ -173,7 +185,7 @@
     unexplained: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class BillCopy(Message):
     """One bill as a buddy keeps it."""
 
@@ -182,7 +194,7 @@
     tokens: int
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class BillCopies(Message):
     """Bills to keep until their maker says that they are recorded.
 
@@ -202,7 +214,7 @@
     address: str = ''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class LoanAsk(Message):
     """Asks for tokens of a team's budget out of the peer's allotment."""
 
@@ -211,7 +223,7 @@
     tokens: int
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class LoanGrant(Message):
     """Tokens lent; the lender has taken them off already. 0 lends none.
 
@@ -231,7 +243,7 @@
     reserved: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class LoanReceipt(Message):
     """Tells the lender that the loan arrived and is recorded."""
 
@@ -239,14 +251,14 @@
     incarnation: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RecallAsk(Message):
     """Asks a router to hand back what it holds idle of a team's budget."""
 
     team: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RecallTold(Message):
     """What a router has of a team's budget after it handed back.
 
@@ -263,14 +275,14 @@
     held: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class LenderAsk(Message):
     """Asks whether anything of a dead lender is left; LenderGone answers."""
 
     incarnation: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class LenderGone(Message):
     """Tells what the sender has to do with a dead lender.
 
@@ -284,7 +296,7 @@
     clear: bool
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RunNote(Message):
     """Tells a key's home router who runs a request, and where.
 
@@ -314,7 +326,7 @@
     sure: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RunAsk(Message):
     """Asks a key's home router who runs a request; a RunNote answers."""
 
@@ -323,14 +335,14 @@
     fingerprint: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RunsAsk(Message):
     """Asks whether a router knows of any run of requests; RunsKnown answers."""
 
     runs: tuple[RunAsk, ...]
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RunsKnown(Message):
     """Tells which of the requests asked for the sender knows to have begun.
 
@@ -349,7 +361,7 @@
     members: bytes = b''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class AnswerAsk(Message):
     """Asks the router that runs a request for a part of its answer."""
 
@@ -359,7 +371,7 @@
     offset: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class AnswerPart(Message):
     """Part of an answer from an offset on.
 
@@ -390,7 +402,7 @@
     ran: str = ''
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TeamUse(Message):
     """One team's use at one router; told by earlier releases only."""
 
@@ -400,7 +412,7 @@
     running: int = 0
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Uses(Message):
     """Use of rate-limited teams; told by earlier releases only.
 
@@ -412,7 +424,7 @@
     teams: tuple[TeamUse, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TargetMark(Message):
     """Tells that one start of a target is leaving, for good."""
 
@@ -420,14 +432,14 @@
     incarnation: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class InFlightAsk(Message):
     """Asks how many requests a router has at a target."""
 
     target: str
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class InFlight(Message):
     """How many requests a router has at a target.
 
@@ -442,7 +454,7 @@
     closed: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TargetLoad(Message):
     """One target's load as its home router saw it.
 
@@ -464,21 +476,21 @@
     reachable: bool = False
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class TargetLoads(Message):
     """Loads told to the routers of the zone."""
 
     loads: tuple[TargetLoad, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class PowerRows(Message):
     """Power rows that the sender read or wrote."""
 
     rows: tuple[TableRow, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RatePart(Message):
     """Part of one team's rate limits.
 
@@ -494,7 +506,7 @@
     part: int
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RateDemands(Message):
     """Tells what teams with limits want of them.
 
@@ -523,7 +535,7 @@
     parts: tuple[RatePart, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class RateShares(Message):
     """Grants shares of teams' limits for what a RateDemands wanted.
 
@@ -545,6 +557,108 @@
     parts: tuple[RatePart, ...] = ()
 
 
-@attrs.frozen
+@attrs.frozen(repr=False)
 class Done(Message):
     """Answers a message that asks for nothing but to be taken."""
+
+
+@attrs.frozen(repr=False)
+class LoadWords(Message):
+    """Loads at targets, as one column for each figure.
+
+    Told several times a second, they are most of what routers send; a list
+    of structs costs four times the processor time to read.
+
+    Parameters
+    ----------
+    scope : str
+        Whose they are: the sender's own, its zone's, or the whole fleet's.
+    targets : tuple of str
+        Incarnations.
+    running : tuple of int
+        Requests there.
+    unread : tuple of int
+        Prompt tokens there that are not read yet.
+    """
+
+    scope: str
+    targets: tuple[str, ...] = ()
+    running: tuple[int, ...] = ()
+    unread: tuple[int, ...] = ()
+
+
+@attrs.frozen(repr=False)
+class TablePage(Message):
+    """What the sender has just heard of a table that it follows.
+
+    Parameters
+    ----------
+    table : str
+        The table.
+    since : int
+        Version after which the rows changed.
+    version : int
+        Version up to which nothing else changed.
+    rows : tuple of str
+        The rows, as documents.
+    """
+
+    table: str
+    since: int
+    version: int
+    rows: tuple[str, ...] = ()
+
+
+@attrs.frozen(repr=False)
+class TokensAsk(Message):
+    """Asks a team's home to set tokens aside for one request.
+
+    Parameters
+    ----------
+    number : int
+        No other ask of the sender has it.
+    team : str
+        Whose budget.
+    tokens : int
+        Most that the request may use.
+    """
+
+    number: int
+    team: str
+    tokens: int
+
+
+@attrs.frozen(repr=False)
+class TokensGrant(Message):
+    """Answer of a team's home.
+
+    Parameters
+    ----------
+    granted : bool
+        Whether the tokens are set aside.
+    code, reason : str
+        Why not.
+    spent : int
+        Tokens that the home has seen the team use.
+    """
+
+    granted: bool
+    code: str = ''
+    reason: str = ''
+    spent: int = 0
+
+
+@attrs.frozen(repr=False)
+class TokensUsed(Message):
+    """Tells a home what requests used of the tokens set aside for them.
+
+    Parameters
+    ----------
+    numbers : tuple of int
+        The asks.
+    used : tuple of int
+        Tokens that each one used; the rest is free again.
+    """
+
+    numbers: tuple[int, ...] = ()
+    used: tuple[int, ...] = ()
--- a/src/balsamreach/wire/schema.py
+++ b/src/balsamreach/wire/schema.py
@@ -1,7 +1,7 @@
 """Loads the schema of the inner protocol from the package's own files."""
 
 from functools import cache
-from importlib.resources import as_file, files
+from pathlib import Path
 from typing import Any
 
 import capnp
@@ -20,5 +20,4 @@
     """
     # The hook would look for .capnp files at each import of any module.
     capnp.remove_import_hook()
-    with as_file(files(__package__).joinpath(_FILE)) as path:
-        return capnp.load(str(path))
+    return capnp.load(str(Path(__file__).with_name(_FILE)))
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from balsamreach.peers.base import PeerNet, Taker
+from balsamreach.peers.base import HubChoice, PeerNet, Taker
 from balsamreach.peers.faults import (
     NO_ANSWER,
     NOT_CONNECTED,
@@ -17,6 +17,7 @@
     PeerFault,
 )
 from balsamreach.peers.homes import home_of
+from balsamreach.peers.hubs import pick_hubs
 from balsamreach.wire.messages import Member, Message
 
 
@@ -37,7 +38,7 @@
 
     ``lost``, ``answers_lost`` and ``doubled`` say how many of the next
     messages of a kind meet that fault; ``held`` names kinds that wait until
-    ``release``.
+    ``release``. ``hubs_per_zone`` makes it a large fleet.
     """
 
     nets: dict[str, 'FakePeerNet'] = attrs.field(factory=dict)
@@ -46,6 +47,7 @@
     doubled: Counter[type[Message]] = attrs.field(factory=Counter)
     held: set[type[Message]] = attrs.field(factory=set)
     sent: list[Message] = attrs.field(factory=list)
+    hubs_per_zone: int = 0
     _cut: set[frozenset[str]] = attrs.field(factory=set)
     _unseen: set[frozenset[str]] = attrs.field(factory=set)
     _waiting: list[_Told] = attrs.field(factory=list)
@@ -61,7 +63,7 @@
             zone=zone,
             started=number,
         )
-        net = FakePeerNet(member, self)
+        net = FakePeerNet(member, self, hubs=FakeHubs(self))
         self.nets[incarnation] = net
         return net
 
@@ -162,6 +164,25 @@
             await net.take(told.source, told.message)
 
 
+@attrs.define(eq=False)
+class FakeHubs(HubChoice):
+    """The hubs that the real net would choose."""
+
+    fabric: FakeNet
+
+    def of(self, zone: str) -> tuple[Member, ...]:
+        """Return a zone's hubs."""
+        return pick_hubs(self._members(), zone, self.fabric.hubs_per_zone)
+
+    def zones(self) -> tuple[str, ...]:
+        """Return the zones that have hubs."""
+        zones = sorted({member.zone for member in self._members()})
+        return tuple(zones) if self.fabric.hubs_per_zone else ()
+
+    def _members(self) -> tuple[Member, ...]:
+        return tuple(net.me for net in self.fabric.nets.values())
+
+
 @attrs.define(eq=False)
 class FakePeerNet(PeerNet):
     """One router's view of the net; all others are its neighbours."""
--- a/tests/holdings_fleet.py
+++ b/tests/holdings_fleet.py
@@ -8,6 +8,7 @@
 from balsamreach.budget.account import account_key
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.holdings import Holdings
+from balsamreach.budget.homes import home_of
 from balsamreach.budget.ledger import Reservation
 from balsamreach.services.base import Commit, Row
 from balsamreach.services.faults import PlatformFault
@@ -82,7 +83,7 @@
         """Start the platform."""
         self.platform = MemoryPlatform.start(self.clock)
 
-    def start(self, address: str = '') -> str:
+    def start(self, address: str = '', zone: str = 'zone-a') -> str:
         """Start a router, on an address of its own or on one given."""
         self.started += 1
         name = f'router-{self.started}'
@@ -99,7 +100,7 @@
             name,
             CFG,
             5,
-            self.fabric.join(name),
+            self.fabric.join(name, zone),
             times,
             self.addresses[name],
             self.clock,
@@ -140,3 +141,8 @@
         """Return what counts as taken of the account."""
         rows = await self.platform.table.read((account_key(TEAM),))
         return (rows[0].value or {}).get('taken', 0)
+
+    def home(self, team: str = TEAM, zone: str = 'zone-a') -> str:
+        """Return the router that holds a team's tokens for a zone."""
+        net = next(iter(self.routers.values())).net
+        return home_of(team, net, zone).incarnation
--- /dev/null
+++ b/tests/test_deploy_start.py
@@ -0,0 +1,119 @@
+"""Tests of a start from a bundle of modules."""
+
+import marshal
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from importlib import util
+from pathlib import Path
+
+from parameterized import parameterized
+
+ROOT = Path(__file__).resolve().parent.parent
+_SECONDS = 60
+
+
+def _load(path):
+    spec = util.spec_from_file_location(path.stem, path)
+    module = util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module
+
+
+start = _load(ROOT / 'deploy' / 'start.py')
+
+_ELSEWHERE = marshal.dumps(('/elsewhere', {'a': ('b', None, b'')}, {}))
+_NEVER = marshal.dumps(('', {}, {}))
+_MODULES = {
+    'sample/__init__.py': 'from sample.inner import NAME\n',
+    'sample/inner.py': (
+        'import attrs\n'
+        '@attrs.frozen\n'
+        'class Pair:\n'
+        '    one: int\n'
+        '    two: int = 2\n'
+        'NAME = repr(Pair(1))\n'
+    ),
+}
+
+
+class StartTest(unittest.TestCase):
+    """Modules come from the bundle, and from their files without one."""
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = Path(folder.name).resolve()
+        for name, text in _MODULES.items():
+            path = self.root / name
+            path.parent.mkdir(exist_ok=True)
+            path.write_text(text, encoding='utf-8')
+        self.bundle = self.root / 'modules.bundle'
+
+    def write(self):
+        self.run_python(str(ROOT / 'tools' / 'make_bundle.py'), 'sample')
+
+    def run_python(self, script, *names):
+        return subprocess.run(
+            [sys.executable, script, str(self.bundle), *names],
+            cwd=self.root,
+            env=os.environ | {'PYTHONPATH': str(self.root)},
+            timeout=_SECONDS,
+            check=True,
+            capture_output=True,
+        )
+
+    def read(self):
+        return start.read_bundle(str(self.bundle), str(self.root))
+
+    def test_a_module_comes_whole_without_its_file(self):
+        self.write()
+        (self.root / 'sample' / 'inner.py').unlink()
+        script = self.root / 'use.py'
+        script.write_text(
+            'import sys\n'
+            f'sys.path.insert(0, {str(ROOT / "deploy")!r})\n'
+            'import start\n'
+            f'found = start.read_bundle(sys.argv[1], {str(self.root)!r})\n'
+            'sys.meta_path.insert(0, start.BundleFinder(found[0]))\n'
+            'start.use_compiled(found[1])\n'
+            'import sample\n'
+            'print(sample.NAME, sample.inner.__file__)\n',
+            encoding='utf-8',
+        )
+        told = self.run_python(str(script)).stdout.decode().split(maxsplit=2)
+        self.assertEqual(told[0], 'Pair(one=1,')
+        self.assertTrue(told[2].strip().endswith('sample/inner.py'))
+
+    def test_paths_follow_the_checkout(self):
+        self.write()
+        moved = start.read_bundle(str(self.bundle), '/elsewhere')[0]
+        origin, locations, _ = moved['sample']
+        self.assertEqual(origin, '/elsewhere/sample/__init__.py')
+        self.assertEqual(locations, ['/elsewhere/sample'])
+
+    @parameterized.expand(
+        [
+            ('none', None),
+            ('empty', b''),
+            ('of another version', b''.join((b'none', _NEVER))),
+            ('of another place', b''.join((util.MAGIC_NUMBER, _ELSEWHERE))),
+        ]
+    )
+    def test_a_bundle_that_can_not_be_used(self, _name, octets):
+        """Symptom: a router crashes at its start, or runs other code.
+
+        Sequence: Python is updated, and the bundle is not.
+        Cause: code of another version was run.
+        """
+        if octets is not None:
+            self.bundle.write_bytes(octets)
+        self.assertEqual(self.read(), ({}, {}))
+
+    def test_what_was_not_compiled_before_is_compiled(self):
+        once = start.CompileOnce({})
+        names = {}
+        exec(once('value = 3', '<test>', 'exec'), names)
+        self.assertEqual(names['value'], 3)
--- /dev/null
+++ b/tests/test_peers_hubs.py
@@ -0,0 +1,81 @@
+"""Tests of the choice of a zone's hubs."""
+
+import random
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.config.reader import read_settings
+from balsamreach.peers.hubs import Hubs, pick_hubs
+from balsamreach.peers.membership import Membership
+from balsamreach.wire.messages import Member
+from tests.support import FakeClock
+
+_ZONES = 6
+
+
+def _members(count):
+    rng = random.Random(count)
+    return tuple(_member(number, rng) for number in range(count))
+
+
+def _member(number, rng):
+    zone = number % _ZONES
+    return Member(
+        incarnation=f'{rng.getrandbits(128):032x}',
+        host=f'host-{number}',
+        address=f'10.0.0.1:{number}',
+        zone=f'zone-{zone}',
+    )
+
+
+class HubsTest(unittest.TestCase):
+    """Routers agree on the hubs of each zone."""
+
+    def hubs(self, members):
+        membership = Membership(members[0], FakeClock())
+        for member in members[1:]:
+            membership.merge(member)
+        return Hubs(membership, read_settings(None, ('host.zone=a',)).peers)
+
+    @parameterized.expand(
+        [
+            (2, 0),
+            (17, 0),
+            (18, 2),
+            (195, 2),
+            (910, 2),
+        ]
+    )
+    def test_a_fleet_that_is_a_full_mesh_has_none(self, count, expected):
+        members = _members(count)
+        hubs = self.hubs(members)
+        zones = {member.zone for member in members}
+        self.assertEqual(set(hubs.zones()), zones if expected else set())
+        for zone in zones:
+            self.assertEqual(len(hubs.of(zone)), expected)
+
+    def test_whatever_the_order_in_which_members_came(self):
+        members = _members(195)
+        one = self.hubs(members)
+        other = self.hubs(tuple(reversed(members)))
+        for zone in one.zones():
+            self.assertEqual(one.of(zone), other.of(zone))
+            self.assertEqual({hub.zone for hub in one.of(zone)}, {zone})
+
+    def test_one_that_leaves_is_replaced_and_the_other_stays(self):
+        members = _members(195)
+        first, second = pick_hubs(members, 'zone-1', 2)
+        leaving = tuple(
+            attrs.evolve(member, leaving=True) if member == first else member
+            for member in members
+        )
+        self.assertEqual(pick_hubs(leaving, 'zone-1', 2)[0], second)
+
+    def test_a_change_of_members_counts_at_once(self):
+        members = _members(195)
+        hubs = self.hubs(members)
+        first = hubs.of('zone-1')[0]
+        hubs.membership.bury(first.incarnation)
+        self.assertNotIn(first, hubs.of('zone-1'))
--- /dev/null
+++ b/tests/test_platform_pages.py
@@ -0,0 +1,175 @@
+"""Tests of what one router hears from the store for its zone."""
+
+import asyncio
+
+from tornado.testing import gen_test
+
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.platform.feeds import ConfigurationFeed, FeedParts
+from balsamreach.platform.pages import PageSharing
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import TablePage
+from tests.fake_net import FakeNet
+from tests.support import FakeClock
+from tests.test_platform_store import StoreCase
+
+_FIELDS = {'version': 3, 'routes': [], 'services': []}
+_ROUTERS = 5
+
+
+class PagesTest(StoreCase):
+    """Routers hear from their hub, and ask themselves where it is silent."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = FakeClock()
+        self.fabric = FakeNet(hubs_per_zone=2)
+        self.feeds = {}
+        for number in range(_ROUTERS):
+            self.join(f'r{number}')
+        net = self.fabric.nets['r0']
+        hubs = [hub.incarnation for hub in net.hubs.of('zone-a')]
+        self.first = hubs[0]
+        self.second = hubs[1]
+        self.other = next(
+            name for name in self.feeds if name not in {self.first, self.second}
+        )
+
+    def join(self, name):
+        pages = PageSharing(self.fabric.join(name))
+        pages.start()
+        feed = ConfigurationFeed(CatalogueView())
+        feed.open(
+            FeedParts(
+                store=self.store,
+                probe=self.store,
+                clock=self.clock,
+                metrics=Metrics(),
+                pages=pages,
+            ),
+        )
+        self.feeds[name] = feed
+
+    async def step(self, name):
+        """Let a router ask the store once, and tell of it."""
+        feed = self.feeds[name].feed
+        page = await feed._next()
+        feed._pass_on(page)
+        feed._take(page)
+        await self.fabric.settle()
+
+    def version(self, name):
+        return self.feeds[name].view.version
+
+    def has_missed(self, name):
+        """Return whether a router knows that a page is missing."""
+        feed = self.feeds[name].feed
+        return feed._missed.is_set()
+
+    def is_told(self, name):
+        """Return whether a router waits to be told and asks nobody."""
+        waiting = self.feeds[name].feed._while_told()
+        try:
+            waiting.send(None)
+        except StopIteration:
+            return False
+        waiting.close()
+        return True
+
+    @gen_test
+    async def test_a_change_reaches_all_by_one_call(self):
+        for name in self.feeds:
+            await self.step(name)
+        asked = len(self.state.waits)
+        self.state.write('op', 'config', _FIELDS)
+        await self.step(self.first)
+        self.assertEqual(len(self.state.waits), asked + 1)
+        for name in self.feeds:
+            self.assertEqual(self.version(name), 3)
+        self.assertTrue(self.is_told(self.other))
+
+    @gen_test
+    async def test_hubs_ask_whoever_tells(self):
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        self.assertFalse(self.is_told(self.first))
+        self.assertFalse(self.is_told(self.second))
+        self.assertTrue(self.is_told(self.other))
+
+    @gen_test
+    async def test_a_hub_that_is_silent(self):
+        """Symptom: a router stays at an old configuration.
+
+        Sequence: the hub of its zone stands still, or is cut off from the
+        store; the configuration changes.
+        Cause: the router waited to be told.
+        """
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        self.clock.advance(1.5)
+        self.assertFalse(self.is_told(self.other))
+        self.state.write('op', 'config', _FIELDS)
+        await self.step(self.other)
+        self.assertEqual(self.version(self.other), 3)
+
+    @gen_test
+    async def test_a_page_that_was_lost(self):
+        """Symptom: a router stays at an old configuration for good.
+
+        Sequence: the hub tells of a change, and the message is dropped; it
+        goes on to tell that nothing has changed since.
+        Cause: what it told later was taken for all that there is.
+        """
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        self.state.write('op', 'config', _FIELDS)
+        self.fabric.lost[TablePage] = _ROUTERS - 1
+        await self.step(self.first)
+        self.state.write('elsewhere', 'key', {})
+        await self.step(self.first)
+        self.assertEqual(self.version(self.other), 0)
+        self.assertTrue(self.has_missed(self.other))
+        await self.step(self.other)
+        self.assertEqual(self.version(self.other), 3)
+
+    @gen_test
+    async def test_a_large_configuration_is_announced_alone(self):
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        self.state.write('op', 'config', _FIELDS | {'note': 'x' * 20_000})
+        await self.step(self.first)
+        self.assertEqual(self.version(self.first), 3)
+        self.assertEqual(self.version(self.other), 0)
+        self.assertTrue(self.has_missed(self.other))
+        pages = [one for one in self.fabric.sent if isinstance(one, TablePage)]
+        self.assertEqual(pages[-1].rows, ())
+
+    @gen_test
+    async def test_an_answer_that_comes_behind_a_page(self):
+        """Symptom: a configuration reverts.
+
+        Sequence: a router asks the store; before the answer is there, its
+        hub tells of a later change.
+        Cause: the answer was taken as it came.
+        """
+        for name in self.feeds:
+            await self.step(name)
+        feed = self.feeds[self.other].feed
+        late = await feed._next()
+        self.state.write('op', 'config', _FIELDS)
+        await self.step(self.first)
+        since = feed._since
+        feed._take(late)
+        self.assertEqual(feed._since, since)
+        self.assertEqual(self.version(self.other), 3)
+
+    @gen_test
+    async def test_a_missed_page_ends_the_wait_at_once(self):
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        feed = self.feeds[self.other].feed
+        waiting = asyncio.ensure_future(feed._while_told())
+        await asyncio.sleep(0)
+        self.assertFalse(waiting.done())
+        feed.hear(feed._since + 5, None)
+        await asyncio.wait_for(waiting, 1)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -13,6 +13,7 @@
     TargetsFeed,
 )
 from balsamreach.platform.hosts import RouterList
+from balsamreach.platform.pages import PageSharing
 from balsamreach.platform.rows import HISTORY_GONE, RowStore
 from balsamreach.platform.table import RowTableService
 from balsamreach.services.base import Check, Commit, Write
@@ -21,6 +22,7 @@
 from balsamreach.services.times import ServiceClock
 from balsamreach.standins.row_store import RowStoreState, make_row_store
 from balsamreach.telemetry.metrics import Metrics
+from tests.fake_net import FakeNet
 from tests.support import FakeClock
 
 _TARGET = {
@@ -115,6 +117,7 @@
             probe=self.make_store(wait=0),
             clock=SystemClock(),
             metrics=Metrics(),
+            pages=PageSharing(FakeNet().join('router')),
         )
         self.configuration.open(parts)
         self.targets.open(parts)
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -42,6 +42,7 @@
     float: st.floats(allow_nan=False),
     bytes: st.binary(max_size=50),
     tuple[str, ...]: st.tuples(_NAMES, _NAMES),
+    tuple[int, ...]: st.tuples(_NUMBERS, _NUMBERS),
 }
 
 
--- a/tests/test_wire_framing.py
+++ b/tests/test_wire_framing.py
@@ -6,7 +6,7 @@
 from tornado.iostream import IOStream
 
 from balsamreach.wire.faults import CLOSED, TOO_LARGE
-from balsamreach.wire.framing import frame, read_frame, write
+from balsamreach.wire.framing import FrameReader, frame, read_frame, write
 
 _LIMIT = 64
 
@@ -46,3 +46,24 @@
     async def test_write_to_a_closed_connection(self):
         self.near.close()
         self.assertEqual(await write(self.near, frame(b'late')), CLOSED)
+
+    async def test_frames_that_arrive_in_pieces_and_in_bunches(self):
+        reader = FrameReader(self.far, _LIMIT)
+        octets = b''.join(frame(text) for text in (b'one', b'', b'two'))
+        await write(self.near, octets[:5])
+        await write(self.near, octets[5:])
+        arrived = [await reader.next() for _ in range(3)]
+        self.assertEqual(arrived, [b'one', b'', b'two'])
+
+    async def test_a_reader_believes_no_length(self):
+        reader = FrameReader(self.far, _LIMIT)
+        await write(self.near, frame(b'one') + (2**31).to_bytes(4))
+        self.assertEqual(await reader.next(), b'one')
+        self.assertEqual(await reader.next(), TOO_LARGE)
+
+    async def test_a_reader_meets_the_end_within_a_frame(self):
+        reader = FrameReader(self.far, _LIMIT)
+        await write(self.near, frame(b'one') + frame(b'whole')[:-1])
+        self.near.close()
+        self.assertEqual(await reader.next(), b'one')
+        self.assertEqual(await reader.next(), CLOSED)
--- /dev/null
+++ b/tools/make_bundle.py
@@ -0,0 +1,86 @@
+"""Writes the bundle that deploy/start.py starts a router from.
+
+Run in the root of a checkout. Modules are imported as the path of Python's
+modules says, so that it is the installed ones that are bundled.
+"""
+
+import marshal
+import sys
+from importlib import import_module
+from importlib.machinery import ExtensionFileLoader, SourceFileLoader
+from importlib.util import MAGIC_NUMBER
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+from attr import _make
+
+#: Imported so that the bundle has all that a router needs.
+ROUTER = ('balsamreach.ui.main', 'balsamreach.ui.relay')
+
+
+def main(path: str, *names: str) -> None:
+    """Import modules, and write all that were imported for them.
+
+    Parameters
+    ----------
+    path : str
+        File to write.
+    *names : str
+        Modules; a router's if none is named.
+    """
+    noting = CompileAndNote()
+    _make.compile = noting
+    for needed in names or ROUTER:
+        import_module(needed)
+    entries = {
+        name: _entry(module)
+        for name, module in tuple(sys.modules.items())
+        if name != '__main__' and _is_taken(module)
+    }
+    bundle = (sys.base_prefix, entries, noting.compiled)
+    Path(path).write_bytes(MAGIC_NUMBER + marshal.dumps(bundle))
+    sys.stdout.write(f'{path}: {len(entries)} modules\n')
+
+
+class CompileAndNote:
+    """Stands in for ``compile`` and keeps what it returned."""
+
+    def __init__(self) -> None:
+        self.compiled: dict[tuple[str, str], bytes] = {}
+
+    def __call__(self, source: str, filename: str, mode: str) -> Any:
+        """Return the code of a source."""
+        code = compile(source, filename, mode)
+        self.compiled[source, filename] = marshal.dumps(code)
+        return code
+
+
+def _is_taken(module: ModuleType) -> bool:
+    spec = getattr(module, '__spec__', None)
+    loader = getattr(spec, 'loader', None)
+    return isinstance(loader, SourceFileLoader | ExtensionFileLoader)
+
+
+def _entry(module: ModuleType) -> tuple[Any, ...]:
+    spec = module.__spec__
+    if isinstance(spec.loader, ExtensionFileLoader):
+        return (_shorten(spec.origin), None, None)
+    locations = spec.submodule_search_locations
+    code = spec.loader.get_code(spec.name)
+    return (
+        _shorten(spec.origin),
+        None if locations is None else [_shorten(one) for one in locations],
+        marshal.dumps(code),
+    )
+
+
+def _shorten(path: str) -> str:
+    # The checkout may lie elsewhere where the bundle is used.
+    here = Path.cwd()
+    there = Path(path).resolve()
+    return str(there.relative_to(here) if there.is_relative_to(here) else there)
+
+
+if __name__ == '__main__':
+    main(*sys.argv[1:])
