Hand back what was drawn before a home was known, and spread births at once

A router that isn't the home kept up to the smallest draw (3,000 tokens) of each team for good, more than a budget at 195 routers; found by reading. Change: who isn't the home is treated as recalled and hands all back; news of routers goes on within 0.1 s in place of a heartbeat, and a router that knows nobody probes as often. Test: fails without the change (tokens stay drawn).

--- a/src/balsamreach/budget/covering.py
+++ b/src/balsamreach/budget/covering.py
@@ -45,11 +45,14 @@
     prepaid : callable
         Returns a team's prepaid tokens, None where it is not metered.
     routers : callable
-        Returns how many routers there are.
+        Returns how many routers hold a team's tokens.
+    holds : callable
+        Tells whether this router is to hold a team's tokens at all.
     """
 
     prepaid: Callable[[str], int | None] = attrs.field(kw_only=True)
     routers: Callable[[], int] = attrs.field(kw_only=True)
+    holds: Callable[[str], bool] = attrs.field(kw_only=True)
 
     def target(self, ledger: Ledger) -> int:
         """Return the tokens that this router wants to hold unspent."""
@@ -73,6 +76,13 @@
         beyond = ledger.free / prepaid - _SCARCE_SHARE
         return min(1, max(0, beyond / (_PLENTY_SHARE - _SCARCE_SHARE)))
 
+    def _is_recalled(self, ledger: Ledger) -> bool:
+        # Where a home holds a team's tokens for the zone, what others drew
+        # while they did not know it, or while it was silent, goes back. Kept
+        # by each of hundreds of routers, the smallest draws would be more
+        # than a budget.
+        return super()._is_recalled(ledger) or not self.holds(ledger.team)
+
     def _idle(self, ledger: Ledger) -> int:
         # A team's callers reach a router that they have not used before just
         # as the store goes away. With nothing held there, all of them are
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -9,7 +9,11 @@
 from balsamreach.budget.drawing import Drawing
 from balsamreach.budget.draws import Drawer
 from balsamreach.budget.gifts import Gifts
-from balsamreach.budget.homes import count_holders, count_reporting
+from balsamreach.budget.homes import (
+    count_holders,
+    count_reporting,
+    is_holder,
+)
 from balsamreach.budget.homing import Homing
 from balsamreach.budget.hosting import Hosting
 from balsamreach.budget.incarnations import Incarnations
@@ -100,6 +104,7 @@
         _RETURN_ABOVE,
         prepaid=holdings.prepaid,
         routers=lambda: count_holders(holdings.net),
+        holds=lambda team: is_holder(team, holdings.net),
     )
     reporter = _make_reporter(holdings, book, sizing)
     book.limit = reporter.limit
--- a/src/balsamreach/budget/homes.py
+++ b/src/balsamreach/budget/homes.py
@@ -38,6 +38,12 @@
     return tuple(found.values())
 
 
+def is_holder(team: str, net: PeerNet) -> bool:
+    """Return whether this router holds a team's tokens."""
+    home = home_of(team, net, net.me.zone)
+    return home is None or home.incarnation == net.me.incarnation
+
+
 def count_holders(net: PeerNet) -> int:
     """Return how many routers hold a team's tokens: one a zone, or all."""
     return len(net.hubs.zones()) or len(net.members())
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -24,6 +24,12 @@
 #: four heartbeats a second, and a start opens as many as are lasting.
 IDLE_AFTER = 10
 
+#: Seconds between two steps while this router knows nobody, or has news that
+#: its neighbours lack. Where all hosts start at once, each learns of all
+#: others over some four neighbours; at a heartbeat for each of these it would
+#: be seconds until routers agree on hubs and homes.
+_HURRY_S = 0.1
+
 # A router that lives has been told of this one, and has dialled it, long
 # before so many gap timeouts have passed.
 _MISSING_GAPS = 2
@@ -64,7 +70,16 @@
         clock = self.keeper.connector.context.clock
         while True:
             self.turn(clock.now())
-            await clock.sleep(self.cfg.heartbeat)
+            next_turn = clock.now() + self.cfg.heartbeat
+            while clock.now() < next_turn:
+                self.hurry()
+                await clock.sleep(min(_HURRY_S, self.cfg.heartbeat))
+
+    def hurry(self) -> None:
+        """Pass news on, and look for others while there are none."""
+        self.keeper.gossip.flush()
+        if not self.keeper.links.every():
+            self._probe()
 
     def turn(self, now: float) -> None:
         """Do what is due now."""
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -377,6 +377,7 @@
             CFG,
             clock,
             prepaid=lambda _team: 100_000,
+            holds=lambda _team: True,
             routers=lambda: routers,
         )
         return covering.target(ledger)
--- a/tests/test_budget_homing.py
+++ b/tests/test_budget_homing.py
@@ -225,3 +225,22 @@
         await self.settle(fleet)
         await fleet.clock.drive(leaver.leave(fleet.clock.seconds + 5))
         self.assertEqual(await fleet.taken(), 20)
+
+    async def test_what_a_router_drew_before_it_knew_the_home_goes_back(self):
+        """Symptom: teams are out of budget soon after all hosts started.
+
+        Sequence: routers that don't know each other yet draw for
+        themselves; then they agree on hubs.
+        Cause: each kept the smallest draw for good.
+        """
+        fleet = _fleet(prepaid=10_000)
+        fleet.fabric.hubs_per_zone = 0
+        for name in fleet.routers:
+            await fleet.serve(name, 100, 40)
+        self.assertGreater(await fleet.taken(), 800)
+        fleet.fabric.hubs_per_zone = 2
+        for name in _others(fleet):
+            await fleet.report(name)
+            await fleet.round(name)
+        held = _ledger(fleet).granted
+        self.assertEqual(await fleet.taken(), 40 * (_ROUTERS - 1) + held)
