Make no calls for nothing, pass packed pages on, and collect no garbage while importing

Change: pages are packed (limit 32 KiB packed); a router that holds nothing neither reports nor moves; words on loads at most ten times a second, of engines that have any; a message told to many is encoded once; the garbage collector is off until all modules are imported.

--- a/deploy/start.py
+++ b/deploy/start.py
@@ -6,9 +6,11 @@
 or another Python wrote, is imported the usual way.
 """
 
+import gc
 import marshal
 import os
 import sys
+from importlib import import_module
 from importlib.machinery import ExtensionFileLoader, ModuleSpec
 from importlib.util import MAGIC_NUMBER
 from types import ModuleType
@@ -142,6 +144,9 @@
 
 def main() -> None:
     """Run the product's command line."""
+    # What modules make lives as long as the process. Looked through again and
+    # again, while more is made and later on, it costs time for nothing.
+    gc.disable()
     entries, compiled = read_bundle(BUNDLE, ROOT)
     sys.path.append(os.path.join(ROOT, 'target', 'deps'))
     sys.meta_path.insert(0, BundleFinder(entries))
@@ -149,6 +154,10 @@
         use_compiled(compiled)
     from balsamreach.ui.main import main as run
 
+    # The command line would import it when it is called for.
+    import_module('balsamreach.ui.relay')
+    gc.freeze()
+    gc.enable()
     run(prog_name='balsamreach')
 
 
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -19,6 +19,7 @@
     make_parts,
     report_interval,
 )
+from balsamreach.budget.homes import is_holder
 from balsamreach.budget.homing import HomeReservation
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.moves import Move
@@ -143,7 +144,7 @@
         nothing to tell.
         """
         while True:
-            if self.book.ledgers:
+            if any(map(_is_in_use, self.book.ledgers.values())):
                 await self.parts.reporter.report()
             await self.clock.sleep(report_interval(self.cfg, self.net))
 
@@ -158,7 +159,8 @@
         if not self.book.is_away() and await self.book.enter() is None:
             await self.parts.succession.close_predecessors()
         for team in tuple(self.book.ledgers):
-            await self.book.move(partial(self._due, team))
+            if _is_kept(self.book.ledgers[team], self.net):
+                await self.book.move(partial(self._due, team))
         await self.parts.loans.send_receipts()
         self.parts.hosting.sweep()
         held = sum(ledger.own for ledger in self.book.ledgers.values())
@@ -194,3 +196,16 @@
     def _rest(self, ledger: Ledger) -> Iterable[Move]:
         move = self.parts.sizing.for_recall(ledger)
         return () if move is None else (move,)
+
+
+def _is_kept(ledger: Ledger, net: PeerNet) -> bool:
+    return _is_in_use(ledger) or is_holder(ledger.team, net)
+
+
+def _is_in_use(ledger: Ledger) -> bool:
+    # A router that has handed all back has nothing to report or to move. In a
+    # large fleet each one drew for itself until it knew the homes of teams;
+    # their calls for nothing would be more than the hubs make.
+    return bool(
+        ledger.own > 0 or ledger.queue or ledger.borrowed or ledger.returning,
+    )
--- a/src/balsamreach/peers/upkeep.py
+++ b/src/balsamreach/peers/upkeep.py
@@ -72,15 +72,12 @@
             self.turn(clock.now())
             next_turn = clock.now() + self.cfg.heartbeat
             while clock.now() < next_turn:
-                self.hurry()
+                # Between turns news goes on, and others are looked for.
+                self.keeper.gossip.flush()
+                if not self.keeper.links.every():
+                    self._probe()
                 await clock.sleep(min(_HURRY_S, self.cfg.heartbeat))
 
-    def hurry(self) -> None:
-        """Pass news on, and look for others while there are none."""
-        self.keeper.gossip.flush()
-        if not self.keeper.links.every():
-            self._probe()
-
     def turn(self, now: float) -> None:
         """Do what is due now."""
         self.keeper.forget()
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -129,6 +129,7 @@
     _by_start: dict[str, Place] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Place]] = attrs.field(factory=dict)
     _removed: dict[str, int] = attrs.field(factory=dict)
+    _are_missing: bool = False
 
     def __iter__(self) -> Iterator[Place]:
         """Iterate over all targets."""
@@ -227,9 +228,13 @@
             place = self._by_id.get(target_id)
             if place is not None and place.gone_at is None:
                 place.gone_at = gone_at
+                self._are_missing = True
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Forget targets that have been missing for long enough."""
+        # Asked ten times a second, of scores of targets, for rare events.
+        if not self._are_missing:
+            return ()
         over = tuple(
             place.entry.target_id
             for place in self
@@ -237,6 +242,7 @@
         )
         for target_id in over:
             self.remove(target_id)
+        self._are_missing = any(place.gone_at is not None for place in self)
         return over
 
     def _add(self, entry: TargetEntry) -> None:
--- a/src/balsamreach/placement/zone_loads.py
+++ b/src/balsamreach/placement/zone_loads.py
@@ -35,8 +35,10 @@
 #: Of what all routers have, what makes a difference to a choice: an engine
 #: reads so many tokens in 20 ms.
 _FLEET_GRAIN = Grain(running=2, unread=2000)
-#: Seconds between two words of a hub for the sake of long prompts.
-_HURRY_S = 0.05
+#: Seconds between two words of a hub at least. Source: an engine reads the
+#: prompt of the mean long request in that time, and each router of the zone
+#: reads every word.
+_LEAST_PAUSE_S = 0.1
 #: Prompt tokens that a hub passes on before its next round.
 _URGENT_TOKENS = 4000
 #: Targets of which words are kept before those that are stale are dropped.
@@ -66,7 +68,7 @@
     _routers: Heard = attrs.field(factory=Heard)
     _zones: Heard = attrs.field(factory=Heard)
     _all: dict[str, Word] = attrs.field(factory=dict)
-    _hurried_at: float = 0
+    _told_at: float = float('-inf')
 
     def start(self) -> None:
         """Take the words of others from now on."""
@@ -77,11 +79,13 @@
         hub = self._hub()
         if hub is None:
             return
-        if hub.incarnation == self.net.me.incarnation:
-            self._sum_up()
-        else:
+        if hub.incarnation != self.net.me.incarnation:
             self.tell_hub()
-        self._count_in(self.places)
+            self._count_in(filter(_has_others, self.places))
+        elif self.clock.now() - self._told_at >= _LEAST_PAUSE_S:
+            self._told_at = self.clock.now()
+            self._sum_up()
+            self._count_in(self.places)
 
     def tell_hub(self) -> None:
         """Tell the hub of this router's own requests."""
@@ -97,9 +101,11 @@
         return hubs[0] if hubs else None
 
     def _mine(self) -> list[tuple[str, Word]]:
+        # Of scores of engines a router has requests at a few.
         return [
             (place.incarnation, Word(place.running, place.unread))
             for place in self.places
+            if place.running or self._own.of(place.incarnation).running
         ]
 
     def _sum_up(self) -> None:
@@ -155,8 +161,7 @@
         # that others have for their first event. Told with the next round it
         # would show as late first events at one engine while others idle.
         urgent = max(message.unread, default=0) >= _URGENT_TOKENS
-        if urgent and now - self._hurried_at >= _HURRY_S:
-            self._hurried_at = now
+        if urgent and now - self._told_at >= _LEAST_PAUSE_S:
             self.round()
 
     def _take_all(self, message: LoadWords, now: float) -> None:
@@ -186,3 +191,7 @@
                 word = own
             place.others_running = max(0, word.running - own.running)
             place.others_unread = max(0, word.unread - own.unread)
+
+
+def _has_others(place: Place) -> bool:
+    return bool(place.others_running or place.others_unread)
--- a/src/balsamreach/platform/pages.py
+++ b/src/balsamreach/platform/pages.py
@@ -1,8 +1,8 @@
 """Passes on what one router of a zone hears from the store."""
 
 import json
+import zlib
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 
@@ -10,10 +10,14 @@
 from balsamreach.platform.rows import StoredRow, StoredRows
 from balsamreach.wire.messages import Member, TablePage
 
-#: Bytes of rows beyond which a page is only announced. The others then read
-#: it from the store, whose link is wide; a large configuration sent to a
+#: Bytes of packed rows beyond which a page is only announced. The others then
+#: read it from the store, whose link is wide; a large configuration sent to a
 #: whole zone would fill the link of a small host for seconds.
-_MOST_BYTES = 16 * 1024
+_MOST_BYTES = 32 * 1024
+#: Bytes that packed rows may grow to; more is no page of ours.
+_MOST_UNPACKED = 4 * 1024 * 1024
+#: Configurations shrink to a fifth already at the least effort.
+_EFFORT = 1
 
 #: Takes a page, and the version after which its rows changed.
 TakePage = Callable[[int, StoredRows], None]
@@ -47,16 +51,17 @@
         takes the place of the first one when that is gone.
         """
         hubs = self.net.hubs.of(self.net.me.zone)
-        return not hubs or self.net.me in hubs
+        mine = self.net.me.incarnation
+        return not hubs or any(hub.incarnation == mine for hub in hubs)
 
     def tell(self, table: str, since: int, page: StoredRows) -> None:
         """Tell the zone, if this router is the one that does."""
         if not self._is_first():
             return
-        rows = tuple(_encode(row) for row in page.rows)
-        if sum(map(len, rows)) > _MOST_BYTES:
+        rows = _pack(page.rows)
+        if len(rows) > _MOST_BYTES:
             # Who has not this version yet sees that rows are missing.
-            since, rows = page.version, ()
+            since, rows = page.version, b''
         message = TablePage(table, since, page.version, rows)
         me = self.net.me
         for member in self.net.members():
@@ -69,16 +74,20 @@
 
     async def _take(self, _member: Member, message: TablePage) -> None:
         take = self._takers.get(message.table)
-        if take is None:
-            return
-        rows = tuple(map(_decode, message.rows))
-        take(message.since, StoredRows(rows, message.version))
+        if take is not None:
+            rows = _unpack(message.rows)
+            take(message.since, StoredRows(rows, message.version))
 
 
-def _encode(row: StoredRow) -> str:
-    return json.dumps(attrs.asdict(row), separators=(',', ':'))
+def _pack(rows: tuple[StoredRow, ...]) -> bytes:
+    if not rows:
+        return b''
+    fields = [attrs.asdict(row) for row in rows]
+    return zlib.compress(json.dumps(fields).encode(), _EFFORT)
 
 
-def _decode(document: str) -> StoredRow:
-    fields: dict[str, Any] = json.loads(document)
-    return StoredRow(**fields)
+def _unpack(packed: bytes) -> tuple[StoredRow, ...]:
+    if not packed:
+        return ()
+    document = zlib.decompressobj().decompress(packed, _MOST_UNPACKED)
+    return tuple(StoredRow(**fields) for fields in json.loads(document))
--- a/src/balsamreach/wire/codec.py
+++ b/src/balsamreach/wire/codec.py
@@ -56,6 +56,21 @@
     traceparent: str = ''
 
 
+@attrs.define
+class _LastTold:
+    """The message that was encoded last, where it asks and answers nothing.
+
+    A hub tells the same message to all routers of its zone, one after the
+    other; encoded anew for each, it would be most of what a hub does.
+    """
+
+    message: Message | None = None
+    packed: bytes | WireFault = b''
+
+
+_last_told = _LastTold()
+
+
 def encode(envelope: Envelope) -> bytes | WireFault:
     """Return the bytes of a message.
 
@@ -70,6 +85,15 @@
         The packed bytes; MALFORMED if an attribute does not fit its type,
         TOO_LARGE if there are too many.
     """
+    if envelope.ask or envelope.answers or envelope.traceparent:
+        return _encode(envelope)
+    if envelope.message is not _last_told.message:
+        _last_told.packed = _encode(envelope)
+        _last_told.message = envelope.message
+    return _last_told.packed
+
+
+def _encode(envelope: Envelope) -> bytes | WireFault:
     try:
         packed = _pack_in_one_segment(envelope)
     except _ENCODE_ERRORS as exc:
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -302,7 +302,7 @@
   table @0 :Text;
   since @1 :UInt64;
   version @2 :UInt64;
-  rows @3 :List(Text);
+  rows @3 :Data;
 }
 
 struct TokensAsk {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -599,14 +599,14 @@
         Version after which the rows changed.
     version : int
         Version up to which nothing else changed.
-    rows : tuple of str
-        The rows, as documents.
+    rows : bytes
+        The rows, packed; empty for none.
     """
 
     table: str
     since: int
     version: int
-    rows: tuple[str, ...] = ()
+    rows: bytes = b''
 
 
 @attrs.frozen(repr=False)
--- a/tests/test_budget_homing.py
+++ b/tests/test_budget_homing.py
@@ -34,6 +34,12 @@
     return home.book.ledgers[TEAM]
 
 
+def _calls(fleet):
+    """Return the calls that each router has made to the table service."""
+    gates = fleet.gates.items()
+    return {one: (gate.commits, len(gate.read_keys)) for one, gate in gates}
+
+
 class HomingTest(unittest.IsolatedAsyncioTestCase):
     """Requests at any router are met by what the home holds."""
 
@@ -244,3 +250,8 @@
             await fleet.round(name)
         held = _ledger(fleet).granted
         self.assertEqual(await fleet.taken(), 40 * (_ROUTERS - 1) + held)
+        # From then on it has nothing to ask or to tell.
+        before = _calls(fleet)
+        for other in _others(fleet):
+            await fleet.round(other)
+        self.assertEqual(_calls(fleet), before)
--- a/tests/test_platform_pages.py
+++ b/tests/test_platform_pages.py
@@ -1,10 +1,13 @@
 """Tests of what one router hears from the store for its zone."""
 
 import asyncio
+import random
 
+import attrs
 from tornado.testing import gen_test
 
 from balsamreach.catalogue.view import CatalogueView
+from balsamreach.peers.base import HubChoice
 from balsamreach.platform.feeds import ConfigurationFeed, FeedParts
 from balsamreach.platform.pages import PageSharing
 from balsamreach.telemetry.metrics import Metrics
@@ -17,6 +20,26 @@
 _ROUTERS = 5
 
 
+def _noise(size):
+    """Return text that does not shrink."""
+    return random.Random(1).randbytes(size).hex()
+
+
+@attrs.frozen
+class _Named(HubChoice):
+    """The same hubs whatever happens."""
+
+    hubs: tuple
+
+    def of(self, _zone):
+        """Return them."""
+        return self.hubs
+
+    def zones(self):
+        """Return no zones."""
+        return ()
+
+
 class PagesTest(StoreCase):
     """Routers hear from their hub, and ask themselves where it is silent."""
 
@@ -96,6 +119,24 @@
         self.assertFalse(self.is_told(self.second))
         self.assertTrue(self.is_told(self.other))
 
+    @gen_test
+    async def test_a_hub_that_others_held_for_dead(self):
+        """Symptom: nobody in a zone follows the store.
+
+        Sequence: peers call a paused hub dead; it takes that back, and its
+        entry in the list has a higher revision from then on.
+        Cause: it did not find itself among the hubs any more.
+        """
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        net = self.fabric.nets[self.second]
+        net.me = attrs.evolve(net.me, revision=7)
+        feed = self.feeds[self.second].feed
+        pages = feed.parts.pages
+        pages.net.hubs = _Named(net.hubs.of('zone-a'))
+        net.me = attrs.evolve(net.me, revision=8)
+        self.assertTrue(pages.follows())
+
     @gen_test
     async def test_a_hub_that_is_silent(self):
         """Symptom: a router stays at an old configuration.
@@ -136,13 +177,27 @@
     async def test_a_large_configuration_is_announced_alone(self):
         for name in (*self.feeds, self.first):
             await self.step(name)
-        self.state.write('op', 'config', _FIELDS | {'note': 'x' * 20_000})
+        self.state.write('op', 'config', _FIELDS | {'note': _noise(40_000)})
         await self.step(self.first)
         self.assertEqual(self.version(self.first), 3)
         self.assertEqual(self.version(self.other), 0)
         self.assertTrue(self.has_missed(self.other))
         pages = [one for one in self.fabric.sent if isinstance(one, TablePage)]
-        self.assertEqual(pages[-1].rows, ())
+        self.assertEqual(pages[-1].rows, b'')
+
+    @gen_test
+    async def test_a_configuration_of_the_usual_size_is_told(self):
+        """Symptom: each change is read from the store by all routers.
+
+        Sequence: a configuration of 60 kB changes, ten times in six seconds.
+        Cause: such pages were announced alone.
+        """
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        routes = [{'name': f'route-{number}'} for number in range(2500)]
+        self.state.write('op', 'config', _FIELDS | {'notes': routes})
+        await self.step(self.first)
+        self.assertEqual(self.version(self.other), 3)
 
     @gen_test
     async def test_an_answer_that_comes_behind_a_page(self):
--- a/tests/test_wire_codec.py
+++ b/tests/test_wire_codec.py
@@ -81,6 +81,21 @@
     def test_messages_come_back(self, envelope):
         self.assertEqual(decode(encode(envelope)), envelope)
 
+    def test_a_message_told_to_many_is_encoded_once(self):
+        """Symptom: a hub is busy with nothing but its words.
+
+        Sequence: it tells the routers of its zone, one after the other.
+        Cause: the same message was encoded for each of them.
+        """
+        words = messages.LoadWords('zone', ('engine',), (1,), (2,))
+        first = encode(Envelope(words))
+        self.assertIs(encode(Envelope(words)), first)
+        self.assertEqual(decode(encode(Envelope(words, 7))).ask, 7)
+        again = encode(Envelope(words))
+        self.assertEqual(decode(again).message, words)
+        other = attrs.evolve(words, scope='fleet')
+        self.assertEqual(decode(encode(Envelope(other))).message, other)
+
     def test_every_message_is_in_the_schema(self):
         """A message added to messages.py needs its struct as well."""
         union = set(load_schema().Envelope.schema.union_fields)
