Let homes hold tokens before the first request of a team

Change: in a fleet that has hubs a home draws the smallest draw for each metered team once it knows the configuration, up to 200 teams a home; the usual rounds bring it to what it is to hold. Fleets without hubs are as before. Test: requests of a team at all routers of a zone make no call at all (fails without the change).

--- a/src/balsamreach/budget/covering.py
+++ b/src/balsamreach/budget/covering.py
@@ -14,6 +14,7 @@
 import attrs
 
 from balsamreach.budget.ledger import Ledger
+from balsamreach.budget.moves import Move
 from balsamreach.budget.sizing import Sizing
 
 #: Standard deviations of demand beyond its mean that a cover holds. Loans from
@@ -68,6 +69,10 @@
         most = ledger.free * self.cfg.largest_share
         return int(min(wanted * min(1, left), most))
 
+    def first(self, ledger: Ledger) -> Move:
+        """Return the draw for a team that has sent no request here yet."""
+        return self._move(ledger, most=self.cfg.least_draw)
+
     def plenty(self, ledger: Ledger) -> float:
         """Return from 0 to 1 how far there is plenty of a budget left."""
         prepaid = self.prepaid(ledger.team)
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 import attrs
@@ -19,7 +19,7 @@
     make_parts,
     report_interval,
 )
-from balsamreach.budget.homes import is_holder
+from balsamreach.budget.homes import held_ahead, is_holder
 from balsamreach.budget.homing import HomeReservation
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.moves import Move
@@ -60,6 +60,8 @@
         ``ip:port`` that this router has bound; who bound it before is dead.
     clock, rng, metrics
         Time, jitter and counters.
+    teams : callable
+        Returns the teams that are metered.
     """
 
     service: TableService
@@ -73,6 +75,7 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
+    teams: Callable[[], Iterable[str]] = tuple
     parts: HoldingsParts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -158,6 +161,13 @@
         """Do what is due for each team once."""
         if not self.book.is_away() and await self.book.enter() is None:
             await self.parts.succession.close_predecessors()
+        # Requests of a team that comes first would find its home without a
+        # token. Each would wait for a draw and a report of its own, all of a
+        # zone at once; it shows as a burst of calls where traffic begins.
+        for ahead in held_ahead(self.teams(), self.net):
+            ledger = self._ledger(ahead)
+            if ledger.free is None:
+                await self.book.move(partial(_first, self, ledger))
         for team in tuple(self.book.ledgers):
             if _is_kept(self.book.ledgers[team], self.net):
                 await self.book.move(partial(self._due, team))
@@ -198,6 +208,10 @@
         return () if move is None else (move,)
 
 
+def _first(holdings: Holdings, ledger: Ledger) -> Iterable[Move]:
+    return (holdings.parts.sizing.first(ledger),)
+
+
 def _is_kept(ledger: Ledger, net: PeerNet) -> bool:
     return _is_in_use(ledger) or is_holder(ledger.team, net)
 
--- a/src/balsamreach/budget/homes.py
+++ b/src/balsamreach/budget/homes.py
@@ -1,9 +1,16 @@
 """Which routers hold a team's tokens in a fleet that has hubs."""
 
+from collections.abc import Iterable
+
 from balsamreach.peers.base import PeerNet
 from balsamreach.peers.homes import heaviest
 from balsamreach.wire.messages import Member
 
+#: Most teams that a home holds tokens of before their first request. Beyond
+#: it most of a configuration's teams are idle, and what is held of each is
+#: lost with the host's power.
+_MOST_AHEAD = 200
+
 
 def home_of(team: str, net: PeerNet, zone: str) -> Member | None:
     """Return the router that holds a team's tokens for a zone.
@@ -44,6 +51,27 @@
     return home is None or home.incarnation == net.me.incarnation
 
 
+def held_ahead(teams: Iterable[str], net: PeerNet) -> tuple[str, ...]:
+    """Return the teams whose home this router is, few in a large fleet.
+
+    Parameters
+    ----------
+    teams : iterable of str
+        Teams that may send requests.
+    net : PeerNet
+        The routers.
+
+    Returns
+    -------
+    tuple of str
+        None where each router holds its own, or there are too many.
+    """
+    if not net.hubs.of(net.me.zone):
+        return ()
+    held = tuple(team for team in teams if is_holder(team, net))
+    return held if len(held) <= _MOST_AHEAD else ()
+
+
 def count_holders(net: PeerNet) -> int:
     """Return how many routers hold a team's tokens: one a zone, or all."""
     return len(net.hubs.zones()) or len(net.members())
--- a/src/balsamreach/catalogue/view.py
+++ b/src/balsamreach/catalogue/view.py
@@ -33,6 +33,13 @@
             return None
         return self.current.teams[team].prepaid
 
+    def metered(self) -> tuple[str, ...]:
+        """Return the teams whose tokens are prepaid."""
+        if self.current is None:
+            return ()
+        teams = self.current.teams.items()
+        return tuple(name for name, team in teams if team.prepaid is not None)
+
     def offer(self, catalogue: Catalogue, source: str) -> bool:
         """Take a configuration if it is newer than what is in force.
 
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -117,6 +117,7 @@
             self.clock,
             self.rng,
             self.metrics,
+            self.view.metered,
         )
 
     def make_chooser(self) -> Chooser:
--- a/tests/holdings_fleet.py
+++ b/tests/holdings_fleet.py
@@ -76,6 +76,7 @@
     routers: dict[str, Holdings] = attrs.field(factory=dict)
     addresses: dict[str, str] = attrs.field(factory=dict)
     lead: float = LEAD_S
+    teams: tuple[str, ...] = ()
     spent: int = 0
     started: int = 0
 
@@ -106,6 +107,7 @@
             self.clock,
             random.Random(f'{self.seed}{name}'),
             Metrics(),
+            lambda: self.teams,
         )
         return name
 
--- a/tests/test_budget_homing.py
+++ b/tests/test_budget_homing.py
@@ -255,3 +255,35 @@
         for other in _others(fleet):
             await fleet.round(other)
         self.assertEqual(_calls(fleet), before)
+
+    async def test_a_home_holds_tokens_before_the_first_request(self):
+        """Symptom: first requests of all teams wait, and the store is busy.
+
+        Sequence: all hosts start; then requests of all teams come at once.
+        Cause: each of them waited for a draw and a report of its own.
+        """
+        fleet = _fleet()
+        fleet.teams = (TEAM,)
+        for _ in range(3):
+            for name in fleet.routers:
+                await fleet.report(name)
+                await fleet.round(name)
+        before = _calls(fleet)
+        for name in _others(fleet):
+            held = await fleet.serve(name, 100, 40)
+            self.assertIsInstance(held, HomeReservation)
+        self.assertEqual(_calls(fleet), before)
+        holders = {
+            one
+            for one, router in fleet.routers.items()
+            if TEAM in router.book.ledgers
+        }
+        self.assertEqual(holders, {fleet.home()})
+
+    async def test_teams_are_too_many_to_hold_tokens_of_each(self):
+        fleet = _fleet()
+        fleet.teams = tuple(f'team-{number}' for number in range(900))
+        for name in fleet.routers:
+            await fleet.round(name)
+        held = [router.book.ledgers for router in fleet.routers.values()]
+        self.assertFalse(any(held))
