Read loads, and tell a zone, by one piece of code each

Cause: on a last reading the columns of a message on loads were put together in words.py and in zone_loads.py, and the loop that tells all other routers of a zone stood in zone_loads.py and in pages.py; a hub gathered its own loads twice a round; an ask of a home was made twice. Ruled out: joining homing.py and hosting.py, or LoadSharing and ZoneLoads, where only fields and imports look alike. Change: read_words, PeerNet.tell_zone; what is gathered is used again. Behaviour is as before.

--- a/src/balsamreach/budget/homing.py
+++ b/src/balsamreach/budget/homing.py
@@ -138,7 +138,7 @@
             self._away[home.incarnation] = self.clock.now() + _AWAY_S
             self.metrics.count(ASKED, outcome='silent')
             return None
-        return self._take(home, TokensAsk(number, team, tokens), answer)
+        return self._take(home, ask, answer)
 
     def charge(self, reservation: HomeReservation, tokens: int) -> None:
         """Tell the home what a request used; a second call does nothing."""
--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -98,3 +98,10 @@
         A taker that learns something new from a message spreads it on, so
         that it reaches routers that are no neighbours of its origin.
         """
+
+    def tell_zone(self, message: Message) -> None:
+        """Send to all other routers of this one's zone."""
+        for member in self.members():
+            near = member.zone == self.me.zone
+            if near and member.incarnation != self.me.incarnation:
+                self.tell(member.incarnation, message)
--- a/src/balsamreach/placement/words.py
+++ b/src/balsamreach/placement/words.py
@@ -1,6 +1,6 @@
 """What routers say of the load at targets, and how long it holds."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -105,6 +105,21 @@
         return running >= self.grain.running or unread >= self.grain.unread
 
 
+def read_words(
+    message: LoadWords,
+    now: float,
+) -> Iterator[tuple[str, Word]]:
+    """Yield each target of a message with what was said of it."""
+    columns = zip(
+        message.targets,
+        message.running,
+        message.unread,
+        strict=False,
+    )
+    for target, running, unread in columns:
+        yield target, Word(running, unread, now)
+
+
 @attrs.define(eq=False)
 class Heard:
     """Words of several speakers, summed up by target."""
@@ -114,15 +129,9 @@
     def take(self, speaker: str, message: LoadWords, now: float) -> None:
         """Take what one speaker says."""
         said = self._said.setdefault(speaker, {})
-        columns = zip(
-            message.targets,
-            message.running,
-            message.unread,
-            strict=False,
-        )
-        for target, running, unread in columns:
-            if running:
-                said[target] = Word(running, unread, now)
+        for target, word in read_words(message, now):
+            if word.running:
+                said[target] = word
             else:
                 said.pop(target, None)
 
--- a/src/balsamreach/placement/zone_loads.py
+++ b/src/balsamreach/placement/zone_loads.py
@@ -22,6 +22,7 @@
     Heard,
     Told,
     Word,
+    read_words,
 )
 from balsamreach.wire.messages import LoadWords, Member
 
@@ -110,7 +111,8 @@
 
     def _sum_up(self) -> None:
         now = self.clock.now()
-        sums = {target: load for target, load in self._mine() if load.running}
+        mine = self._mine()
+        sums = {target: load for target, load in mine if load.running}
         self._routers.add_to(sums, now)
         self._tell_hubs(sums, now)
         self._zones.add_to(sums, now)
@@ -119,7 +121,7 @@
             for target, load in sums.items()
         }
         # What the hub itself has is in the sums like what others have.
-        self._own.news(self._mine(), now)
+        self._own.news(mine, now)
         self._tell_zone(sums, now)
 
     def _tell_hubs(self, sums: dict[str, Word], now: float) -> None:
@@ -133,12 +135,8 @@
 
     def _tell_zone(self, sums: dict[str, Word], now: float) -> None:
         news = self._fleet.news(self._known(sums), now)
-        if news is None:
-            return
-        me = self.net.me
-        for member in self.net.members():
-            if member.zone == me.zone and member.incarnation != me.incarnation:
-                self.net.tell(member.incarnation, news)
+        if news is not None:
+            self.net.tell_zone(news)
 
     def _known(self, sums: dict[str, Word]) -> list[tuple[str, Word]]:
         return [
@@ -165,14 +163,7 @@
             self.round()
 
     def _take_all(self, message: LoadWords, now: float) -> None:
-        columns = zip(
-            message.targets,
-            message.running,
-            message.unread,
-            strict=False,
-        )
-        for target, running, unread in columns:
-            self._all[target] = Word(running, unread, now)
+        self._all.update(read_words(message, now))
         told = map(self.places.find_start, message.targets)
         self._count_in(place for place in told if place is not None)
 
--- a/src/balsamreach/platform/pages.py
+++ b/src/balsamreach/platform/pages.py
@@ -62,11 +62,7 @@
         if len(rows) > _MOST_BYTES:
             # Who has not this version yet sees that rows are missing.
             since, rows = page.version, b''
-        message = TablePage(table, since, page.version, rows)
-        me = self.net.me
-        for member in self.net.members():
-            if member.zone == me.zone and member.incarnation != me.incarnation:
-                self.net.tell(member.incarnation, message)
+        self.net.tell_zone(TablePage(table, since, page.version, rows))
 
     def _is_first(self) -> bool:
         hubs = self.net.hubs.of(self.net.me.zone)
