Evacuate zones, and tell large configurations by what changed in them

Ruled out: the store (its link is 4,000 Mbit/s); the routers' processor time alone (whole hosts of half a core show it as well as the twins).

Change: - placement/evacuations.py: the newest order for each zone, by the store, by hubs and by peers; heartbeats carry a digest of what is known, so that a router that was cut off notices. The chooser leaves covered zones out for first tries, repeats and resumes alike. - platform/patches.py: a hub tells a large row by its changes against the version before; who has another one asks the store, as after a lost page. - One ask to a peer at a time, its answer packed and without the configuration where that is known. - A call whose answer was on its way when its time was over gets twice the time; one on a silent connection does not. - A route or key that is unknown here while a newer version is known to exist is answered 'not ready' (503) in place of 404 or 401. - The hubs of a zone are those of its routers with the widest links.

--- /dev/null
+++ b/src/balsamreach/catalogue/known.py
@@ -0,0 +1,125 @@
+"""What this router knows of what the store says, given and taken as rows."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from balsamreach.catalogue import told
+from balsamreach.catalogue.catalogue import Catalogue
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.placement.evacuations import Evacuation, Evacuations
+from balsamreach.placement.places import Places
+from balsamreach.telemetry.logs import log_event
+from balsamreach.telemetry.metrics import Metrics
+from balsamreach.wire.messages import Heartbeat, TableRow
+
+LEARNT = 'balsamreach_catalogue_learnt_total'
+
+_logger = logging.getLogger(__name__)
+
+#: Reads a configuration's document; None if it is none.
+Decode = Callable[[str], Catalogue | None]
+
+
+@attrs.define(eq=False)
+class Known:
+    """Configuration, targets and evacuations.
+
+    Parameters
+    ----------
+    view : CatalogueView
+        The configuration in force here.
+    places : Places
+        The targets.
+    evacuations : Evacuations
+        The zones that get no new work.
+    decode : callable
+        Reads a configuration's document.
+    metrics : Metrics
+        Counts what came from peers.
+    """
+
+    view: CatalogueView
+    places: Places
+    evacuations: Evacuations
+    decode: Decode
+    metrics: Metrics
+
+    def lacks(self, beat: Heartbeat) -> bool:
+        """Return whether the sender of a heartbeat knows more than this."""
+        if beat.table_version > self.view.version:
+            return True
+        return beat.orders not in {0, self.evacuations.digest()}
+
+    def rows(self, since: int) -> tuple[TableRow, ...]:
+        """Return all that is known; the configuration if it is newer."""
+        rows = [told.target_row(place.entry) for place in self.places]
+        rows.extend(map(told.order_row, self.evacuations))
+        catalogue = self.view.current
+        if catalogue is not None and catalogue.version > since:
+            rows.append(told.configuration_row(catalogue))
+        return tuple(rows)
+
+    def take(
+        self,
+        source: str,
+        rows: Iterable[TableRow],
+    ) -> tuple[Evacuation, ...]:
+        """Bring in what another router told.
+
+        Parameters
+        ----------
+        source : str
+            Its incarnation, for the log.
+        rows : iterable of TableRow
+            What it told.
+
+        Returns
+        -------
+        tuple of Evacuation
+            Those that were news, to be passed on.
+        """
+        news = []
+        for row in rows:
+            if row.key == told.CONFIGURATION:
+                self._take_configuration(source, row)
+            elif row.key.startswith(told.TARGET):
+                self._take_target(source, row)
+            elif row.key.startswith(told.EVACUATION):
+                news.extend(self._take_order(source, row))
+        return tuple(news)
+
+    def _take_configuration(self, source: str, row: TableRow) -> None:
+        if row.version <= self.view.version:
+            return
+        catalogue = self.decode(told.read_document(row))
+        if catalogue is not None and self.view.offer(catalogue, source):
+            self.metrics.count(LEARNT, what='configuration')
+
+    def _take_order(self, source: str, row: TableRow) -> list[Evacuation]:
+        order = told.read_order(row)
+        if not self.evacuations.put(order, source):
+            return []
+        self.metrics.count(LEARNT, what='evacuation')
+        return [order]
+
+    def _take_target(self, source: str, row: TableRow) -> None:
+        if not row.body:
+            target_id = row.key.removeprefix(told.TARGET)
+            self.places.remove(target_id, row.version)
+            return
+        entry = told.read_target_row(row)
+        if entry is None or not self.places.put(entry):
+            return
+        self.metrics.count(LEARNT, what='target')
+        log_event(
+            _logger,
+            logging.INFO,
+            'target_learnt',
+            source=source,
+            target=entry.incarnation,
+            service=entry.service,
+            leaving=entry.leaving,
+            row_version=entry.version,
+        )
--- a/src/balsamreach/catalogue/view.py
+++ b/src/balsamreach/catalogue/view.py
@@ -18,15 +18,27 @@
     ----------
     current : Catalogue or None
         None until the first one came.
+    heard : int
+        Newest version that any router is known to have.
     """
 
     current: Catalogue | None = None
+    heard: int = 0
 
     @property
     def version(self) -> int:
         """Version in force, 0 before the first."""
         return 0 if self.current is None else self.current.version
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether another router has a newer one than this."""
+        return self.version < self.heard
+
+    def hear(self, version: int) -> None:
+        """Take note of the version that another router has."""
+        self.heard = max(self.heard, version)
+
     def prepaid(self, team: str) -> int | None:
         """Return a team's prepaid tokens, None where it is not metered."""
         if self.current is None or team not in self.current.teams:
--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -30,6 +30,7 @@
     name: str = key(views.read_name)
     address: str = key(views.read_address)
     zone: str = key(views.read_name)
+    link: int = key(units.read_count)
 
 
 @attrs.frozen
--- a/src/balsamreach/daemon/net.py
+++ b/src/balsamreach/daemon/net.py
@@ -49,6 +49,7 @@
         address=f'{address}:{cfg.peers.port}',
         zone=cfg.host.zone,
         started=clock.wall(),
+        link=cfg.host.link,
     )
     return TcpPeerNet(
         me=me,
--- /dev/null
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -0,0 +1,41 @@
+"""Puts together what places requests that are passed through."""
+
+import random
+
+from balsamreach.catalogue.view import CatalogueView
+from balsamreach.clock import Clock
+from balsamreach.placement.engines import EngineChooser
+from balsamreach.placement.evacuations import Evacuations
+from balsamreach.placement.places import Places
+from balsamreach.placement.services import ServiceChooser
+from balsamreach.relay.chooser import Chooser
+
+
+def make_chooser(
+    zone: str,
+    view: CatalogueView,
+    clock: Clock,
+    rng: random.Random,
+) -> Chooser:
+    """Return what chooses targets; it knows none yet.
+
+    Parameters
+    ----------
+    zone : str
+        Zone of this router.
+    view : CatalogueView
+        What is known of the services.
+    clock : Clock
+        Time.
+    rng : random.Random
+        Chooses among equals.
+    """
+    evacuations = Evacuations(clock)
+    return Chooser(
+        Places(rng),
+        EngineChooser(zone),
+        ServiceChooser(zone, rng),
+        view,
+        clock,
+        evacuations,
+    )
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -10,11 +10,10 @@
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.net import make_net
+from balsamreach.daemon.placing_parts import make_chooser
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.peers.net import TcpPeerNet
-from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.places import Places
-from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.sharing import LoadSharing
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.codec import Codec
@@ -66,7 +65,12 @@
     core = _make_core(cfg, outside)
     exchange = RelayCurl(cfg.relay.connect_timeout)
     holdings = core.make_holdings(outside)
-    chooser = core.make_chooser()
+    chooser = make_chooser(
+        cfg.host.zone,
+        core.view,
+        core.clock,
+        core.rng,
+    )
     return RelayParts(
         cfg=cfg,
         clock=core.clock,
@@ -120,17 +124,6 @@
             self.view.metered,
         )
 
-    def make_chooser(self) -> Chooser:
-        """Make what places requests."""
-        zone = self.cfg.host.zone
-        return Chooser(
-            Places(self.rng),
-            EngineChooser(zone),
-            ServiceChooser(zone, self.rng),
-            self.view,
-            self.clock,
-        )
-
     def make_sharing(self, chooser: Chooser) -> LoadSharing:
         """Make what tells peers of the load at engines."""
         sharing = LoadSharing(self.net, chooser.places, self.clock)
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -28,6 +28,8 @@
 #: for; the rest is for handing tokens back.
 _DRAIN_SHARE = 0.85
 _TICK_S = 0.1
+#: Refusals that a newer configuration may take back.
+_UNKNOWN = (faults.NO_ROUTE, faults.NO_TEAM)
 
 Runner = Callable[[], Awaitable[None]]
 
@@ -144,10 +146,17 @@
             return
         call = parts.run.codec.read_request(request, catalogue)
         if isinstance(call, RelayFault):
-            self._refuse(call, outlet)
+            self._refuse(self._now_or_later(call), outlet)
             return
         await RelayRun(parts.run, call, outlet).run()
 
+    def _now_or_later(self, fault: RelayFault) -> RelayFault:
+        # A route or key that this router doesn't know may be in the version
+        # that it lacks. Told that there is none, a caller would not come back.
+        if fault in _UNKNOWN and self.parts.view.is_behind:
+            return faults.NOT_READY.because('a newer configuration is due')
+        return fault
+
     def _refuse(self, fault: RelayFault, outlet: Outlet) -> None:
         log_event(
             _logger,
--- a/src/balsamreach/peers/greeter.py
+++ b/src/balsamreach/peers/greeter.py
@@ -20,11 +20,14 @@
         Knows this router.
     table_version : callable
         Returns the version of the table in force here.
+    orders : callable
+        Returns the digest of the evacuations known here.
     """
 
     fleet: str
     membership: Membership
     table_version: Callable[[], int] = int
+    orders: Callable[[], int] = int
 
     def hello(self) -> Hello:
         """Return the greeting."""
@@ -37,4 +40,4 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat."""
-        return Heartbeat(self.table_version())
+        return Heartbeat(self.table_version(), self.orders())
--- a/src/balsamreach/peers/hubs.py
+++ b/src/balsamreach/peers/hubs.py
@@ -65,10 +65,16 @@
     zone: str,
     most: int,
 ) -> tuple[Member, ...]:
-    """Return the members of a zone with the greatest weight, in its order."""
+    """Return the members of a zone that are its hubs, the first one first.
+
+    Those with the widest links go first, then those of the greatest weight:
+    a hub tells each router of its zone what it hears, which fills the link
+    of a small host.
+    """
     local = pick_local(members, zone)
     local.sort(
         key=lambda member: (
+            member.link,
             weigh(_HUB, member.incarnation),
             member.incarnation,
         ),
--- a/src/balsamreach/platform/boot.py
+++ b/src/balsamreach/platform/boot.py
@@ -28,12 +28,15 @@
         Unit that our text needs behind the number.
     part : str
         ``address`` or ``port``, where the field holds both.
+    optional : bool
+        Whether it may be missing; our default holds then.
     """
 
     field: str
     key: str
     unit: str = ''
     part: str = ''
+    optional: bool = False
 
 
 #: The platform calls a host a machine and a router a node; what it calls a
@@ -42,6 +45,7 @@
     _Key('node', 'host.name'),
     _Key('ip', 'host.address'),
     _Key('zone', 'host.zone'),
+    _Key('limits.link_mbps', 'host.link', unit='whole', optional=True),
     _Key('listen.front', 'callers.address', part='address'),
     _Key('listen.front', 'callers.port', part='port'),
     _Key('listen.ready', 'probes.address', part='address'),
@@ -108,6 +112,8 @@
     yield f'platform.table=http://{store}'
     for key in _KEYS:
         found = _find(fields, key.field)
+        if found is None and key.optional:
+            continue
         if found is None:
             section, _, name = key.field.rpartition('.')
             problems.append(f'{path}: [{section}] {name}: missing')
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -13,9 +13,10 @@
 
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
+from balsamreach.placement.evacuations import Evacuation, Evacuations
 from balsamreach.placement.places import Places, TargetEntry
 from balsamreach.platform.configuration import read_catalogue
-from balsamreach.platform.pages import PageSharing
+from balsamreach.platform.pages import PageSharing, newest_rows
 from balsamreach.platform.rows import (
     HISTORY_GONE,
     RowStore,
@@ -42,6 +43,8 @@
 
 _CONFIG_TABLE = 'op'
 _CONFIG_KEY = 'config'
+_EVACUATE = 'evacuate/'
+_STORE = 'store'
 #: The platform calls targets servers.
 _TARGETS_TABLE = 'servers'
 
@@ -163,6 +166,7 @@
             self._away = False
             self._log('store_feed_back')
         whole = self._since is None
+        self.parts.pages.note(page.rows)
         # An answer of the store may come behind what another router told.
         if not whole and page.version < self._since:
             return
@@ -188,11 +192,27 @@
         )
 
 
+def _ignore(_order: Evacuation) -> None:
+    """Tell nobody."""
+
+
 @attrs.define
 class ConfigurationFeed:
-    """Brings the operators' configuration into force."""
+    """Brings what the operators write into force.
+
+    Parameters
+    ----------
+    view : CatalogueView
+        The configuration.
+    evacuations : Evacuations
+        Zones whose targets get no new work.
+    tell : callable
+        Tells other routers of an evacuation, or the end of one.
+    """
 
     view: CatalogueView
+    evacuations: Evacuations
+    tell: Callable[[Evacuation], None] = _ignore
     feed: Feed = attrs.field(init=False)
 
     def open(self, parts: FeedParts) -> Feed:
@@ -200,10 +220,22 @@
         self.feed = Feed(_CONFIG_TABLE, parts, self._take)
         return self.feed
 
-    def _take(self, page: StoredRows, _whole: bool) -> None:
-        for row in page.rows:
+    def _take(self, page: StoredRows, whole: bool) -> None:
+        rows = newest_rows(page.rows)
+        for row in rows:
             if row.key == _CONFIG_KEY and row.fields is not None:
                 self._offer(row)
+        orders = list(filter(None, map(_read_order, rows)))
+        news = [order for order in orders if self._put(order)]
+        if whole:
+            listed = {order.zone for order in orders if order.in_force}
+            over = self.evacuations.lift_besides(listed, page.version, _STORE)
+            news.extend(over)
+        for order in news:
+            self.tell(order)
+
+    def _put(self, order: Evacuation) -> bool:
+        return self.evacuations.put(order, _STORE)
 
     def _offer(self, row: StoredRow) -> None:
         try:
@@ -218,7 +250,7 @@
                 row_version=row.version,
             )
             return
-        self.view.offer(catalogue, 'store')
+        self.view.offer(catalogue, _STORE)
 
 
 @attrs.define
@@ -307,5 +339,17 @@
         return max(self.clock.now(), self.feed.failed_at + _BACK_WITHIN_S)
 
 
+def _read_order(row: StoredRow) -> Evacuation | None:
+    # That the row is there is the order, whatever it holds.
+    zone = row.key.removeprefix(_EVACUATE)
+    if zone == row.key or not zone:
+        return None
+    return Evacuation(
+        zone=zone,
+        version=row.version,
+        in_force=not row.removed,
+    )
+
+
 def _is_news(known: TargetEntry, entry: TargetEntry) -> bool:
     return known.leaving != entry.leaving or known.born != entry.born
--- a/src/balsamreach/platform/pages.py
+++ b/src/balsamreach/platform/pages.py
@@ -2,25 +2,34 @@
 
 import json
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 
 from balsamreach.peers.base import PeerNet
+from balsamreach.platform.patches import apply_patch, make_patch
 from balsamreach.platform.rows import StoredRow, StoredRows
 from balsamreach.wire.messages import Member, TablePage
 
 #: Bytes of packed rows beyond which a page is only announced. The others then
-#: read it from the store, whose link is wide; a large configuration sent to a
-#: whole zone would fill the link of a small host for seconds.
-_MOST_BYTES = 32 * 1024
+#: read it from the store, whose link is wide; more sent to a whole zone would
+#: fill the link of a hub for longer than they take for that.
+_MOST_BYTES = 128 * 1024
 #: Bytes that packed rows may grow to; more is no page of ours.
 _MOST_UNPACKED = 4 * 1024 * 1024
 #: Configurations shrink to a fifth already at the least effort.
 _EFFORT = 1
+#: Entries from which on an object is told by what changed in it.
+_LARGE = 32
+_ROW = 'row'
+#: Beside a row without its object: version of the row before, and the changes.
+_BASE = 'base'
+_PATCH = 'patch'
 
 #: Takes a page, and the version after which its rows changed.
 TakePage = Callable[[int, StoredRows], None]
+RowName = tuple[str, str, str]
 
 
 @attrs.define(eq=False)
@@ -35,6 +44,7 @@
 
     net: PeerNet
     _takers: dict[str, TakePage] = attrs.field(factory=dict)
+    _known: dict[RowName, StoredRow] = attrs.field(factory=dict)
 
     def start(self) -> None:
         """Take the pages of the hub from now on."""
@@ -55,35 +65,107 @@
         return not hubs or any(hub.incarnation == mine for hub in hubs)
 
     def tell(self, table: str, since: int, page: StoredRows) -> None:
-        """Tell the zone, if this router is the one that does."""
+        """Tell the zone, if this router is the one that does.
+
+        To be called before ``note``: changes are told against what was known
+        before.
+        """
         if not self._is_first():
             return
-        rows = _pack(page.rows)
+        rows = _pack(self._shorten(newest_rows(page.rows)))
         if len(rows) > _MOST_BYTES:
             # Who has not this version yet sees that rows are missing.
             since, rows = page.version, b''
         self.net.tell_zone(TablePage(table, since, page.version, rows))
 
+    def note(self, rows: Iterable[StoredRow]) -> None:
+        """Remember large rows, which changes are told against."""
+        for row in rows:
+            name = _name(row)
+            known = self._known.get(name)
+            if known is not None and known.version >= row.version:
+                continue
+            if row.fields is not None and _is_large(row.fields):
+                self._known[name] = row
+            elif known is not None:
+                self._known.pop(name)
+
     def _is_first(self) -> bool:
         hubs = self.net.hubs.of(self.net.me.zone)
         return bool(hubs) and hubs[0].incarnation == self.net.me.incarnation
 
+    def _shorten(self, rows: Iterable[StoredRow]) -> list[dict[str, Any]]:
+        return [self._shorten_one(row) for row in rows]
+
+    def _shorten_one(self, row: StoredRow) -> dict[str, Any]:
+        known = self._known.get(_name(row))
+        if known is None or row.fields is None:
+            return {_ROW: _as_fields(row)}
+        return {
+            _ROW: _as_fields(attrs.evolve(row, fields=None)),
+            _BASE: known.version,
+            _PATCH: make_patch(known.fields, row.fields),
+        }
+
     async def _take(self, _member: Member, message: TablePage) -> None:
         take = self._takers.get(message.table)
-        if take is not None:
-            rows = _unpack(message.rows)
-            take(message.since, StoredRows(rows, message.version))
+        if take is None:
+            return
+        rows = self._restore(_unpack(message.rows))
+        if rows is None:
+            # The same as a page that was only announced.
+            take(message.version, StoredRows((), message.version))
+            return
+        take(message.since, StoredRows(rows, message.version))
+
+    def _restore(
+        self,
+        told: Iterable[dict[str, Any]],
+    ) -> tuple[StoredRow, ...] | None:
+        """Return the rows that were told, None if one can't be made."""
+        rows = []
+        for one in told:
+            row = StoredRow(**one[_ROW])
+            if _BASE in one:
+                known = self._known.get(_name(row))
+                # A page that was lost may have changed it in between.
+                if known is None or known.version != one[_BASE]:
+                    return None
+                whole = apply_patch(known.fields, one[_PATCH])
+                row = attrs.evolve(row, fields=whole)
+            rows.append(row)
+        return tuple(rows)
+
+
+def newest_rows(rows: Iterable[StoredRow]) -> tuple[StoredRow, ...]:
+    """Return the last of each row's versions; a page may hold several."""
+    newest = {_name(row): row for row in rows}
+    return tuple(newest.values())
+
+
+def _name(row: StoredRow) -> RowName:
+    return (row.table, row.part, row.key)
+
+
+def _as_fields(row: StoredRow) -> dict[str, Any]:
+    return attrs.asdict(row, recurse=False)
+
+
+def _is_large(fields: Any) -> bool:
+    entries = sum(
+        len(value) for value in fields.values() if isinstance(value, list)
+    )
+    return entries >= _LARGE
 
 
-def _pack(rows: tuple[StoredRow, ...]) -> bytes:
+def _pack(rows: list[dict[str, Any]]) -> bytes:
     if not rows:
         return b''
-    fields = [attrs.asdict(row) for row in rows]
-    return zlib.compress(json.dumps(fields).encode(), _EFFORT)
+    return zlib.compress(json.dumps(rows).encode(), _EFFORT)
 
 
-def _unpack(packed: bytes) -> tuple[StoredRow, ...]:
+def _unpack(packed: bytes) -> list[dict[str, Any]]:
     if not packed:
-        return ()
+        return []
     document = zlib.decompressobj().decompress(packed, _MOST_UNPACKED)
-    return tuple(StoredRow(**fields) for fields in json.loads(document))
+    return json.loads(document)
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -4,6 +4,7 @@
 from functools import partial
 
 from balsamreach.catalogue.exchange import CatalogueExchange
+from balsamreach.catalogue.known import Known
 from balsamreach.clock import SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.relay_parts import RelayParts, make_relay_parts
@@ -74,15 +75,16 @@
 
 
 def _make_exchange(parts: RelayParts) -> CatalogueExchange:
-    exchange = CatalogueExchange(
-        parts.net,
+    known = Known(
         parts.view,
         parts.places,
+        parts.chooser.evacuations,
         decode_catalogue,
-        parts.clock,
         parts.metrics,
     )
+    exchange = CatalogueExchange(parts.net, known, parts.clock)
     exchange.start()
+    parts.net.greeter.orders = parts.chooser.evacuations.digest
     return exchange
 
 
@@ -101,7 +103,11 @@
         metrics=parts.metrics,
         pages=pages,
     )
-    configuration = ConfigurationFeed(parts.view)
+    configuration = ConfigurationFeed(
+        parts.view,
+        parts.chooser.evacuations,
+        exchange.tell_evacuation,
+    )
     configuration.open(feeds)
     targets = TargetsFeed(
         parts.places,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -4,10 +4,11 @@
 
 import attrs
 
-from balsamreach.catalogue.entries import EngineTraits
+from balsamreach.catalogue.entries import EngineTraits, Service
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
 from balsamreach.placement.engines import EngineChooser
+from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.places import Place, Places
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.relay.call import RelayCall
@@ -33,6 +34,8 @@
         What is known of the services.
     clock : Clock
         Time.
+    evacuations : Evacuations
+        Zones that get no new work.
     on_sent : callable
         Told of the unread tokens of each prompt that is sent.
     """
@@ -42,6 +45,7 @@
     services: ServiceChooser
     view: CatalogueView
     clock: Clock
+    evacuations: Evacuations
     on_sent: Callable[[int], None] = _ignore
 
     def choose(self, call: RelayCall, tried: set[str]) -> Place | None:
@@ -112,12 +116,17 @@
         return [
             place
             for place in self.places.of(call.service)
-            if not place.entry.leaving and place.incarnation not in tried
+            if not place.entry.leaving
+            and place.incarnation not in tried
+            and not self.evacuations.covers(place.entry.zone)
         ]
 
-    def _engine(self, call: RelayCall) -> EngineTraits:
+    def _service(self, call: RelayCall) -> Service | None:
         catalogue = self.view.current
-        service = catalogue.services.get(call.service) if catalogue else None
+        return catalogue.services.get(call.service) if catalogue else None
+
+    def _engine(self, call: RelayCall) -> EngineTraits:
+        service = self._service(call)
         if service is None or service.engine is None:
             return _UNKNOWN_ENGINE
         return service.engine
--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -1,6 +1,7 @@
 """Sends requests to the platform's services and sorts out what failed."""
 
 import json
+import re
 from typing import Any
 
 import attrs
@@ -29,6 +30,10 @@
     503: UNAVAILABLE,
 }
 _FIRST_ERROR = 400
+#: Curl's message on an answer that had begun when its time was over.
+_SOME_BYTES = re.compile(r'with [1-9]')
+#: Times the usual one that a call may take whose answer takes long.
+_MOST_STRETCH = 16
 _NO_CONNECTION = frozenset(
     (
         pycurl.E_COULDNT_CONNECT,
@@ -106,7 +111,8 @@
     base_url : str
         Scheme, address and port, without a slash at the end.
     connect_timeout, request_timeout : float
-        Seconds a connection and a whole call may take.
+        Seconds a connection and a whole call may take. A call whose answer
+        was on its way when its time was over doubles the time of the next.
     tls : CurlTls
         Certificates, where the address is https.
     max_clients : int
@@ -120,6 +126,7 @@
     max_clients: int = 32
     _client: CurlAsyncHTTPClient | None = None
     _doubtful: bool = False
+    _stretch: float = 1
 
     async def send(self, call: Call) -> bytes | PlatformFault:
         """Send one call and return the body of its answer.
@@ -151,8 +158,12 @@
             # What silenced one kept connection most likely silenced the
             # others; each would cost a call its whole timeout.
             self._doubtful = True
+            self._wait_longer(exc)
             return sending.fault(exc)
         self._doubtful = False
+        taken = response.request_time
+        if taken is not None and taken < request.request_timeout / 2:
+            self._stretch = max(1, self._stretch / 2)
         return response
 
     async def send_json(self, call: Call) -> Any | PlatformFault:
@@ -180,13 +191,23 @@
             )
         return self._client
 
+    def _wait_longer(self, exc: CurlError) -> None:
+        # A large answer takes longer than the time in which a silent
+        # connection is to be noticed where the link is small. Broken off and
+        # begun anew each time, it would never be whole and fill the link.
+        timed_out = exc.errno == pycurl.E_OPERATION_TIMEDOUT
+        if timed_out and _SOME_BYTES.search(str(exc)):
+            self._stretch = min(_MOST_STRETCH, 2 * self._stretch)
+        else:
+            self._stretch = 1
+
     def _request(self, call: Call, sending: _Sending) -> HTTPRequest:
         return HTTPRequest(
             self.base_url + call.path,
             method=call.method,
             body=call.body,
             connect_timeout=self.connect_timeout,
-            request_timeout=self.request_timeout,
+            request_timeout=self.request_timeout * self._stretch,
             follow_redirects=False,
             user_agent='balsamreach',
             prepare_curl_callback=sending.prepare,
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -68,6 +68,7 @@
   leaving @5 :Bool;
   revision @6 :UInt32;
   dead @7 :Bool;
+  link @8 :UInt32;
 }
 
 struct Hello {
@@ -79,6 +80,7 @@
 
 struct Heartbeat {
   tableVersion @0 :UInt64;
+  orders @1 :UInt64;
 }
 
 struct Members {
@@ -106,6 +108,7 @@
   key @0 :Text;
   version @1 :UInt64;
   body @2 :Text;
+  packed @3 :Data;
 }
 
 struct TableRows {
--- a/src/balsamreach/wire/messages.py
+++ b/src/balsamreach/wire/messages.py
@@ -47,6 +47,8 @@
     dead : bool
         Whether it is held to be dead at this revision. A router that lives
         and hears this raises its revision.
+    link : int
+        Mbit/s of its host's link; 0 where not known.
     """
 
     incarnation: str
@@ -57,6 +59,7 @@
     leaving: bool = False
     revision: int = 0
     dead: bool = False
+    link: int = 0
 
 
 @attrs.frozen(repr=False)
@@ -71,9 +74,18 @@
 
 @attrs.frozen(repr=False)
 class Heartbeat(Message):
-    """Sent at a steady interval; its absence shows a silent connection."""
+    """Sent at a steady interval; its absence shows a silent connection.
+
+    Parameters
+    ----------
+    table_version : int
+        Version of the table in force at the sender.
+    orders : int
+        Digest of the evacuations that it knows; 0 for none.
+    """
 
     table_version: int = 0
+    orders: int = 0
 
 
 @attrs.frozen(repr=False)
@@ -131,11 +143,24 @@
 
 @attrs.frozen(repr=False)
 class TableRow(Message):
-    """A row of the table with its JSON; no JSON means deleted."""
+    """A row of the table with its JSON; no JSON means deleted.
+
+    Parameters
+    ----------
+    key : str
+        Which row.
+    version : int
+        Raised by each change of it.
+    body : str
+        Its JSON; empty where the row is deleted or the JSON is packed.
+    packed : bytes
+        The JSON compressed, where it is large.
+    """
 
     key: str
     version: int
     body: str = ''
+    packed: bytes = b''
 
 
 @attrs.frozen(repr=False)
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -7,10 +7,9 @@
 import attrs
 
 from balsamreach.catalogue.view import CatalogueView
+from balsamreach.daemon.placing_parts import make_chooser
 from balsamreach.dispatch.upstream import Intake, UpstreamFault
-from balsamreach.placement.engines import EngineChooser
-from balsamreach.placement.places import Places
-from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.evacuations import Evacuations
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.chooser import Chooser
@@ -153,6 +152,7 @@
     exchange: ScriptedExchange = attrs.field(factory=ScriptedExchange)
     metrics: Metrics = attrs.field(factory=Metrics)
     view: CatalogueView = attrs.field(factory=CatalogueView)
+    evacuations: Evacuations = attrs.field(init=False)
     chooser: Chooser = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
     parts: RunParts = attrs.field(init=False)
@@ -160,17 +160,17 @@
     def __attrs_post_init__(self) -> None:
         """Put the parts together, with two targets of each service."""
         self.view.offer(CATALOGUE, 'test')
-        places = Places(random.Random(1))
-        for service in (ENGINES, DESK):
-            for number in (1, 2):
-                places.put(entry(f'{service}-{number}', service))
-        self.chooser = Chooser(
-            places,
-            EngineChooser('zone-a'),
-            ServiceChooser('zone-a', random.Random(1)),
+        self.chooser = make_chooser(
+            'zone-a',
             self.view,
             self.clock,
+            random.Random(1),
         )
+        self.evacuations = self.chooser.evacuations
+        for service in (ENGINES, DESK):
+            for number in (1, 2):
+                new = entry(f'{service}-{number}', service)
+                self.chooser.places.put(new)
         suspects = make_suspects(2, self.clock, self.metrics)
         self.repeats = Repeats(1, 16, 10, self.clock, int)
         codec = PlatformCodec(random.Random(1))
--- a/tests/test_bench_slopes.py
+++ b/tests/test_bench_slopes.py
@@ -15,7 +15,7 @@
 _COUNTED = (
     ('spread', 'use_copies_each_at_8', 7 / 8),
     ('spread', 'edit_reached_share_at_8', 1),
-    ('messages', 'heartbeat_bytes', 23),
+    ('messages', 'heartbeat_bytes', 25),
     ('contention', 'commits_per_draw_at_1', 1),
 )
 _NAMES = (
--- a/tests/test_catalogue_exchange.py
+++ b/tests/test_catalogue_exchange.py
@@ -7,7 +7,9 @@
 import attrs
 
 from balsamreach.catalogue.exchange import CatalogueExchange
+from balsamreach.catalogue.known import Known
 from balsamreach.catalogue.view import CatalogueView
+from balsamreach.placement.evacuations import Evacuation, Evacuations
 from balsamreach.placement.places import Places
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import Heartbeat, TableAsk
@@ -24,18 +26,20 @@
     clock: VirtualClock
     view: CatalogueView = attrs.field(factory=CatalogueView)
     places: Places = attrs.field(factory=lambda: Places(random.Random(1)))
+    evacuations: Evacuations = attrs.field(init=False)
     exchange: CatalogueExchange = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Begin to take messages."""
-        self.exchange = CatalogueExchange(
-            self.net,
+        self.evacuations = Evacuations(self.clock)
+        known = Known(
             self.view,
             self.places,
+            self.evacuations,
             _decode,
-            self.clock,
             Metrics(),
         )
+        self.exchange = CatalogueExchange(self.net, known, self.clock)
         self.exchange.start()
 
 
@@ -58,11 +62,15 @@
 
     async def beat(self, source, target):
         """Let one router's heartbeat reach another, and what follows."""
-        version = source.view.version
-        source.net.tell(target.net.me.incarnation, Heartbeat(version))
+        beat = Heartbeat(source.view.version, source.evacuations.digest())
+        source.net.tell(target.net.me.incarnation, beat)
         await self.fabric.settle()
-        for task in tuple(target.exchange._tasks):
-            await self.clock.drive(task)
+        await self.catch_up(target)
+
+    async def catch_up(self, router):
+        """Let a router ask for what it lacks, if it does."""
+        if router.exchange._asking is not None:
+            await self.clock.drive(router.exchange._asking)
 
     async def test_a_router_that_the_store_turns_away(self):
         """Symptom: a removed key is let in for seconds at one router.
@@ -82,8 +90,7 @@
         self.one.net.tell('two', Heartbeat(6))
         await self.fabric.settle()
         self.two.view.offer(_version(6), 'store')
-        for task in tuple(self.two.exchange._tasks):
-            await self.clock.drive(task)
+        await self.catch_up(self.two)
         asked = [one for one in self.fabric.sent if isinstance(one, TableAsk)]
         self.assertEqual(asked, [])
 
@@ -117,6 +124,99 @@
         self.assertTrue(self.two.places.find('leaves').entry.leaving)
         self.assertIsNone(self.two.places.find('goes'))
 
+    def evacuate(self, router, version, *, in_force=True):
+        order = Evacuation(zone='zone-a', version=version, in_force=in_force)
+        router.evacuations.put(order, 'store')
+        router.exchange.tell_evacuation(order)
+
+    async def test_an_evacuation_reaches_those_without_the_store(self):
+        """Symptom: an evacuated zone gets work from a router in a cut.
+
+        Sequence: the store turns that router away; a zone is evacuated, and
+        restored.
+        Cause: it had no other way to learn of it.
+        """
+        self.evacuate(self.one, 7)
+        await self.fabric.settle()
+        self.assertTrue(self.two.evacuations.covers('zone-a'))
+        self.evacuate(self.one, 9, in_force=False)
+        await self.fabric.settle()
+        self.assertFalse(self.two.evacuations.covers('zone-a'))
+
+    async def test_an_evacuation_goes_on_beyond_neighbours(self):
+        """Symptom: a router two steps away from the store never hears it.
+
+        Sequence: it has no connection to the router that heard it there.
+        Cause: who heard it from a peer told nobody.
+        """
+        three = Router(self.fabric.join('three'), self.clock)
+        self.fabric.cut(['one'], ['three'])
+        self.evacuate(self.one, 7)
+        await self.fabric.settle()
+        self.assertTrue(three.evacuations.covers('zone-a'))
+
+    async def test_an_evacuation_that_was_not_heard(self):
+        """Symptom: a router goes on sending to an evacuated zone.
+
+        Sequence: it stands still while the order is told; its store is away.
+        Cause: the order was told once, and no later word showed it.
+        """
+        for router in (self.one, self.two):
+            router.view.offer(_version(5), 'store')
+        self.fabric.cut(['one'], ['two'])
+        self.evacuate(self.one, 7)
+        await self.fabric.settle()
+        self.fabric.heal()
+        await self.beat(self.one, self.two)
+        self.assertTrue(self.two.evacuations.covers('zone-a'))
+        asked = len(self.fabric.sent)
+        await self.beat(self.one, self.two)
+        self.assertEqual(len(self.fabric.sent), asked + 1)
+
+    async def test_one_ask_at_a_time(self):
+        """Symptom: a small host is seconds behind, and loses its peers.
+
+        Sequence: a large configuration changes; all neighbours have it, and
+        tell so in their heartbeats.
+        Cause: each was asked for the whole of it.
+        """
+        self.two.view.offer(_version(5), 'store')
+        names = ('three', 'four')
+        nets = map(self.fabric.join, names)
+        others = [self.one, *(Router(net, self.clock) for net in nets)]
+        for other in others:
+            other.view.offer(_version(6), 'store')
+            other.net.tell('two', Heartbeat(6))
+        await self.fabric.settle()
+        await self.catch_up(self.two)
+        asked = [one for one in self.fabric.sent if isinstance(one, TableAsk)]
+        self.assertEqual(len(asked), 1)
+        self.assertEqual(self.two.view.version, 6)
+
+    async def test_what_is_known_is_not_sent(self):
+        """Who lacks an evacuation alone doesn't get the configuration."""
+        for router in (self.one, self.two):
+            router.view.offer(_version(5), 'store')
+        answer = await self.one.exchange._answer(None, TableAsk(5))
+        self.assertEqual(answer.rows, ())
+        answer = await self.one.exchange._answer(None, TableAsk(4))
+        self.assertEqual(len(answer.rows), 1)
+
+    async def test_a_version_that_is_known_to_be_missing(self):
+        """Symptom: callers of a new route are told that there is none.
+
+        Sequence: the version that has it is in force at others already.
+        Cause: a router that knew so took its own for the last word.
+        """
+        self.two.view.offer(_version(5), 'store')
+        self.assertFalse(self.two.view.is_behind)
+        self.one.net.tell('two', Heartbeat(6))
+        await self.fabric.settle()
+        self.assertTrue(self.two.view.is_behind)
+        self.two.view.offer(_version(6), 'store')
+        self.assertFalse(self.two.view.is_behind)
+        await self.catch_up(self.two)
+
     async def test_a_document_that_can_not_be_read(self):
         broken = attrs.evolve(CATALOGUE, version=9, document='rubbish')
         self.one.view.offer(broken, 'store')
--- a/tests/test_curl_tls.py
+++ b/tests/test_curl_tls.py
@@ -75,7 +75,12 @@
             ('key', files.key),
         )
         named = [f'{key}_{name}={path}' for key in keys for name, path in paths]
-        place = ('host.zone=zone-a', f'platform.table={url}')
+        place = (
+            'host.zone=zone-a',
+            f'platform.table={url}',
+            # The process itself may stand still for longer than targets may.
+            'targets.poll_timeout=30s',
+        )
         return read_settings(None, (*place, 'routing.target_tls=yes', *named))
 
     def client(self, kind, files):
--- a/tests/test_peers_hubs.py
+++ b/tests/test_peers_hubs.py
@@ -56,6 +56,24 @@
         for zone in zones:
             self.assertEqual(len(hubs.of(zone)), expected)
 
+    def test_the_widest_links_go_first(self):
+        """Symptom: a small host's link is full, and it loses its peers.
+
+        Sequence: it is its zone's hub by the hash; a large configuration
+        changes, which it tells to all others.
+        Cause: hubs were chosen whatever their links.
+        """
+        members = list(_members(60))
+        wide = {members[0].incarnation, members[6].incarnation}
+        members = [
+            attrs.evolve(one, link=100 if one.incarnation in wide else 10)
+            for one in members
+        ]
+        chosen = pick_hubs(members, 'zone-0', 2)
+        self.assertEqual({one.incarnation for one in chosen}, wide)
+        left = [one for one in members if one.incarnation not in wide]
+        self.assertEqual(len(pick_hubs(left, 'zone-0', 2)), 2)
+
     def test_whatever_the_order_in_which_members_came(self):
         members = _members(195)
         one = self.hubs(members)
--- a/tests/test_platform_boot.py
+++ b/tests/test_platform_boot.py
@@ -66,6 +66,12 @@
         self.assertIn(place, fault.problems[0])
         self.assertTrue(fault.problems[0].startswith(str(self.path)))
 
+    def test_a_field_that_may_be_missing(self):
+        self.assertNotIn('host.link=', ' '.join(self.read(_FILE)))
+        fields = f'{_FILE}[limits]\nlink_mbps = 10.0\n'
+        cfg = read_settings(None, self.read(fields))
+        self.assertEqual(cfg.host.link, 10)
+
     def test_text_that_is_no_toml(self):
         self.assertIn('not TOML', self.read('node = ').problems[0])
 
--- a/tests/test_platform_pages.py
+++ b/tests/test_platform_pages.py
@@ -1,6 +1,7 @@
 """Tests of what one router hears from the store for its zone."""
 
 import asyncio
+import json
 import random
 
 import attrs
@@ -8,6 +9,7 @@
 
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.peers.base import HubChoice
+from balsamreach.placement.evacuations import Evacuations
 from balsamreach.platform.feeds import ConfigurationFeed, FeedParts
 from balsamreach.platform.pages import PageSharing
 from balsamreach.telemetry.metrics import Metrics
@@ -61,7 +63,7 @@
     def join(self, name):
         pages = PageSharing(self.fabric.join(name))
         pages.start()
-        feed = ConfigurationFeed(CatalogueView())
+        feed = ConfigurationFeed(CatalogueView(), Evacuations(self.clock))
         feed.open(
             FeedParts(
                 store=self.store,
@@ -177,7 +179,7 @@
     async def test_a_large_configuration_is_announced_alone(self):
         for name in (*self.feeds, self.first):
             await self.step(name)
-        self.state.write('op', 'config', _FIELDS | {'note': _noise(40_000)})
+        self.state.write('op', 'config', _FIELDS | {'note': _noise(160_000)})
         await self.step(self.first)
         self.assertEqual(self.version(self.first), 3)
         self.assertEqual(self.version(self.other), 0)
@@ -199,6 +201,61 @@
         await self.step(self.first)
         self.assertEqual(self.version(self.other), 3)
 
+    def large(self, number):
+        """Return a configuration of many entries, of which one changes."""
+        notes = [{'name': f'note-{place}'} for place in range(100)]
+        notes[7]['text'] = _noise(20 + number)
+        return _FIELDS | {'version': number, 'notes': notes}
+
+    def told_bytes(self):
+        """Return the bytes of the last page that was told."""
+        pages = [one for one in self.fabric.sent if isinstance(one, TablePage)]
+        return len(pages[-1].rows)
+
+    @gen_test
+    async def test_changes_of_a_large_configuration_are_told_alone(self):
+        """Symptom: hosts with small links fall behind, and lose their peers.
+
+        Sequence: a large configuration changes ten times a second.
+        Cause: each change was told, or read from the store, as a whole.
+        """
+        self.state.write('op', 'config', self.large(3))
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        for number in (4, 5):
+            self.state.write('op', 'config', self.large(number))
+            await self.step(self.first)
+            self.assertEqual(self.version(self.other), number)
+            self.assertLess(self.told_bytes(), 400)
+        view = self.feeds[self.other].view
+        first = self.feeds[self.first].view
+        self.assertEqual(
+            json.loads(view.current.document),
+            json.loads(first.current.document),
+        )
+
+    @gen_test
+    async def test_a_change_of_what_a_router_does_not_have(self):
+        """Symptom: a router has a configuration that nobody wrote.
+
+        Sequence: a page of changes is lost; the next one comes.
+        Cause: it was laid over an older version than it was made for.
+        """
+        self.state.write('op', 'config', self.large(3))
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        feed = self.feeds[self.other].feed
+        known = feed.parts.pages._known['op', '', 'config']
+        feed.parts.pages._known[known.table, known.part, known.key] = (
+            attrs.evolve(known, version=known.version - 1)
+        )
+        self.state.write('op', 'config', self.large(4))
+        await self.step(self.first)
+        self.assertEqual(self.version(self.other), 3)
+        self.assertTrue(self.has_missed(self.other))
+        await self.step(self.other)
+        self.assertEqual(self.version(self.other), 4)
+
     @gen_test
     async def test_an_answer_that_comes_behind_a_page(self):
         """Symptom: a configuration reverts.
--- /dev/null
+++ b/tests/test_platform_patches.py
@@ -0,0 +1,101 @@
+"""Tests of differences between two versions of a row's object."""
+
+import json
+import random
+import unittest
+
+from parameterized import parameterized
+
+from balsamreach.platform.patches import apply_patch, make_patch
+
+_SEEDS = range(60)
+
+
+def _named(*pairs):
+    return [{'name': name, 'weight': weight} for name, weight in pairs]
+
+
+_BEFORE = {
+    'version': 3,
+    'routes': _named(('a', 1), ('b', 2), ('c', 3)),
+    'limits': {'bytes': 10},
+}
+
+
+class PatchesTest(unittest.TestCase):
+    """What a patch makes is the object that it was made for."""
+
+    @parameterized.expand(
+        (
+            ('nothing', {}),
+            ('a field', {'version': 4}),
+            ('an entry', {'routes': _named(('a', 1), ('b', 7), ('c', 3))}),
+            ('a new entry', {'routes': [*_BEFORE['routes'], {'name': 'd'}]}),
+            ('an entry that is gone', {'routes': _named(('a', 1), ('c', 3))}),
+            ('another order', {'routes': _named(('c', 3), ('b', 2), ('a', 1))}),
+            (
+                'a new one first',
+                {'routes': [{'name': 'd'}, *_BEFORE['routes']]},
+            ),
+            ('no entries', {'routes': []}),
+            ('no names', {'routes': [1, 2]}),
+            ('a name twice', {'routes': _named(('a', 1), ('a', 2))}),
+            ('an inner object', {'limits': {'bytes': 20}}),
+            ('a new list', {'teams': _named(('t', 1))}),
+        ),
+    )
+    def test_one_change(self, _, change):
+        after = _BEFORE | change
+        patch = json.loads(json.dumps(make_patch(_BEFORE, after)))
+        self.assertEqual(apply_patch(_BEFORE, patch), after)
+
+    def test_a_field_that_is_gone(self):
+        after = {'version': 4, 'routes': _BEFORE['routes']}
+        self.assertEqual(
+            apply_patch(_BEFORE, make_patch(_BEFORE, after)),
+            after,
+        )
+
+    @parameterized.expand([(seed,) for seed in _SEEDS])
+    def test_any_change(self, seed):
+        rng = random.Random(seed)
+        before, after = (_draw(rng) for _ in range(2))
+        self.assertEqual(
+            apply_patch(before, make_patch(before, after)),
+            after,
+        )
+
+    def test_a_patch_is_as_large_as_the_change(self):
+        """Symptom: hosts with small links fall seconds behind.
+
+        Sequence: a configuration of 1,800 routes; ten times a second one of
+        them changes.
+        Cause: each change was told as a whole configuration.
+        """
+        routes = _named(*((f'route-{number}', 1) for number in range(1800)))
+        before = {'version': 1, 'routes': routes}
+        routes = list(routes)
+        routes[7] = {'name': 'route-7', 'weight': 2}
+        after = {'version': 2, 'routes': routes}
+        patch = make_patch(before, after)
+        self.assertLess(len(json.dumps(patch)), 200)
+        self.assertEqual(apply_patch(before, patch), after)
+
+    def test_what_was_before_stays_as_it_was(self):
+        kept = json.loads(json.dumps(_BEFORE))
+        apply_patch(_BEFORE, make_patch(_BEFORE, {'routes': []}))
+        self.assertEqual(_BEFORE, kept)
+
+
+def _draw(rng):
+    names = rng.sample('abcdefgh', rng.randrange(8))
+    if rng.getrandbits(1):
+        names.sort()
+    fields = {
+        'version': rng.randrange(3),
+        'routes': _named(*((name, rng.randrange(2)) for name in names)),
+        'teams': _named(*((name, 1) for name in names[:2])),
+    }
+    if rng.getrandbits(1):
+        fields.pop(rng.choice(tuple(fields)))
+    return fields
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,6 +6,7 @@
 
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import SystemClock
+from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.places import Places
 from balsamreach.platform.feeds import (
     ConfigurationFeed,
@@ -105,7 +106,12 @@
         self.view = CatalogueView()
         self.places = Places(random.Random(1))
         self.told = []
-        self.configuration = ConfigurationFeed(self.view)
+        self.evacuations = Evacuations(self.clock)
+        self.configuration = ConfigurationFeed(
+            self.view,
+            self.evacuations,
+            self.told.append,
+        )
         self.targets = TargetsFeed(
             self.places,
             self.clock,
@@ -163,6 +169,43 @@
         await self.step(self.configuration.feed)
         self.assertEqual(self.view.version, 3)
 
+    @gen_test
+    async def test_an_evacuation_and_its_end(self):
+        await self.step(self.configuration.feed)
+        self.state.write('op', 'evacuate/zone-a', {})
+        await self.step(self.configuration.feed)
+        self.assertTrue(self.evacuations.covers('zone-a'))
+        self.state.write('op', 'evacuate/zone-a', None)
+        await self.step(self.configuration.feed)
+        self.assertFalse(self.evacuations.covers('zone-a'))
+        told = [(order.zone, order.in_force) for order in self.told]
+        self.assertEqual(told, [('zone-a', True), ('zone-a', False)])
+
+    @gen_test
+    async def test_an_evacuation_that_ended_unseen(self):
+        """Symptom: a zone gets no work for good.
+
+        Sequence: its evacuation is lifted while a router is cut off; the
+        store's history is gone when it is back.
+        Cause: the list as it is now does not tell of rows that are gone.
+        """
+        self.state.write('op', 'evacuate/zone-a', {})
+        await self.step(self.configuration.feed)
+        self.state.history_from = self.state.write(
+            'op', 'evacuate/zone-a', None
+        )
+        await self.step(self.configuration.feed)
+        await self.step(self.configuration.feed)
+        self.assertFalse(self.evacuations.covers('zone-a'))
+
+    @gen_test
+    async def test_whatever_an_evacuation_holds(self):
+        self.state.write('op', 'evacuate/zone-a', ['no object'])
+        self.state.write('op', 'evacuate/', {})
+        await self.step(self.configuration.feed)
+        covered = [order.zone for order in self.evacuations]
+        self.assertEqual(covered, ['zone-a'])
+
     @gen_test
     async def test_a_store_that_is_back(self):
         """Symptom: requests are refused for a second after an outage.
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -2,19 +2,31 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 
 import attrs
 from parameterized import parameterized
 
 from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
+from balsamreach.placement.evacuations import Evacuation
 from balsamreach.relay.faults import BUDGET_EXHAUSTED
 from balsamreach.relay.run import RelayRun
 from balsamreach.relay.spending import Spending, Tab
 from tests import relay_samples
-from tests.relay_samples import ENGINES, ONE_RUN, PLAIN, STREAM, UNSAFE, event
+from tests.relay_samples import (
+    DESK,
+    ENGINES,
+    ONE_RUN,
+    PLAIN,
+    STREAM,
+    UNSAFE,
+    entry,
+    event,
+)
 from tests.relay_world import (
     RecordingOutlet,
     RelayWorld,
+    Script,
     Swallowed,
     answer,
     unsent,
@@ -25,6 +37,19 @@
 _OK = answer(200, b'done')
 
 
+@attrs.frozen
+class _After:
+    """A target that answers after something else has happened."""
+
+    happens: Callable[[], None]
+    script: Script
+
+    def __call__(self, outgoing, intake):
+        """Let it happen, and answer."""
+        self.happens()
+        return self.script(outgoing, intake)
+
+
 def _status(outlet):
     return 'broken' if outlet.broken else outlet.status
 
@@ -76,6 +101,42 @@
         self.assertEqual(outlet.status, 502)
         self.assertNotEqual(outlet.body, b'x')
 
+    def evacuate(self, zone, *, in_force=True, version=5):
+        order = Evacuation(zone=zone, version=version, in_force=in_force)
+        self.world.evacuations.put(order, 'test')
+
+    def last_target(self):
+        sent = self.world.exchange.sent
+        return sent[-1].target
+
+    def test_an_evacuated_zone(self):
+        """Symptom: targets of an evacuated zone go on to get requests.
+
+        Sequence: the zone of all targets but one is evacuated.
+        Cause: only a target's own word kept requests away from it.
+        """
+        self.evacuate('zone-a')
+        outlet = self.world.run(relay_samples.call(PLAIN))
+        self.assertEqual(outlet.status, 503)
+        self.assertIn('retry-after', outlet.headers)
+        self.assertEqual(self.world.exchange.sent, [])
+        away = entry('away', DESK, zone='zone-b')
+        chooser = self.world.chooser
+        chooser.places.put(away)
+        outlet = self.world.run(relay_samples.call(PLAIN), _OK)
+        self.assertEqual(outlet.status, 200)
+        self.assertEqual(self.last_target(), away)
+        self.evacuate('zone-a', in_force=False, version=6)
+        self.world.run(relay_samples.call(PLAIN), _OK)
+        self.assertEqual(self.last_target().zone, 'zone-a')
+
+    def test_a_stream_does_not_go_on_in_an_evacuated_zone(self):
+        broken = answer(200, event(1), end=BROKEN)
+        script = _After(lambda: self.evacuate('zone-a'), broken)
+        outlet = self.world.run(relay_samples.call(STREAM), script)
+        self.assertTrue(outlet.broken)
+        self.assertEqual(len(self.world.exchange.sent), 1)
+
     def test_stream_goes_on_at_another_target(self):
         outlet = self.world.run(
             relay_samples.call(STREAM),
--- a/tests/test_services_http.py
+++ b/tests/test_services_http.py
@@ -27,11 +27,12 @@
     UNREACHABLE,
 )
 from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
-from balsamreach.services.http import PlatformClient
+from balsamreach.services.http import Call, PlatformClient
 from balsamreach.services.objects_http import HttpObjectStore
 from balsamreach.services.table_http import HttpTableService
 from balsamreach.standins.serve import PlatformSettings, start_platform
 
+_MOST_TRIES = 100
 _CHANGE = Commit((Write('a', {'n': 1}),))
 
 
@@ -48,6 +49,60 @@
         stream.close()
 
 
+class SlowServer(TCPServer):
+    """Begins an answer and never ends it, or answers nothing."""
+
+    begins = True
+
+    async def handle_stream(self, stream, address) -> None:
+        await stream.read_until(b'\r\n\r\n')
+        if self.begins:
+            await stream.write(b'HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n')
+            await stream.write(b'some')
+        await stream.read_until_close()
+
+
+class LargeAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """How long an answer is waited for that has begun."""
+
+    async def asyncSetUp(self) -> None:
+        self.server = SlowServer()
+        sockets = bind_sockets(0, '127.0.0.1')
+        self.server.add_sockets(sockets)
+        self.addCleanup(self.server.stop)
+        port = sockets[0].getsockname()[1]
+        self.client = PlatformClient(
+            f'http://127.0.0.1:{port}',
+            request_timeout=0.05,
+        )
+        self.addCleanup(self.client.close)
+
+    async def read(self) -> None:
+        outcome = await self.client.send(Call('GET', '/'))
+        self.assertEqual(outcome, UNKNOWN)
+
+    async def test_an_answer_that_was_on_its_way(self) -> None:
+        """Symptom: a host with a small link never gets a configuration.
+
+        Sequence: it takes longer than a silent connection may; it is broken
+        off, thrown away and asked for again, and the link is full of it.
+        Cause: the time for the whole answer was that for a sign of life.
+        """
+        # Where this process stands still, the time is over before a byte is
+        # there; the next try tells.
+        for _ in range(_MOST_TRIES):
+            await self.read()
+            if self.client._stretch > 1:
+                break
+        self.assertEqual(self.client._stretch, 2)
+
+    async def test_a_silent_connection(self) -> None:
+        await self.read()
+        self.server.begins = False
+        await self.read()
+        self.assertEqual(self.client._stretch, 1)
+
+
 class HttpTest(unittest.IsolatedAsyncioTestCase):
     """A stand-in platform on a free port and clients for it."""
 
