Bound what a cold target gets by hashing, without a message

Ways weighed: equal shares among the members heard of (each router one request in 4.5 s: of no use to a cold target of 3 s, and a cut doubles the shares); tokens lent by a hub (a question before each request, and a cut leaves each side its own hub); a choice at random with a probability (must know the load; a clump breaks it). Kept: of the routers that the target's zone ever had, dead ones too, the five of the greatest weight by address may send, each with a pause such that together they stay under 0.7 of the rate. A router doesn't know the fleet in its first 3 s and sends nothing to cold targets meanwhile. Targets of a zone whose evacuation is lifted count as cold.

Tests: seeded fleets of 1 to 195 routers before 1 to 44 cold targets, whole, in two and in four parts, with two views of the fleet, started at once without knowing each other, replaced on their addresses; none above the bound, and more than half of what cold targets bear is used.

--- a/src/balsamreach/catalogue/entries.py
+++ b/src/balsamreach/catalogue/entries.py
@@ -107,11 +107,18 @@
         Connections that one target takes from all callers together.
     engine : EngineTraits or None
         None for a plain service.
+    cold_rate : float
+        Requests a second of all routers together that a target bears while
+        it is cold; 0 where nothing is said.
+    cold_time : float
+        Seconds for which a target is cold after it became so.
     """
 
     name: str
     most_connections: int = 0
     engine: EngineTraits | None = None
+    cold_rate: float = 0
+    cold_time: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -4,15 +4,18 @@
 
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
+from balsamreach.peers.base import PeerNet
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.places import Places
 from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.warming import Warming
 from balsamreach.relay.chooser import Chooser
 
 
 def make_chooser(
     zone: str,
+    net: PeerNet,
     view: CatalogueView,
     clock: Clock,
     rng: random.Random,
@@ -23,6 +26,8 @@
     ----------
     zone : str
         Zone of this router.
+    net : PeerNet
+        The other routers.
     view : CatalogueView
         What is known of the services.
     clock : Clock
@@ -31,6 +36,12 @@
         Chooses among equals.
     """
     evacuations = Evacuations(clock)
+    warming = Warming(
+        lambda: net.me.address,
+        lambda: (*net.members(), *net.departed()),
+        evacuations,
+        clock,
+    )
     return Chooser(
         Places(rng),
         EngineChooser(zone),
@@ -38,4 +49,5 @@
         view,
         clock,
         evacuations,
+        warming,
     )
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -67,6 +67,7 @@
     holdings = core.make_holdings(outside)
     chooser = make_chooser(
         cfg.host.zone,
+        core.net,
         core.view,
         core.clock,
         core.rng,
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -83,6 +83,12 @@
         from a list that may have lost entries.
     cache : CacheMemory or None
         Parts of prompts that it was sent; None before the first.
+    cold_version : int
+        Version of the entry whose word on being cold is counted in.
+    cold_until : float
+        Monotonic seconds up to which it is cold.
+    cold_sent_at : float
+        Monotonic seconds at which this router sent there last.
     """
 
     entry: TargetEntry
@@ -93,6 +99,9 @@
     breaker: Breaker = attrs.field(factory=lambda: Breaker(_FAILURES))
     gone_at: float | None = None
     cache: CacheMemory | None = None
+    cold_version: int = -1
+    cold_until: float = float('-inf')
+    cold_sent_at: float = float('-inf')
 
     @property
     def incarnation(self) -> str:
--- a/src/balsamreach/platform/configuration.py
+++ b/src/balsamreach/platform/configuration.py
@@ -102,6 +102,8 @@
         name=fields['name'],
         most_connections=int(fields.get('max_conns') or 0),
         engine=traits,
+        cold_rate=float(fields.get('cold_per_s') or 0),
+        cold_time=float(fields.get('cold_start_s') or 0),
     )
 
 
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -11,6 +11,7 @@
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.places import Place, Places
 from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.warming import Warming
 from balsamreach.relay.call import RelayCall
 
 
@@ -36,6 +37,8 @@
         Time.
     evacuations : Evacuations
         Zones that get no new work.
+    warming : Warming
+        Bounds what goes to cold targets.
     on_sent : callable
         Told of the unread tokens of each prompt that is sent.
     """
@@ -46,6 +49,7 @@
     view: CatalogueView
     clock: Clock
     evacuations: Evacuations
+    warming: Warming
     on_sent: Callable[[int], None] = _ignore
 
     def choose(self, call: RelayCall, tried: set[str]) -> Place | None:
@@ -75,6 +79,7 @@
     def visit(self, call: RelayCall, place: Place) -> 'Visit':
         """Take note that a request is being sent."""
         place.breaker.begin()
+        self.warming.sent(place)
         if call.prompt is None:
             return Visit(place)
         capacity = self._engine(call).cache_tokens
@@ -113,12 +118,14 @@
         return self._engine(call).tokens_per_event
 
     def _present(self, call: RelayCall, tried: set[str]) -> list[Place]:
+        service = self._service(call)
         return [
             place
             for place in self.places.of(call.service)
             if not place.entry.leaving
             and place.incarnation not in tried
             and not self.evacuations.covers(place.entry.zone)
+            and self.warming.allows(place, service)
         ]
 
     def _service(self, call: RelayCall) -> Service | None:
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -24,6 +24,7 @@
 from balsamreach.relay.tries import TryParts
 from balsamreach.relay.verdicts import Judge
 from balsamreach.telemetry.metrics import Metrics
+from tests.fake_net import FakeNet
 from tests.relay_samples import CATALOGUE, DESK, ENGINES, SIGNED, entry
 from tests.support import FakeClock
 
@@ -162,6 +163,7 @@
         self.view.offer(CATALOGUE, 'test')
         self.chooser = make_chooser(
             'zone-a',
+            FakeNet().join('router'),
             self.view,
             self.clock,
             random.Random(1),
