Give back what dead routers held before the first round

Cause: in a fleet with hubs most of what is held of a budget is held by eight routers. When all hosts lose power, their successors looked for it in their first round, a second after the start, one team after the other (24 of them, three calls each).

Ruled out: handing over to peers (they lose power too).

Change: as soon as the store answers, and 16 teams at a time: each has a part of its own in the store.

Test: fails before (nothing looked for it outside a round); also with a store that is away for the first 0.35 s.

--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -153,6 +153,7 @@
 
     async def run(self) -> None:
         """Draw ahead and hand back in rounds, until cancelled."""
+        await self.parts.succession.inherit(self.book)
         while True:
             await self.clock.sleep(self.cfg.flush_interval)
             await self.round()
--- a/src/balsamreach/budget/succession.py
+++ b/src/balsamreach/budget/succession.py
@@ -5,11 +5,13 @@
 began. Its last report and the silence between the two bound what it used.
 """
 
+import asyncio
 import logging
 import math
 
 import attrs
 
+from balsamreach.budget.book import Book
 from balsamreach.budget.closing import Closer
 from balsamreach.budget.closing_plan import Closing
 from balsamreach.budget.faults import BudgetFault
@@ -24,6 +26,11 @@
 from balsamreach.telemetry.metrics import Metrics
 
 _logger = logging.getLogger(__name__)
+#: Tries before it is left to the holder's rounds, and seconds between two.
+_TRIES = 10
+_PAUSE_S = 0.1
+#: Teams whose allotments are closed at the same time.
+_AT_ONCE = 16
 
 
 @attrs.define
@@ -50,6 +57,26 @@
     began: float
     metrics: Metrics
 
+    async def inherit(self, book: Book) -> None:
+        """Close what predecessors held as soon as the store answers.
+
+        Where all hosts start again at once most of a budget may be held by
+        the dead. Left to the holder's first round it would be a second before
+        any of it is back, and requests would be refused meanwhile; it shows
+        as ``no_allotment`` in the first seconds after a loss of power.
+
+        Parameters
+        ----------
+        book : Book
+            Enters this router on its address first.
+        """
+        for _ in range(_TRIES):
+            if not book.is_away() and await book.enter() is None:
+                await self.close_predecessors()
+                if not self.incarnations.before:
+                    return
+            await book.clock.sleep(_PAUSE_S)
+
     async def close_predecessors(self) -> None:
         """Close what predecessors held, as far as the store answers."""
         await self.incarnations.close_before(self._close_all_of)
@@ -66,10 +93,26 @@
         died = self.times.at_most(self.began)
         if died is None:
             return False
-        for team in last.teams:
-            if not await self._close(incarnation, team, last, died):
-                return False
-        return True
+        # Teams lie in parts of their own, so their closings don't wait for
+        # each other; one after the other the last team would be refused for
+        # as long as all of them take.
+        turn = asyncio.Semaphore(_AT_ONCE)
+        closings = [
+            self._close_in_turn(turn, incarnation, team, last, died)
+            for team in last.teams
+        ]
+        return all(await asyncio.gather(*closings))
+
+    async def _close_in_turn(
+        self,
+        turn: asyncio.Semaphore,
+        incarnation: str,
+        team: str,
+        last: Report,
+        died: float,
+    ) -> bool:
+        async with turn:
+            return await self._close(incarnation, team, last, died)
 
     async def _close(
         self,
--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -1,5 +1,6 @@
 """Tests of budgets where nothing is recorded request by request."""
 
+import asyncio
 import random
 import unittest
 
@@ -60,6 +61,31 @@
         await fleet.round(name)
         self.assertLess(await fleet.taken(), 1500)
 
+    async def answers(self, fleet):
+        """Let the store be away from all for a moment."""
+        for is_open in (False, True):
+            for gate in fleet.gates.values():
+                gate.open = is_open
+            await fleet.clock.sleep(0.35)
+
+    async def test_it_comes_back_before_the_first_round(self):
+        """Symptom: requests are refused in the first second after a start.
+
+        Sequence: the same; the store answers at once, or a moment later.
+        Cause: what the dead one held was looked for in the first round only.
+        """
+        fleet = Fleet(10_000)
+        name = fleet.start()
+        await fleet.serve(name, 3000, 100)
+        await fleet.report(name)
+        fleet.kill(name)
+        fleet.clock.seconds += 2
+        name = fleet.start(fleet.addresses[name])
+        parts = fleet.routers[name].parts
+        inherit = parts.succession.inherit(parts.book)
+        await fleet.clock.drive(asyncio.gather(inherit, self.answers(fleet)))
+        self.assertLess(await fleet.taken(), 1500)
+
     @parameterized.expand(
         [
             ('early', 4000, 0.85),
