Tell of broken connections by hubs, not by all neighbours

Cause: each break at a target is told to all routers at once, and each router passed it on to its ten neighbours: some 630 messages in a fleet of 63.

Change: the origin tells its zone's hubs, these their zone and the hubs of the others; two hubs a zone, so that one that is silent keeps nobody from it. In a fleet without hubs as before.

Tests: reaches all of 8, 63 and 195 routers, with any one hub silent, at two messages for each router in place of ten.

--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -1,7 +1,7 @@
 """Abstract base of the net of routers, as the decision code uses it."""
 
 import abc
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 
@@ -99,9 +99,49 @@
         that it reaches routers that are no neighbours of its origin.
         """
 
-    def tell_zone(self, message: Message) -> None:
-        """Send to all other routers of this one's zone."""
+    def tell_zone(self, message: Message, besides: str = '') -> None:
+        """Send to all other routers of this one's zone but one."""
+        left_out = {self.me.incarnation, besides}
         for member in self.members():
             near = member.zone == self.me.zone
-            if near and member.incarnation != self.me.incarnation:
+            if near and member.incarnation not in left_out:
                 self.tell(member.incarnation, message)
+
+    def broadcast(self, message: Message, heard: Member | None = None) -> None:
+        """Send to all routers by the hubs, or as ``spread`` without hubs.
+
+        Over neighbours each router gets each piece of news from all of them;
+        in a fleet of hundreds that would be most of what it reads. Each zone
+        has more than one hub, so one that is silent keeps nobody from it.
+
+        Parameters
+        ----------
+        message : Message
+            News; a taker to whom it is news passes it on by this.
+        heard : Member or None
+            Who told it; None where it began here.
+        """
+        hubs = self.hubs.of(self.me.zone)
+        source = heard.incarnation if heard else ''
+        if not hubs:
+            self.spread(message, besides=source)
+        elif self.me.incarnation in _names(hubs):
+            self._pass_on(message, heard)
+        elif source not in _names(hubs):
+            self._tell_all(hubs, message)
+
+    def _pass_on(self, message: Message, heard: Member | None) -> None:
+        self.tell_zone(message, besides=heard.incarnation if heard else '')
+        if heard is not None and heard.zone != self.me.zone:
+            return
+        for zone in self.hubs.zones():
+            if zone != self.me.zone:
+                self._tell_all(self.hubs.of(zone), message)
+
+    def _tell_all(self, members: Iterable[Member], message: Message) -> None:
+        for member in members:
+            self.tell(member.incarnation, message)
+
+
+def _names(members: Iterable[Member]) -> frozenset[str]:
+    return frozenset(member.incarnation for member in members)
--- a/src/balsamreach/routing/quarantine.py
+++ b/src/balsamreach/routing/quarantine.py
@@ -125,7 +125,7 @@
         # are the network's, and no reason to flood the peers.
         if self.net is not None and not self.crashes.many_at_once(now):
             crash = f'{target}@{incarnation}'
-            self.net.spread(
+            self.net.broadcast(
                 Suspicion(fingerprint, team, crash, unexplained=True),
             )
 
@@ -184,7 +184,7 @@
         else:
             news = self._blame(message)
         if news:
-            self.net.spread(message, besides=sender.incarnation)
+            self.net.broadcast(message, sender)
 
     def _heard(self, message: Suspicion) -> bool:
         fingerprint = message.fingerprint
@@ -215,7 +215,7 @@
                 at=at,
             )
             if self._blame(message) and self.net is not None:
-                self.net.spread(message)
+                self.net.broadcast(message)
 
     def _blame(self, message: Suspicion) -> bool:
         fingerprint = message.fingerprint
