--- a/src/balsamreach/placement/warming.py
+++ b/src/balsamreach/placement/warming.py
@@ -81,11 +81,10 @@
         now = self.clock.now()
         if not self._is_cold(place, service, now):
             return True
-        if now < place.cold_sent_at + SHARERS / (
-            service.cold_rate * _RATE_SHARE
-        ):
+        if now - self._started < _UNKNOWN_S:
             return False
-        return now - self._started >= _UNKNOWN_S and self._is_sharer(place)
+        pause = SHARERS / (service.cold_rate * _RATE_SHARE)
+        return now - place.cold_sent_at >= pause and self._is_sharer(place)
 
     def sent(self, place: Place) -> None:
         """Take note that a request goes to a target."""
