--- a/tests/test_budget_holdings.py
+++ b/tests/test_budget_holdings.py
@@ -52,14 +52,18 @@
         Cause: all that it held counted as spent.
         """
         fleet = Fleet(10_000)
+        name = await self.succeed(fleet)
+        await fleet.round(name)
+        self.assertLess(await fleet.taken(), 1500)
+
+    async def succeed(self, fleet):
+        """Let a router die that holds most, and return its successor."""
         name = fleet.start()
         await fleet.serve(name, 3000, 100)
         await fleet.report(name)
         fleet.kill(name)
         fleet.clock.seconds += 2
-        name = fleet.start(fleet.addresses[name])
-        await fleet.round(name)
-        self.assertLess(await fleet.taken(), 1500)
+        return fleet.start(fleet.addresses[name])
 
     async def answers(self, fleet):
         """Let the store be away from all for a moment."""
@@ -75,12 +79,7 @@
         Cause: what the dead one held was looked for in the first round only.
         """
         fleet = Fleet(10_000)
-        name = fleet.start()
-        await fleet.serve(name, 3000, 100)
-        await fleet.report(name)
-        fleet.kill(name)
-        fleet.clock.seconds += 2
-        name = fleet.start(fleet.addresses[name])
+        name = await self.succeed(fleet)
         parts = fleet.routers[name].parts
         inherit = parts.succession.inherit(parts.book)
         await fleet.clock.drive(asyncio.gather(inherit, self.answers(fleet)))
