Answer the first request of a connection that was let in as the daemon leaves

Cause: as a daemon of 'serve' leaves, it closes connections that wait for a request. One that was just let in waits too: its request is on its way, or lies unread where the process stood still.

--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -116,10 +116,16 @@
         # the listener closed at once, those callers would see a refused
         # connection; so it is kept open until the balancer must know.
         await self.parts.clock.sleep(self.cfg.callers.leave_delay)
-        if self.callers.turn_away():
+        is_shared = self.callers.turn_away()
+        if is_shared:
             await self.parts.clock.sleep(_HANDSHAKES_S)
         self.callers.stop()
         self.guard.leave()
+        if is_shared:
+            # Whoever was let in last has yet to send its request, and this
+            # process, if it stood still meanwhile, to read it. Closed before,
+            # such a connection would be reset.
+            await self.parts.clock.sleep(_HANDSHAKES_S)
 
     async def _drain(self) -> None:
         try:
--- a/src/balsamreach/gateway/guard.py
+++ b/src/balsamreach/gateway/guard.py
@@ -59,12 +59,13 @@
         assert isinstance(request_conn, HTTP1Connection)
         served = self.app.start_request(server_conn, request_conn)
         guarded = GuardedRequest(self, request_conn, served)
-        if self.leaving:
-            # The answer before this was the last one on the connection.
-            request_conn.stream.close()
-        elif server_conn not in self._known:
+        if server_conn not in self._known:
             self._known.add(server_conn)
+            guarded.is_first = True
             guarded.expect_header()
+        elif self.leaving:
+            # The answer before this was the last one on the connection.
+            request_conn.stream.close()
         self._waiting.add(guarded)
         return guarded
 
@@ -73,11 +74,17 @@
         self._waiting.discard(guarded)
 
     def leave(self) -> None:
-        """Close idle connections; the others close after their answer."""
+        """Close idle connections; the others close after their answer.
+
+        One that was just let in isn't idle: its first request is on its way,
+        or lies unread where this process stood still. Closed, it would be
+        reset, and its caller would see a broken connection.
+        """
         self.leaving = True
         self.app.settings['leaving'] = True
         for guarded in tuple(self._waiting):
-            guarded.conn.stream.close()
+            if not guarded.is_first:
+                guarded.conn.stream.close()
 
 
 class GuardedRequest(HTTPMessageDelegate):
@@ -91,6 +98,11 @@
         Connection that the request comes on.
     served : HTTPMessageDelegate
         The application's own delegate.
+
+    Attributes
+    ----------
+    is_first : bool
+        Whether it is its connection's first one.
     """
 
     def __init__(
@@ -102,6 +114,7 @@
         self.guard = guard
         self.conn = conn
         self._served = served
+        self.is_first = False
         self._received = 0
         self._refused = False
         self._timer: asyncio.TimerHandle | None = None
--- a/tests/test_daemon_closing.py
+++ b/tests/test_daemon_closing.py
@@ -1,6 +1,7 @@
 """Tests of daemons that share the callers' port."""
 
 import asyncio
+import time
 import unittest
 
 from balsamreach.config.reader import check_ports, read_settings
@@ -55,6 +56,27 @@
             self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
         self.assertTrue((await self.ask()).startswith(b'HTTP/1.1 200'))
 
+    async def test_leaving_daemon_that_stood_still(self):
+        """A restart on a busy host breaks connections of callers.
+
+        Symptom: the same, or connections closed without an answer, where
+        the host is busy. Events: the daemon stands still as it leaves;
+        connections are let in and their requests lie unread. Cause: such a
+        connection was taken for an idle one and closed.
+        """
+        first = self.deployment.routers.pop(0)
+        loop = asyncio.get_running_loop()
+        for delay in (0, 0.3):
+            loop.call_later(delay, time.sleep, 0.4)
+        asking = [asyncio.create_task(self.ask()) for _ in range(_CALLERS)]
+        leaving = asyncio.create_task(first.leave())
+        for _ in range(_CALLERS):
+            await asyncio.sleep(0)
+            asking.append(asyncio.create_task(self.ask()))
+        answers = await asyncio.gather(*asking)
+        await leaving
+        self.assertEqual({answer[:12] for answer in answers}, {b'HTTP/1.1 200'})
+
     async def test_check_of_the_port_takes_no_connection(self):
         """A daemon's start breaks connections of those that run.
 
