--- a/tests/test_daemon_closing.py
+++ b/tests/test_daemon_closing.py
@@ -35,6 +35,18 @@
         writer.close()
         return received
 
+    async def ask_while_one_leaves(self):
+        """Return the answers to callers as the first daemon leaves."""
+        first = self.deployment.routers.pop(0)
+        asking = [asyncio.create_task(self.ask()) for _ in range(_CALLERS)]
+        leaving = asyncio.create_task(first.leave())
+        for _ in range(_CALLERS):
+            await asyncio.sleep(0)
+            asking.append(asyncio.create_task(self.ask()))
+        answers = await asyncio.gather(*asking)
+        await leaving
+        return answers
+
     async def test_leaving_daemon_resets_nobody(self):
         """A restart of one daemon breaks connections of callers.
 
@@ -44,14 +56,7 @@
         Cause: what a closing socket has not accepted is reset, also where
         others listen on the port.
         """
-        first = self.deployment.routers.pop(0)
-        asking = [asyncio.create_task(self.ask()) for _ in range(_CALLERS)]
-        leaving = asyncio.create_task(first.leave())
-        for _ in range(_CALLERS):
-            await asyncio.sleep(0)
-            asking.append(asyncio.create_task(self.ask()))
-        answers = await asyncio.gather(*asking)
-        await leaving
+        answers = await self.ask_while_one_leaves()
         for answer in answers:
             self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
         self.assertTrue((await self.ask()).startswith(b'HTTP/1.1 200'))
@@ -64,17 +69,10 @@
         connections are let in and their requests lie unread. Cause: such a
         connection was taken for an idle one and closed.
         """
-        first = self.deployment.routers.pop(0)
         loop = asyncio.get_running_loop()
         for delay in (0, 0.3):
             loop.call_later(delay, time.sleep, 0.4)
-        asking = [asyncio.create_task(self.ask()) for _ in range(_CALLERS)]
-        leaving = asyncio.create_task(first.leave())
-        for _ in range(_CALLERS):
-            await asyncio.sleep(0)
-            asking.append(asyncio.create_task(self.ask()))
-        answers = await asyncio.gather(*asking)
-        await leaving
+        answers = await self.ask_while_one_leaves()
         self.assertEqual({answer[:12] for answer in answers}, {b'HTTP/1.1 200'})
 
     async def test_check_of_the_port_takes_no_connection(self):
