--- a/src/balsamreach/peers/connector.py
+++ b/src/balsamreach/peers/connector.py
@@ -4,10 +4,11 @@
 import ipaddress
 import logging
 import socket
+import ssl
 from collections.abc import Callable
 
 import attrs
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from balsamreach.peers.faults import NOT_CONNECTED, STRANGER, PeerFault
 from balsamreach.peers.greeting import Refusal, greet, welcome
@@ -98,11 +99,12 @@
 
     async def _dial(self, address: str) -> Link | PeerFault:
         host, _, port = address.rpartition(':')
-        stream = _new_stream(host)
+        # One stream from the connection to its end of TLS: turned into
+        # another one between, neither could be closed while the handshake
+        # hangs, and each dial of a silent router would keep a descriptor.
+        stream = _new_stream(host, self.tls.client)
         try:
             await stream.connect((host, int(port)))
-            if self.tls.client is not None:
-                stream = await stream.start_tls(False, self.tls.client)
         except (OSError, StreamClosedError) as exc:
             return NOT_CONNECTED.because(f'{address}: {exc}')
         except asyncio.CancelledError:
@@ -135,11 +137,17 @@
         )
 
 
-def _new_stream(host: str) -> IOStream:
+def _new_stream(host: str, tls: ssl.SSLContext | None) -> IOStream:
     # Addresses are IP numbers, so no resolver and none of its threads.
     version = ipaddress.ip_address(host).version
     family = socket.AF_INET if version == 4 else socket.AF_INET6
     sock = socket.socket(family, socket.SOCK_STREAM)
     stream = IOStream(sock, max_buffer_size=_MOST_BUFFER)
+    if tls is not None:
+        stream = SSLIOStream(
+            sock,
+            max_buffer_size=_MOST_BUFFER,
+            ssl_options=tls,
+        )
     stream.set_nodelay(True)
     return stream
--- a/tests/test_peers_tls.py
+++ b/tests/test_peers_tls.py
@@ -1,5 +1,7 @@
 """Tests of mutual TLS between routers."""
 
+import asyncio
+import gc
 import tempfile
 import unittest
 from pathlib import Path
@@ -15,6 +17,7 @@
 
 _CA = trustme.CA()
 _OTHER_CA = trustme.CA()
+_CHUNK = 4096
 
 
 class TlsTest(unittest.IsolatedAsyncioTestCase):
@@ -114,3 +117,39 @@
         (self.path / f'one.{missing}').unlink()
         cfg = read_settings(None, ('host.zone=zone-a', *files))
         self.assertEqual(load_tls(cfg.peers), BAD_TLS)
+
+    async def test_hanging_handshake_leaves_no_connection(self):
+        """A router takes connections and stands still.
+
+        Symptom: its peers' logs show exceptions that nobody retrieved.
+        Sequence: it takes a connection, and TLS gets no answer until the
+        dial's time is over. Cause: the connection had been handed to
+        another stream, and the one that was closed had none any more.
+        """
+        lost = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, told: lost.append(told))
+        closed = asyncio.Event()
+        server = await asyncio.start_server(
+            lambda reader, _: _note_end(reader, closed),
+            '127.0.0.1',
+        )
+        self.addCleanup(server.close)
+        net = self.rig.make('one', *self.write('one', _CA))
+        self.assertIsNone(net.reload_tls())
+        host, port = server.sockets[0].getsockname()
+        dial = net.keeper.connector.dial(f'{host}:{port}')
+        dialling = asyncio.ensure_future(dial)
+        await self.rig.until(dialling.done)
+        self.assertEqual(dialling.result(), NOT_CONNECTED)
+        await self.rig.until(closed.is_set)
+        del dialling
+        gc.collect()
+        self.assertEqual(lost, [])
+
+
+async def _note_end(reader, closed):
+    """Read without an answer until the connection ends."""
+    while await reader.read(_CHUNK):
+        """Nothing is answered."""
+    closed.set()
