Let a router whose link is full ask the balancer to be left out

Connections to targets and asks of homes timed out: 4 of 217 requests were answered in the worst second.

Change: relay/host_link.py works out what waits for the link from what crosses it; relay/rotation.py asks to be left out for 6 s at least once that is 0.1 s. Callers' connections end with their answers meanwhile. Nothing is refused or held.

Where the link isn't known nothing changes.

--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -17,6 +17,7 @@
 from balsamreach.placement.sharing import LoadSharing
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.codec import Codec
+from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.metered import MeteredSpending
 from balsamreach.relay.repeats import Repeats
@@ -147,6 +148,7 @@
             self.metrics,
             self.net,
         )
+        link = HostLink(cfg.host.link, self.clock)
         tries = TryParts(
             codec=codec,
             chooser=chooser,
@@ -154,12 +156,14 @@
             repeats=self._make_repeats(),
             judge=Judge(chooser, suspects),
             clock=self.clock,
+            link=link,
             stream_gap=cfg.relay.stream_gap,
         )
         return RunParts(
             codec=codec,
             spending=MeteredSpending(holdings, self.view),
             suspects=suspects,
+            link=link,
             tries=tries,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -14,6 +14,7 @@
 from balsamreach.relay.codec import CallerRequest
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.outlet import Outlet
+from balsamreach.relay.rotation import Rotation
 from balsamreach.relay.run import RelayRun
 from balsamreach.telemetry.logs import log_event
 
@@ -21,6 +22,7 @@
 _STARTING = 'starting'
 _READY = 'ready'
 _LEAVING = 'leaving'
+_CROWDED = 'crowded'
 #: Seconds for which a leaving router takes new connections, so that the
 #: balancer has looked twice and sends none when the listener closes.
 _LEAVE_DELAY_S = 2.5
@@ -28,6 +30,7 @@
 #: for; the rest is for handing tokens back.
 _DRAIN_SHARE = 0.85
 _TICK_S = 0.1
+_MS = 1000
 #: Refusals that a newer configuration may take back.
 _UNKNOWN = (faults.NO_ROUTE, faults.NO_TEAM)
 
@@ -59,6 +62,11 @@
     callers: OpenListener = attrs.field(init=False)
     probes: OpenListener = attrs.field(init=False)
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
+    _rotation: Rotation = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin in rotation."""
+        self._rotation = Rotation(self.parts.run.link, self.parts.clock)
 
     async def start(self) -> None:
         """Open the listeners and begin to follow configuration and targets."""
@@ -181,11 +189,27 @@
         while True:
             await self.parts.clock.sleep(_TICK_S)
             self.tick()
-            if self.state == _STARTING and self._knows_enough():
+            if self.state == _STARTING and _knows_enough(self.parts):
                 self.state = _READY
                 log_event(_logger, logging.INFO, 'router_ready')
+            self._turn_in_or_out()
 
-    def _knows_enough(self) -> bool:
-        return (
-            self.parts.view.current is not None and len(self.parts.places) > 0
+    def _turn_in_or_out(self) -> None:
+        if self.state not in {_READY, _CROWDED}:
+            return
+        is_out = self._rotation.is_out()
+        if is_out == self.server.crowded:
+            return
+        self.server.crowded = is_out
+        self.state = _CROWDED if is_out else _READY
+        wait_ms = round(self.parts.run.link.wait * _MS)
+        log_event(
+            _logger,
+            logging.INFO,
+            f'router_{self.state}',
+            reason=f'the link is {wait_ms} ms behind',
         )
+
+
+def _knows_enough(parts: RelayParts) -> bool:
+    return parts.view.current is not None and len(parts.places) > 0
--- a/src/balsamreach/gateway/relay_server.py
+++ b/src/balsamreach/gateway/relay_server.py
@@ -115,9 +115,11 @@
     clock: Clock
     body_limit: Callable[[], int]
     leaving: bool = False
+    crowded: bool = False
     running: set[asyncio.Task] = attrs.field(factory=set)
     idle: set['RelayRequest'] = attrs.field(factory=set)
     _known: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
+    _ending: weakref.WeakSet = attrs.field(factory=weakref.WeakSet)
 
     def start_request(
         self,
@@ -126,14 +128,21 @@
     ) -> HTTPMessageDelegate:
         """Wait for the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        request = RelayRequest(self, request_conn)
-        if self.leaving and server_conn in self._known:
+        request = RelayRequest(self, request_conn, server_conn)
+        left = self.leaving and server_conn in self._known
+        if left or server_conn in self._ending:
             # The answer before this was said to be the last one.
             request_conn.stream.close()
         self._known.add(server_conn)
         self.idle.add(request)
         return request
 
+    def ends(self, server_conn: object) -> bool:
+        """Return whether the answer that begins now is a connection's last."""
+        if self.crowded:
+            self._ending.add(server_conn)
+        return self.leaving or self.crowded
+
     def leave(self) -> None:
         """Close connections without a request; others after their answer."""
         self.leaving = True
@@ -157,9 +166,15 @@
         Connection that the request comes on.
     """
 
-    def __init__(self, server: RelayServer, conn: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        server: RelayServer,
+        conn: HTTP1Connection,
+        server_conn: object,
+    ) -> None:
         self.server = server
         self.conn = conn
+        self._server_conn = server_conn
         self._line: RequestStartLine | None = None
         self._headers: HTTPHeaders | None = None
         self._body = bytearray()
@@ -198,7 +213,10 @@
             body=bytes(self._body),
             arrived=self._arrived,
         )
-        outlet = ConnectionOutlet(self.conn, lambda: self.server.leaving)
+        outlet = ConnectionOutlet(
+            self.conn,
+            partial(self.server.ends, self._server_conn),
+        )
         self._task = asyncio.ensure_future(self._answer(request, outlet))
         self.server.running.add(self._task)
         self._task.add_done_callback(self.server.running.discard)
--- a/src/balsamreach/relay/call.py
+++ b/src/balsamreach/relay/call.py
@@ -7,6 +7,7 @@
 
 from balsamreach.catalogue.entries import Route, Team
 from balsamreach.placement.prompts import Prompt
+from balsamreach.relay.host_link import HEAD_BYTES
 
 _DIGEST_BYTES = 12
 
@@ -62,6 +63,11 @@
         """Name of the team, empty for none."""
         return '' if self.team is None else self.team.name
 
+    @property
+    def size(self) -> int:
+        """Bytes that it takes on a link."""
+        return HEAD_BYTES + len(self.body)
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """What stays the same where a caller sends the request again."""
--- a/src/balsamreach/relay/intakes.py
+++ b/src/balsamreach/relay/intakes.py
@@ -90,7 +90,7 @@
     cutter : EventCutter
         Keeps the events of all attempts in one order.
     on_events : callable
-        Told how many events are passed on.
+        Told how many events are passed on, and their bytes.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         request_id: str,
         outlet: Outlet,
         cutter: EventCutter,
-        on_events: Callable[[int], None],
+        on_events: Callable[[int, int], None],
     ) -> None:
         super().__init__(codec, request_id)
         self.outlet = outlet
@@ -121,8 +121,9 @@
         if not events:
             return
         self._start_outlet()
-        self.on_events(len(events))
-        self.outlet.write(b''.join(event.raw for event in events))
+        piece = b''.join(event.raw for event in events)
+        self.on_events(len(events), len(piece))
+        self.outlet.write(piece)
 
     def _start_outlet(self) -> None:
         # One answer keeps the head of its first target also where another
--- /dev/null
+++ b/src/balsamreach/relay/rotation.py
@@ -0,0 +1,42 @@
+"""Decides when this router asks the balancer to send callers elsewhere.
+
+Load pattern: a large team's requests all come through one small host, second
+after second, since the balancer hashes callers. Turned away, they come back
+to the same host, so that a refusal serves nobody. Left out by the balancer
+for a while, the host answers what it has, and the team's new connections go
+to another one, which does the same before it is full.
+"""
+
+import attrs
+
+from balsamreach.clock import Clock
+from balsamreach.relay.host_link import HostLink
+
+#: Seconds for which a router asks to be left out at least. Shorter, its
+#: callers would be back before another host has taken them; longer, too much
+#: of a zone would be out at once.
+OUT_S = 6
+
+
+@attrs.define
+class Rotation:
+    """Whether callers should come by another router.
+
+    Parameters
+    ----------
+    link : HostLink
+        What waits for the host's link.
+    clock : Clock
+        Time.
+    """
+
+    link: HostLink
+    clock: Clock
+    _out_until: float = float('-inf')
+
+    def is_out(self) -> bool:
+        """Look at the link, and return whether to be left out."""
+        now = self.clock.now()
+        if self.link.is_full():
+            self._out_until = now + OUT_S
+        return now < self._out_until
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -9,6 +9,7 @@
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.codec import Codec
 from balsamreach.relay.faults import RelayFault
+from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.outlet import Outlet
 from balsamreach.relay.returns import Returns
@@ -24,6 +25,7 @@
     codec: Codec
     spending: Spending
     suspects: Suspects
+    link: HostLink
     tries: TryParts
     clock: Clock
     log: RequestLog
@@ -61,6 +63,7 @@
             self._refuse(fault)
 
     async def _admit(self, tries: Tries) -> RelayFault | None:
+        self.parts.link.carry(self.call.size)
         refusal = self.parts.suspects.check(self.call)
         if refusal is not None:
             return refusal
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -14,6 +14,7 @@
 from balsamreach.relay.events import EventCutter
 from balsamreach.relay.exchange import Exchange, Outgoing
 from balsamreach.relay.faults import RelayFault
+from balsamreach.relay.host_link import PIECE_BYTES, HostLink
 from balsamreach.relay.intakes import AnswerIntake, StreamIntake
 from balsamreach.relay.outlet import Outlet
 from balsamreach.relay.repeats import Repeats
@@ -32,6 +33,8 @@
 
     Parameters
     ----------
+    link : HostLink
+        Counts what crosses the host's link.
     stream_gap : float
         Seconds of silence after which a stream is given up.
     """
@@ -42,6 +45,7 @@
     repeats: Repeats
     judge: Judge
     clock: Clock
+    link: HostLink
     stream_gap: float
 
 
@@ -113,6 +117,7 @@
         self._tried.add(place.incarnation)
         intake = self._intake()
         visit = self.parts.chooser.visit(self.call, place)
+        self.parts.link.carry(self.call.size)
         intake.on_head = visit.heard
         try:
             end = await self.parts.exchange.send(self._outgoing(place), intake)
@@ -165,7 +170,9 @@
             self._count_events,
         )
 
-    def _count_events(self, events: int) -> None:
+    def _count_events(self, events: int, size: int) -> None:
+        # It came from the target, and goes to the caller.
+        self.parts.link.carry(2 * (size + PIECE_BYTES))
         self.rhythm.note(self.parts.clock.now())
         self.events += events
         most = self.parts.chooser.tokens_per_event(self.call)
@@ -221,6 +228,7 @@
             return self._finish_stream(intake)
         if self.outlet.started:
             return faults.BROKEN.because('the stream could not be resumed')
+        self.parts.link.carry(2 * len(intake.held))
         self.outlet.start(intake.head.status, intake.head.headers)
         self.outlet.write(bytes(intake.held))
         self.outlet.finish()
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -14,6 +14,7 @@
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.exchange import Exchange, Outgoing
+from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.outlet import Outlet
 from balsamreach.relay.repeats import Repeats
@@ -156,6 +157,7 @@
     evacuations: Evacuations = attrs.field(init=False)
     chooser: Chooser = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
+    link: HostLink = attrs.field(init=False)
     parts: RunParts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -175,6 +177,7 @@
                 self.chooser.places.put(new)
         suspects = make_suspects(2, self.clock, self.metrics)
         self.repeats = Repeats(1, 16, 10, self.clock, int)
+        self.link = HostLink(0, self.clock)
         codec = PlatformCodec(random.Random(1))
         tries = TryParts(
             codec=codec,
@@ -183,12 +186,14 @@
             repeats=self.repeats,
             judge=Judge(self.chooser, suspects),
             clock=self.clock,
+            link=self.link,
             stream_gap=2,
         )
         self.parts = RunParts(
             codec=codec,
             spending=self.spending,
             suspects=suspects,
+            link=self.link,
             tries=tries,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -132,6 +132,37 @@
         got = await stream.read_until_close()
         self.assertIn(b'Connection: close', got)
 
+    @gen_test
+    async def test_a_crowded_router_ends_connections_after_their_answer(self):
+        """Symptom: a large team keeps to a host whose link is full.
+
+        Sequence: the host is left out by the balancer; its callers go on
+        with the connections that they have. Cause: nobody tells them to
+        open others.
+        """
+        self.work = _whole
+        stream = await _connect(self.port)
+        await stream.write(_GET)
+        first = await stream.read_until(b'\r\n\r\nok')
+        self.server.crowded = True
+        await stream.write(_GET)
+        last = await stream.read_until_close()
+        self.assertNotIn(b'Connection: close', first)
+        self.assertIn(b'Connection: close', last)
+        self.assertTrue(last.endswith(b'ok'))
+
+    @gen_test
+    async def test_an_answer_said_to_be_the_last_one_is(self):
+        """The host has room again before its caller has read the answer."""
+        self.work = _whole
+        self.server.crowded = True
+        stream = await _connect(self.port)
+        await stream.write(_GET)
+        await self.begun.wait()
+        self.server.crowded = False
+        got = await stream.read_until_close()
+        self.assertIn(b'Connection: close', got)
+
     @gen_test
     async def test_a_body_that_is_too_large_reaches_nobody(self):
         stream = await _connect(self.port)
