Leave a host out only where its link has been full for 0.3 s

Change: the link must be full at each look for 0.3 s. Also words of comments, and what waits is worked out anew where it is told.

--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -202,7 +202,7 @@
             return
         self.server.crowded = is_out
         self.state = _CROWDED if is_out else _READY
-        wait_ms = round(self.parts.run.link.wait * _MS)
+        wait_ms = round(self.parts.run.link.wait() * _MS)
         log_event(
             _logger,
             logging.INFO,
--- a/src/balsamreach/gateway/relay_server.py
+++ b/src/balsamreach/gateway/relay_server.py
@@ -109,6 +109,15 @@
         Time.
     body_limit : callable
         Returns the most bytes that a body may have now.
+    leaving : bool
+        Whether the router leaves, so that each connection ends.
+    crowded : bool
+        Whether callers are to come by other routers: the next answer on a
+        connection is its last one.
+    running : set of Task
+        Requests in progress.
+    idle : set of RelayRequest
+        Connections that wait for a request.
     """
 
     answer: Answerer
--- a/src/balsamreach/peers/connector.py
+++ b/src/balsamreach/peers/connector.py
@@ -99,9 +99,9 @@
 
     async def _dial(self, address: str) -> Link | PeerFault:
         host, _, port = address.rpartition(':')
-        # One stream from the connection to its end of TLS: turned into
-        # another one between, neither could be closed while the handshake
-        # hangs, and each dial of a silent router would keep a descriptor.
+        # One stream from the connection through TLS. Turned into another
+        # one between, it could not be closed while the handshake hangs; the
+        # log would show exceptions that nobody retrieved.
         stream = _new_stream(host, self.tls.client)
         try:
             await stream.connect((host, int(port)))
--- a/src/balsamreach/relay/host_link.py
+++ b/src/balsamreach/relay/host_link.py
@@ -16,8 +16,8 @@
 #: Part of the link that requests may use; the rest is for the words of
 #: routers, for the store, and for connections.
 _REQUESTS_SHARE = 0.85
-#: Seconds of what the link carries that may wait. The longest of bodies alone
-#: takes less, and the shortest aim is a little more.
+#: Seconds of what the link carries that may wait. Source: a little less than
+#: the shortest aim of the users' sheets.
 _MOST_WAIT_S = 0.1
 #: Bytes of a head, and of its connection's packets.
 HEAD_BYTES = 900
@@ -51,15 +51,14 @@
 
     def is_full(self) -> bool:
         """Return whether too much waits for the link."""
-        if not self.mbit:
-            return False
-        self._drain()
-        return self._waiting > _MOST_WAIT_S * self._rate
+        return self.wait() > _MOST_WAIT_S
 
-    @property
     def wait(self) -> float:
-        """Seconds that the link needs for what waits."""
-        return self._waiting / self._rate if self.mbit else 0
+        """Return the seconds that the link needs for what waits."""
+        if not self.mbit:
+            return 0
+        self._drain()
+        return self._waiting / self._rate
 
     @property
     def _rate(self) -> float:
--- a/src/balsamreach/relay/rotation.py
+++ b/src/balsamreach/relay/rotation.py
@@ -16,6 +16,10 @@
 #: callers would be back before another host has taken them; longer, too much
 #: of a zone would be out at once.
 OUT_S = 6
+#: Seconds for which the link must be full. One long body fills a small link
+#: for half of that; were a host left out for it, an eighth of the fleet would
+#: be out at any time.
+LASTING_S = 0.3
 
 
 @attrs.define
@@ -32,11 +36,16 @@
 
     link: HostLink
     clock: Clock
+    _full_since: float | None = None
     _out_until: float = float('-inf')
 
     def is_out(self) -> bool:
         """Look at the link, and return whether to be left out."""
         now = self.clock.now()
-        if self.link.is_full():
+        if not self.link.is_full():
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = now
+        elif now - self._full_since >= LASTING_S:
             self._out_until = now + OUT_S
         return now < self._out_until
