--- a/src/balsamreach/relay/rotation.py
+++ b/src/balsamreach/relay/rotation.py
@@ -16,10 +16,10 @@
 #: callers would be back before another host has taken them; longer, too much
 #: of a zone would be out at once.
 OUT_S = 6
-#: Seconds for which the link must be full. One long body fills a small link
-#: for half of that; were a host left out for it, an eighth of the fleet would
-#: be out at any time.
-LASTING_S = 0.3
+#: Seconds for which the link must stay full. One long body fills a small link
+#: for less; were a host left out for it, an eighth of the fleet would be out
+#: at any time. The balancer takes seconds to follow, so it is short.
+LASTING_S = 0.1
 
 
 @attrs.define
