--- a/tests/test_relay_host_link.py
+++ b/tests/test_relay_host_link.py
@@ -8,7 +8,8 @@
 from balsamreach.relay.host_link import HostLink
 from tests import relay_samples
 from tests.relay_samples import PLAIN
-from tests.relay_world import RelayWorld, answer
+from tests.relay_scripts import answer
+from tests.relay_world import RelayWorld
 from tests.support import FakeClock
 
 _MBIT = 10
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -23,14 +23,14 @@
     entry,
     event,
 )
-from tests.relay_world import (
+from tests.relay_scripts import (
     RecordingOutlet,
-    RelayWorld,
     Script,
     Swallowed,
     answer,
     unsent,
 )
+from tests.relay_world import RelayWorld
 
 _REFUSED = unsent(NOT_SENT.because('refused'))
 _SHED = answer(503, not_executed='1')
