Let a test of crashing requests wait until engines have told their starts

Lines of three: the break is noted with an empty incarnation, since no report of that engine had been read; that it started again then proves nothing, and the request is never refused for good. Ruled out: routers without a link (each had one neighbour).

Change: the test waits for a report of each engine before it sends.

--- a/tests/test_sessions_targets.py
+++ b/tests/test_sessions_targets.py
@@ -24,6 +24,9 @@
         """
         await self.open(Rig(engines=4), 'request_quarantined')
         await self.rig.start(2)
+        # Who breaks off is compared with its next start by what it said of
+        # itself before; a request that came first would prove nothing.
+        await wait(lambda: all(map(_knows_starts, self.rig.routers)))
         for engine in self.rig.pool:
             engine.core.cfg.crash_mark = _POISON
         sent = ask(_POISON, key='try-0')
@@ -194,3 +197,14 @@
 def _is_leaving(router):
     """Return whether a router takes the first engine to be leaving."""
     return router.parts.targets.by_name['engine-0'].leaving
+
+
+def _knows_starts(router):
+    """Return whether a router has read a report of each engine."""
+    targets = router.parts.targets
+    engines = [
+        target
+        for name, target in targets.by_name.items()
+        if name.startswith('engine-')
+    ]
+    return all(engine.report.incarnation for engine in engines)
