--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -51,12 +52,16 @@
         What follows the outside world, each run in a task of its own.
     tick : callable
         Called every tenth of a second.
+    confirmed_at : callable
+        Returns when the store was last asked for a newer configuration and
+        answered.
     """
 
     parts: RelayParts
     ready_path: str
     feeds: tuple[Runner, ...]
     tick: Callable[[], None]
+    confirmed_at: Callable[[], float]
     state: str = _STARTING
     server: RelayServer = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
@@ -173,12 +178,20 @@
             reason=fault.reason,
             outcome=fault.code,
             configuration=self.parts.view.version,
+            heard=self.parts.view.heard,
+            confirmed_ms=self._confirmed_ms(),
         )
         answer = self.parts.run.codec.refuse(fault)
         outlet.start(answer.status, answer.headers)
         outlet.write(answer.body)
         outlet.finish()
 
+    def _confirmed_ms(self) -> int | None:
+        confirmed_at = self.confirmed_at()
+        if math.isinf(confirmed_at):
+            return None
+        return round((self.parts.clock.now() - confirmed_at) * _MS)
+
     def _body_limit(self) -> int:
         catalogue = self.parts.view.current
         if catalogue is None:
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -45,6 +45,7 @@
 _CONFIG_KEY = 'config'
 _EVACUATE = 'evacuate/'
 _STORE = 'store'
+_MS = 1000
 #: The platform calls targets servers.
 _TARGETS_TABLE = 'servers'
 
@@ -89,11 +90,16 @@
         What it runs on.
     take : callable
         Takes rows, and whether they are all there are.
+    answered_at : float
+        When the last call was sent that the store answered.
+    failed_at : float
+        When the last call failed.
     """
 
     table: str
     parts: FeedParts
     take: Callable[[StoredRows, bool], None]
+    answered_at: float = float('-inf')
     failed_at: float = float('-inf')
     _since: int | None = None
     _away: bool = False
@@ -108,6 +114,7 @@
         """Follow until cancelled."""
         while True:
             await self._while_told()
+            asked_at = self.parts.clock.now()
             page = await self._next()
             if page == HISTORY_GONE:
                 self._since = None
@@ -115,6 +122,8 @@
                 self._fail(page)
                 await self.parts.clock.sleep(_PAUSE_S)
             else:
+                self.answered_at = asked_at
+                self._log_rows(page, asked_at)
                 self._pass_on(page)
                 self._take(page)
 
@@ -181,6 +190,21 @@
             self._away = True
             self._log('store_feed_lost', fault.reason or fault.code)
 
+    def _log_rows(self, page: StoredRows, asked_at: float) -> None:
+        if not page.rows:
+            return
+        log_event(
+            _logger,
+            logging.INFO,
+            'store_rows_read',
+            table=self.table,
+            since=self._since,
+            version=page.version,
+            rows=len(page.rows),
+            distinct_rows=len(newest_rows(page.rows)),
+            took_ms=round((self.parts.clock.now() - asked_at) * _MS),
+        )
+
     def _log(self, event: str, reason: str | None = None) -> None:
         log_event(
             _logger,
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -71,6 +71,7 @@
             partial(hosts.enter, address, cfg.host.zone),
         ),
         targets.expire,
+        lambda: configuration.feed.answered_at,
     )
 
 
