--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -169,6 +169,19 @@
         await self.step(self.configuration.feed)
         self.assertEqual(self.view.version, 3)
 
+    @gen_test
+    async def test_starved_by_every_change_of_an_outage(self):
+        """Hosts read each of eight large configurations after a cut."""
+        fields = {'version': 3, 'routes': [], 'services': []}
+        self.state.write('op', 'config', fields)
+        feed = self.configuration.feed
+        await self.step(feed)
+        feed._fail(UNKNOWN)
+        for version in range(4, 12):
+            self.state.write('op', 'config', fields | {'version': version})
+        page = await feed._next()
+        self.assertEqual(len(page.rows), 1)
+
     @gen_test
     async def test_an_evacuation_and_its_end(self):
         await self.step(self.configuration.feed)
--- a/tests/test_services_http.py
+++ b/tests/test_services_http.py
@@ -62,6 +62,21 @@
         await stream.read_until_close()
 
 
+class SteadyServer(TCPServer):
+    """Sends an answer piece by piece, each when it is let."""
+
+    pieces = 12
+    pause_s = 0.02
+
+    async def handle_stream(self, stream, address) -> None:
+        await stream.read_until(b'\r\n\r\n')
+        head = f'HTTP/1.1 200 x\r\nContent-Length: {self.pieces}\r\n\r\n'
+        await stream.write(head.encode())
+        for _ in range(self.pieces):
+            await asyncio.sleep(self.pause_s)
+            await stream.write(b'x')
+
+
 class LargeAnswerTest(unittest.IsolatedAsyncioTestCase):
     """How long an answer is waited for that has begun."""
 
@@ -96,6 +111,21 @@
                 break
         self.assertEqual(self.client._stretch, 2)
 
+    async def test_starved_by_an_answer_that_is_read_again(self) -> None:
+        """A large answer was broken off and read anew while it came."""
+        server = SteadyServer()
+        sockets = bind_sockets(0, '127.0.0.1')
+        server.add_sockets(sockets)
+        self.addCleanup(server.stop)
+        port = sockets[0].getsockname()[1]
+        client = PlatformClient(
+            f'http://127.0.0.1:{port}',
+            request_timeout=SteadyServer.pause_s * 8,
+        )
+        self.addCleanup(client.close)
+        answer = await client.send(Call('GET', '/'))
+        self.assertEqual(answer, b'x' * SteadyServer.pieces)
+
     async def test_a_silent_connection(self) -> None:
         await self.read()
         self.server.begins = False
