--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from balsamreach.clock import Clock
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.relay_parts import RelayParts
 from balsamreach.gateway.probes import Probes
@@ -179,19 +180,13 @@
             outcome=fault.code,
             configuration=self.parts.view.version,
             heard=self.parts.view.heard,
-            confirmed_ms=self._confirmed_ms(),
+            confirmed_ms=_age_ms(self.parts.clock, self.confirmed_at()),
         )
         answer = self.parts.run.codec.refuse(fault)
         outlet.start(answer.status, answer.headers)
         outlet.write(answer.body)
         outlet.finish()
 
-    def _confirmed_ms(self) -> int | None:
-        confirmed_at = self.confirmed_at()
-        if math.isinf(confirmed_at):
-            return None
-        return round((self.parts.clock.now() - confirmed_at) * _MS)
-
     def _body_limit(self) -> int:
         catalogue = self.parts.view.current
         if catalogue is None:
@@ -224,5 +219,9 @@
         )
 
 
+def _age_ms(clock: Clock, at: float) -> int | None:
+    return None if math.isinf(at) else round((clock.now() - at) * _MS)
+
+
 def _knows_enough(parts: RelayParts) -> bool:
     return parts.view.current is not None and len(parts.places) > 0
--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -1,7 +1,7 @@
 """Sends requests to the platform's services and sorts out what failed."""
 
+import asyncio
 import json
-import re
 from typing import Any
 
 import attrs
@@ -30,10 +30,10 @@
     503: UNAVAILABLE,
 }
 _FIRST_ERROR = 400
-#: Curl's message on an answer that had begun when its time was over.
-_SOME_BYTES = re.compile(r'with [1-9]')
-#: Times the usual one that a call may take whose answer takes long.
-_MOST_STRETCH = 16
+#: Looks at a call in the time in which something must come.
+_LOOKS = 4
+#: Times that time which a whole call may take while something comes.
+_MOST_TIMES = 16
 _NO_CONNECTION = frozenset(
     (
         pycurl.E_COULDNT_CONNECT,
@@ -72,6 +72,8 @@
     tls: CurlTls
     fresh: bool = False
     tries: int = 0
+    moved: int = 0
+    is_given_up: bool = False
 
     def prepare(self, curl: pycurl.Curl) -> None:
         # Without a bound, a connection kept since before an outage may be
@@ -83,6 +85,8 @@
         # must not come between.
         curl.setopt(pycurl.NOPROXY, '*')
         curl.setopt(pycurl.PREREQFUNCTION, self.before_send)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self.note_progress)
+        curl.setopt(pycurl.NOPROGRESS, 0)
         self.tls.prepare(curl)
 
     def before_send(self, *_addresses: Any) -> int:
@@ -95,7 +99,39 @@
             return pycurl.PREREQFUNC_ABORT
         return pycurl.PREREQFUNC_OK
 
-    def fault(self, exc: CurlError) -> PlatformFault:
+    def note_progress(self, _down: int, down: int, _up: int, up: int) -> bool:
+        """Count the bytes moved; True makes curl end the call."""
+        self.moved = down + up
+        return self.is_given_up
+
+    async def outcome(
+        self,
+        fetch: asyncio.Future,
+        patience: float,
+    ) -> HTTPResponse | PlatformFault:
+        """Wait for the answer until nothing has moved for a while."""
+        if not await self._wait(fetch, patience):
+            self.is_given_up = True
+            kind = UNKNOWN if self.tries else UNREACHABLE
+            return kind.because(f'silent after {self.moved} bytes')
+        try:
+            return fetch.result()
+        except CurlError as exc:
+            return self._fault(exc)
+
+    async def _wait(self, fetch: asyncio.Future, patience: float) -> bool:
+        # Looks are counted rather than time: a process that stood still would
+        # otherwise wake up to a silence of its own making.
+        silent_looks = 0
+        while silent_looks < _LOOKS:
+            moved = self.moved
+            await asyncio.wait({fetch}, timeout=patience / _LOOKS)
+            if fetch.done():
+                return True
+            silent_looks = 0 if self.moved > moved else silent_looks + 1
+        return False
+
+    def _fault(self, exc: CurlError) -> PlatformFault:
         refused = exc.errno in _NO_CONNECTION and not self.writes
         if self.tries == 0 or refused:
             return UNREACHABLE.because(str(exc))
@@ -110,9 +146,13 @@
     ----------
     base_url : str
         Scheme, address and port, without a slash at the end.
-    connect_timeout, request_timeout : float
-        Seconds a connection and a whole call may take. A call whose answer
-        was on its way when its time was over doubles the time of the next.
+    connect_timeout : float
+        Seconds a connection may take.
+    request_timeout : float
+        Seconds in which something of a call must move. An answer that takes
+        longer as a whole is waited for as long as it comes: on a small link
+        a large one would be broken off and begun anew each time otherwise,
+        never be whole, and fill the link.
     tls : CurlTls
         Certificates, where the address is https.
     max_clients : int
@@ -126,7 +166,6 @@
     max_clients: int = 32
     _client: CurlAsyncHTTPClient | None = None
     _doubtful: bool = False
-    _stretch: float = 1
 
     async def send(self, call: Call) -> bytes | PlatformFault:
         """Send one call and return the body of its answer.
@@ -152,19 +191,13 @@
         """
         sending = _Sending(call.writes, self.tls, fresh=self._doubtful)
         request = self._request(call, sending)
-        try:
-            response = await self._fetcher().fetch(request, raise_error=False)
-        except CurlError as exc:
-            # What silenced one kept connection most likely silenced the
-            # others; each would cost a call its whole timeout.
-            self._doubtful = True
-            self._wait_longer(exc)
-            return sending.fault(exc)
-        self._doubtful = False
-        taken = response.request_time
-        if taken is not None and taken < request.request_timeout / 2:
-            self._stretch = max(1, self._stretch / 2)
-        return response
+        fetch = self._fetcher().fetch(request, raise_error=False)
+        fetch.add_done_callback(_take_outcome)
+        outcome = await sending.outcome(fetch, self.request_timeout)
+        # What silenced one kept connection most likely silenced the others;
+        # each would cost a call its whole timeout.
+        self._doubtful = isinstance(outcome, PlatformFault)
+        return outcome
 
     async def send_json(self, call: Call) -> Any | PlatformFault:
         """Send one call and return the JSON of its answer."""
@@ -191,29 +224,25 @@
             )
         return self._client
 
-    def _wait_longer(self, exc: CurlError) -> None:
-        # A large answer takes longer than the time in which a silent
-        # connection is to be noticed where the link is small. Broken off and
-        # begun anew each time, it would never be whole and fill the link.
-        timed_out = exc.errno == pycurl.E_OPERATION_TIMEDOUT
-        if timed_out and _SOME_BYTES.search(str(exc)):
-            self._stretch = min(_MOST_STRETCH, 2 * self._stretch)
-        else:
-            self._stretch = 1
-
     def _request(self, call: Call, sending: _Sending) -> HTTPRequest:
         return HTTPRequest(
             self.base_url + call.path,
             method=call.method,
             body=call.body,
             connect_timeout=self.connect_timeout,
-            request_timeout=self.request_timeout * self._stretch,
+            request_timeout=self.request_timeout * _MOST_TIMES,
             follow_redirects=False,
             user_agent='balsamreach',
             prepare_curl_callback=sending.prepare,
         )
 
 
+def _take_outcome(fetch: asyncio.Future) -> None:
+    # Nobody waits any more for a call that was given up.
+    if not fetch.cancelled():
+        fetch.exception()
+
+
 def _outcome(
     response: HTTPResponse,
 ) -> bytes | PlatformFault:
