--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -10,11 +10,8 @@
 from balsamreach.daemon.relay_parts import RelayParts, make_relay_parts
 from balsamreach.daemon.relay_router import RelayRouter
 from balsamreach.platform.configuration import CatalogueReader
-from balsamreach.platform.feeds import (
-    ConfigurationFeed,
-    FeedParts,
-    TargetsFeed,
-)
+from balsamreach.platform.feed import FeedParts
+from balsamreach.platform.feeds import ConfigurationFeed, TargetsFeed
 from balsamreach.platform.hosts import RouterList
 from balsamreach.platform.pages import PageSharing
 from balsamreach.platform.requests import PlatformCodec
--- a/src/balsamreach/platform/rows.py
+++ b/src/balsamreach/platform/rows.py
@@ -128,13 +128,26 @@
         self,
         table: str,
         since: int,
+        most_bytes: int = 0,
     ) -> StoredRows | PlatformFault:
         """Wait a while for rows of a table that changed after a version.
 
+        Each change of a row is told, not only its last one.
+
+        Parameters
+        ----------
+        table : str
+            The table.
+        since : int
+            The version.
+        most_bytes : int
+            Size of an answer that is wanted; 0 for any.
+
         Returns
         -------
         StoredRows or PlatformFault
-            HISTORY_GONE where the whole table must be read anew.
+            HISTORY_GONE where the whole table must be read anew, TOO_LARGE
+            where the changes are larger than wanted.
         """
         # ``after_rev`` holds a version here; elsewhere a name of an object.
         query = {
@@ -142,7 +155,7 @@
             'after_rev': since,
             'wait_ms': int(self.follow_wait * _MS),
         }
-        page = await self._get('/v1/rows-feed', query)
+        page = await self._get('/v1/rows-feed', query, most_bytes)
         if isinstance(page, PlatformFault):
             return page
         return StoredRows(tuple(map(_read_row, page['rows'])), page['ver'])
@@ -188,8 +201,10 @@
         self,
         path: str,
         query: dict[str, Any],
+        most_bytes: int = 0,
     ) -> dict[str, Any] | PlatformFault:
-        return await self._exchange(Call('GET', f'{path}?{urlencode(query)}'))
+        asked = f'{path}?{urlencode(query)}'
+        return await self._exchange(Call('GET', asked, most_bytes=most_bytes))
 
     async def _exchange(self, call: Call) -> dict[str, Any] | PlatformFault:
         sent = self.times.clock.now()
--- a/src/balsamreach/services/faults.py
+++ b/src/balsamreach/services/faults.py
@@ -19,3 +19,5 @@
 INVALID = PlatformFault('platform_invalid')
 #: There is no such object or weight file.
 MISSING = PlatformFault('platform_missing')
+#: The answer is larger than the call allows.
+TOO_LARGE = PlatformFault('platform_too_large')
--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -14,6 +14,7 @@
     CONFLICT,
     INVALID,
     MISSING,
+    TOO_LARGE,
     UNAVAILABLE,
     UNKNOWN,
     UNREACHABLE,
@@ -56,19 +57,22 @@
         Body, for methods that have one.
     writes : bool
         Whether it changes something, so that it may not be sent twice.
+    most_bytes : int
+        Size of an answer that is wanted; 0 for any.
     """
 
     method: str
     path: str
     body: bytes | None = None
     writes: bool = False
+    most_bytes: int = 0
 
 
 @attrs.define
 class _Sending:
     """What curl tells about one call while it is under way."""
 
-    writes: bool
+    call: Call
     tls: CurlTls
     fresh: bool = False
     tries: int = 0
@@ -87,6 +91,7 @@
         curl.setopt(pycurl.PREREQFUNCTION, self.before_send)
         curl.setopt(pycurl.XFERINFOFUNCTION, self.note_progress)
         curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.MAXFILESIZE, self.call.most_bytes)
         self.tls.prepare(curl)
 
     def before_send(self, *_addresses: Any) -> int:
@@ -95,7 +100,7 @@
         # closes without an answer. A commit that took effect would then
         # meet its own rows and be reported as a conflict, so the second
         # try is stopped and the caller learns that the outcome is unknown.
-        if self.tries > 1 and self.writes:
+        if self.tries > 1 and self.call.writes:
             return pycurl.PREREQFUNC_ABORT
         return pycurl.PREREQFUNC_OK
 
@@ -132,7 +137,9 @@
         return False
 
     def _fault(self, exc: CurlError) -> PlatformFault:
-        refused = exc.errno in _NO_CONNECTION and not self.writes
+        if exc.errno == pycurl.E_FILESIZE_EXCEEDED:
+            return TOO_LARGE.because(str(exc))
+        refused = exc.errno in _NO_CONNECTION and not self.call.writes
         if self.tries == 0 or refused:
             return UNREACHABLE.because(str(exc))
         return UNKNOWN.because(str(exc))
@@ -187,16 +194,18 @@
         Returns
         -------
         HTTPResponse or PlatformFault
-            UNREACHABLE or UNKNOWN as from ``send``.
+            UNREACHABLE or UNKNOWN as from ``send``; TOO_LARGE where the
+            answer has more bytes than wanted.
         """
-        sending = _Sending(call.writes, self.tls, fresh=self._doubtful)
+        sending = _Sending(call, self.tls, fresh=self._doubtful)
         request = self._request(call, sending)
         fetch = self._fetcher().fetch(request, raise_error=False)
         fetch.add_done_callback(_take_outcome)
         outcome = await sending.outcome(fetch, self.request_timeout)
         # What silenced one kept connection most likely silenced the others;
         # each would cost a call its whole timeout.
-        self._doubtful = isinstance(outcome, PlatformFault)
+        failed = isinstance(outcome, PlatformFault)
+        self._doubtful = failed and outcome != TOO_LARGE
         return outcome
 
     async def send_json(self, call: Call) -> Any | PlatformFault:
--- a/tests/test_platform_pages.py
+++ b/tests/test_platform_pages.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 
 import attrs
@@ -10,10 +11,13 @@
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.peers.base import HubChoice
 from balsamreach.placement.evacuations import Evacuations
-from balsamreach.platform.feeds import ConfigurationFeed, FeedParts
+from balsamreach.platform.feed import FeedParts
+from balsamreach.platform.feeds import ConfigurationFeed
 from balsamreach.platform.pages import PageSharing
+from balsamreach.services.faults import UNKNOWN
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.messages import TablePage
+from tests.deployment import until
 from tests.fake_net import FakeNet
 from tests.support import FakeClock
 from tests.test_platform_store import StoreCase
@@ -234,6 +238,25 @@
             json.loads(first.current.write()),
         )
 
+    @gen_test
+    async def test_starved_by_reads_of_a_whole_zone_after_a_cut(self):
+        """All hosts of a zone read what their hub tells in a few bytes."""
+        self.state.write('op', 'config', self.large(3) | {'text': _noise(9)})
+        for name in (*self.feeds, self.first):
+            await self.step(name)
+        for number in (4, 5):
+            newer = self.large(number) | {'text': 'x' * 70_000}
+            self.state.write('op', 'config', newer)
+        feed = self.feeds[self.other].feed
+        feed._fail(UNKNOWN)
+        catching_up = asyncio.ensure_future(feed._next())
+        await until(lambda: self.clock.sleeps_until(math.inf))
+        await self.step(self.first)
+        self.clock.advance(1)
+        page = await catching_up
+        self.assertEqual(page.rows, ())
+        self.assertEqual(self.version(self.other), 5)
+
     @gen_test
     async def test_a_change_of_what_a_router_does_not_have(self):
         """Symptom: a router has a configuration that nobody wrote.
