--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -1,9 +1,10 @@
-"""Puts together what places requests that are passed through."""
+"""Puts together what places and repeats requests that are passed through."""
 
 import random
 
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
+from balsamreach.config.relay_settings import RelaySettings
 from balsamreach.peers.base import PeerNet
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
@@ -11,6 +12,7 @@
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.warming import Warming
 from balsamreach.relay.chooser import Chooser
+from balsamreach.relay.repeats import Repeats
 
 
 def make_chooser(
@@ -51,3 +53,28 @@
         evacuations,
         warming,
     )
+
+
+def make_repeats(
+    cfg: RelaySettings,
+    net: PeerNet,
+    clock: Clock,
+) -> Repeats:
+    """Return what bounds the repeats of all routers together.
+
+    Parameters
+    ----------
+    cfg : RelaySettings
+        Share and slack of repeats, and their window.
+    net : PeerNet
+        The other routers.
+    clock : Clock
+        Time.
+    """
+    return Repeats(
+        cfg.retry_share,
+        cfg.retry_slack,
+        cfg.retry_window,
+        clock,
+        lambda: len(net.members()) + len(net.departed()),
+    )
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -6,11 +6,12 @@
 import attrs
 
 from balsamreach.budget.holdings import Holdings
+from balsamreach.catalogue.currency import Currency
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.net import make_net
-from balsamreach.daemon.placing_parts import make_chooser
+from balsamreach.daemon.placing_parts import make_chooser, make_repeats
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.placement.places import Places
@@ -20,7 +21,6 @@
 from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.journal import RequestLog
 from balsamreach.relay.metered import MeteredSpending
-from balsamreach.relay.repeats import Repeats
 from balsamreach.relay.run import RunParts
 from balsamreach.relay.suspects import make_suspects
 from balsamreach.relay.tries import TryParts
@@ -39,6 +39,7 @@
     metrics: Metrics
     net: TcpPeerNet
     view: CatalogueView
+    currency: Currency
     places: Places
     chooser: Chooser
     exchange: RelayCurl
@@ -80,6 +81,7 @@
         metrics=core.metrics,
         net=core.net,
         view=core.view,
+        currency=core.currency,
         places=chooser.places,
         chooser=chooser,
         exchange=exchange,
@@ -108,6 +110,11 @@
     rng: random.Random
     metrics: Metrics
     view: CatalogueView = attrs.field(factory=CatalogueView)
+    currency: Currency = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Confirm the configuration by the source that is set later."""
+        self.currency = Currency(self.view, self.clock)
 
     def make_holdings(self, outside: Outside) -> Holdings:
         """Make what keeps the budgets."""
@@ -153,7 +160,7 @@
             codec=codec,
             chooser=chooser,
             exchange=exchange,
-            repeats=self._make_repeats(),
+            repeats=make_repeats(cfg.relay, self.net, self.clock),
             judge=Judge(chooser, suspects),
             clock=self.clock,
             link=link,
@@ -161,23 +168,10 @@
         )
         return RunParts(
             codec=codec,
-            spending=MeteredSpending(holdings, self.view),
+            spending=MeteredSpending(holdings, self.view, self.currency),
             suspects=suspects,
             link=link,
             tries=tries,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
         )
-
-    def _make_repeats(self) -> Repeats:
-        cfg = self.cfg.relay
-        return Repeats(
-            cfg.retry_share,
-            cfg.retry_slack,
-            cfg.retry_window,
-            self.clock,
-            self._count_routers,
-        )
-
-    def _count_routers(self) -> int:
-        return len(self.net.members()) + len(self.net.departed())
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -7,12 +7,12 @@
 
 import attrs
 
-from balsamreach.clock import Clock
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.relay_parts import RelayParts
 from balsamreach.gateway.probes import Probes
 from balsamreach.gateway.relay_server import RelayServer
 from balsamreach.relay import faults
+from balsamreach.relay.call import RelayCall
 from balsamreach.relay.codec import CallerRequest
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.outlet import Outlet
@@ -33,7 +33,7 @@
 _DRAIN_SHARE = 0.85
 _TICK_S = 0.1
 _MS = 1000
-#: Refusals that a newer configuration may take back.
+#: Refusals that a newer configuration may lift.
 _UNKNOWN = (faults.NO_ROUTE, faults.NO_TEAM)
 
 Runner = Callable[[], Awaitable[None]]
@@ -53,16 +53,12 @@
         What follows the outside world, each run in a task of its own.
     tick : callable
         Called every tenth of a second.
-    confirmed_at : callable
-        Returns when the store was last asked for a newer configuration and
-        answered.
     """
 
     parts: RelayParts
     ready_path: str
     feeds: tuple[Runner, ...]
     tick: Callable[[], None]
-    confirmed_at: Callable[[], float]
     state: str = _STARTING
     server: RelayServer = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
@@ -153,23 +149,25 @@
             )
 
     async def _answer(self, request: CallerRequest, outlet: Outlet) -> None:
-        parts = self.parts
-        catalogue = parts.view.current
-        if catalogue is None:
-            self._refuse(faults.NOT_READY.because('no configuration'), outlet)
-            return
-        call = parts.run.codec.read_request(request, catalogue)
+        call = await self._read(request)
         if isinstance(call, RelayFault):
-            self._refuse(self._now_or_later(call), outlet)
+            self._refuse(call, outlet)
             return
-        await RelayRun(parts.run, call, outlet).run()
+        await RelayRun(self.parts.run, call, outlet).run()
 
-    def _now_or_later(self, fault: RelayFault) -> RelayFault:
-        # A route or key that this router doesn't know may be in the version
+    async def _read(self, request: CallerRequest) -> RelayCall | RelayFault:
+        parts = self.parts
+        if parts.view.current is None:
+            return faults.NOT_READY.because('no configuration')
+        codec = parts.run.codec
+        call = codec.read_request(request, parts.view.current)
+        if call not in _UNKNOWN:
+            return call
+        # A route or key that this router doesn't know may be in a version
         # that it lacks. Told that there is none, a caller would not come back.
-        if fault in _UNKNOWN and self.parts.view.is_behind:
-            return faults.NOT_READY.because('a newer configuration is due')
-        return fault
+        if not await parts.currency.confirm():
+            return faults.NOT_READY.because('a newer configuration may exist')
+        return codec.read_request(request, parts.view.current)
 
     def _refuse(self, fault: RelayFault, outlet: Outlet) -> None:
         log_event(
@@ -180,9 +178,10 @@
             outcome=fault.code,
             configuration=self.parts.view.version,
             heard=self.parts.view.heard,
-            confirmed_ms=_age_ms(self.parts.clock, self.confirmed_at()),
+            confirmed_ms=_as_ms(self.parts.currency.age()),
         )
-        answer = self.parts.run.codec.refuse(fault)
+        run = self.parts.run
+        answer = run.codec.refuse(run.returns.spread(fault))
         outlet.start(answer.status, answer.headers)
         outlet.write(answer.body)
         outlet.finish()
@@ -219,8 +218,8 @@
         )
 
 
-def _age_ms(clock: Clock, at: float) -> int | None:
-    return None if math.isinf(at) else round((clock.now() - at) * _MS)
+def _as_ms(seconds: float) -> int | None:
+    return None if math.isinf(seconds) else round(seconds * _MS)
 
 
 def _knows_enough(parts: RelayParts) -> bool:
--- a/src/balsamreach/platform/feed.py
+++ b/src/balsamreach/platform/feed.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from balsamreach.catalogue.currency import ConfigurationSource
 from balsamreach.clock import Clock
 from balsamreach.platform.pages import PageSharing, newest_rows
 from balsamreach.platform.reading import TableReading
@@ -61,7 +62,7 @@
 
 
 @attrs.define
-class Feed:
+class Feed(ConfigurationSource):
     """Follows one table: first all of it, then what changes.
 
     Parameters
@@ -72,8 +73,6 @@
         What it runs on.
     take : callable
         Takes rows, and whether they are all there are.
-    answered_at : float
-        When the last call was sent that the store answered.
     failed_at : float
         When the last call failed.
     """
@@ -81,8 +80,8 @@
     table: str
     parts: FeedParts
     take: Callable[[StoredRows, bool], None]
-    answered_at: float = float('-inf')
     failed_at: float = float('-inf')
+    _answered_at: float = float('-inf')
     _since: int | None = None
     _away: bool = False
     _told_at: float = float('-inf')
@@ -111,10 +110,20 @@
                 self._fail(page)
                 await self.parts.clock.sleep(_PAUSE_S)
             else:
-                self.answered_at = asked_at
-                self._log_rows(page, asked_at)
-                self._pass_on(page)
-                self._take(page)
+                self._take_answer(page, asked_at)
+
+    async def check(self) -> None:
+        """Ask the store at once, without a wait for news."""
+        if self._since is None:
+            return
+        asked_at = self.parts.clock.now()
+        page = await self._reading.look(self.parts.probe)
+        if not isinstance(page, PlatformFault):
+            self._take_answer(page, asked_at)
+
+    def confirmed_at(self) -> float:
+        """Return when the last call was sent that the store answered."""
+        return self._answered_at
 
     def is_away(self) -> bool:
         """Return whether the store does not answer this router."""
@@ -154,9 +163,15 @@
         return await self._reading.read(store, late=self._is_late())
 
     def _is_late(self) -> bool:
-        known_at = max(self.answered_at, self._told_at)
+        known_at = max(self._answered_at, self._told_at)
         return self._away or self.parts.clock.now() > known_at + _LATE_S
 
+    def _take_answer(self, page: StoredRows, asked_at: float) -> None:
+        self._answered_at = max(self._answered_at, asked_at)
+        _log_rows(self, page, asked_at)
+        self._pass_on(page)
+        self._take(page)
+
     def _pass_on(self, page: StoredRows) -> None:
         if self._since is not None:
             self.parts.pages.tell(self.table, self._since, page)
@@ -164,7 +179,7 @@
     def _take(self, page: StoredRows) -> None:
         if self._away:
             self._away = False
-            self._log('store_feed_back')
+            _log_state(self, self._since, 'store_feed_back')
         whole = self._since is None
         self.parts.pages.note(page.rows)
         # An answer of the store may come behind what another router told.
@@ -180,29 +195,36 @@
         self.parts.metrics.count(FAULTS, table=self.table, code=fault.code)
         if not self._away:
             self._away = True
-            self._log('store_feed_lost', fault.reason or fault.code)
-
-    def _log_rows(self, page: StoredRows, asked_at: float) -> None:
-        if not page.rows:
-            return
-        log_event(
-            _logger,
-            logging.INFO,
-            'store_rows_read',
-            table=self.table,
-            since=self._since,
-            version=page.version,
-            rows=len(page.rows),
-            distinct_rows=len(newest_rows(page.rows)),
-            took_ms=round((self.parts.clock.now() - asked_at) * _MS),
-        )
-
-    def _log(self, event: str, reason: str | None = None) -> None:
-        log_event(
-            _logger,
-            logging.WARNING if reason else logging.INFO,
-            event,
-            reason=reason,
-            table=self.table,
-            version=self._since,
-        )
+            reason = fault.reason or fault.code
+            _log_state(self, self._since, 'store_feed_lost', reason)
+
+
+def _log_rows(feed: Feed, page: StoredRows, asked_at: float) -> None:
+    if not page.rows:
+        return
+    log_event(
+        _logger,
+        logging.INFO,
+        'store_rows_read',
+        table=feed.table,
+        version=page.version,
+        rows=len(page.rows),
+        distinct_rows=len(newest_rows(page.rows)),
+        took_ms=round((feed.parts.clock.now() - asked_at) * _MS),
+    )
+
+
+def _log_state(
+    feed: Feed,
+    since: int | None,
+    event: str,
+    reason: str | None = None,
+) -> None:
+    log_event(
+        _logger,
+        logging.WARNING if reason else logging.INFO,
+        event,
+        reason=reason,
+        table=feed.table,
+        version=since,
+    )
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -90,9 +90,16 @@
                 reason=f'{type(exc).__name__}: {exc}',
                 row_version=row.version,
             )
+            self._hear_of(row)
             return
         self.view.offer(catalogue, _STORE)
 
+    def _hear_of(self, row: StoredRow) -> None:
+        # What is in force is not the newest one any more.
+        version = row.fields.get('version')
+        if isinstance(version, int):
+            self.view.hear(version)
+
 
 @attrs.define
 class TargetsFeed:
--- a/src/balsamreach/platform/reading.py
+++ b/src/balsamreach/platform/reading.py
@@ -12,8 +12,8 @@
 #: Bytes of missed changes beyond which the table is read as it is now: each
 #: change of a large row holds all of it.
 _MOST_CHANGES = 64 * 1024
-#: Seconds in which the hub of the zone may tell what was missed. It has the
-#: widest link, and tells what changed in a large row.
+#: Seconds in which the first hub of the zone may tell what was missed. It has
+#: the widest link, and tells what changed in a large row.
 _HUB_FIRST_S = 0.3
 
 
@@ -26,7 +26,7 @@
     table : str
         The table.
     pages : PageSharing
-        Tells whether a hub reads for this router.
+        Tells whether another router reads for this one.
     clock : Clock
         Time.
     position : callable
@@ -77,11 +77,15 @@
             return await store.read(self.table, '')
         if not late:
             return await store.follow(self.table, since)
-        page = await store.follow(self.table, since, _MOST_CHANGES)
+        page = await self.look(store)
         if page == TOO_LARGE:
             return await self._catch_up(store, since)
         return page
 
+    async def look(self, store: RowStore) -> StoredRows | PlatformFault:
+        """Ask the store for what changed, if that is little."""
+        return await store.follow(self.table, self.position(), _MOST_CHANGES)
+
     async def _catch_up(
         self,
         store: RowStore,
@@ -90,9 +94,8 @@
         """Return what changed, each row only as it is now."""
         if not self.pages.follows():
             await self.clock.sleep(_HUB_FIRST_S)
-            told = self.position()
-            if told != since:
-                page = await store.follow(self.table, told, _MOST_CHANGES)
+            if self.position() != since:
+                page = await self.look(store)
                 if page != TOO_LARGE:
                     return page
         page = await store.read(self.table, '')
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -58,6 +58,7 @@
         times,
     )
     parts.holdings.book.is_away = configuration.feed.is_away
+    parts.currency.source = configuration.feed
     address = f'{cfg.peers.address}:{cfg.peers.port}'
     return RelayRouter(
         parts,
@@ -68,7 +69,6 @@
             partial(hosts.enter, address, cfg.host.zone),
         ),
         targets.expire,
-        lambda: configuration.feed.answered_at,
     )
 
 
--- a/src/balsamreach/relay/metered.py
+++ b/src/balsamreach/relay/metered.py
@@ -4,6 +4,7 @@
 
 from balsamreach.budget.faults import EXHAUSTED, BudgetFault
 from balsamreach.budget.holdings import Holdings
+from balsamreach.catalogue.currency import Currency
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
@@ -21,10 +22,13 @@
         What this router may spend.
     view : CatalogueView
         What is prepaid.
+    currency : Currency
+        Whether that is known to be the newest word.
     """
 
     holdings: Holdings
     view: CatalogueView
+    currency: Currency
 
     async def open(self, call: RelayCall) -> Tab | RelayFault:
         """Set the request's worst case aside."""
@@ -34,7 +38,7 @@
         tokens = call.prompt.most_tokens
         reserved = await self.holdings.reserve(call.team_name, tokens)
         if isinstance(reserved, BudgetFault):
-            return self._refuse(call, prepaid, reserved)
+            return await self._refuse(call, reserved)
         return Tab(most=tokens, hold=reserved)
 
     def close(self, call: RelayCall, tab: Tab) -> None:
@@ -42,19 +46,29 @@
         if tab.hold is not None:
             self.holdings.charge(tab.hold, tab.used)
 
-    def _refuse(
+    async def _refuse(
         self,
         call: RelayCall,
-        prepaid: int,
         fault: BudgetFault,
     ) -> RelayFault:
-        # The account may have nothing left while other routers hold tokens
-        # that they will hand back. "Exhausted" is told only where what this
-        # router, or the team's home, has seen spent proves it for the whole
-        # balance.
-        spent = self.holdings.spent(call.team_name)
-        if fault == EXHAUSTED and call.prompt.most_tokens > prepaid - spent:
+        if fault == EXHAUSTED and await self._is_exhausted(call):
             return faults.BUDGET_EXHAUSTED.because(fault.reason)
         return faults.BUDGET_UNREACHABLE.because(
             f'{fault.code}: {fault.reason}',
         )
+
+    async def _is_exhausted(self, call: RelayCall) -> bool:
+        # The account may have nothing left while other routers hold tokens
+        # that they will hand back, or a top-up may be on its way here.
+        # "Exhausted" is told only where what this router, or the team's home,
+        # has seen spent proves it for the whole balance.
+        if not self._exceeds(call):
+            return False
+        return await self.currency.confirm() and self._exceeds(call)
+
+    def _exceeds(self, call: RelayCall) -> bool:
+        prepaid = self.view.prepaid(call.team_name)
+        if prepaid is None:
+            return False
+        spent = self.holdings.spent(call.team_name)
+        return call.prompt.most_tokens > prepaid - spent
--- /dev/null
+++ b/tests/test_catalogue_currency.py
@@ -0,0 +1,77 @@
+"""Tests of how a configuration is confirmed."""
+
+import asyncio
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.catalogue.currency import ConfigurationSource, Currency
+from balsamreach.catalogue.view import CatalogueView
+from tests.relay_samples import CATALOGUE
+from tests.support import FakeClock
+
+
+@attrs.define(eq=False)
+class _Source(ConfigurationSource):
+    """A source that answers when it is let."""
+
+    clock: FakeClock
+    away: bool = False
+    answered_at: float = float('-inf')
+    answers: bool = True
+    asked: int = 0
+
+    def is_away(self):
+        return self.away
+
+    def confirmed_at(self):
+        return self.answered_at
+
+    async def check(self):
+        self.asked += 1
+        await asyncio.sleep(0)
+        if self.answers:
+            self.answered_at = self.clock.now()
+
+
+class CurrencyTest(unittest.IsolatedAsyncioTestCase):
+    """When a router may deny what its configuration lacks."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.source = _Source(self.clock)
+        self.view = CatalogueView()
+        self.view.offer(CATALOGUE, 'store')
+        self.currency = Currency(self.view, self.clock, self.source)
+
+    @parameterized.expand(
+        [
+            ('answered a moment ago', {'answered_at': 999.5}, True, 0),
+            ('answered long ago', {'answered_at': 990}, True, 1),
+            ('never answered', {}, True, 1),
+            ('silent', {'answers': False}, False, 1),
+            (
+                'known to be away',
+                {'away': True, 'answered_at': 999.5},
+                False,
+                0,
+            ),
+        ]
+    )
+    async def test_source(self, _, state, confirmed, asked):
+        for name, value in state.items():
+            setattr(self.source, name, value)
+        self.assertEqual(await self.currency.confirm(), confirmed)
+        self.assertEqual(self.source.asked, asked)
+
+    async def test_a_newer_version_that_a_peer_has(self):
+        self.source.answered_at = self.clock.now()
+        self.view.hear(CATALOGUE.version + 1)
+        self.assertFalse(await self.currency.confirm())
+
+    async def test_many_ask_by_one_call(self):
+        """A flood of unknown keys became a flood of calls to the store."""
+        asks = (self.currency.confirm() for _ in range(50))
+        self.assertEqual(set(await asyncio.gather(*asks)), {True})
+        self.assertEqual(self.source.asked, 1)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -151,6 +151,7 @@
         self.state.write('op', 'config', {'version': 4})
         await self.step(self.configuration.feed)
         self.assertEqual(self.view.version, 3)
+        self.assertTrue(self.view.is_behind)
 
     @gen_test
     async def test_history_that_is_gone(self):
