--- a/bench/slopes_table.py
+++ b/bench/slopes_table.py
@@ -61,7 +61,7 @@
     platform = MemoryPlatform.start(SystemClock())
     await _write(platform, range(teams))
     ahead, behind = TableView(complete=True), TableView(complete=True)
-    reader = TableReader(platform.table, ahead)
+    reader = TableReader(platform.table, ahead, SystemClock())
     await reader.refresh()
     behind.apply(ahead.rows_since(0), ahead.version)
     rng = random.Random(size.seed)
--- a/bench/table_size.py
+++ b/bench/table_size.py
@@ -107,7 +107,7 @@
     began = time.perf_counter()
     snapshots = Snapshots(platform.objects, SystemClock(), Metrics())
     await snapshots.load(view)
-    await TableReader(platform.table, view).refresh()
+    await TableReader(platform.table, view, SystemClock()).refresh()
     seconds = time.perf_counter() - began
     assert len(view.teams) == TEAMS
     reads = platform.weather.reads - before
--- a/src/balsamreach/daemon/table_parts.py
+++ b/src/balsamreach/daemon/table_parts.py
@@ -47,7 +47,7 @@
     view = TableView()
     follower = TableFollower(
         cfg=needs.cfg,
-        reader=TableReader(needs.service, view),
+        reader=TableReader(needs.service, view, needs.clock),
         exchange=TableExchange(needs.net, view, needs.metrics),
         snapshots=Snapshots(needs.objects, needs.clock, needs.metrics),
         pruner=Pruner(needs.cfg, needs.service, needs.clock, needs.metrics),
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -53,7 +53,6 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
-    confirmed_at: float | None = None
     _snapshot_at: float = 0
     _away: bool = False
     _tries: int = 0
@@ -65,10 +64,11 @@
 
     @property
     def age(self) -> float | None:
-        """Seconds since the table service last confirmed the version."""
-        if self.confirmed_at is None:
+        """Seconds up to which edits may be missing, None if not known."""
+        confirmed_at = self.reader.confirmed_at
+        if confirmed_at is None:
             return None
-        return self.clock.now() - self.confirmed_at
+        return self.clock.now() - confirmed_at
 
     def announced(self) -> int:
         """Return the version that neighbours are told, 0 if not whole."""
@@ -147,8 +147,6 @@
     async def _read(self) -> tuple[Row, ...] | None:
         outcome = await self.reader.refresh()
         away = isinstance(outcome, TableFault)
-        if not away:
-            self.confirmed_at = self.clock.now()
         # One line when the service goes and one when it is back, not one
         # for each look.
         if away != self._away:
--- a/src/balsamreach/table/reader.py
+++ b/src/balsamreach/table/reader.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from balsamreach.clock import Clock
 from balsamreach.services.base import Page, Row, Scan, TableService
 from balsamreach.services.faults import PlatformFault
 from balsamreach.table.faults import TABLE_AWAY, TableFault
@@ -27,16 +28,24 @@
         Where the table is kept.
     view : TableView
         What is brought up to date.
+    clock : Clock
+        Time of the questions.
+    confirmed_at : float or None
+        Monotonic seconds up to which all edits are known to be in force
+        here, None before the first whole reading.
     """
 
     service: TableService
     view: TableView
+    clock: Clock
+    confirmed_at: float | None = None
     # The log counts all commits, most of which are draws and bills. The
     # view's version moves with rows of the table alone, so that routers with
     # the same rows have the same version and need not ask each other; how
     # far the log was read without finding any is known here only.
     _read_to: int = 0
     _first_version: int = 0
+    _first_asked: float = 0
     _after: str = ''
     _listed: set[str] = attrs.field(factory=set)
 
@@ -57,6 +66,7 @@
         fresh: list[Row] = []
         more = True
         while more:
+            asked = self.clock.now()
             page = await self._page(
                 Scan(TABLE_PREFIX, after=self._after, limit=_PAGE_ROWS),
             )
@@ -67,7 +77,9 @@
             # the whole read, so the next read of changes starts there. A
             # refused page is asked for again later, not the whole table:
             # under a rate limit no start would ever get to the end.
-            self._first_version = self._first_version or page.version
+            if not self._first_version:
+                self._first_version = page.version
+                self._first_asked = asked
             fresh.extend(await self._apply(page.rows))
             self._listed.update(row.key for row in page.rows)
             more = page.more
@@ -76,6 +88,7 @@
         self.view.prune(self._listed, self._first_version)
         self.view.apply((), self._first_version)
         self._listed.clear()
+        self.confirmed_at = self._first_asked
         return tuple(fresh)
 
     async def _read_changes(self) -> tuple[Row, ...] | TableFault:
@@ -83,6 +96,7 @@
         more = True
         while more:
             since = max(self.view.version, self._read_to)
+            asked = self.clock.now()
             page = await self._page(
                 Scan(TABLE_PREFIX, since=since, limit=_PAGE_ROWS),
             )
@@ -90,6 +104,10 @@
                 return page
             more = page.more
             fresh.extend(await self._take(page))
+        # An edit may be accepted while the answer is on its way and not be
+        # in it. Counted from its arrival, a table that a slow link brings
+        # would pass for newer than it is.
+        self.confirmed_at = asked
         return tuple(fresh)
 
     async def _take(self, page: Page) -> tuple[Row, ...]:
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -121,6 +121,17 @@
         page is refused; the next look starts from the first page again.
         Cause: each look reads more than the limit leaves to it.
         """
+        late = await self.start_page_by_page()
+        self.assertTrue(late.view.complete)
+        self.assertEqual(len(late.view.teams), 2501)
+
+    async def test_age_of_a_full_read_counts_from_its_first_page(self):
+        """Guards against edits between its pages that nobody looked for."""
+        late = await self.start_page_by_page()
+        self.assertEqual(late.parts.follower.age, 3)
+
+    async def start_page_by_page(self):
+        """Return a router that read a page in each of the last 3 s."""
         edits = [
             Edit(f'e{n}', 'a', f'table/team/t{n}', 0, {}) for n in range(2500)
         ]
@@ -136,8 +147,7 @@
         for _ in range(3):
             await late.step()
             self.fleet.clock.seconds += 1
-        self.assertTrue(late.view.complete)
-        self.assertEqual(len(late.view.teams), 2501)
+        return late
 
 
 class GoOnTest(FollowerTest):
@@ -197,6 +207,16 @@
         self.assertEqual(self.a.prepaid(), 100)
         self.assertEqual(self.a.parts.follower.age, 60)
 
+    async def test_age_of_a_look_counts_from_its_question(self):
+        """Guards against a late answer that passes for a new one."""
+        self.b.way.between = self.wait_for_the_answer
+        await self.b.step()
+        self.assertEqual(self.b.parts.follower.age, 30)
+
+    async def wait_for_the_answer(self):
+        """Let time pass while an answer is on its way."""
+        self.fleet.clock.seconds += 30
+
     async def test_commit_between_two_pages_of_a_full_read(self):
         """A row changes while the table is read whole.
 
