--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -191,6 +191,7 @@
             CallerContext(
                 cfg=self.cfg,
                 view=parts.table.view,
+                is_confirmed=parts.table.follower.is_confirmed,
                 dispatcher=parts.dispatcher,
                 clock=parts.clock,
                 shares=Shares(),
--- a/src/balsamreach/gateway/base.py
+++ b/src/balsamreach/gateway/base.py
@@ -1,6 +1,7 @@
 """What the handlers of the callers' listener have in common."""
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -11,7 +12,12 @@
 from balsamreach.dispatch.dispatcher import Dispatcher
 from balsamreach.dispatch.faults import MAYBE_RUN, NOT_RUN
 from balsamreach.gateway.json_errors import JsonErrors
-from balsamreach.gateway.refusals import Refusal, from_status, send_refusal
+from balsamreach.gateway.refusals import (
+    NOT_READY,
+    Refusal,
+    from_status,
+    send_refusal,
+)
 from balsamreach.gateway.sinks import HandlerSink
 from balsamreach.requests.answers import Answer
 from balsamreach.requests.identity import mint_key
@@ -35,10 +41,17 @@
 
 @attrs.frozen(kw_only=True)
 class CallerContext:
-    """What handlers of the callers' interface work with."""
+    """What handlers of the callers' interface work with.
+
+    Parameters
+    ----------
+    is_confirmed : callable
+        Tells whether the view is known to be the newest.
+    """
 
     cfg: Settings
     view: TableView
+    is_confirmed: Callable[[], bool]
     dispatcher: Dispatcher
     clock: Clock
     shares: Shares
@@ -76,7 +89,12 @@
         self.set_header('X-Request-Id', key)
 
     def refuse(self, refusal: Refusal) -> None:
-        """Answer with a refusal."""
+        """Answer with a refusal; by a table only if it is confirmed."""
+        if refusal.by_table and not self.context.is_confirmed():
+            # The team, key, model or service may have been added while this
+            # router was cut off. Denied here, a proper request would be
+            # given up; it would show as 401 and 404 beside table_not_read.
+            refusal = NOT_READY
         self.refusal = refusal
         send_refusal(self, refusal)
 
--- a/src/balsamreach/gateway/caller_handler.py
+++ b/src/balsamreach/gateway/caller_handler.py
@@ -48,10 +48,14 @@
         team = self.context.view.team_by_secret(secret)
         if team is None:
             return Refusal(
-                HTTPStatus.UNAUTHORIZED, 'wrong_key', 'no team has this key'
+                HTTPStatus.UNAUTHORIZED,
+                'wrong_key',
+                'no team has this key',
+                by_table=True,
             )
         self.team_name = team.name
         if team.state == PAUSED:
+            # An operator's order, so it holds until a newer one is known.
             return Refusal(
                 HTTPStatus.FORBIDDEN,
                 'team_paused',
--- a/src/balsamreach/gateway/chat.py
+++ b/src/balsamreach/gateway/chat.py
@@ -143,6 +143,7 @@
                 HTTPStatus.BAD_REQUEST,
                 'unknown_model',
                 'no model is open to the team',
+                by_table=True,
             )
         return shares.pick(team.name, weights)
     if model not in models or (team.models and model not in team.models):
@@ -150,6 +151,7 @@
             HTTPStatus.NOT_FOUND,
             'unknown_model',
             f'no model {model!r} is open to this team',
+            by_table=True,
         )
     return model
 
--- a/src/balsamreach/gateway/models_handler.py
+++ b/src/balsamreach/gateway/models_handler.py
@@ -31,6 +31,7 @@
                 HTTPStatus.NOT_FOUND,
                 'unknown_model',
                 f'no model {name!r} is open to this team',
+                by_table=True,
             )
         )
 
--- a/src/balsamreach/gateway/refusals.py
+++ b/src/balsamreach/gateway/refusals.py
@@ -52,6 +52,9 @@
         Seconds until asking again makes sense; 0 for never.
     repeatable : bool
         Whether the same request sent again is known for the same.
+    by_table : bool
+        Whether it is told for want of a row, so that a newer table than the
+        one in force here may allow what is refused.
     """
 
     status: int
@@ -60,6 +63,7 @@
     ran: str = faults.NOT_RUN
     retry_after: float = 0
     repeatable: bool = True
+    by_table: bool = False
 
     def body(self) -> bytes:
         """Return the JSON body, in the shape OpenAI clients read."""
@@ -87,6 +91,13 @@
         return headers
 
 
+#: A row is missing in a table that may be outdated.
+NOT_READY = Refusal(
+    503,
+    'not_ready',
+    "this router can't tell now whether its table is the newest",
+    retry_after=1,
+)
 #: The header passes the limit of the settings.
 HEADER_TOO_LARGE = Refusal(
     431,
--- a/src/balsamreach/gateway/service_handler.py
+++ b/src/balsamreach/gateway/service_handler.py
@@ -46,6 +46,7 @@
                 HTTPStatus.NOT_FOUND,
                 'unknown_service',
                 f'there is no service {service!r}',
+                by_table=True,
             )
         req = self.identify(team)
         if isinstance(req, Refusal):
--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -22,6 +22,10 @@
 #: Routers that are no readers of their zone look this much more seldom, in
 #: case their readers or neighbours are cut off from the platform.
 IDLE_FACTOR = 5
+#: Seconds that the question and answer of a look may take beyond the longest
+#: pause before it. With the usual pauses a confirmation is over before the
+#: 5 s in which an edit must be in force everywhere.
+LOOK_S = 2
 _JITTER = 0.2
 _MOST_DOUBLINGS = 4
 _logger = logging.getLogger(__name__)
@@ -70,6 +74,14 @@
             return None
         return self.clock.now() - confirmed_at
 
+    def is_confirmed(self) -> bool:
+        """Return whether the table here was the newest a moment ago.
+
+        Peers confirm nothing: they may be cut off as well.
+        """
+        longest = self.cfg.table.poll_interval * IDLE_FACTOR + LOOK_S
+        return self.age is not None and self.age <= longest
+
     def announced(self) -> int:
         """Return the version that neighbours are told, 0 if not whole."""
         return self.view.version if self.view.complete else 0
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -8,7 +8,10 @@
 import openai
 from parameterized import parameterized
 
+from balsamreach.clock import SystemClock
 from balsamreach.gateway.base import ADDED, FIRST_BYTE, REFUSALS, REQUESTS
+from balsamreach.table.rows import TeamRow
+from balsamreach.table.view import hash_key
 from tests.deployment import (
     MODEL,
     SECRET,
@@ -99,8 +102,30 @@
     ('large', _CHAT, b'x' * (_LIMIT + 1), {}, 413, 'body_too_large'),
 )
 
+_NARROW = 'narrow-secret'
+
+#: Name, request line, body and headers of what only a newer table may allow.
+_DENIED_BY_TABLE = (
+    ('key', _CHAT, _ask(), {'secret': 'x'}),
+    ('key_of_list', 'GET /v1/models', b'', {'secret': 'x'}),
+    ('key_of_service', 'GET /services/desk/a', b'', {'secret': 'x'}),
+    ('model', _CHAT, _ask(model='x'), {}),
+    ('model_of_team', _CHAT, _ask(), {'secret': _NARROW}),
+    ('any_model', _CHAT, _ask(model='auto'), {'secret': _NARROW}),
+    ('shown_model', 'GET /v1/models/x', b'', {}),
+    ('service', 'GET /services/x/y', b'', {}),
+)
+
+#: Name, request line, body, headers and status of what stays denied.
+_DENIED_ANYWAY = (
+    ('no_key', _CHAT, _ask(), {'secret': ''}, 401),
+    ('paused', _CHAT, _ask(), {'secret': 'paused-secret'}, 403),
+    ('path', 'GET /v2/chat', b'', {}, 404),
+    ('body', _CHAT, b'{', {}, 400),
+)
+
 
-class CallersTest(unittest.IsolatedAsyncioTestCase):
+class CallersCase(unittest.IsolatedAsyncioTestCase):
     """One router before one engine and one plain service."""
 
     async def asyncSetUp(self):
@@ -120,6 +145,10 @@
     async def ask(self, body=None, **headers):
         return await self.send(request(_CHAT, body or _ask(), **headers))
 
+
+class CallersTest(CallersCase):
+    """What callers send and are told, the platform being there."""
+
     @parameterized.expand(_REFUSED)
     async def test_refusal(self, _, line, body, headers, status, code):
         with self.assertNoLogs('tornado', 'WARNING'):
@@ -247,6 +276,62 @@
     return attrs.evolve(router.cfg.callers, **changes)
 
 
+class _LaterClock(SystemClock):
+    """A clock that shows a minute more."""
+
+    def now(self):
+        """Return the machine's monotonic time and a minute."""
+        return super().now() + 60
+
+
+class UnconfirmedTest(CallersCase):
+    """A router whose table nobody has confirmed for a minute."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        narrow = TeamRow(
+            name='narrow',
+            key_hashes=(hash_key(_NARROW),),
+            models={'x': 1},
+        )
+        await self.deployment.put_rows((narrow,))
+        table = self.router.parts.table
+        self.assertTrue(await until(lambda: 'narrow' in table.view.teams))
+        self.platform = self.deployment.platform.core
+        self.platform.weather.down = True
+        table.follower.clock = _LaterClock()
+
+    async def asyncTearDown(self):
+        self.platform.weather.down = False
+        await super().asyncTearDown()
+
+    @parameterized.expand(_DENIED_BY_TABLE)
+    async def test_nothing_is_denied_by_an_old_table(
+        self, _, line, body, headers
+    ):
+        """Guards against 401 and 404 for what an edit has allowed since."""
+        answer = await self.send(request(line, body, **headers))
+        self.assertEqual(answer.status, 503, answer)
+        error = json.loads(answer.body)['error']
+        self.assertEqual((error['code'], error['ran']), ('not_ready', 'no'))
+        self.assertEqual(answer.header('X-Balsamreach-Ran'), 'no')
+        self.assertEqual(answer.header('X-Should-Retry'), 'true')
+        self.assertEqual(answer.header('Retry-After'), '1')
+        self.assertEqual(self.deployment.engine_runs, 0)
+
+    @parameterized.expand(_DENIED_ANYWAY)
+    async def test_denied_anyway(self, _, line, body, headers, status):
+        """Guards against 503 for an operator's pause or a malformed request."""
+        answer = await self.send(request(line, body, **headers))
+        self.assertEqual(answer.status, status, answer)
+        self.assertEqual(answer.header('X-Should-Retry'), 'false')
+
+    async def test_what_the_table_allows_is_served(self):
+        """Guards against a zone that stops serving when it is cut off."""
+        answer = await self.send(request(f'GET /v1/models/{MODEL}'))
+        self.assertEqual(answer.status, 200)
+
+
 class OpenaiTest(unittest.IsolatedAsyncioTestCase):
     """The client library that callers use."""
 
--- a/tests/test_table_follower.py
+++ b/tests/test_table_follower.py
@@ -217,6 +217,34 @@
         """Let time pass while an answer is on its way."""
         self.fleet.clock.seconds += 30
 
+    async def test_confirmed_while_the_service_answers(self):
+        """Guards against a healthy router that can't deny anything."""
+        follower = self.b.parts.follower
+        longest = follower.cfg.table.poll_interval * IDLE_FACTOR
+        for _ in range(3):
+            await self.b.step()
+            self.fleet.clock.seconds += longest
+            self.assertTrue(follower.is_confirmed())
+
+    async def test_not_confirmed_by_peers_alone(self):
+        """Guards against denials by a table that only a peer has told."""
+        late = self.fleet.join('late')
+        late.way.cut = True
+        await late.step()
+        self.assertTrue(late.view.complete)
+        self.assertFalse(late.parts.follower.is_confirmed())
+        late.way.cut = False
+        await late.step()
+        self.assertTrue(late.parts.follower.is_confirmed())
+
+    async def test_confirmed_no_longer_than_edits_take(self):
+        """Guards against denials once an edit must be in force elsewhere."""
+        await self.b.step()
+        self.fleet.platform.weather.down = True
+        self.fleet.clock.seconds += 5
+        await self.b.step()
+        self.assertFalse(self.b.parts.follower.is_confirmed())
+
     async def test_commit_between_two_pages_of_a_full_read(self):
         """A row changes while the table is read whole.
 
