--- a/src/balsamreach/table/follower.py
+++ b/src/balsamreach/table/follower.py
@@ -22,6 +22,10 @@
 #: Routers that are no readers of their zone look this much more seldom, in
 #: case their readers or neighbours are cut off from the platform.
 IDLE_FACTOR = 5
+#: Seconds that the question and answer of a look may take beyond the longest
+#: pause before it. With the usual pauses a confirmation is over before the
+#: 5 s in which an edit must be in force everywhere.
+LOOK_S = 2
 _JITTER = 0.2
 _MOST_DOUBLINGS = 4
 _logger = logging.getLogger(__name__)
@@ -53,7 +57,6 @@
     clock: Clock
     rng: random.Random
     metrics: Metrics
-    confirmed_at: float | None = None
     _snapshot_at: float = 0
     _away: bool = False
     _tries: int = 0
@@ -65,10 +68,19 @@
 
     @property
     def age(self) -> float | None:
-        """Seconds since the table service last confirmed the version."""
-        if self.confirmed_at is None:
+        """Seconds up to which edits may be missing, None if not known."""
+        confirmed_at = self.reader.confirmed_at
+        if confirmed_at is None:
             return None
-        return self.clock.now() - self.confirmed_at
+        return self.clock.now() - confirmed_at
+
+    def is_confirmed(self) -> bool:
+        """Return whether the table here was the newest a moment ago.
+
+        Peers confirm nothing: they may be cut off as well.
+        """
+        longest = self.cfg.table.poll_interval * IDLE_FACTOR + LOOK_S
+        return self.age is not None and self.age <= longest
 
     def announced(self) -> int:
         """Return the version that neighbours are told, 0 if not whole."""
@@ -147,8 +159,6 @@
     async def _read(self) -> tuple[Row, ...] | None:
         outcome = await self.reader.refresh()
         away = isinstance(outcome, TableFault)
-        if not away:
-            self.confirmed_at = self.clock.now()
         # One line when the service goes and one when it is back, not one
         # for each look.
         if away != self._away:
