--- a/tests/test_platform_pages.py
+++ b/tests/test_platform_pages.py
@@ -17,7 +17,7 @@
 from balsamreach.platform.pages import PageSharing
 from balsamreach.services.faults import UNKNOWN
 from balsamreach.telemetry.metrics import Metrics
-from balsamreach.wire.messages import TablePage
+from balsamreach.wire.tables import TablePage
 from tests.deployment import until
 from tests.fake_net import FakeNet
 from tests.support import FakeClock
