--- a/src/balsamreach/platform/reading.py
+++ b/src/balsamreach/platform/reading.py
@@ -12,9 +12,11 @@
 #: Bytes of missed changes beyond which the table is read as it is now: each
 #: change of a large row holds all of it.
 _MOST_CHANGES = 64 * 1024
-#: Seconds in which the first hub of the zone may tell what was missed. It has
-#: the widest link, and tells what changed in a large row.
-_HUB_FIRST_S = 0.3
+#: Times that a router looks whether the first hub of its zone has told what
+#: was missed, and seconds between them. The hub has the widest link, and tells
+#: what changed in a large row.
+_HUB_LOOKS = 8
+_HUB_LOOK_S = 0.1
 
 
 @attrs.define
@@ -92,12 +94,10 @@
         since: int,
     ) -> StoredRows | PlatformFault:
         """Return what changed, each row only as it is now."""
-        if not self.pages.leads():
-            await self.clock.sleep(_HUB_FIRST_S)
-            if self.position() != since:
-                page = await self.look(store)
-                if page != TOO_LARGE:
-                    return page
+        if not self.pages.leads() and await self._is_told(since):
+            page = await self.look(store)
+            if page != TOO_LARGE:
+                return page
         page = await store.read(self.table, '')
         if isinstance(page, PlatformFault):
             return page
@@ -106,6 +106,14 @@
         removed = [_removed(self.table, key, page.version) for key in gone]
         return StoredRows((*changed, *removed), page.version)
 
+    async def _is_told(self, since: int) -> bool:
+        """Wait a while for the first hub; whether it told something."""
+        for _ in range(_HUB_LOOKS):
+            await self.clock.sleep(_HUB_LOOK_S)
+            if self.position() != since:
+                return True
+        return False
+
 
 def _removed(table: str, key: str, version: int) -> StoredRow:
     return StoredRow(
