--- a/src/balsamreach/platform/rows.py
+++ b/src/balsamreach/platform/rows.py
@@ -111,6 +111,7 @@
             Keys; the range leaves the second out. Empty for no bound.
         """
         rows: list[StoredRow] = []
+        version = None
         while True:
             query = {'table': table, 'part': part}
             query |= {'from': first} if first else {}
@@ -119,8 +120,11 @@
             if isinstance(page, PlatformFault):
                 return page
             rows.extend(map(_read_row, page['rows']))
+            # Rows of an earlier page may have changed before a later one was
+            # read: only up to the first one's version all changes are here.
+            version = page['ver'] if version is None else version
             if not page.get('more_pages') or not page['rows']:
-                return StoredRows(tuple(rows), page['ver'])
+                return StoredRows(tuple(rows), version)
             last = page['rows'][-1]['key']
             first = f'{last}\0'
 
--- a/src/balsamreach/standins/row_store.py
+++ b/src/balsamreach/standins/row_store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -36,6 +37,10 @@
         Changes that are made and not answered.
     waits : list of int
         Milliseconds that each call which followed a table would wait.
+    page_rows : int
+        Most rows of one page.
+    on_page : callable
+        Called after each page that was read.
     """
 
     rows: dict[_Key, tuple[str, int]] = attrs.field(factory=dict)
@@ -45,6 +50,8 @@
     status: int = 0
     lose_answers: int = 0
     waits: list[int] = attrs.field(factory=list)
+    page_rows: int = 500
+    on_page: Callable[[], object] = int
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def write(self, table: str, key: str, fields: Any, part: str = '') -> int:
@@ -101,7 +108,9 @@
             and key[2] >= first
             and (not end or key[2] < end)
         ]
-        self.tell(rows=rows, more_pages=False)
+        most = self.state.page_rows
+        self.tell(rows=rows[:most], more_pages=len(rows) > most)
+        self.state.on_page()
 
 
 class _Follow(_Handler):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Tests of the store's client, table service and feeds, over HTTP."""
 
 import random
+from functools import partial
 
 from tornado.testing import AsyncHTTPTestCase, gen_test
 
@@ -197,6 +198,21 @@
         page = await feed._next()
         self.assertEqual(page.rows, ())
 
+    @gen_test
+    async def test_a_change_between_two_pages(self):
+        """A target was kept whose end came between two pages of the list."""
+        for name in ('a', 'b', 'c'):
+            self.state.write('servers', name, _TARGET)
+        self.state.page_rows = 2
+        self.state.on_page = partial(self.change_once, 'a', None)
+        await self.step(self.targets.feed)
+        await self.step(self.targets.feed)
+        self.assertIsNone(self.places.find('a'))
+
+    def change_once(self, key, fields):
+        self.state.on_page = int
+        self.state.write('servers', key, fields)
+
     @gen_test
     async def test_an_evacuation_and_its_end(self):
         await self.step(self.configuration.feed)
