--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -115,8 +115,13 @@
         patience: float,
     ) -> HTTPResponse | PlatformFault:
         """Wait for the answer until nothing has moved for a while."""
-        if not await self._wait(fetch, patience):
+        try:
+            answered = await self._wait(fetch, patience)
+        finally:
+            # Also where nobody waits any more: what is left of the call would
+            # go on to fill the link.
             self.is_given_up = True
+        if not answered:
             kind = UNKNOWN if self.tries else UNREACHABLE
             return kind.because(f'silent after {self.moved} bytes')
         try:
@@ -133,7 +138,9 @@
             await asyncio.wait({fetch}, timeout=patience / _LOOKS)
             if fetch.done():
                 return True
-            silent_looks = 0 if self.moved > moved else silent_looks + 1
+            # A change is small: its caller waits no longer for one in pieces.
+            is_coming = self.moved > moved and not self.call.writes
+            silent_looks = 0 if is_coming else silent_looks + 1
         return False
 
     def _fault(self, exc: CurlError) -> PlatformFault:
--- a/tests/test_services_http.py
+++ b/tests/test_services_http.py
@@ -25,6 +25,7 @@
     UNAVAILABLE,
     UNKNOWN,
     UNREACHABLE,
+    PlatformFault,
 )
 from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
 from balsamreach.services.http import Call, PlatformClient
@@ -54,11 +55,15 @@
 
     begins = True
 
+    def on_begin(self) -> None:
+        """Hear that a request came."""
+
     def on_end(self) -> None:
         """Hear that a connection was closed."""
 
     async def handle_stream(self, stream, address) -> None:
         await stream.read_until(b'\r\n\r\n')
+        self.on_begin()
         if self.begins:
             await stream.write(b'HTTP/1.1 200 x\r\nContent-Length: 9\r\n\r\n')
             await stream.write(b'some')
@@ -102,6 +107,16 @@
 
     async def test_starved_by_an_answer_that_is_read_again(self) -> None:
         """A large answer was broken off and read anew while it came."""
+        answer = await self.send_steadily(Call('GET', '/'))
+        self.assertEqual(answer, b'x' * SteadyServer.pieces)
+
+    async def test_a_change_whose_answer_trickles(self) -> None:
+        """Requests waited for a draw long after its time was over."""
+        call = Call('POST', '/', b'', writes=True)
+        self.assertEqual(await self.send_steadily(call), UNKNOWN)
+
+    async def send_steadily(self, call: Call) -> bytes | PlatformFault:
+        """Send a call whose answer takes longer than the timeout."""
         server = SteadyServer()
         sockets = bind_sockets(0, '127.0.0.1')
         server.add_sockets(sockets)
@@ -112,19 +127,25 @@
             request_timeout=SteadyServer.pause_s * 8,
         )
         self.addCleanup(client.close)
-        answer = await client.send(Call('GET', '/'))
-        self.assertEqual(answer, b'x' * SteadyServer.pieces)
+        return await client.send(call)
 
     async def test_a_silent_connection(self) -> None:
         await self.read()
         self.server.begins = False
         await self.read()
 
-    async def test_a_call_that_is_given_up_ends(self) -> None:
+    @parameterized.expand([('silent', False), ('cancelled', True)])
+    async def test_a_call_that_is_given_up_ends(self, _, cancelled) -> None:
         """What nobody waits for went on to fill the link."""
+        begun = asyncio.Event()
         ended = asyncio.Event()
+        self.server.on_begin = begun.set
         self.server.on_end = ended.set
-        await self.read()
+        reading = asyncio.ensure_future(self.read())
+        await begun.wait()
+        if cancelled:
+            reading.cancel()
+        await asyncio.wait({reading})
         await asyncio.wait_for(ended.wait(), _SECONDS)
 
 
