--- a/src/balsamreach/relay/metered.py
+++ b/src/balsamreach/relay/metered.py
@@ -37,8 +37,15 @@
             return Tab()
         tokens = call.prompt.most_tokens
         reserved = await self.holdings.reserve(call.team_name, tokens)
+        if reserved == EXHAUSTED and self._exceeds(call):
+            # The budget may have been raised by a version that isn't here.
+            if not await self.currency.confirm():
+                return _unreachable(reserved)
+            if self._exceeds(call):
+                return faults.BUDGET_EXHAUSTED.because(reserved.reason)
+            reserved = await self.holdings.reserve(call.team_name, tokens)
         if isinstance(reserved, BudgetFault):
-            return await self._refuse(call, reserved)
+            return _unreachable(reserved)
         return Tab(most=tokens, hold=reserved)
 
     def close(self, call: RelayCall, tab: Tab) -> None:
@@ -46,29 +53,17 @@
         if tab.hold is not None:
             self.holdings.charge(tab.hold, tab.used)
 
-    async def _refuse(
-        self,
-        call: RelayCall,
-        fault: BudgetFault,
-    ) -> RelayFault:
-        if fault == EXHAUSTED and await self._is_exhausted(call):
-            return faults.BUDGET_EXHAUSTED.because(fault.reason)
-        return faults.BUDGET_UNREACHABLE.because(
-            f'{fault.code}: {fault.reason}',
-        )
-
-    async def _is_exhausted(self, call: RelayCall) -> bool:
-        # The account may have nothing left while other routers hold tokens
-        # that they will hand back, or a top-up may be on its way here.
-        # "Exhausted" is told only where what this router, or the team's home,
-        # has seen spent proves it for the whole balance.
-        if not self._exceeds(call):
-            return False
-        return await self.currency.confirm() and self._exceeds(call)
-
     def _exceeds(self, call: RelayCall) -> bool:
+        # The account may have nothing left while other routers hold tokens
+        # that they will hand back. "Exhausted" is told only where what this
+        # router, or the team's home, has seen spent proves it for the whole
+        # balance.
         prepaid = self.view.prepaid(call.team_name)
         if prepaid is None:
             return False
         spent = self.holdings.spent(call.team_name)
         return call.prompt.most_tokens > prepaid - spent
+
+
+def _unreachable(fault: BudgetFault) -> RelayFault:
+    return faults.BUDGET_UNREACHABLE.because(f'{fault.code}: {fault.reason}')
