--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -1,7 +1,7 @@
 """The targets of all services as this router sees them."""
 
 import random
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 import attrs
 
@@ -217,9 +217,16 @@
         while len(self._removed) > _MOST_REMOVED:
             self._removed.pop(next(iter(self._removed)))
 
-    def besides(self, present: Iterable[str]) -> set[str]:
-        """Return the ids that a whole list lacks."""
-        return set(self._by_id) - set(present)
+    def besides(self, present: Container[str], version: int) -> set[str]:
+        """Return the ids that a whole list of a version lacks.
+
+        What was learnt of a later change says nothing against the list.
+        """
+        return {
+            target_id
+            for target_id, place in self._by_id.items()
+            if target_id not in present and place.entry.version <= version
+        }
 
     def miss(self, target_ids: Iterable[str], gone_at: float) -> None:
         """Note that targets have vanished from the list.
--- a/src/balsamreach/platform/feed.py
+++ b/src/balsamreach/platform/feed.py
@@ -29,8 +29,6 @@
 #: Seconds after which a router that has heard nothing asks the store itself.
 #: Who follows it hears within 0.6 s, also where nothing changes.
 _FRESH_S = 1.0
-#: Seconds after which many changes may have been missed.
-_LATE_S = 2.0
 
 
 @attrs.frozen(kw_only=True)
@@ -135,13 +133,14 @@
         Parameters
         ----------
         since : int
-            Version after which the rows changed.
+            Version after which the rows changed, if they aren't all.
         page : StoredRows
             The rows.
         """
         # A page that is missing between this one and the last may have told
         # of a change that nobody would tell of again.
-        if self._since is None or since > self._since:
+        known = self._since is not None and since <= self._since
+        if not page.whole and not known:
             self._missed.set()
             return
         self._told_at = self.parts.clock.now()
@@ -152,7 +151,8 @@
         self._missed.clear()
         while self._since is not None and not self._missed.is_set():
             left = self._told_at + _FRESH_S - self.parts.clock.now()
-            if left <= 0 or self.parts.pages.follows():
+            # Whether the store answers this router, no other one can tell.
+            if left <= 0 or self._away or self.parts.pages.follows():
                 return
             missed = asyncio.ensure_future(self._missed.wait())
             await asyncio.wait({missed}, timeout=left)
@@ -160,15 +160,14 @@
 
     async def _next(self) -> StoredRows | PlatformFault:
         store = self.parts.probe if self._away else self.parts.store
-        return await self._reading.read(store, late=self._is_late())
-
-    def _is_late(self) -> bool:
-        known_at = max(self._answered_at, self._told_at)
-        return self._away or self.parts.clock.now() > known_at + _LATE_S
+        return await self._reading.read(store)
 
     def _take_answer(self, page: StoredRows, asked_at: float) -> None:
         self._answered_at = max(self._answered_at, asked_at)
         _log_rows(self, page, asked_at)
+        if self._away:
+            self._away = False
+            _log_state(self, self._since, 'store_feed_back')
         self._pass_on(page)
         self._take(page)
 
@@ -177,18 +176,15 @@
             self.parts.pages.tell(self.table, self._since, page)
 
     def _take(self, page: StoredRows) -> None:
-        if self._away:
-            self._away = False
-            _log_state(self, self._since, 'store_feed_back')
-        whole = self._since is None
         self.parts.pages.note(page.rows)
+        if self._since is None and not page.whole:
+            return
         # An answer of the store may come behind what another router told.
-        if not whole and page.version < self._since:
+        if self._since is not None and page.version < self._since:
             return
         self._since = page.version
-        self._reading.note(page, whole=whole)
-        if whole or page.rows:
-            self.take(page, whole)
+        if page.whole or page.rows:
+            self.take(page, page.whole)
 
     def _fail(self, fault: PlatformFault) -> None:
         self.failed_at = self.parts.clock.now()
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -140,7 +140,7 @@
             self._put(entry)
         present = {found.target_id for found in listed}
         if whole:
-            missing = self.places.besides(present)
+            missing = self.places.besides(present, page.version)
         else:
             missing = set(newest).difference(present)
         self.places.miss(missing, self._gone_at())
--- a/src/balsamreach/platform/pages.py
+++ b/src/balsamreach/platform/pages.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from balsamreach.clock import Clock
 from balsamreach.peers.base import PeerNet
 from balsamreach.platform.patches import apply_patch, make_patch
 from balsamreach.platform.rows import StoredRow, StoredRows
@@ -17,6 +18,9 @@
 #: read it from the store, whose link is wide; more sent to a whole zone would
 #: fill the link of a hub for longer than they take for that.
 _MOST_BYTES = 128 * 1024
+#: Seconds without a page after which another hub tells. A hub that hears from
+#: the store tells something twice in that time.
+_SILENT_S = 1.5
 #: Bytes that packed rows may grow to; more is no page of ours.
 _MOST_UNPACKED = 4 * 1024 * 1024
 #: Configurations shrink to a fifth already at the least effort.
@@ -41,12 +45,20 @@
     ----------
     net : PeerNet
         The other routers.
+    clock : Clock
+        Time.
     """
 
     net: PeerNet
+    clock: Clock
+    _heard_at: float = attrs.field(init=False)
     _takers: dict[str, TakePage] = attrs.field(factory=dict)
     _known: dict[RowName, StoredRow] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Give the first hub its time to tell something."""
+        self._heard_at = self.clock.now()
+
     def start(self) -> None:
         """Take the pages of the hub from now on."""
         self.net.on(TablePage, self._take)
@@ -71,13 +83,15 @@
         To be called before ``note``: changes are told against what was known
         before.
         """
-        if not self._is_first_hub():
+        hubs = self.net.hubs.of(self.net.me.zone)
+        if not hubs or not self.leads():
             return
         rows = _pack(self._shorten(newest_rows(page.rows)))
+        message = TablePage(table, since, page.version, rows, page.whole)
         if len(rows) > _MOST_BYTES:
             # Who has not this version yet sees that rows are missing.
-            since, rows = page.version, b''
-        self.net.tell_zone(TablePage(table, since, page.version, rows))
+            message = TablePage(table, page.version, page.version)
+        self.net.tell_zone(message)
 
     def note(self, rows: Iterable[StoredRow]) -> None:
         """Remember large rows, which changes are told against."""
@@ -92,13 +106,17 @@
                 self._known.pop(name)
 
     def leads(self) -> bool:
-        """Return whether no other router reads the store for this one."""
-        hubs = self.net.hubs.of(self.net.me.zone)
-        return not hubs or self._is_first_hub()
+        """Return whether no other router reads the store for this one.
 
-    def _is_first_hub(self) -> bool:
+        Another hub takes the first one's part while that tells nothing: the
+        store may turn single routers away.
+        """
         hubs = self.net.hubs.of(self.net.me.zone)
-        return bool(hubs) and hubs[0].incarnation == self.net.me.incarnation
+        mine = self.net.me.incarnation
+        if not hubs or hubs[0].incarnation == mine:
+            return True
+        is_hub = any(hub.incarnation == mine for hub in hubs)
+        return is_hub and self.clock.now() > self._heard_at + _SILENT_S
 
     def _shorten(self, rows: Iterable[StoredRow]) -> list[dict[str, Any]]:
         return [self._shorten_one(row) for row in rows]
@@ -117,12 +135,14 @@
         take = self._takers.get(message.table)
         if take is None:
             return
+        self._heard_at = self.clock.now()
         rows = self._restore(_unpack(message.rows))
         if rows is None:
             # The same as a page that was only announced.
             take(message.version, StoredRows((), message.version))
             return
-        take(message.since, StoredRows(rows, message.version))
+        page = StoredRows(rows, message.version, message.whole)
+        take(message.since, page)
 
     def _restore(
         self,
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -92,7 +92,7 @@
     exchange: CatalogueExchange,
     times: ServiceClock,
 ) -> tuple[ConfigurationFeed, TargetsFeed]:
-    pages = PageSharing(parts.net)
+    pages = PageSharing(parts.net, parts.clock)
     pages.start()
     feeds = FeedParts(
         store=_make_store(cfg, _FOLLOW_WAIT_S + _ANSWER_S, times),
--- a/src/balsamreach/platform/rows.py
+++ b/src/balsamreach/platform/rows.py
@@ -61,10 +61,21 @@
 
 @attrs.frozen
 class StoredRows:
-    """Rows and the newest version of the store at their moment."""
+    """Rows and the newest version of the store at their moment.
+
+    Parameters
+    ----------
+    rows : tuple of StoredRow
+        The rows.
+    version : int
+        Version up to which nothing else changed.
+    whole : bool
+        Whether they are all there are, and not only what changed.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    whole: bool = False
 
 
 @attrs.frozen
@@ -124,7 +135,7 @@
             # read: only up to the first one's version all changes are here.
             version = page['ver'] if version is None else version
             if not page.get('more_pages') or not page['rows']:
-                return StoredRows(tuple(rows), version)
+                return StoredRows(tuple(rows), version, whole=True)
             last = page['rows'][-1]['key']
             first = f'{last}\0'
 
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -306,6 +306,7 @@
   since @1 :UInt64;
   version @2 :UInt64;
   rows @3 :Data;
+  whole @4 :Bool;
 }
 
 struct TokensAsk {
--- a/src/balsamreach/wire/tables.py
+++ b/src/balsamreach/wire/tables.py
@@ -73,9 +73,12 @@
         Version up to which nothing else changed.
     rows : bytes
         The rows, packed; empty for none.
+    whole : bool
+        Whether they are all that the table holds.
     """
 
     table: str
     since: int
     version: int
     rows: bytes = b''
+    whole: bool = False
