--- a/src/balsamreach/platform/configuration.py
+++ b/src/balsamreach/platform/configuration.py
@@ -1,13 +1,15 @@
 """The operators' configuration as it is stored there."""
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from functools import partial
-from typing import Any
+from itertools import chain, compress, count, repeat
+from operator import is_not, itemgetter
+from typing import Any, Generic, TypeVar
 
 import attrs
 
-from balsamreach.catalogue.catalogue import Catalogue
+from balsamreach.catalogue.catalogue import Catalogue, RouteIndex
 from balsamreach.catalogue.entries import (
     CallerLimits,
     EngineTraits,
@@ -24,18 +26,98 @@
 _IDEMPOTENT = 'idempotent'
 
 Fields = Mapping[str, Any]
+Entry = TypeVar('Entry')
+
+#: Entries that are read anew at once, rather than looked up by name first.
+_FEW = 32
+_NONE = (None, None)
+_name = itemgetter('name')
 
 
 @attrs.define(eq=False)
-class CatalogueReader:
-    """Reads one configuration after the other.
+class EntriesReader(Generic[Entry]):
+    """Reads the entries of one list, again and again.
 
-    Routes are read once as long as they stay the same. Thousands of them read
+    An entry is read once as long as it stays the same. Thousands of them read
     anew for each change, ten times a second, would keep a small host from its
     requests for as long as the changes last.
+
+    Parameters
+    ----------
+    read_one : callable
+        Reads one entry.
     """
 
-    _routes: dict[str, tuple[Fields, Route]] = attrs.field(factory=dict)
+    read_one: Callable[[Fields], Entry]
+    _fields: tuple[Fields, ...] = ()
+    _entries: tuple[Entry, ...] = ()
+
+    def read(self, listed: Iterable[Fields]) -> tuple[Entry, ...]:
+        """Return the entries in the order of the list."""
+        fields = tuple(listed)
+        # What a patch left alone is the same object, found without a look at
+        # what it holds.
+        others = map(is_not, fields, chain(self._fields, repeat(None)))
+        places = list(compress(count(), others))
+        if places or len(fields) < len(self._fields):
+            self._entries = self._read_places(fields, places)
+            self._fields = fields
+        return self._entries
+
+    def _read_places(
+        self,
+        fields: Sequence[Fields],
+        places: Iterable[int],
+    ) -> tuple[Entry, ...]:
+        entries = list(self._entries[: len(fields)])
+        entries.extend(repeat(None, len(fields) - len(entries)))
+        known = self._fields
+        changed = [
+            place
+            for place in places
+            if place >= len(known) or fields[place] != known[place]
+        ]
+        missing = []
+        # Behind one that is new or gone all others stand elsewhere.
+        shift = len(known) - len(fields)
+        for place in changed:
+            there = place + shift
+            if shift and there >= 0 and known[there] is fields[place]:
+                entries[place] = self._entries[there]
+            else:
+                missing.append(place)
+        by_name = self._by_name() if len(missing) > _FEW else {}
+        for place in missing:
+            entries[place] = self._read_one(by_name, fields[place])
+        return tuple(entries)
+
+    def _by_name(self) -> dict[str, tuple[Fields, Entry]]:
+        pairs = zip(self._fields, self._entries, strict=True)
+        return dict(zip(map(_name, self._fields), pairs, strict=True))
+
+    def _read_one(
+        self,
+        known: Mapping[str, tuple[Fields, Entry]],
+        one: Fields,
+    ) -> Entry:
+        before, entry = known.get(_name(one), _NONE)
+        return entry if before == one else self.read_one(one)
+
+
+@attrs.define(eq=False)
+class CatalogueReader:
+    """Reads one configuration after the other."""
+
+    _services: EntriesReader[Service] = attrs.field(
+        factory=lambda: EntriesReader(_read_service),
+    )
+    _teams: EntriesReader[Team] = attrs.field(
+        factory=lambda: EntriesReader(_read_team),
+    )
+    _routes: EntriesReader[Route] = attrs.field(
+        factory=lambda: EntriesReader(_read_route),
+    )
+    _index: RouteIndex = attrs.field(factory=RouteIndex)
 
     def decode(self, document: str) -> Catalogue | None:
         """Read what another router sent; None if it is none."""
@@ -62,28 +144,20 @@
         KeyError, TypeError, ValueError
             If the object is none that the store would take.
         """
-        services = [_read_service(entry) for entry in fields['services']]
-        teams = [_read_team(entry) for entry in fields.get('tenants') or ()]
+        services = self._services.read(fields['services'])
+        teams = self._teams.read(fields.get('tenants') or ())
+        routes = self._routes.read(fields['routes'])
+        self._index = self._index.changed_to(routes)
         return Catalogue(
             version=int(fields['version']),
-            routes=self._read_routes(fields['routes']),
+            routes=routes,
             services={service.name: service for service in services},
             teams={team.name: team for team in teams},
             limits=_read_limits(fields.get('limits') or {}),
             write=partial(json.dumps, fields, separators=(',', ':')),
+            index=self._index,
         )
 
-    def _read_routes(self, entries: Iterable[Fields]) -> tuple[Route, ...]:
-        read = [self._read_route(entry) for entry in entries]
-        self._routes = {route.name: (entry, route) for entry, route in read}
-        return tuple(route for _, route in read)
-
-    def _read_route(self, entry: Fields) -> tuple[Fields, Route]:
-        known = self._routes.get(entry['name'])
-        if known is not None and known[0] == entry:
-            return known
-        return (entry, _read_route(entry))
-
 
 def _read_route(fields: Fields) -> Route:
     kind = fields['route_type']
