--- a/src/balsamreach/platform/patches.py
+++ b/src/balsamreach/platform/patches.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Mapping
+from itertools import compress, count
+from operator import ne
 from typing import Any
 
 Fields = Mapping[str, Any]
@@ -35,12 +37,11 @@
     changed: dict[str, Any] = {}
     lists: dict[str, Any] = {}
     for field in after:
-        if field in before and before[field] == after[field]:
-            continue
         patch = _patch_list(before.get(field), after[field])
         if patch is None:
-            changed[field] = after[field]
-        else:
+            if field not in before or before[field] != after[field]:
+                changed[field] = after[field]
+        elif any(patch.values()):
             lists[field] = patch
     dropped = sorted(set(before).difference(after))
     return {_CHANGED: changed, _DROPPED: dropped, _LISTS: lists}
@@ -64,17 +65,39 @@
 
 def _patch_list(before: Any, after: Any) -> dict[str, Any] | None:
     """Return the patch of a list, None where it must be sent whole."""
-    old, new = _by_name(before), _by_name(after)
+    if not isinstance(before, list) or not isinstance(after, list):
+        return None
+    if len(before) == len(after):
+        places = list(compress(count(), map(ne, before, after)))
+        if _keep_names(before, after, places):
+            return {_PUT: [after[place] for place in places], _DROPPED: []}
+    return _patch_names(before, after)
+
+
+def _keep_names(before: list[Any], after: list[Any], places: list[int]) -> bool:
+    """Return whether only what stands at some places changed, not its name."""
+    if not places:
+        return True
+    names = _names(after)
+    old = _names([before[place] for place in places])
+    return bool(names and old) and old == [names[place] for place in places]
+
+
+def _patch_names(before: list[Any], after: list[Any]) -> dict[str, Any] | None:
+    old, new = _names(before), _names(after)
     if old is None or new is None:
         return None
+    known = dict(zip(old, before, strict=True))
+    differs = map(ne, map(known.get, new), after)
+    present = set(new)
     patch = {
-        _PUT: [entry for name, entry in new.items() if old.get(name) != entry],
-        _DROPPED: [name for name in old if name not in new],
+        _PUT: list(compress(after, differs)),
+        _DROPPED: [name for name in old if name not in present],
     }
     # New entries go to the end; a list in another order is none of these.
-    kept = [name for name in old if name in new]
-    added = [name for name in new if name not in old]
-    return patch if [*kept, *added] == list(new) else None
+    kept = [name for name in old if name in present]
+    added = [name for name in new if name not in known]
+    return patch if [*kept, *added] == new else None
 
 
 def _apply_list(before: Any, changes: Fields) -> list[Any]:
@@ -85,14 +108,15 @@
     return list(entries.values())
 
 
-def _by_name(entries: Any) -> dict[str, Any] | None:
-    if not isinstance(entries, list):
+def _names(entries: list[Any]) -> list[str] | None:
+    """Return the names of a list's entries, None where they tell none apart."""
+    if not _hold(dict, entries):
         return None
-    named = all(
-        isinstance(entry, dict) and isinstance(entry.get(_NAME), str)
-        for entry in entries
-    )
-    if not named:
+    names = [entry.get(_NAME) for entry in entries]
+    if not _hold(str, names) or len(set(names)) != len(names):
         return None
-    found = {entry[_NAME]: entry for entry in entries}
-    return found if len(found) == len(entries) else None
+    return names
+
+
+def _hold(kind: type, found: list[Any]) -> bool:
+    return set(map(type, found)) <= {kind}
--- a/tests/test_platform_patches.py
+++ b/tests/test_platform_patches.py
@@ -1,5 +1,6 @@
 """Tests of differences between two versions of a row's object."""
 
+import itertools
 import json
 import random
 import unittest
@@ -37,6 +38,27 @@
                 'a new one first',
                 {'routes': [{'name': 'd'}, *_BEFORE['routes']]},
             ),
+            (
+                'another name at its place',
+                {'routes': _named(('a', 1), ('x', 2), ('c', 3))},
+            ),
+            (
+                'names that change places',
+                {'routes': _named(('b', 1), ('a', 2), ('c', 3))},
+            ),
+            (
+                'a name that another has',
+                {'routes': _named(('a', 1), ('c', 2), ('c', 3))},
+            ),
+            (
+                'a name that is gone',
+                {'routes': [{'weight': 1}, *_BEFORE['routes'][1:]]},
+            ),
+            (
+                'a name that is no text',
+                {'routes': [{'name': [1]}, *_BEFORE['routes'][1:]]},
+            ),
+            ('an entry that is none', {'routes': [7, *_BEFORE['routes'][1:]]}),
             ('no entries', {'routes': []}),
             ('no names', {'routes': [1, 2]}),
             ('a name twice', {'routes': _named(('a', 1), ('a', 2))}),
@@ -49,6 +71,24 @@
         patch = json.loads(json.dumps(make_patch(_BEFORE, after)))
         self.assertEqual(apply_patch(_BEFORE, patch), after)
 
+    @parameterized.expand(
+        (
+            ('one name', _named(('a', 1), ('b', 2))),
+            ('a name twice', _named(('a', 1), ('a', 2))),
+            ('no names', [{}, {}]),
+            ('no objects', [1, 2]),
+        ),
+    )
+    def test_a_list_whose_entries_names_tell_apart_or_not(self, _, entries):
+        kinds = (
+            {'routes': entries},
+            {'routes': [*entries[:1], {'name': 'a', 'weight': 3}]},
+            {'routes': _named(('a', 1), ('b', 3))},
+            {'routes': _named(('a', 1))},
+        )
+        for one, other in itertools.permutations(kinds, 2):
+            self.assertEqual(apply_patch(one, make_patch(one, other)), other)
+
     def test_a_field_that_is_gone(self):
         after = {'version': 4, 'routes': _BEFORE['routes']}
         self.assertEqual(
