--- a/src/balsamreach/catalogue/known.py
+++ b/src/balsamreach/catalogue/known.py
@@ -46,6 +46,7 @@
     evacuations: Evacuations
     decode: Decode
     metrics: Metrics
+    _packed: TableRow | None = None
 
     def lacks(self, beat: Heartbeat) -> bool:
         """Return whether the sender of a heartbeat knows more than this."""
@@ -59,7 +60,7 @@
         rows.extend(map(told.order_row, self.evacuations))
         catalogue = self.view.current
         if catalogue is not None and catalogue.version > since:
-            rows.append(told.configuration_row(catalogue))
+            rows.append(self._pack(catalogue))
         return tuple(rows)
 
     def take(
@@ -91,6 +92,13 @@
                 news.extend(self._take_order(source, row))
         return tuple(news)
 
+    def _pack(self, catalogue: Catalogue) -> TableRow:
+        # Peers that were cut off ask all at once, and each packing of a large
+        # configuration holds up requests for milliseconds.
+        if self._packed is None or self._packed.version != catalogue.version:
+            self._packed = told.configuration_row(catalogue)
+        return self._packed
+
     def _take_configuration(self, source: str, row: TableRow) -> None:
         if row.version <= self.view.version:
             return
--- a/tests/test_catalogue_exchange.py
+++ b/tests/test_catalogue_exchange.py
@@ -50,6 +50,11 @@
     return attrs.evolve(CATALOGUE, version=number, write=write)
 
 
+def _note_and_write(written):
+    written.append(6)
+    return '6'
+
+
 def _decode(document):
     return _version(int(document)) if document.isdecimal() else None
 
@@ -86,6 +91,17 @@
         await self.beat(self.one, self.two)
         self.assertEqual(self.two.view.version, 6)
 
+    async def test_many_that_ask_are_told_by_one_packing(self):
+        """A router's requests stood still while its peers caught up."""
+        written = []
+        write = partial(_note_and_write, written)
+        self.one.view.offer(attrs.evolve(_version(6), write=write), 'store')
+        for name in ('three', 'four'):
+            late = Router(self.fabric.join(name), self.clock)
+            await self.beat(self.one, late)
+            self.assertEqual(late.view.version, 6)
+        self.assertEqual(len(written), 1)
+
     async def test_the_store_comes_first(self):
         """A version that the store brings meanwhile is not fetched."""
         self.two.view.offer(_version(5), 'store')
