--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -169,7 +169,8 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
-            self._end(tasks)
+            _end(self.stream, tasks)
+            self._asks.fail('the connection ended')
         # A peer's last words may still wait behind a slower message.
         gap = self.context.cfg.gap_timeout
         await self._incoming.finish(self.context.clock, gap)
@@ -185,7 +186,10 @@
                 return LINK_CLOSED.because(fault.reason)
 
     async def _read(self) -> PeerFault:
-        frames = FrameReader(self.stream, MOST_BYTES)
+        # A large message takes longer than the gap timeout on a small link.
+        # Counted as silence until it is whole, it would end the link each
+        # time, be sent anew on the next one, and never arrive.
+        frames = FrameReader(self.stream, MOST_BYTES, progress=self._hear)
         packed = self.first or await frames.next()
         while not isinstance(packed, WireFault):
             ended = self._take(packed)
@@ -194,9 +198,11 @@
             packed = await frames.next()
         return _ended_by(packed)
 
+    def _hear(self) -> None:
+        self.heard_at = self.context.clock.now()
+
     def _take(self, packed: bytes) -> PeerFault | None:
         """Take what was read; a fault if it ends the connection."""
-        self.heard_at = self.context.clock.now()
         envelope = decode(packed)
         if isinstance(envelope, WireFault):
             self.context.tally.refused(envelope.code)
@@ -235,17 +241,17 @@
             if not self._asks.answer(envelope.answers, message):
                 self.context.tally.dropped('late_answer')
         elif envelope.ask:
-            self.used_at = self.heard_at
+            self.used_at = self.context.clock.now()
             if not self._incoming.ask(envelope):
                 self.context.tally.refused('busy')
         elif not self._incoming.tell(message):
             self.context.tally.dropped('inbox_full')
 
-    def _end(self, tasks: list[asyncio.Task]) -> None:
-        self.stream.close()
-        for task in tasks:
-            task.cancel()
-        self._asks.fail('the connection ended')
+
+def _end(stream: IOStream, tasks: list[asyncio.Task]) -> None:
+    stream.close()
+    for task in tasks:
+        task.cancel()
 
 
 def _ended_by(fault: WireFault) -> PeerFault:
--- a/src/balsamreach/wire/framing.py
+++ b/src/balsamreach/wire/framing.py
@@ -1,5 +1,7 @@
 """Frames on a connection: a length of four bytes, then so many bytes."""
 
+from collections.abc import Callable
+
 import attrs
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -55,10 +57,13 @@
         The connection; nobody else reads from it any more.
     limit : int
         Most bytes that a frame may have.
+    progress : callable or None
+        Is called for all bytes that arrive, of half a frame as well.
     """
 
     stream: IOStream
     limit: int
+    progress: Callable[[], None] | None = None
     _arrived: bytearray = attrs.field(factory=bytearray)
 
     async def next(self) -> bytes | WireFault:
@@ -74,6 +79,8 @@
                     str(exc.real_error or 'closed by the peer')
                 )
             self._arrived += chunk
+            if self.progress is not None:
+                self.progress()
 
     def _cut(self) -> bytes | WireFault | None:
         if len(self._arrived) < HEAD:
--- a/tests/test_peers_link.py
+++ b/tests/test_peers_link.py
@@ -33,6 +33,9 @@
 _PEER = Member('peer', 'host-peer', '10.0.0.2:1', 'zone-a')
 _CFG = read_settings(None, ('host.zone=zone-a',)).peers
 _PASSES = 10
+_LARGE = 10_000
+#: Pieces of a message that takes twice the gap timeout to arrive.
+_PARTS = 2 * round(_CFG.gap_timeout / _CFG.heartbeat)
 
 
 def _framed(message, ask=0, answers=0):
@@ -212,6 +215,25 @@
         await self.pass_heartbeat()
         self.assertEqual(await self.running, LINK_SILENT)
 
+    async def test_a_large_message_comes_slowly(self):
+        """Guards against ending a link as silent while a frame trickles in."""
+        octets = _framed(TargetMark('large', 'x' * _LARGE))
+        part = len(octets) // _PARTS
+        for start in range(0, len(octets), part):
+            await self.far.write(octets[start : start + part])
+            await self.pass_heartbeat()
+        self.assertFalse(self.running.done())
+        self.assertEqual(self.taken, ['large'])
+
+    async def test_a_large_message_stops_on_its_way(self):
+        """Guards against a link that half a frame keeps open for good."""
+        await self.far.write(_framed(TargetMark('large', 'x'))[:-1])
+        await self.pass_heartbeat()
+        while not self.running.done():
+            await self.pass_heartbeat()
+        self.assertEqual(await self.running, LINK_SILENT)
+        self.assertEqual(self.taken, [])
+
     async def test_other_messages_take_the_place_of_heartbeats(self):
         await self.settle()
         self.assertEqual(self.beats(), 1)
--- a/tests/test_wire_framing.py
+++ b/tests/test_wire_framing.py
@@ -1,5 +1,6 @@
 """Tests of frames on a real connection."""
 
+import asyncio
 import socket
 import unittest
 
@@ -55,6 +56,21 @@
         arrived = [await reader.next() for _ in range(3)]
         self.assertEqual(arrived, [b'one', b'', b'two'])
 
+    async def test_a_reader_tells_of_each_piece(self):
+        """Guards against a frame under way that looks like silence."""
+        pieces = asyncio.Queue()
+        reader = FrameReader(
+            self.far,
+            _LIMIT,
+            progress=lambda: pieces.put_nowait('some'),
+        )
+        arriving = asyncio.create_task(reader.next())
+        for octet in frame(b'whole'):
+            await write(self.near, bytes((octet,)))
+            await pieces.get()
+        self.assertEqual(await arriving, b'whole')
+        self.assertTrue(pieces.empty())
+
     async def test_a_reader_believes_no_length(self):
         reader = FrameReader(self.far, _LIMIT)
         await write(self.near, frame(b'one') + (2**31).to_bytes(4))
