--- a/bench/rates_net.py
+++ b/bench/rates_net.py
@@ -171,6 +171,7 @@
         self,
         incarnation: str,
         message: Message,
+        gaps: int = 1,
     ) -> Message | PeerFault:
         """Answer nothing; rates ask nobody."""
         return NO_ANSWER
--- a/src/balsamreach/catalogue/exchange.py
+++ b/src/balsamreach/catalogue/exchange.py
@@ -11,7 +11,7 @@
 from balsamreach.catalogue import told
 from balsamreach.catalogue.known import Known
 from balsamreach.clock import Clock
-from balsamreach.peers.base import PeerNet
+from balsamreach.peers.base import FETCH_GAPS, PeerNet
 from balsamreach.placement.evacuations import Evacuation
 from balsamreach.placement.places import TargetEntry
 from balsamreach.wire.membership import Heartbeat, Member
@@ -84,7 +84,7 @@
         if not self.known.lacks(beat):
             return
         ask = TableAsk(self.known.view.version)
-        answer = await self.net.ask(incarnation, ask)
+        answer = await self.net.ask(incarnation, ask, FETCH_GAPS)
         if isinstance(answer, TableRows):
             self._bring_in(incarnation, answer)
 
--- a/src/balsamreach/peers/asks.py
+++ b/src/balsamreach/peers/asks.py
@@ -28,6 +28,11 @@
     _last: int = 0
     _waiting: dict[int, _Waiting] = attrs.field(factory=dict)
 
+    @property
+    def are_open(self) -> bool:
+        """Whether an answer is awaited."""
+        return bool(self._waiting)
+
     def open(
         self,
         deadline: float,
@@ -58,7 +63,7 @@
         for number, waiting in tuple(self._waiting.items()):
             if waiting.deadline <= now:
                 self.close(number)
-                _give_up(waiting, 'no answer within the gap timeout')
+                _give_up(waiting, 'no answer in time')
 
     def fail(self, reason: str) -> None:
         """Give up all asks."""
--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -11,6 +11,9 @@
 
 #: Takes a message from a member; what it returns answers an ``ask``.
 Taker = Callable[[Member, Message], Awaitable[Message | None]]
+#: Gap timeouts that an answer with much in it may take. The largest frame
+#: passes a link of half a megabit a second in that time.
+FETCH_GAPS = 8
 
 
 class HubChoice(abc.ABC):
@@ -85,8 +88,22 @@
         self,
         incarnation: str,
         message: Message,
+        gaps: int = 1,
     ) -> Message | PeerFault:
-        """Send a message and wait for the answer to it."""
+        """Send a message and wait for the answer to it.
+
+        Parameters
+        ----------
+        incarnation : str
+            Whom to ask.
+        message : Message
+            What to ask.
+        gaps : int
+            Gap timeouts that the answer may take while the connection
+            brings something; ``FETCH_GAPS`` where it holds much. On a small
+            link that is long on its way. Given up meanwhile, it would be
+            dropped when it is there, and asked for again each time.
+        """
 
     @abc.abstractmethod
     def tell(self, incarnation: str, message: Message) -> bool:
--- a/src/balsamreach/peers/incoming.py
+++ b/src/balsamreach/peers/incoming.py
@@ -52,6 +52,11 @@
     _answering: set[asyncio.Task] = attrs.field(factory=set)
     _worker: asyncio.Task | None = None
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether an ask is worked on."""
+        return bool(self._answering)
+
     def tell(self, message: Message) -> bool:
         """Queue a message that asks for no answer; False if full."""
         if self._told.full():
--- a/src/balsamreach/peers/link.py
+++ b/src/balsamreach/peers/link.py
@@ -122,11 +122,27 @@
             self._incoming.stop()
         return ended
 
-    async def ask(self, message: Message) -> Message | PeerFault:
-        """Send a message and wait for the answer to it."""
+    async def ask(self, message: Message, gaps: int = 1) -> Message | PeerFault:
+        """Send a message and wait for the answer to it.
+
+        Parameters
+        ----------
+        message : Message
+            What to ask.
+        gaps : int
+            Gap timeouts that the answer may take while the connection
+            stands.
+
+        Returns
+        -------
+        Message or PeerFault
+            The answer; NO_ANSWER if it took too long or the connection
+            ended, PEER_REFUSED if the peer said no.
+        """
         now = self.context.clock.now()
         self.used_at = now
-        number, fut = self._asks.open(now + self.context.cfg.gap_timeout)
+        patience = gaps * self.context.cfg.gap_timeout
+        number, fut = self._asks.open(now + patience)
         traceparent = hops.current_traceparent()
         refused = self.send(Envelope(message, number, 0, traceparent))
         if refused is not None:
@@ -234,6 +250,10 @@
             if now - self.heard_at > self.context.cfg.gap_timeout:
                 return LINK_SILENT.because('nothing came for too long')
             self._asks.expire(now)
+            # An answer may take longer than an unused link is kept, and
+            # would be cut off by the parting from it.
+            if self._asks.are_open or self._incoming.is_answering:
+                self.used_at = now
 
     def _dispatch(self, envelope: Envelope) -> None:
         message = envelope.message
--- a/src/balsamreach/peers/net.py
+++ b/src/balsamreach/peers/net.py
@@ -115,6 +115,7 @@
         self,
         incarnation: str,
         message: Message,
+        gaps: int = 1,
     ) -> Message | PeerFault:
         """Send a message and wait for the answer to it.
 
@@ -125,7 +126,7 @@
             link = await self.keeper.reach_by_name(incarnation)
             answer = link
             if isinstance(link, Link):
-                answer = await link.ask(message)
+                answer = await link.ask(message, gaps)
             failed = isinstance(answer, PeerFault)
             span.set_attribute('outcome', answer.code if failed else 'ok')
         return answer
--- a/src/balsamreach/table/exchange.py
+++ b/src/balsamreach/table/exchange.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from balsamreach.peers.base import PeerNet
+from balsamreach.peers.base import FETCH_GAPS, PeerNet
 from balsamreach.services.base import Row
 from balsamreach.table.view import TableView, adopt
 from balsamreach.telemetry.metrics import Metrics
@@ -123,7 +123,8 @@
             since = into.version
             if _needs_copy(into):
                 return await self._copy(incarnation, into)
-            answer = await self.net.ask(incarnation, TableAsk(since))
+            ask = TableAsk(since)
+            answer = await self.net.ask(incarnation, ask, FETCH_GAPS)
             if not isinstance(answer, TableRows) or not answer.version:
                 return False
             if answer.since > since:
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -216,6 +216,7 @@
         self,
         incarnation: str,
         message: Message,
+        gaps: int = 1,
     ) -> Message | PeerFault:
         """Ask a member that is in reach."""
         if not self._reaches(incarnation):
--- a/tests/test_catalogue_exchange.py
+++ b/tests/test_catalogue_exchange.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from balsamreach.catalogue import told
 from balsamreach.catalogue.exchange import CatalogueExchange
 from balsamreach.catalogue.known import Known
 from balsamreach.catalogue.view import CatalogueView
@@ -14,11 +15,15 @@
 from balsamreach.placement.places import Places
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.membership import Heartbeat
-from balsamreach.wire.tables import TableAsk
+from balsamreach.wire.tables import TableAsk, TableRows
 from tests.budget_world import VirtualClock
 from tests.fake_net import FakeNet
+from tests.peers_rig import Rig
 from tests.relay_samples import CATALOGUE, entry
 
+#: Gap timeouts that a late answer takes.
+_LATE_GAPS = 3
+
 
 @attrs.define(eq=False)
 class Router:
@@ -226,3 +231,28 @@
         await self.beat(self.one, self.two)
         await asyncio.sleep(0)
         self.assertEqual(self.two.view.version, 0)
+
+
+class LateAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers over a real socket, their clock moved by hand."""
+
+    async def asyncSetUp(self):
+        self.rig = Rig()
+        self.addAsyncCleanup(self.rig.stop)
+        self.asked = []
+
+    async def answer_late(self, _member, message):
+        self.asked.append(message)
+        await self.rig.clock.sleep(_LATE_GAPS * self.two.cfg.peers.gap_timeout)
+        return TableRows(0, 6, (told.configuration_row(_version(6)),))
+
+    async def test_a_configuration_that_is_long_on_its_way(self):
+        """Guards against asking anew for what is on its way already."""
+        one = await self.rig.start('one')
+        seed = f'peers.seeds={one.me.address}'
+        self.two = await self.rig.start('two', seed)
+        router = Router(self.two, self.rig.clock)
+        one.on(TableAsk, self.answer_late)
+        one.greeter.table_version = lambda: 6
+        await self.rig.until(lambda: router.view.version == 6)
+        self.assertEqual(len(self.asked), 1)
--- a/tests/test_peers_net.py
+++ b/tests/test_peers_net.py
@@ -1,11 +1,15 @@
 """Tests of the net over real connections, and of what goes wrong there."""
 
+import asyncio
 import unittest
 
 import attrs
+from parameterized import parameterized
 
 from balsamreach.peers import counters
+from balsamreach.peers.base import FETCH_GAPS
 from balsamreach.peers.faults import NOT_CONNECTED, PEER_REFUSED
+from balsamreach.peers.upkeep import IDLE_AFTER
 from balsamreach.services.base import HostEntry
 from balsamreach.wire.marks import InFlight, InFlightAsk
 from balsamreach.wire.membership import Heartbeat
@@ -27,6 +31,10 @@
     async def answer_seven(self, _member, message):
         return InFlight(message.target, 7)
 
+    async def answer_late(self, member, message):
+        await self.rig.clock.sleep(1.25 * IDLE_AFTER)
+        return await self.answer_seven(member, message)
+
     async def take(self, member, message):
         self.taken.append((member.incarnation, message.table_version))
 
@@ -136,6 +144,27 @@
         await self.rig.until(lambda: one.keeper.links.best(name) is None)
         self.assertIn(name, names(one))
 
+    @parameterized.expand((('asker', False), ('answerer', True)))
+    async def test_link_lasts_until_its_answer(self, _dialled, turned):
+        """Guards against parting as unused while an answer is on its way."""
+        wanted = [f'r{number}' for number in range(6)]
+        nets = await self.start(*wanted, overrides=['peers.max_peers=2'])
+        one = nets[0]
+        await self.rig.steps(10)
+        near = linked(one) | {'r0'}
+        other = next(net for net in nets if net.me.incarnation not in near)
+        asker, answerer = (one, other) if turned else (other, one)
+        answerer.on(InFlightAsk, self.answer_late)
+        asking = asyncio.create_task(
+            asker.ask(
+                answerer.me.incarnation,
+                InFlightAsk('late'),
+                FETCH_GAPS,
+            ),
+        )
+        await self.rig.until(asking.done)
+        self.assertEqual(await asking, InFlight('late', 7))
+
     async def test_leaving_router_is_told_and_is_no_death(self):
         one, two, three = await self.start('one', 'two', 'three')
         await two.leave()
--- a/tests/test_table_exchange.py
+++ b/tests/test_table_exchange.py
@@ -5,10 +5,17 @@
 
 from balsamreach.services.base import Commit, Write
 from balsamreach.table.edits import Edit
+from balsamreach.table.exchange import TableExchange
+from balsamreach.table.view import TableView
+from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.membership import Heartbeat
 from balsamreach.wire.tables import TableAsk, TableRow, TableRows
+from tests.peers_rig import Rig, linked
 from tests.table_fleet import TEAM, TableFleet, edit, gone, row
 
+#: Gap timeouts that a late answer takes.
+_LATE_GAPS = 3
+
 
 class ExchangeTest(unittest.IsolatedAsyncioTestCase):
     """Three routers that have read a table with one team in it."""
@@ -231,3 +238,40 @@
         await self.fleet.beat()
         self.assertEqual(len(self.b.view.teams), 1601)
         self.assertEqual(self.b.view.version, self.a.view.version)
+
+
+class LateAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Two routers over a real socket, their clock moved by hand."""
+
+    async def asyncSetUp(self):
+        self.rig = Rig()
+        self.addAsyncCleanup(self.rig.stop)
+        self.one = await self.rig.start('one')
+        seed = f'peers.seeds={self.one.me.address}'
+        self.two = await self.rig.start('two', seed)
+        self.view = TableView()
+        self.exchange = TableExchange(self.two, self.view, Metrics())
+        self.exchange.start()
+        self.asked = []
+        self.one.on(TableAsk, self.answer_late)
+
+    async def answer_late(self, _member, message):
+        self.asked.append(message)
+        await self.rig.clock.sleep(_LATE_GAPS * self.two.cfg.peers.gap_timeout)
+        return TableRows(0, 6, (TableRow(TEAM, 6, '{}'),))
+
+    async def test_rows_that_are_long_on_their_way(self):
+        """Guards against asking anew for what is on its way already."""
+        self.one.greeter.table_version = lambda: 6
+        await self.rig.until(lambda: self.view.version == 6)
+        self.assertEqual(len(self.asked), 1)
+
+    async def test_a_version_is_not_waited_for_that_long(self):
+        """Guards against a start that waits long for one neighbour."""
+        await self.rig.until(lambda: linked(self.two) == {'one'})
+        start = self.rig.clock.now()
+        asking = asyncio.create_task(self.exchange.version_of('one'))
+        await self.rig.until(asking.done)
+        self.assertIsNone(await asking)
+        waited = self.rig.clock.now() - start
+        self.assertLess(waited, 2 * self.two.cfg.peers.gap_timeout)
--- a/tools/measure_gossip.py
+++ b/tools/measure_gossip.py
@@ -133,6 +133,7 @@
         self,
         incarnation: str,
         message: Message,
+        gaps: int = 1,
     ) -> Message | PeerFault:
         """Call the taker there."""
         net = self.fleet.nets.get(incarnation)
