--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -12,9 +12,8 @@
 #: Takes a message from a member; what it returns answers an ``ask``.
 Taker = Callable[[Member, Message], Awaitable[Message | None]]
 #: Gap timeouts that an answer with much in it may take. The largest frame
-#: passes a link of two megabits a second in that time. An answer that the
-#: other router dropped is waited for as long.
-FETCH_GAPS = 3
+#: passes a link of half a megabit a second in that time.
+FETCH_GAPS = 8
 
 
 class HubChoice(abc.ABC):
