--- a/src/balsamreach/platform/feed.py
+++ b/src/balsamreach/platform/feed.py
@@ -16,7 +16,7 @@
 from balsamreach.platform.pages import PageSharing, newest_rows
 from balsamreach.platform.reading import TableReading
 from balsamreach.platform.rows import HISTORY_GONE, RowStore, StoredRows
-from balsamreach.services.faults import PlatformFault
+from balsamreach.services.faults import TOO_LARGE, PlatformFault
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -24,6 +24,8 @@
 
 _logger = logging.getLogger(__name__)
 _MS = 1000
+#: Faults of a store that does answer.
+_ANSWERED = (HISTORY_GONE, TOO_LARGE)
 #: Seconds between two tries at a store that refuses.
 _PAUSE_S = 0.2
 #: Seconds after which a router that has heard nothing asks the store itself.
@@ -118,6 +120,11 @@
         page = await self._reading.look(self.parts.probe)
         if not isinstance(page, PlatformFault):
             self._take_answer(page, asked_at)
+            return
+        if page not in _ANSWERED:
+            self._fail(page)
+        # Otherwise it would ask again only when the hub is silent.
+        self._missed.set()
 
     def confirmed_at(self) -> float:
         """Return when the last call was sent that the store answered."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 import random
 from functools import partial
 
+from parameterized import parameterized
 from tornado.testing import AsyncHTTPTestCase, gen_test
 
 from balsamreach.catalogue.view import CatalogueView
@@ -188,6 +189,18 @@
         self.assertEqual(self.view.version, 11)
         self.assertFalse(self.evacuations.covers('zone-a'))
 
+    @parameterized.expand([('large', 0, False), ('refused', 503, True)])
+    @gen_test
+    async def test_a_check_that_brings_nothing(self, _, status, is_away):
+        """Each denied caller was held while the store refused."""
+        feed = self.configuration.feed
+        await self.step(feed)
+        self.state.write('op', 'config', {'note': 'x' * 70_000})
+        self.state.status = status
+        await feed.check()
+        self.assertEqual(feed.is_away(), is_away)
+        self.assertTrue(feed._missed.is_set())
+
     @gen_test
     async def test_what_did_not_change_in_an_outage_is_not_read(self):
         fields = {'version': 3, 'routes': [], 'services': []}
