--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -100,7 +100,9 @@
         # closes without an answer. A commit that took effect would then
         # meet its own rows and be reported as a conflict, so the second
         # try is stopped and the caller learns that the outcome is unknown.
-        if self.tries > 1 and self.call.writes:
+        is_repeated = self.tries > 1 and self.call.writes
+        # Who gave it up may have been told that nothing was sent.
+        if is_repeated or self.is_given_up:
             return pycurl.PREREQFUNC_ABORT
         return pycurl.PREREQFUNC_OK
 
--- a/tests/test_services_http.py
+++ b/tests/test_services_http.py
@@ -4,11 +4,13 @@
 import socket
 import unittest
 
+import pycurl
 from parameterized import parameterized
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
 from balsamreach.clock import SystemClock
+from balsamreach.curl_tls import CurlTls
 from balsamreach.services.base import (
     Check,
     Commit,
@@ -28,7 +30,7 @@
     PlatformFault,
 )
 from balsamreach.services.hosts_http import HttpHostList, HttpWeightStore
-from balsamreach.services.http import Call, PlatformClient
+from balsamreach.services.http import Call, PlatformClient, _Sending
 from balsamreach.services.objects_http import HttpObjectStore
 from balsamreach.services.table_http import HttpTableService
 from balsamreach.standins.serve import PlatformSettings, start_platform
@@ -322,3 +324,14 @@
         server.stop()
         await asyncio.sleep(0)
         self.assertEqual(outcome, fault)
+
+
+class GivenUpTest(unittest.TestCase):
+    """Calls that are under way when nobody waits for them any more."""
+
+    @parameterized.expand([('read', False), ('change', True)])
+    def test_nothing_is_sent_after_it_was_said_so(self, _, writes) -> None:
+        """A change took effect that was told never to have been sent."""
+        sending = _Sending(Call('POST', '/', writes=writes), CurlTls())
+        sending.is_given_up = True
+        self.assertEqual(sending.before_send(), pycurl.PREREQFUNC_ABORT)
