--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -33,6 +33,8 @@
 _FIRST_ERROR = 400
 #: Looks at a call in the time in which something must come.
 _LOOKS = 4
+#: Looks that the first one stands for.
+_FIRST_LOOKS = 3
 #: Times that time which a whole call may take while something comes.
 _MOST_TIMES = 16
 _NO_CONNECTION = frozenset(
@@ -135,14 +137,17 @@
         # Looks are counted rather than time: a process that stood still would
         # otherwise wake up to a silence of its own making.
         silent_looks = 0
+        # Most calls are answered by then, and cost no other turn of the loop.
+        looks = _FIRST_LOOKS
         while silent_looks < _LOOKS:
             moved = self.moved
-            await asyncio.wait({fetch}, timeout=patience / _LOOKS)
+            await asyncio.wait({fetch}, timeout=patience * looks / _LOOKS)
             if fetch.done():
                 return True
             # A change is small: its caller waits no longer for one in pieces.
             is_coming = self.moved > moved and not self.call.writes
-            silent_looks = 0 if is_coming else silent_looks + 1
+            silent_looks = 0 if is_coming else silent_looks + looks
+            looks = 1
         return False
 
     def _fault(self, exc: CurlError) -> PlatformFault:
