--- a/src/balsamreach/platform/feed.py
+++ b/src/balsamreach/platform/feed.py
@@ -72,14 +72,14 @@
     parts : FeedParts
         What it runs on.
     take : callable
-        Takes rows, and whether they are all there are.
+        Takes a page of rows.
     failed_at : float
         When the last call failed.
     """
 
     table: str
     parts: FeedParts
-    take: Callable[[StoredRows, bool], None]
+    take: Callable[[StoredRows], None]
     failed_at: float = float('-inf')
     _answered_at: float = float('-inf')
     _since: int | None = None
@@ -191,7 +191,7 @@
             return
         self._since = page.version
         if page.whole or page.rows:
-            self.take(page, page.whole)
+            self.take(page)
 
     def _fail(self, fault: PlatformFault) -> None:
         self.failed_at = self.parts.clock.now()
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -61,14 +61,14 @@
         self.feed = Feed(_CONFIG_TABLE, parts, self._take)
         return self.feed
 
-    def _take(self, page: StoredRows, whole: bool) -> None:
+    def _take(self, page: StoredRows) -> None:
         rows = newest_rows(page.rows)
         for row in rows:
             if row.key == _CONFIG_KEY and row.fields is not None:
                 self._offer(row)
         orders = list(filter(None, map(_read_order, rows)))
         news = [order for order in orders if self._put(order)]
-        if whole:
+        if page.whole:
             listed = {order.zone for order in orders if order.in_force}
             over = self.evacuations.lift_besides(listed, page.version, _STORE)
             news.extend(over)
@@ -132,14 +132,14 @@
         """Forget targets that stayed missing, and return them."""
         return self.places.expire(self.clock.now())
 
-    def _take(self, page: StoredRows, whole: bool) -> None:
+    def _take(self, page: StoredRows) -> None:
         # A row may come twice; the later one holds.
         newest = {row.key: row for row in page.rows}
         listed = list(filter(None, map(self._read, newest.values())))
         for entry in listed:
             self._put(entry)
         present = {found.target_id for found in listed}
-        if whole:
+        if page.whole:
             missing = self.places.besides(present, page.version)
         else:
             missing = set(newest).difference(present)
--- a/src/balsamreach/platform/pages.py
+++ b/src/balsamreach/platform/pages.py
@@ -73,9 +73,8 @@
         All hubs do: they need to know whether it answers, and one of them
         takes the place of the first one when that is gone.
         """
-        hubs = self.net.hubs.of(self.net.me.zone)
-        mine = self.net.me.incarnation
-        return not hubs or any(hub.incarnation == mine for hub in hubs)
+        hubs = self._hubs()
+        return not hubs or self.net.me.incarnation in hubs
 
     def tell(self, table: str, since: int, page: StoredRows) -> None:
         """Tell the zone, if this router is the one that does.
@@ -83,8 +82,7 @@
         To be called before ``note``: changes are told against what was known
         before.
         """
-        hubs = self.net.hubs.of(self.net.me.zone)
-        if not hubs or not self.leads():
+        if not self._hubs() or not self.leads():
             return
         rows = _pack(self._shorten(newest_rows(page.rows)))
         message = TablePage(table, since, page.version, rows, page.whole)
@@ -111,12 +109,15 @@
         Another hub takes the first one's part while that tells nothing: the
         store may turn single routers away.
         """
-        hubs = self.net.hubs.of(self.net.me.zone)
+        hubs = self._hubs()
         mine = self.net.me.incarnation
-        if not hubs or hubs[0].incarnation == mine:
+        if not hubs or hubs[0] == mine:
             return True
-        is_hub = any(hub.incarnation == mine for hub in hubs)
-        return is_hub and self.clock.now() > self._heard_at + _SILENT_S
+        is_silent = self.clock.now() > self._heard_at + _SILENT_S
+        return is_silent and mine in hubs
+
+    def _hubs(self) -> list[str]:
+        return [hub.incarnation for hub in self.net.hubs.of(self.net.me.zone)]
 
     def _shorten(self, rows: Iterable[StoredRow]) -> list[dict[str, Any]]:
         return [self._shorten_one(row) for row in rows]
