Log what targets say of themselves in the heads of their answers

Change: both headers are decoded into a notice, in platform/ alone; each is logged (target_notice) and counted. Nothing is decided by them yet. Retry-After is read off 429 and 503 only; what is no plain number is none, of several the longest counts, and none is longer than an hour. Ruled out: taking the notice at the end of the attempt. A stream's head comes seconds before its end.

--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -8,11 +8,13 @@
 from balsamreach.peers.base import PeerNet
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
+from balsamreach.placement.notices import Notices
 from balsamreach.placement.places import Places
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.warming import Warming
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.repeats import Repeats
+from balsamreach.telemetry.metrics import Metrics
 
 
 def make_chooser(
@@ -55,6 +57,11 @@
     )
 
 
+def make_notices(metrics: Metrics) -> Notices:
+    """Return what takes in what targets say of themselves."""
+    return Notices(metrics)
+
+
 def make_repeats(
     cfg: RelaySettings,
     net: PeerNet,
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -11,7 +11,11 @@
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.net import make_net
-from balsamreach.daemon.placing_parts import make_chooser, make_repeats
+from balsamreach.daemon.placing_parts import (
+    make_chooser,
+    make_notices,
+    make_repeats,
+)
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.placement.places import Places
@@ -162,6 +166,7 @@
             exchange=exchange,
             repeats=make_repeats(cfg.relay, self.net, self.clock),
             judge=Judge(chooser, suspects),
+            notices=make_notices(self.metrics),
             clock=self.clock,
             link=link,
             stream_gap=cfg.relay.stream_gap,
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -9,6 +9,7 @@
 
 from balsamreach.catalogue.catalogue import Catalogue
 from balsamreach.catalogue.entries import Route, Team
+from balsamreach.placement.notices import TargetNotice
 from balsamreach.placement.places import TargetEntry
 from balsamreach.placement.prompts import Part, Prompt
 from balsamreach.platform import names
@@ -24,6 +25,12 @@
 
 _MS = 1000
 _MISDIRECTED = 421
+#: Rejections whose time to come back speaks of the target, not of an answer.
+_REJECTIONS = frozenset((429, 503))
+#: Seconds beyond which no target is left alone on its own word: a broken one
+#: would be lost for good.
+_LONGEST_RETRY_AFTER_S = 3600
+_SECONDS = re.compile(r'\d{1,12}(?:\.\d{1,12})?')
 _LAST_RANK = 9
 _ID = re.compile(r'[!-~]{1,200}')
 _COUNTS = re.compile(r'(\d{1,12}),(\d{1,12})')
@@ -49,6 +56,7 @@
     faults.ABANDONED: 502,
 }
 _MAYBE_RUN = 502
+_IS_SET = '1'
 
 
 @attrs.define
@@ -137,6 +145,7 @@
             not_run=names.NOT_RUN.lower() in headers,
             misdirected=status == _MISDIRECTED,
             usable=not headers.get('content-encoding'),
+            notice=_read_notice(status, headers),
         )
 
     def refuse(self, fault: RelayFault) -> OwnAnswer:
@@ -188,6 +197,24 @@
         )
 
 
+def _read_notice(status: int, headers: dict[str, str]) -> TargetNotice:
+    retry_after = 0.0
+    if status in _REJECTIONS:
+        retry_after = _read_seconds(headers.get(names.RETRY_AFTER.lower(), ''))
+    leaving = headers.get(names.LEAVING.lower(), '')
+    return TargetNotice(
+        leaving=_IS_SET in map(str.strip, leaving.split(',')),
+        retry_after=retry_after,
+    )
+
+
+def _read_seconds(text: str) -> float:
+    """Return the longest of the times given, 0 where none can be read."""
+    given = map(str.strip, text.split(','))
+    seconds = [float(part) for part in given if _SECONDS.fullmatch(part)]
+    return min(max(seconds, default=0.0), _LONGEST_RETRY_AFTER_S)
+
+
 def _read_team(
     headers: _Headers,
     route: Route,
--- a/src/balsamreach/relay/codec.py
+++ b/src/balsamreach/relay/codec.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamreach.catalogue.catalogue import Catalogue
+from balsamreach.placement.notices import NO_NOTICE, TargetNotice
 from balsamreach.placement.places import TargetEntry
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
@@ -56,6 +57,8 @@
         Whether another target than the one meant has the address.
     usable : bool
         Whether the body is the target's own, as far as the head tells.
+    notice : TargetNotice
+        What the target says of itself.
     """
 
     status: int
@@ -65,6 +68,7 @@
     not_run: bool = False
     misdirected: bool = False
     usable: bool = True
+    notice: TargetNotice = NO_NOTICE
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamreach/relay/intakes.py
+++ b/src/balsamreach/relay/intakes.py
@@ -43,6 +43,14 @@
         head = self.head
         return head is not None and _OK <= head.status < _MULTIPLE_CHOICES
 
+    @property
+    def foreign(self) -> bool:
+        """Whether the answer belongs to another request."""
+        head = self.head
+        if head is None or not head.request_id:
+            return False
+        return head.request_id != self.request_id
+
     @property
     def misdirected(self) -> bool:
         """Whether another target than the one meant has the address."""
@@ -58,16 +66,16 @@
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Take the head of the answer."""
         head = self.codec.read_answer(status, headers)
+        self.head = head
         # An answer to an earlier request may come late on the connection,
         # where this one's is expected. It would be given to a caller whom
         # it doesn't belong to.
-        if head.request_id and head.request_id != self.request_id:
+        if self.foreign:
             self.problem = 'the answer belongs to another request'
         elif not head.usable:
             self.problem = "the body is not the target's own"
         elif _OK <= status < _MULTIPLE_CHOICES and not head.signed:
             self.problem = 'the target did not sign its answer'
-        self.head = head
         if self.on_head is not None:
             self.on_head(headers)
 
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -1,11 +1,13 @@
 """Sends a request to targets until one has answered it."""
 
 import asyncio
+from functools import partial
 
 import attrs
 
 from balsamreach.clock import Clock
 from balsamreach.dispatch.upstream import UpstreamFault
+from balsamreach.placement.notices import Notices
 from balsamreach.placement.places import Place
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
@@ -33,6 +35,8 @@
 
     Parameters
     ----------
+    notices : Notices
+        Takes what targets say of themselves.
     link : HostLink
         Counts what crosses the host's link.
     stream_gap : float
@@ -44,6 +48,7 @@
     exchange: Exchange
     repeats: Repeats
     judge: Judge
+    notices: Notices
     clock: Clock
     link: HostLink
     stream_gap: float
@@ -118,7 +123,7 @@
         intake = self._intake()
         visit = self.parts.chooser.visit(self.call, place)
         self.parts.link.carry(self.call.size)
-        intake.on_head = visit.heard
+        intake.on_head = partial(self._take_head, place, visit, intake)
         try:
             end = await self.parts.exchange.send(self._outgoing(place), intake)
         except asyncio.CancelledError:
@@ -132,6 +137,18 @@
             self._leave(visit, intake)
         return self._conclude(place, intake, end)
 
+    def _take_head(
+        self,
+        place: Place,
+        visit: Visit,
+        intake: AnswerIntake,
+        _headers: dict[str, str],
+    ) -> None:
+        visit.heard()
+        # Another target's answer says nothing of the one that was meant.
+        if not (intake.foreign or intake.misdirected):
+            self.parts.notices.take(place, intake.head.notice)
+
     def _conclude(
         self,
         place: Place,
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -6,7 +6,7 @@
 import attrs
 
 from balsamreach.catalogue.view import CatalogueView
-from balsamreach.daemon.placing_parts import make_chooser
+from balsamreach.daemon.placing_parts import make_chooser, make_notices
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.relay.call import RelayCall
@@ -67,6 +67,7 @@
             exchange=self.exchange,
             repeats=self.repeats,
             judge=Judge(self.chooser, suspects),
+            notices=make_notices(self.metrics),
             clock=self.clock,
             link=self.link,
             stream_gap=2,
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -6,6 +6,7 @@
 
 from parameterized import parameterized
 
+from balsamreach.placement.notices import TargetNotice
 from balsamreach.platform.configuration import CatalogueReader
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.relay import faults
@@ -254,6 +255,35 @@
             [name for name, is_set in flags.items() if is_set], [flag]
         )
 
+    @parameterized.expand(
+        (
+            ('none', 503, {}, False, 0),
+            ('leaves', 200, {'server-leaving': '1'}, True, 0),
+            ('leaves_and_fails', 500, {'server-leaving': '1'}, True, 0),
+            ('told_twice', 404, {'server-leaving': '1, 1'}, True, 0),
+            ('stays', 200, {'server-leaving': '0'}, False, 0),
+            ('back_off', 503, {'retry-after': '3'}, False, 3),
+            ('too_many', 429, {'retry-after': '0.25'}, False, 0.25),
+            ('not_a_rejection', 200, {'retry-after': '3'}, False, 0),
+            ('longest_of_two', 503, {'retry-after': '3, 7'}, False, 7),
+            ('huge', 503, {'retry-after': '9' * 12}, False, 3600),
+            ('too_long_to_read', 503, {'retry-after': '9' * 400}, False, 0),
+            ('negative', 503, {'retry-after': '-3'}, False, 0),
+            ('no_number', 503, {'retry-after': 'nan'}, False, 0),
+            (
+                'date',
+                503,
+                {'retry-after': 'Wed, 21 Oct 2015 07:28:00 GMT'},
+                False,
+                0,
+            ),
+        )
+    )
+    def test_notice(self, _, status, headers, leaving, seconds):
+        head = PlatformCodec(random.Random(1)).read_answer(status, headers)
+        expected = TargetNotice(leaving=leaving, retry_after=seconds)
+        self.assertEqual(head.notice, expected)
+
     def test_headers_of_one_connection_stay_there(self):
         head = PlatformCodec(random.Random(1)).read_answer(
             200,
