--- a/src/balsamreach/standins/engine_chat.py
+++ b/src/balsamreach/standins/engine_chat.py
@@ -4,8 +4,6 @@
 from balsamreach.standins.engine_streams import Generation
 from balsamreach.standins.engine_text import prompt_of
 
-_NOT_RUN = 'X-Not-Run'
-
 
 class ChatHandler(EngineHandler):
     """``POST /v1/chat/completions``."""
@@ -40,7 +38,7 @@
         cfg = self.engine.cfg
         if cfg.leaving or self.engine.slots.full:
             self.engine.counters['not_run'] += 1
-            self.set_header(_NOT_RUN, 'true')
+            self.reject(cfg.retry_after_s)
             self._error(503, 'engine takes no more requests')
         elif model not in cfg.models:
             self._error(404, 'no such model here')
--- a/src/balsamreach/standins/engine_settings.py
+++ b/src/balsamreach/standins/engine_settings.py
@@ -30,6 +30,8 @@
         How old the load report may be.
     leaving_header : str
         What each answer's header ``X-Leaving`` says; none if empty.
+    retry_after_s : float
+        Seconds that a rejection for want of room names; 0 for none.
     usage : str
         ``right``, ``missing``, ``negative`` or ``huge``.
     cut_after : int
@@ -56,6 +58,7 @@
     silent: bool = False
     leaving: bool = False
     leaving_header: str = ''
+    retry_after_s: float = 0
     crash_mark: str = ''
     exit_on_crash: bool = False
     fail_share: float = 0
--- a/src/balsamreach/standins/handlers.py
+++ b/src/balsamreach/standins/handlers.py
@@ -38,6 +38,18 @@
         if leaving:
             self.set_header('X-Leaving', leaving)
 
+    def reject(self, retry_after_s: float) -> None:
+        """Let the answer's head say that the request did not run.
+
+        Parameters
+        ----------
+        retry_after_s : float
+            Seconds for which no more requests are wanted; 0 names none.
+        """
+        self.set_header('X-Not-Run', 'true')
+        if retry_after_s:
+            self.set_header('Retry-After', str(retry_after_s))
+
     def drop(self) -> None:
         """Close the caller's connection without any further byte."""
         stream = self.request.connection.stream
--- a/src/balsamreach/standins/row_store.py
+++ b/src/balsamreach/standins/row_store.py
@@ -14,6 +14,8 @@
 import attrs
 from tornado.web import Application, RequestHandler
 
+from balsamreach.standins.handlers import log_nothing
+
 _Key = tuple[str, str, str]
 
 
@@ -53,6 +55,19 @@
     page_rows: int = 500
     on_page: Callable[[], object] = int
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    audible: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin to answer."""
+        self.audible.set()
+
+    def fall_silent(self) -> None:
+        """Take calls and answer none until ``answer``."""
+        self.audible.clear()
+
+    def answer(self) -> None:
+        """Answer all calls that came meanwhile, and later ones."""
+        self.audible.set()
 
     def write(self, table: str, key: str, fields: Any, part: str = '') -> int:
         """Write a row as its owner would; None removes it."""
@@ -84,8 +99,9 @@
         """Take the store's state."""
         self.state = state
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """Let the weather answer."""
+        await self.state.audible.wait()
         if self.state.status:
             self.set_status(self.state.status)
             self.finish()
@@ -170,6 +186,7 @@
             ('/v1/rows-feed', _Follow, arguments),
             ('/v1/rows-tx', _Change, arguments),
         ],
+        log_function=log_nothing,
     )
 
 
--- a/src/balsamreach/standins/service.py
+++ b/src/balsamreach/standins/service.py
@@ -11,7 +11,15 @@
 from balsamreach.standins.handlers import StandinHandler, log_nothing
 
 _CHANGEABLE = frozenset(
-    ('delay_ms', 'fail', 'silent', 'leaving', 'leaving_header'),
+    (
+        'delay_ms',
+        'fail',
+        'silent',
+        'leaving',
+        'leaving_header',
+        'rejects',
+        'retry_after_s',
+    ),
 )
 
 
@@ -29,6 +37,10 @@
         Whether every request is answered 500.
     leaving_header : str
         What each answer's header ``X-Leaving`` says; none if empty.
+    rejects : bool
+        Whether every request is answered 503 without being run.
+    retry_after_s : float
+        Seconds that such an answer names; 0 for none.
     """
 
     ip: str = '127.0.0.1'
@@ -41,6 +53,8 @@
     silent: bool = False
     leaving: bool = False
     leaving_header: str = ''
+    rejects: bool = False
+    retry_after_s: float = 0
 
 
 @attrs.define(eq=False)
@@ -50,6 +64,7 @@
     cfg: ServiceSettings
     clock: Clock
     running: int = 0
+    rejected: int = 0
     runs: collections.Counter[str] = attrs.Factory(collections.Counter)
     audible: asyncio.Event = attrs.Factory(asyncio.Event)
 
@@ -94,9 +109,11 @@
     async def prepare(self) -> None:
         """Answer every method alike."""
         await self.service.audible.wait()
-        if self.service.cfg.leaving:
-            self.set_header('X-Not-Run', 'true')
-            self.reply(503, {'error': 'leaving'})
+        cfg = self.service.cfg
+        if cfg.leaving or cfg.rejects:
+            self.service.rejected += 1
+            self.reject(cfg.retry_after_s)
+            self.reply(503, {'error': 'takes no more requests'})
             return
         self._count()
         self.service.running += 1
