Send nothing to a target in the time for which it asked for none

Cause: a rejection's Retry-After was dropped, and a target that rejects at once looks idle, so the choice prefers it. Change: the time counts for the target's start, from the head of the answer on, and outlives its entry in the list. Such a target is no candidate, not even where all others' breakers are open. Where all targets back off a request is rejected before it waits for tokens, with the first one's return; so is one whose last try was rejected. Returns are spread by a second at most. Ruled out: a breaker that is held open, as the choice falls back to all targets where all breakers are open; telling other routers, as a target asks this one.

--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -57,9 +57,19 @@
     )
 
 
-def make_notices(metrics: Metrics) -> Notices:
-    """Return what takes in what targets say of themselves."""
-    return Notices(metrics)
+def make_notices(places: Places, clock: Clock, metrics: Metrics) -> Notices:
+    """Return what takes in what targets say of themselves.
+
+    Parameters
+    ----------
+    places : Places
+        All targets.
+    clock : Clock
+        Time.
+    metrics : Metrics
+        Counters.
+    """
+    return Notices(places, clock, metrics)
 
 
 def make_repeats(
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -166,7 +166,7 @@
             exchange=exchange,
             repeats=make_repeats(cfg.relay, self.net, self.clock),
             judge=Judge(chooser, suspects),
-            notices=make_notices(self.metrics),
+            notices=make_notices(chooser.places, self.clock, self.metrics),
             clock=self.clock,
             link=link,
             stream_gap=cfg.relay.stream_gap,
--- a/src/balsamreach/placement/notices.py
+++ b/src/balsamreach/placement/notices.py
@@ -4,7 +4,8 @@
 
 import attrs
 
-from balsamreach.placement.places import Place
+from balsamreach.clock import Clock
+from balsamreach.placement.places import Place, Places
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -34,14 +35,20 @@
 
 @attrs.define(eq=False)
 class Notices:
-    """Takes in what targets say of themselves.
+    """Brings what targets say of themselves into force.
 
     Parameters
     ----------
+    places : Places
+        All targets.
+    clock : Clock
+        Time.
     metrics : Metrics
         Counters.
     """
 
+    places: Places
+    clock: Clock
     metrics: Metrics
 
     def take(self, place: Place, notice: TargetNotice) -> None:
@@ -49,6 +56,20 @@
         if notice == NO_NOTICE:
             return
         self.metrics.count(NOTICES, leaving=notice.leaving)
+        if self._apply(place, notice):
+            self._log(place, notice)
+
+    def _apply(self, place: Place, notice: TargetNotice) -> bool:
+        if not notice.retry_after:
+            return False
+        now = self.clock.now()
+        known = self.places.standings.find(place.incarnation)
+        until = max(known.retry_at, now + notice.retry_after)
+        standing = attrs.evolve(known, retry_at=until)
+        self.places.standings.put(place.incarnation, standing)
+        return known.retry_at <= now
+
+    def _log(self, place: Place, notice: TargetNotice) -> None:
         log_event(
             _logger,
             logging.INFO,
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamreach.placement.prompts import CacheMemory
+from balsamreach.placement.standings import Standings
 from balsamreach.routing.breaker import Breaker
 
 #: Failures in a row after which a target gets no requests for a while. One
@@ -131,9 +132,12 @@
     ----------
     rng : random.Random
         Jitter of pauses after failures.
+    standings : Standings
+        What targets have said of themselves.
     """
 
     rng: random.Random
+    standings: Standings = attrs.field(factory=Standings)
     _by_id: dict[str, Place] = attrs.field(factory=dict)
     _by_start: dict[str, Place] = attrs.field(factory=dict)
     _by_service: dict[str, dict[str, Place]] = attrs.field(factory=dict)
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -48,6 +48,7 @@
     faults.NO_TARGET: 503,
     faults.MISDIRECTED: 503,
     faults.TARGETS_FULL: 503,
+    faults.TARGETS_BACK_OFF: 503,
     faults.QUARANTINED: 503,
     faults.TOO_LATE: 503,
     faults.TIMED_OUT: 504,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -1,6 +1,6 @@
 """Finds the target for a request and keeps what is known of each."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator, Set
 
 import attrs
 
@@ -12,7 +12,11 @@
 from balsamreach.placement.places import Place, Places
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.warming import Warming
+from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
+from balsamreach.relay.faults import RelayFault
+
+_NONE_TRIED: frozenset[str] = frozenset()
 
 
 def _ignore(_unread: int) -> None:
@@ -52,7 +56,7 @@
     warming: Warming
     on_sent: Callable[[int], None] = _ignore
 
-    def choose(self, call: RelayCall, tried: set[str]) -> Place | None:
+    def choose(self, call: RelayCall, tried: Set[str]) -> Place | None:
         """Return the target for a call, None if none may be used.
 
         Parameters
@@ -62,7 +66,7 @@
         tried : set of str
             Incarnations that it went to already.
         """
-        present = self._present(call, tried)
+        present = list(self._find_present(call, tried))
         now = self.clock.now()
         usable = [place for place in present if place.breaker.passes(now)]
         # Where all are kept away from, the failures may be this router's
@@ -72,9 +76,27 @@
             return self.services.choose(candidates)
         return self.engines.choose(call.prompt, candidates)
 
-    def has_target(self, call: RelayCall, tried: set[str]) -> bool:
+    def has_target(self, call: RelayCall, tried: Set[str]) -> bool:
         """Return whether ``choose`` would find a target."""
-        return bool(self._present(call, tried))
+        return any(self._find_present(call, tried))
+
+    def refuse(self, call: RelayCall) -> RelayFault | None:
+        """Return why no target may be sent a request now, None if one may."""
+        if self.has_target(call, _NONE_TRIED):
+            return None
+        now = self.clock.now()
+        retry_at = self.places.standings.retry_at
+        returns = [
+            retry_at(place.incarnation)
+            for place in self.places.of(call.service)
+            if self._takes_work(place) and retry_at(place.incarnation) > now
+        ]
+        if not returns:
+            return faults.NO_TARGET.because('no target takes requests')
+        return faults.TARGETS_BACK_OFF.after(
+            min(returns) - now,
+            'all targets asked for no requests',
+        )
 
     def visit(self, call: RelayCall, place: Place) -> 'Visit':
         """Take note that a request is being sent."""
@@ -117,16 +139,25 @@
         """Return the most tokens that an event of the answer holds."""
         return self._engine(call).tokens_per_event
 
-    def _present(self, call: RelayCall, tried: set[str]) -> list[Place]:
+    def _find_present(
+        self,
+        call: RelayCall,
+        tried: Set[str],
+    ) -> Iterator[Place]:
         service = self._service(call)
-        return [
-            place
-            for place in self.places.of(call.service)
-            if not place.entry.leaving
-            and place.incarnation not in tried
-            and not self.evacuations.covers(place.entry.zone)
-            and self.warming.allows(place, service)
-        ]
+        retry_at = self.places.standings.retry_at
+        now = self.clock.now()
+        for place in self.places.of(call.service):
+            start = place.incarnation
+            if start in tried or retry_at(start) > now:
+                continue
+            if self._takes_work(place) and self.warming.allows(place, service):
+                yield place
+
+    def _takes_work(self, place: Place) -> bool:
+        if place.entry.leaving:
+            return False
+        return not self.evacuations.covers(place.entry.zone)
 
     def _service(self, call: RelayCall) -> Service | None:
         catalogue = self.view.current
--- a/src/balsamreach/relay/faults.py
+++ b/src/balsamreach/relay/faults.py
@@ -20,6 +20,10 @@
     not_run: bool = attrs.field(default=True, eq=False)
     retry_after: float = attrs.field(default=0, eq=False)
 
+    def after(self, seconds: float, reason: str) -> 'RelayFault':
+        """Return the same sentinel with a time to come back and a reason."""
+        return attrs.evolve(self, retry_after=seconds, reason=reason)
+
 
 #: This router knows no configuration yet.
 NOT_READY = RelayFault('not_ready', retry_after=0.5)
@@ -43,6 +47,9 @@
 MISDIRECTED = RelayFault('misdirected', retry_after=0.5)
 #: The targets asked have no room.
 TARGETS_FULL = RelayFault('targets_full', retry_after=0.3)
+#: All targets asked for no requests; the first one takes them again after
+#: the time told.
+TARGETS_BACK_OFF = RelayFault('targets_back_off', retry_after=1)
 #: The request crashed several targets.
 QUARANTINED = RelayFault('request_quarantined', retry_after=30)
 #: Its time was over before a target got it.
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -65,6 +65,8 @@
     async def _admit(self, tries: Tries) -> RelayFault | None:
         self.parts.link.carry(self.call.size)
         refusal = self.parts.suspects.check(self.call)
+        if refusal is None:
+            refusal = self.parts.tries.chooser.refuse(self.call)
         if refusal is not None:
             return refusal
         left = self.call.deadline - self.parts.clock.now()
@@ -99,7 +101,18 @@
             # tells the caller that its answer is not whole.
             self.outlet.abort()
             return
-        answer = self.parts.codec.refuse(self.parts.returns.spread(fault))
+        fault = self.parts.returns.spread(self._put_off(fault))
+        answer = self.parts.codec.refuse(fault)
         self.outlet.start(answer.status, answer.headers)
         self.outlet.write(answer.body)
         self.outlet.finish()
+
+    def _put_off(self, fault: RelayFault) -> RelayFault:
+        """Let the caller come back no sooner than a target takes requests."""
+        if not fault.retry_after:
+            return fault
+        refusal = self.parts.tries.chooser.refuse(self.call)
+        if refusal != faults.TARGETS_BACK_OFF:
+            return fault
+        wait = max(fault.retry_after, refusal.retry_after)
+        return attrs.evolve(fault, retry_after=wait)
--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -187,8 +187,7 @@
     async def stop(self) -> None:
         """Stop everything."""
         self.store.answer()
-        for router in self.routers:
-            await router.leave()
+        await asyncio.gather(*(router.leave() for router in self.routers))
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -67,7 +67,11 @@
             exchange=self.exchange,
             repeats=self.repeats,
             judge=Judge(self.chooser, suspects),
-            notices=make_notices(self.metrics),
+            notices=make_notices(
+                self.chooser.places,
+                self.clock,
+                self.metrics,
+            ),
             clock=self.clock,
             link=self.link,
             stream_gap=2,
--- a/tests/test_relay_returns.py
+++ b/tests/test_relay_returns.py
@@ -38,6 +38,13 @@
         self.assertEqual(spread, fault)
         self.assertTrue(spread.not_run)
 
+    def test_long_waits_grow_by_little(self):
+        fault = faults.TARGETS_BACK_OFF.after(20, 'all')
+        waits = [self.returns.spread(fault).retry_after for _ in range(300)]
+        self.assertGreaterEqual(min(waits), 20)
+        self.assertLessEqual(max(waits), 21)
+        self.assertGreater(max(waits) - min(waits), 0.9)
+
     def test_none_where_nobody_should_come_back(self):
         fault = faults.NO_ROUTE.because('none')
         self.assertEqual(self.returns.spread(fault).retry_after, 0)
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -34,6 +34,8 @@
 
 _REFUSED = unsent(NOT_SENT.because('refused'))
 _SHED = answer(503, not_executed='1')
+_BACK_OFF = answer(503, not_executed='1', retry_after='3')
+_LONG_BACK_OFF = answer(503, not_executed='1', retry_after='9')
 _OK = answer(200, b'done')
 
 
@@ -224,6 +226,63 @@
         self.assertIn('retry-after', outlet.headers)
         self.assertEqual(self.world.exchange.sent, [])
 
+    def test_rejecting_target_gets_requests_while_it_backs_off(self):
+        """A rejection's time to come back bound nobody but its caller."""
+        call = relay_samples.call(PLAIN, seconds=60)
+        self.world.run(call, _BACK_OFF, _OK)
+        first, other = (one.target for one in self.world.exchange.sent)
+        for _ in range(8):
+            self.world.run(call, _OK)
+            self.assertEqual(self.last_target(), other)
+        self.world.clock.advance(3)
+        targets = set()
+        for _ in range(20):
+            self.world.run(call, _OK)
+            targets.add(self.last_target())
+        self.assertEqual(targets, {first, other})
+
+    def test_longest_back_off_holds(self):
+        call = relay_samples.call(PLAIN, seconds=60)
+        shorter = answer(503, not_executed='1', retry_after='1')
+        self.world.run(call, _BACK_OFF, shorter)
+        self.world.run(call, _BACK_OFF)
+        self.world.clock.advance(2)
+        outlet = self.world.run(call, shorter)
+        self.assertEqual(outlet.status, 503)
+        self.assertEqual(len(self.world.exchange.sent), 3)
+
+    def test_request_is_held_while_all_targets_back_off(self):
+        """A request waited for tokens before targets that take none."""
+        call = relay_samples.call(STREAM, seconds=60)
+        outlet = self.world.run(call, _BACK_OFF, _LONG_BACK_OFF)
+        self.assertEqual(outlet.status, 503)
+        self.assertGreaterEqual(float(outlet.headers['retry-after']), 3)
+        self.world.parts = attrs.evolve(
+            self.world.parts,
+            spending=_UnusedSpending(),
+        )
+        self.world.clock.advance(1)
+        outlet = self.world.run(call)
+        self.assertEqual(outlet.status, 503)
+        self.assertIn(b'targets_back_off', outlet.body)
+        wait = float(outlet.headers['retry-after'])
+        self.assertTrue(2 <= wait <= 3, wait)
+
+    @parameterized.expand(
+        (
+            ('another_target', answer(421, retry_after='3')),
+            (
+                'another_request',
+                answer(503, attempt_id='another', retry_after='3'),
+            ),
+        )
+    )
+    def test_notice_of_another_keeps_a_target_away(self, _, script):
+        """A target was left alone by what another one had said."""
+        self.world.run(relay_samples.call(UNSAFE), script, _OK)
+        chooser = self.world.chooser
+        self.assertEqual(len(chooser.places.standings), 0)
+
     def test_request_that_crashes_targets_is_kept_away(self):
         """Symptom: targets of one service restart in turn.
 
@@ -298,6 +357,14 @@
         raise AssertionError('nothing was opened')
 
 
+class _UnusedSpending(Spending):
+    async def open(self, call):
+        raise AssertionError('the request can not be served')
+
+    def close(self, call, tab):
+        raise AssertionError('nothing was opened')
+
+
 class _NotingSpending(Spending):
     def __init__(self):
         self.used = []
