Send no new work to a target whose answer says that it leaves

Cause: leaving was learnt from the store's list alone; an answer's header was passed on to the caller and read by nobody. Change: the word counts for the target's start, as the head of the answer is read, whatever the status and however the answer ends; it outlives the entry and no version of the list takes it back. It is told to all peers, passed on by those to whom it is news, and told to each new neighbour, so that one router's word holds everywhere without the store. Ruled out: an entry of a higher version made up by the router, as the store's own next change would have to beat it.

--- a/src/balsamreach/catalogue/exchange.py
+++ b/src/balsamreach/catalogue/exchange.py
@@ -41,6 +41,7 @@
     known: Known
     clock: Clock
     _asking: asyncio.Task | None = None
+    _neighbours: frozenset[str] = frozenset()
 
     def start(self) -> None:
         """Take the messages of peers from now on."""
@@ -56,9 +57,23 @@
         """Tell all peers of a target that a change of the list took away."""
         self._tell(told.gone_row(target_id, version))
 
-    def tell_evacuation(self, order: Evacuation, besides: str = '') -> None:
+    def tell_evacuation(self, order: Evacuation) -> None:
         """Tell all peers of an evacuation, or of the end of one."""
-        self._tell(told.order_row(order), besides)
+        self._tell(told.order_row(order))
+
+    def catch_up(self) -> None:
+        """Tell new neighbours of the targets that leave.
+
+        A target may say so to one router only, while the store is away and
+        others are cut off from that router.
+        """
+        members = self.net.neighbours()
+        now = frozenset(member.incarnation for member in members)
+        new = now - self._neighbours
+        self._neighbours = now
+        rows = self.known.leaving_rows() if new else ()
+        for incarnation in new if rows else ():
+            self.net.tell(incarnation, TableRows(0, 0, rows))
 
     def _tell(self, row: TableRow, besides: str = '') -> None:
         self.net.spread(TableRows(0, 0, (row,)), besides)
@@ -96,5 +111,5 @@
         self._bring_in(member.incarnation, message)
 
     def _bring_in(self, source: str, message: TableRows) -> None:
-        for order in self.known.take(source, message.rows):
-            self.tell_evacuation(order, besides=source)
+        for row in self.known.take(source, message.rows):
+            self._tell(row, besides=source)
--- a/src/balsamreach/catalogue/known.py
+++ b/src/balsamreach/catalogue/known.py
@@ -8,8 +8,8 @@
 from balsamreach.catalogue import told
 from balsamreach.catalogue.catalogue import Catalogue
 from balsamreach.catalogue.view import CatalogueView
-from balsamreach.placement.evacuations import Evacuation, Evacuations
-from balsamreach.placement.places import Places
+from balsamreach.placement.evacuations import Evacuations
+from balsamreach.placement.places import Places, TargetEntry
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.membership import Heartbeat
@@ -67,7 +67,7 @@
         self,
         source: str,
         rows: Iterable[TableRow],
-    ) -> tuple[Evacuation, ...]:
+    ) -> tuple[TableRow, ...]:
         """Bring in what another router told.
 
         Parameters
@@ -79,19 +79,24 @@
 
         Returns
         -------
-        tuple of Evacuation
-            Those that were news, to be passed on.
+        tuple of TableRow
+            Evacuations and leaving targets that were news, to be passed on.
         """
         news = []
         for row in rows:
             if row.key == told.CONFIGURATION:
                 self._take_configuration(source, row)
             elif row.key.startswith(told.TARGET):
-                self._take_target(source, row)
+                news.extend(self._take_target(source, row))
             elif row.key.startswith(told.EVACUATION):
                 news.extend(self._take_order(source, row))
         return tuple(news)
 
+    def leaving_rows(self) -> tuple[TableRow, ...]:
+        """Return the rows of all targets that leave."""
+        entries = (place.entry for place in self.places)
+        return tuple(map(told.target_row, filter(_is_leaving, entries)))
+
     def _pack(self, catalogue: Catalogue) -> TableRow:
         # Peers that were cut off ask all at once, and each packing of a large
         # configuration holds up requests for milliseconds.
@@ -106,21 +111,21 @@
         if catalogue is not None and self.view.offer(catalogue, source):
             self.metrics.count(LEARNT, what='configuration')
 
-    def _take_order(self, source: str, row: TableRow) -> list[Evacuation]:
+    def _take_order(self, source: str, row: TableRow) -> list[TableRow]:
         order = told.read_order(row)
         if not self.evacuations.put(order, source):
             return []
         self.metrics.count(LEARNT, what='evacuation')
-        return [order]
+        return [row]
 
-    def _take_target(self, source: str, row: TableRow) -> None:
+    def _take_target(self, source: str, row: TableRow) -> list[TableRow]:
         if not row.body:
             target_id = row.key.removeprefix(told.TARGET)
             self.places.remove(target_id, row.version)
-            return
+            return []
         entry = told.read_target_row(row)
         if entry is None or not self.places.put(entry):
-            return
+            return []
         self.metrics.count(LEARNT, what='target')
         log_event(
             _logger,
@@ -132,3 +137,8 @@
             leaving=entry.leaving,
             row_version=entry.version,
         )
+        return [row] if entry.leaving else []
+
+
+def _is_leaving(entry: TargetEntry) -> bool:
+    return entry.leaving
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -51,14 +51,14 @@
         Path under which the balancer asks whether it is ready.
     feeds : tuple of callable
         What follows the outside world, each run in a task of its own.
-    tick : callable
+    ticks : tuple of callable
         Called every tenth of a second.
     """
 
     parts: RelayParts
     ready_path: str
     feeds: tuple[Runner, ...]
-    tick: Callable[[], None]
+    ticks: tuple[Callable[[], object], ...]
     state: str = _STARTING
     server: RelayServer = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
@@ -195,7 +195,8 @@
     async def _tick(self) -> None:
         while True:
             await self.parts.clock.sleep(_TICK_S)
-            self.tick()
+            for tick in self.ticks:
+                tick()
             if self.state == _STARTING and _knows_enough(self.parts):
                 self.state = _READY
                 log_event(_logger, logging.INFO, 'router_ready')
--- a/src/balsamreach/placement/notices.py
+++ b/src/balsamreach/placement/notices.py
@@ -1,11 +1,12 @@
 """What targets say of themselves in the heads of their answers."""
 
 import logging
+from collections.abc import Callable
 
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.placement.places import Place, Places
+from balsamreach.placement.places import Place, Places, TargetEntry
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -33,6 +34,10 @@
 NO_NOTICE = TargetNotice()
 
 
+def _ignore(_entry: TargetEntry) -> None:
+    """Tell nobody."""
+
+
 @attrs.define(eq=False)
 class Notices:
     """Brings what targets say of themselves into force.
@@ -45,23 +50,33 @@
         Time.
     metrics : Metrics
         Counters.
+    tell : callable
+        Tells other routers of the entry of a target that leaves.
     """
 
     places: Places
     clock: Clock
     metrics: Metrics
+    tell: Callable[[TargetEntry], None] = _ignore
 
     def take(self, place: Place, notice: TargetNotice) -> None:
         """Take the notice of an answer, as soon as its head is read."""
         if notice == NO_NOTICE:
             return
         self.metrics.count(NOTICES, leaving=notice.leaving)
-        if self._apply(place, notice):
+        leaves = notice.leaving and self._mark_leaving(place)
+        backs_off = notice.retry_after > 0 and self._back_off(place, notice)
+        if leaves or backs_off:
             self._log(place, notice)
 
-    def _apply(self, place: Place, notice: TargetNotice) -> bool:
-        if not notice.retry_after:
+    def _mark_leaving(self, place: Place) -> bool:
+        entry = attrs.evolve(place.entry, leaving=True)
+        if not self.places.put(entry):
             return False
+        self.tell(entry)
+        return True
+
+    def _back_off(self, place: Place, notice: TargetNotice) -> bool:
         now = self.clock.now()
         known = self.places.standings.find(place.incarnation)
         until = max(known.retry_at, now + notice.retry_after)
@@ -78,6 +93,5 @@
             service=place.entry.service,
             leaving=notice.leaving,
             retry_after=notice.retry_after,
-            listed_leaving=place.entry.leaving,
             row_version=place.entry.version,
         )
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -109,6 +109,14 @@
         """Identity of this start of the target."""
         return self.entry.incarnation
 
+    def replace(self, entry: TargetEntry, standings: Standings) -> bool:
+        """Take another entry of the same start; True if it now leaves."""
+        was_leaving = self.entry.leaving
+        standing = standings.find(entry.incarnation)
+        leaving = standing.leaving or was_leaving
+        self.entry = attrs.evolve(entry, leaving=leaving)
+        return leaving != was_leaving
+
     @property
     def busy(self) -> int:
         """Requests there of all routers, as far as is known."""
@@ -168,10 +176,13 @@
         """Take in an entry, new or changed; False if it is no news.
 
         Entries come from the store and from peers, and overtake each other.
-        A target that said once that it leaves stays so; one that is gone
-        comes back only by a later change of the list, or as a later start.
-        Otherwise an older word would send new work to it.
+        A start that said once that it leaves stays so, whatever the version
+        that tells so; a target that is gone comes back only by a later change
+        of the list, or as a later start. Otherwise an older word would send
+        new work to it.
         """
+        if entry.leaving:
+            self.standings.leaves(entry.incarnation)
         if entry.version < self._removed.get(entry.target_id, -1):
             return False
         known = self._by_id.get(entry.target_id)
@@ -182,17 +193,14 @@
         # change does.
         age = (entry.born, entry.version)
         if age <= (known.entry.born, known.entry.version):
-            return False
+            return known.replace(known.entry, self.standings)
         is_later = entry.born > known.entry.born
         if is_later or entry.service != known.entry.service:
             self._take_out(known)
             self._add(entry)
             return True
         known.gone_at = None
-        leaving = entry.leaving or known.entry.leaving
-        news = leaving != known.entry.leaving
-        known.entry = attrs.evolve(entry, leaving=leaving)
-        return news
+        return known.replace(entry, self.standings)
 
     def drop(self, place: Place) -> None:
         """Forget a target that another one has the address of.
@@ -267,6 +275,8 @@
 
     def _add(self, entry: TargetEntry) -> None:
         place = Place(entry)
+        # The start may have said that it leaves before its entry lapsed.
+        place.replace(entry, self.standings)
         self._by_id[entry.target_id] = place
         self._by_start[entry.incarnation] = place
         services = self._by_service.setdefault(entry.service, {})
--- a/src/balsamreach/placement/standings.py
+++ b/src/balsamreach/placement/standings.py
@@ -13,10 +13,13 @@
 
     Parameters
     ----------
+    leaving : bool
+        Whether it will leave.
     retry_at : float
         Monotonic seconds up to which it wants no requests.
     """
 
+    leaving: bool = False
     retry_at: float = float('-inf')
 
 
@@ -45,6 +48,11 @@
         """Return monotonic seconds up to which a start wants no requests."""
         return self.find(incarnation).retry_at
 
+    def leaves(self, incarnation: str) -> None:
+        """Note that a start will leave."""
+        known = self.find(incarnation)
+        self.put(incarnation, attrs.evolve(known, leaving=True))
+
     def put(self, incarnation: str, standing: Standing) -> None:
         """Keep what a start has said, and forget what is oldest."""
         self._by_start.pop(incarnation, None)
--- a/src/balsamreach/platform/feeds.py
+++ b/src/balsamreach/platform/feeds.py
@@ -200,4 +200,5 @@
 
 
 def _is_news(known: TargetEntry, entry: TargetEntry) -> bool:
-    return known.leaving != entry.leaving or known.born != entry.born
+    leaves = entry.leaving and not known.leaving
+    return leaves or known.born != entry.born
--- a/tests/test_catalogue_exchange.py
+++ b/tests/test_catalogue_exchange.py
@@ -148,6 +148,51 @@
         self.assertTrue(self.two.places.find('leaves').entry.leaving)
         self.assertIsNone(self.two.places.find('goes'))
 
+    def leave(self, router, **fields):
+        """Let a router hear a target say that it leaves."""
+        told_leaving = entry('leaves', 'desk', leaving=True, **fields)
+        router.places.put(told_leaving)
+        router.exchange.tell_target(told_leaving)
+
+    def leaves(self, router):
+        return router.places.find('leaves').entry.leaving
+
+    async def test_target_that_leaves_by_its_own_word(self):
+        """A leaving target got requests from routers two steps away.
+
+        The word came in an answer to one of them: the list has no change.
+        """
+        three = Router(self.fabric.join('three'), self.clock)
+        self.fabric.cut(['one'], ['three'])
+        for router in (self.one, self.two, three):
+            router.places.put(entry('leaves', 'desk', version=3))
+        self.leave(self.one, version=3)
+        await self.fabric.settle()
+        self.assertTrue(self.leaves(three))
+        sent = len(self.fabric.sent)
+        self.leave(self.one, version=3)
+        await self.fabric.settle()
+        self.assertEqual(len(self.fabric.sent), sent + 1)
+
+    async def test_target_that_leaves_in_a_cut(self):
+        """A leaving target got requests from routers that had been cut off."""
+        for router in (self.one, self.two):
+            router.places.put(entry('leaves', 'desk', version=3))
+            router.exchange.catch_up()
+        self.fabric.cut(['one'], ['two'])
+        self.leave(self.one, version=3)
+        self.one.exchange.catch_up()
+        await self.fabric.settle()
+        self.assertFalse(self.leaves(self.two))
+        self.fabric.heal()
+        self.one.exchange.catch_up()
+        await self.fabric.settle()
+        self.assertTrue(self.leaves(self.two))
+        sent = len(self.fabric.sent)
+        self.one.exchange.catch_up()
+        await self.fabric.settle()
+        self.assertEqual(len(self.fabric.sent), sent)
+
     def evacuate(self, router, version, *, in_force=True):
         order = Evacuation(zone='zone-a', version=version, in_force=in_force)
         router.evacuations.put(order, 'store')
--- a/tests/test_placement_notices.py
+++ b/tests/test_placement_notices.py
@@ -16,7 +16,13 @@
     def setUp(self):
         self.clock = FakeClock()
         self.places = Places(random.Random(1))
-        self.notices = Notices(self.places, self.clock, Metrics())
+        self.told = []
+        self.notices = Notices(
+            self.places,
+            self.clock,
+            Metrics(),
+            self.told.append,
+        )
         self.put(version=5)
         self.before = self.places.find('one')
 
@@ -57,6 +63,22 @@
         self.back_off(1)
         self.assertEqual(self.waits(), 3)
 
+    def test_leaving_is_told_once(self):
+        leaving = TargetNotice(leaving=True)
+        for _ in range(3):
+            self.notices.take(self.before, leaving)
+        self.assertTrue(self.places.find('one').entry.leaving)
+        told = self.told.pop()
+        self.assertTrue(told.leaving)
+        self.assertEqual(self.told, [])
+
+    def test_leaving_of_the_start_before(self):
+        """A target that had just started was taken for one that leaves."""
+        self.put(version=6, born=1)
+        self.notices.take(self.before, TargetNotice(leaving=True))
+        self.assertFalse(self.places.find('one').entry.leaving)
+        self.assertEqual(self.told, [])
+
     def test_many_starts_that_back_off(self):
         """Standings of targets that are long gone piled up."""
         for number in range(3000):
--- a/tests/test_placement_places.py
+++ b/tests/test_placement_places.py
@@ -32,6 +32,33 @@
         self.put('one', leaving=False, version=8)
         self.assertTrue(self.places.find('one').entry.leaving)
 
+    @parameterized.expand((('older', 4), ('same', 5), ('newer', 6)))
+    def test_leaving_by_its_own_word(self, _, version):
+        """A target that said in an answer that it leaves got new work.
+
+        The list has no change, so the word bears the version of the entry.
+        """
+        self.assertTrue(self.put('one', leaving=True, version=version))
+        self.assertTrue(self.places.find('one').entry.leaving)
+        self.assertFalse(self.put('one', leaving=True, version=version))
+
+    def test_leaving_outlives_the_entry(self):
+        """A leaving target got new work after an outage of the store.
+
+        Its entry lapses, and is written again as of one that stays.
+        """
+        self.put('one', leaving=True, version=5)
+        self.places.remove('one', 6)
+        self.put('one', version=7)
+        self.assertTrue(self.places.find('one').entry.leaving)
+        self.put('one', version=8, born=1)
+        self.assertFalse(self.places.find('one').entry.leaving)
+
+    def test_leaving_of_the_start_before(self):
+        self.put('one', version=6, born=1)
+        self.assertFalse(self.put('one', leaving=True, version=7))
+        self.assertFalse(self.places.find('one').entry.leaving)
+
     @parameterized.expand((('older', 8, False), ('newer', 10, True)))
     def test_a_target_that_is_gone(self, _, version, back):
         """Symptom: a crashed target is back in the list for ever.
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -9,6 +9,7 @@
 
 from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
 from balsamreach.placement.evacuations import Evacuation
+from balsamreach.placement.places import Places, TargetEntry
 from balsamreach.relay.faults import BUDGET_EXHAUSTED
 from balsamreach.relay.run import RelayRun
 from balsamreach.relay.spending import Spending, Tab
@@ -24,6 +25,7 @@
     event,
 )
 from tests.relay_scripts import (
+    Answered,
     RecordingOutlet,
     Script,
     Swallowed,
@@ -52,6 +54,24 @@
         return self.script(outgoing, intake)
 
 
+@attrs.frozen
+class _Watched:
+    """A target whose answer is looked at between its head and its body."""
+
+    script: Answered
+    places: Places
+    leaving: list[TargetEntry]
+
+    def __call__(self, _outgoing, intake):
+        """Answer, and note which targets leave by then."""
+        assert intake.before_send()
+        intake.start(self.script.status, self.script.headers)
+        entries = (place.entry for place in self.places)
+        self.leaving.extend(one for one in entries if one.leaving)
+        for chunk in self.script.chunks:
+            intake.write(chunk)
+
+
 def _status(outlet):
     return 'broken' if outlet.broken else outlet.status
 
@@ -107,6 +127,10 @@
         order = Evacuation(zone=zone, version=version, in_force=in_force)
         self.world.evacuations.put(order, 'test')
 
+    def first_target(self):
+        sent = self.world.exchange.sent
+        return sent[0].target
+
     def last_target(self):
         sent = self.world.exchange.sent
         return sent[-1].target
@@ -217,6 +241,41 @@
         self.world.run(call, _REFUSED)
         self.assertFalse(place.breaker.passes(self.world.clock.now()))
 
+    @parameterized.expand(
+        (
+            ('answered', PLAIN, [answer(200, b'x', server_leaving='1')]),
+            ('refused', PLAIN, [answer(404, b'x', server_leaving='1')]),
+            ('failed', UNSAFE, [answer(500, b'x', server_leaving='1')]),
+            (
+                'broken',
+                ONE_RUN,
+                [answer(200, event(1), end=BROKEN, server_leaving='1')],
+            ),
+            (
+                'declined',
+                PLAIN,
+                [answer(503, not_executed='1', server_leaving='1'), _OK],
+            ),
+        )
+    )
+    def test_leaving_target_gets_new_work(self, _, route, scripts):
+        """A target said in an answer that it leaves, and nobody heeded it."""
+        self.world.run(relay_samples.call(route), *scripts)
+        leaves = self.first_target()
+        for _ in range(8):
+            script = answer(200, event(1)) if route.streams else _OK
+            self.world.run(relay_samples.call(route), script)
+            self.assertNotEqual(self.last_target(), leaves)
+
+    def test_leaving_target_gets_new_work_while_it_streams(self):
+        """The word in a stream's head counted only as its last event came."""
+        chooser = self.world.chooser
+        streaming = answer(200, event(1), server_leaving='1')
+        script = _Watched(streaming, chooser.places, [])
+        self.world.run(relay_samples.call(STREAM), script)
+        left = script.leaving.pop()
+        self.assertEqual(left.service, ENGINES)
+
     def test_leaving_targets_get_nothing(self):
         places = self.world.chooser.places
         for place in places.of('desk'):
