Let serve send nothing to targets in the time for which they ask for none

Cause: Retry-After of a rejection was dropped; the target's next slot was used at once. Change: the time is read off the head of any answer (one reader for both paths) and binds the target's start and all rows of its host. Where all targets of a pool back off, requests are refused before they wait for tokens, queued ones as soon as that is seen, with the first one's return (targets_back_off); after a last try that was rejected likewise. A slot held while a claim is recorded is not used any more. Ruled out: suspending the target, as a good poll would lift that, and a pool whose targets are all suspended uses one all the same. Left: polls of load, cancels and resumed streams go on; they add no work.

--- a/src/balsamreach/dispatch/attempts.py
+++ b/src/balsamreach/dispatch/attempts.py
@@ -33,7 +33,7 @@
     Parameters
     ----------
     announcements : Announcements or None
-        Told what targets say of their leaving in the heads of answers.
+        Told what targets say of themselves in the heads of answers.
     """
 
     upstream: Upstream
@@ -68,6 +68,8 @@
             # target marked meanwhile may be counted as idle already, and a
             # request sent now would be cut when its host is switched off.
             return faults.OVERLOADED.because('the target began to leave')
+        if attempt.target.retry_at > self.clock.now():
+            return faults.OVERLOADED.because('the target began to back off')
         if shows_queueing(attempt.call):
             reply.on_first.append(slot.first_byte_came)
         self.feedback.sent(slot)
--- a/src/balsamreach/dispatch/elsewhere.py
+++ b/src/balsamreach/dispatch/elsewhere.py
@@ -135,10 +135,16 @@
         # An idempotent request that failed there may run here.
         return None if self.may_go_on() else followed
 
+    @property
+    def may_resume(self) -> bool:
+        """Whether a generation is known that could be taken up."""
+        note = self._where.note
+        return note is not None and bool(note.generation)
+
     async def resume(self) -> Resumed | None:
         """Take up the generation that a router left behind when it died."""
         note = self._where.note
-        if note is None or not note.generation or not self.call.stream:
+        if not self.may_resume or not self.call.stream:
             return None
         target = self.others.targets.by_name.get(note.target)
         if target is None:
--- a/src/balsamreach/dispatch/faults.py
+++ b/src/balsamreach/dispatch/faults.py
@@ -35,6 +35,8 @@
 NO_TARGET = DispatchFault('no_target', retry_after=30)
 #: All targets that serve it are busy, failing or leaving.
 OVERLOADED = DispatchFault('overloaded', retry_after=1)
+#: All targets that serve it asked for no requests for a while.
+TARGETS_BACK_OFF = DispatchFault('targets_back_off', retry_after=1)
 #: The team is past its requests or tokens a minute.
 RATE_LIMITED = DispatchFault('rate_limited', retry_after=1)
 #: The team has as many requests in progress as its row allows.
--- a/src/balsamreach/dispatch/placing.py
+++ b/src/balsamreach/dispatch/placing.py
@@ -8,6 +8,7 @@
 from balsamreach.routing import faults as routing_faults
 from balsamreach.routing.ask import Ask
 from balsamreach.routing.faults import RoutingFault
+from balsamreach.routing.pools import PoolKey
 from balsamreach.routing.retries import backoff
 from balsamreach.routing.routing import Routing
 from balsamreach.routing.slot import Slot
@@ -20,6 +21,7 @@
 _TURNED = {
     routing_faults.NO_TARGET: faults.NO_TARGET,
     routing_faults.ALL_BUSY: faults.OVERLOADED,
+    routing_faults.TARGETS_BACK_OFF: faults.TARGETS_BACK_OFF,
     routing_faults.RATE_LIMITED: faults.RATE_LIMITED,
     routing_faults.TEAM_CONCURRENCY: faults.TEAM_CONCURRENCY,
     routing_faults.QUEUE_FULL: faults.QUEUE_FULL,
@@ -47,6 +49,11 @@
         """Count a call out; the tokens it did not use count no more."""
         self.routing.limits.leave(call.team, call.most_tokens, used_tokens)
 
+    def refuse(self, call: Call) -> DispatchFault | None:
+        """Return why no target takes the call now, None if one may."""
+        refusal = self.routing.refuse(_pool_of(call))
+        return None if refusal is None else _turn(refusal)
+
     async def place(self, call: Call) -> Slot | DispatchFault:
         """Return a slot for the first attempt, waiting in fair turn."""
         with hops.hop('queue'):
@@ -96,7 +103,7 @@
     weight = max(team.weight, _LEAST_WEIGHT) * (1 + team.priority)
     return Ask(
         team=team.name,
-        pool=(call.kind, call.name),
+        pool=_pool_of(call),
         fingerprint=f'{team.name}-{req.fingerprint}',
         deadline=call.deadline,
         prefix=call.prefix if call.kind == ENGINE else b'',
@@ -106,6 +113,10 @@
     )
 
 
+def _pool_of(call: Call) -> PoolKey:
+    return call.kind, call.name
+
+
 def _turn(fault: RoutingFault) -> DispatchFault:
     return attrs.evolve(
         _TURNED[fault],
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -126,7 +126,7 @@
 
     def _tell_head(self) -> None:
         if self.on_head is not None and not self.foreign:
-            self.on_head(self.headers)
+            self.on_head(self.status, self.headers)
 
     def _open(self, length: int = 0) -> None:
         if self.answer.status == 0:
--- a/src/balsamreach/dispatch/run.py
+++ b/src/balsamreach/dispatch/run.py
@@ -115,6 +115,11 @@
             self.parts.placer.close(self.call, self.used_tokens)
 
     async def _reserve(self) -> DispatchFault | None:
+        # A generation that another router began can be taken up all the same.
+        if not self._elsewhere.may_resume:
+            refusal = self.parts.placer.refuse(self.call)
+            if refusal is not None:
+                return refusal
         reservation = await reserve(self.parts.budgets, self.call)
         if isinstance(reservation, DispatchFault):
             return reservation
--- a/src/balsamreach/dispatch/tries.py
+++ b/src/balsamreach/dispatch/tries.py
@@ -123,7 +123,9 @@
             )
             if isinstance(other, DispatchFault):
                 # What the last attempt met says more than that no other
-                # target is left to try.
+                # target is left to try, but not when to come back.
+                if fault == faults.OVERLOADED:
+                    fault = _put_off(fault, other)
                 break
             slot = other
             fault = await self._try(slot)
@@ -254,6 +256,13 @@
         return retried or fault == faults.OVERLOADED
 
 
+def _put_off(fault: DispatchFault, other: DispatchFault) -> DispatchFault:
+    if other != faults.TARGETS_BACK_OFF:
+        return fault
+    wait = max(fault.retry_after, other.retry_after)
+    return attrs.evolve(fault, retry_after=wait)
+
+
 _DIVERGED = faults.ANSWER_BROKEN.because(
     'the stream broke, and a second run says something else',
 )
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -33,6 +33,10 @@
 HALTED = UpstreamFault('answer_halted')
 
 
+#: Takes the status and headers of an answer, names in lower case.
+HeadTaker = Callable[[int, dict[str, str]], None]
+
+
 @attrs.frozen
 class Attempt:
     """One try of a request at one target.
@@ -62,13 +66,13 @@
     closed : bool
         Whether the attempt is over.
     on_head : callable or None
-        Called with the headers of an answer to this attempt.
+        Called with the status and headers of an answer to this attempt.
     """
 
     def __init__(self) -> None:
         self.sent = False
         self.closed = False
-        self.on_head: Callable[[dict[str, str]], None] | None = None
+        self.on_head: HeadTaker | None = None
 
     def close(self) -> None:
         """End the attempt for good.
--- a/src/balsamreach/platform/names.py
+++ b/src/balsamreach/platform/names.py
@@ -24,8 +24,6 @@
 NOT_RUN = 'Not-Executed'
 #: In an answer: the target that sent it will leave.
 LEAVING = 'Server-Leaving'
-#: In a rejection: seconds for which the target wants no further requests.
-RETRY_AFTER = 'Retry-After'
 #: Key of a team.
 AUTHORIZATION = 'Authorization'
 
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -22,15 +22,10 @@
     OwnAnswer,
 )
 from balsamreach.relay.faults import RelayFault
+from balsamreach.retry_after import read_retry_after
 
 _MS = 1000
 _MISDIRECTED = 421
-#: Rejections whose time to come back speaks of the target, not of an answer.
-_REJECTIONS = frozenset((429, 503))
-#: Seconds beyond which no target is left alone on its own word: a broken one
-#: would be lost for good.
-_LONGEST_RETRY_AFTER_S = 3600
-_SECONDS = re.compile(r'\d{1,12}(?:\.\d{1,12})?')
 _LAST_RANK = 9
 _ID = re.compile(r'[!-~]{1,200}')
 _COUNTS = re.compile(r'(\d{1,12}),(\d{1,12})')
@@ -199,23 +194,13 @@
 
 
 def _read_notice(status: int, headers: dict[str, str]) -> TargetNotice:
-    retry_after = 0.0
-    if status in _REJECTIONS:
-        retry_after = _read_seconds(headers.get(names.RETRY_AFTER.lower(), ''))
     leaving = headers.get(names.LEAVING.lower(), '')
     return TargetNotice(
         leaving=_IS_SET in map(str.strip, leaving.split(',')),
-        retry_after=retry_after,
+        retry_after=read_retry_after(status, headers),
     )
 
 
-def _read_seconds(text: str) -> float:
-    """Return the longest of the times given, 0 where none can be read."""
-    given = map(str.strip, text.split(','))
-    seconds = [float(part) for part in given if _SECONDS.fullmatch(part)]
-    return min(max(seconds, default=0.0), _LONGEST_RETRY_AFTER_S)
-
-
 def _read_team(
     headers: _Headers,
     route: Route,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -190,7 +190,7 @@
         self.place.running += 1
         self.place.unread += self.unread
 
-    def heard(self, _headers: object = None) -> None:
+    def heard(self) -> None:
         """Take note that the target has read the prompt, or never will."""
         self.place.unread -= self.unread
         self.unread = 0
--- a/src/balsamreach/relay/intakes.py
+++ b/src/balsamreach/relay/intakes.py
@@ -77,7 +77,7 @@
         elif _OK <= status < _MULTIPLE_CHOICES and not head.signed:
             self.problem = 'the target did not sign its answer'
         if self.on_head is not None:
-            self.on_head(headers)
+            self.on_head(status, headers)
 
     def write(self, chunk: bytes) -> None:
         """Hold bytes until the answer is whole."""
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -142,7 +142,7 @@
         place: Place,
         visit: Visit,
         intake: AnswerIntake,
-        _headers: dict[str, str],
+        *_head: object,
     ) -> None:
         visit.heard()
         # Another target's answer says nothing of the one that was meant.
--- a/src/balsamreach/routing/admission.py
+++ b/src/balsamreach/routing/admission.py
@@ -137,11 +137,21 @@
                 continue
             state = self.picker.pick(waiter.ask, pool)
             if state is None:
+                self._refuse_back_off(line, pool)
                 return
             line.queue.remove(waiter, served=True)
             line.grants[waiter].set_result(state)
             waiter = line.queue.peek()
 
+    def _refuse_back_off(self, line: Line, pool: Pool) -> None:
+        """Refuse all that wait where no target takes requests."""
+        refusal = pool.refuse(self.clock.now())
+        waiter = line.queue.peek() if refusal is not None else None
+        while waiter is not None:
+            line.queue.remove(waiter)
+            line.grants[waiter].set_result(refusal)
+            waiter = line.queue.peek()
+
     def _is_late(self, waiter: Waiter, line: Line) -> bool:
         """Refuse a request that would not end in time if it began now."""
         left = waiter.ask.deadline - self.clock.now()
--- a/src/balsamreach/routing/faults.py
+++ b/src/balsamreach/routing/faults.py
@@ -26,6 +26,8 @@
 NO_TARGET = RoutingFault('no_target', retry_after=30)
 #: Every target that serves it is full, suspended or was tried already.
 ALL_BUSY = RoutingFault('all_targets_busy', retry_after=1)
+#: Every target that serves it asked for no requests for a while.
+TARGETS_BACK_OFF = RoutingFault('targets_back_off', retry_after=1)
 #: The team is past its requests or tokens a minute.
 RATE_LIMITED = RoutingFault('rate_limited', retry_after=1)
 #: The team has as many requests in progress as its row allows.
--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -10,7 +10,9 @@
 import attrs
 
 from balsamreach.config.settings import RoutingSettings
+from balsamreach.routing import faults
 from balsamreach.routing.breaker import Breaker
+from balsamreach.routing.faults import RoutingFault
 from balsamreach.routing.ring import Ring, make_ring
 from balsamreach.routing.state import TargetState
 from balsamreach.routing.want import Want
@@ -101,6 +103,21 @@
         """Return whether no member is known to work."""
         return all(state.breaker.open for state in self.members)
 
+    def back_off(self, now: float) -> float:
+        """Return for how many seconds no member takes requests by its word.
+
+        0 where one of them has not asked for none, or all leave.
+        """
+        waits = []
+        for state in self.members:
+            target = state.target
+            if target.leaving:
+                continue
+            if target.retry_at <= now:
+                return 0
+            waits.append(target.retry_at - now)
+        return min(waits, default=0)
+
     def load(self, index: int, now: float) -> float:
         """Return a member's likely load in relation to its weight."""
         weight = self.weights[index]
@@ -146,6 +163,18 @@
         """Return the number of targets."""
         return len(self._targets)
 
+    def refuse(self, now: float) -> RoutingFault | None:
+        """Return a refusal if all targets back off, by when the first ends."""
+        if self.near is not None and not self.near.back_off(now):
+            return None
+        wait = self.everyone.back_off(now)
+        if not wait:
+            return None
+        return faults.TARGETS_BACK_OFF.after(
+            wait,
+            'all targets asked for no requests',
+        )
+
     @property
     def everyone(self) -> Group:
         """All of them; made when a request first leaves the zone.
--- a/src/balsamreach/routing/routing.py
+++ b/src/balsamreach/routing/routing.py
@@ -16,7 +16,7 @@
 from balsamreach.routing.limits import TeamLimits
 from balsamreach.routing.picking import Picker
 from balsamreach.routing.policies import make_chooser
-from balsamreach.routing.pools import Pools
+from balsamreach.routing.pools import PoolKey, Pools
 from balsamreach.routing.probation import Probation
 from balsamreach.routing.quarantine import Quarantine
 from balsamreach.routing.retries import RetryBudget
@@ -68,9 +68,15 @@
     rng: random.Random
     metrics: Metrics
 
+    def refuse(self, key: PoolKey) -> RoutingFault | None:
+        """Return a refusal if no target of a pool takes requests now."""
+        pool = self.admission.picker.pools.find(key)
+        return None if pool is None else pool.refuse(self.clock.now())
+
     async def enter(self, ask: Ask) -> Slot | RoutingFault:
         """Return a slot for a request's first attempt, or a refusal."""
         refusal = self.quarantine.check(ask.fingerprint)
+        refusal = refusal or self.refuse(ask.pool)
         if refusal is not None:
             return refusal
         if self.quarantine.must_run_alone(ask.fingerprint):
@@ -88,6 +94,7 @@
     ) -> Slot | RoutingFault:
         """Return a slot at another target, within the retry budget."""
         refusal = self.quarantine.check(ask.fingerprint)
+        refusal = refusal or self.refuse(ask.pool)
         if refusal is not None:
             return refusal
         if not self.retries.withdraw():
--- a/src/balsamreach/routing/state.py
+++ b/src/balsamreach/routing/state.py
@@ -101,7 +101,7 @@
     def takes_work(self, now: float) -> bool:
         """Return whether it is there to be sent requests."""
         target = self.target
-        suspended = target.suspended_until > now
+        suspended = max(target.suspended_until, target.retry_at) > now
         return not (self.alone or target.leaving or suspended)
 
     def _follow_report(self, now: float) -> None:
--- a/src/balsamreach/targets/announcements.py
+++ b/src/balsamreach/targets/announcements.py
@@ -1,15 +1,18 @@
-"""What targets say of their own leaving in the heads of their answers."""
+"""What targets say of themselves in the heads of their answers."""
 
 import asyncio
+import logging
 from collections.abc import Mapping
 from weakref import WeakKeyDictionary
 
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.retry_after import read_retry_after
 from balsamreach.targets.marks import FROM_ANSWER, Marks
 from balsamreach.targets.poller import LoadPoller
 from balsamreach.targets.registry import Target
+from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
 #: Names the start that is leaving.
@@ -17,11 +20,14 @@
 #: Seconds between two looks at a target whose header names another start.
 _PAUSE = 1.0
 _DOUBTED = 'balsamreach_target_announcements_doubted_total'
+_BACK_OFFS = 'balsamreach_target_back_offs_total'
+
+_logger = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
 class Announcements:
-    """Marks targets that announce their leaving in an answer.
+    """Heeds targets that leave, or want no requests for a while.
 
     Parameters
     ----------
@@ -40,8 +46,41 @@
     )
     _looks: set[asyncio.Task] = attrs.field(factory=set)
 
-    def take(self, target: Target, headers: Mapping[str, str]) -> None:
-        """Take the head of a target's answer, header names in lower case.
+    def take(
+        self,
+        target: Target,
+        status: int,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Take the head of a target's answer, header names in lower case."""
+        retry_after = read_retry_after(status, headers)
+        if retry_after:
+            self._back_off(target, retry_after)
+        self._take_leaving(target, headers)
+
+    def _back_off(self, target: Target, retry_after: float) -> None:
+        now = self.clock.now()
+        is_news = target.retry_at <= now
+        # Several rows may lead to one host.
+        for other in self.marks.targets.at_address(target.row.address):
+            other.retry_at = max(other.retry_at, now + retry_after)
+        self.metrics.count(_BACK_OFFS)
+        if is_news:
+            log_event(
+                _logger,
+                logging.INFO,
+                'target_backs_off',
+                target=target.name,
+                incarnation=target.report.incarnation,
+                retry_after=retry_after,
+            )
+
+    def _take_leaving(
+        self,
+        target: Target,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Mark a target that says that it leaves.
 
         Only the start that this router believes in can be marked so. An
         answer of the start before, held up on its way, or a header that a
--- a/src/balsamreach/targets/registry.py
+++ b/src/balsamreach/targets/registry.py
@@ -38,6 +38,8 @@
         Incarnations that were marked as leaving; a mark is never undone.
     suspended_until : float
         Monotonic seconds until which no request is sent after failures.
+    retry_at : float
+        Monotonic seconds until which the target itself wants no requests.
     failures : int
         Polls in a row that failed also on a new connection.
     warm_from : float
@@ -53,6 +55,7 @@
     report: LoadReport = _NO_REPORT
     left: Set[str] = _NO_STARTS
     suspended_until: float = 0
+    retry_at: float = 0
     failures: int = 0
     warm_from: float = float('-inf')
     warm_time: float = _WARM_TIME
@@ -144,6 +147,7 @@
     def _succeed(self, incarnation: str, now: float) -> None:
         if incarnation:
             self._past = (*self._past, incarnation)[-_PAST_STARTS:]
+            self.retry_at = 0
         # The very first report, soon after this router's own start, says
         # nothing about how long the target has been running.
         held = self.hold is not None and self.hold.state != UNREAD
@@ -267,8 +271,9 @@
         made = Target(row, warm_time=self.warm_time)
         made.take_hold(self._holds.get(row.name, self._unread))
         # A row that is deleted and written again within a minute must not
-        # bring work back to a start that was on its way out.
+        # bring work back to a start that was on its way out, or backs off.
         for old in self._retired:
             if old.row.address == row.address:
                 made.left |= old.left
+                made.retry_at = max(made.retry_at, old.retry_at)
         return made
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -8,6 +8,7 @@
     DEADLINE_UNMEETABLE,
     NO_TARGET,
     QUEUE_FULL,
+    TARGETS_BACK_OFF,
 )
 from balsamreach.routing.slot import Slot
 from tests.routing_node import Node, make_rows
@@ -149,6 +150,32 @@
         self.assertEqual(self.done[0], ('late', DEADLINE_UNMEETABLE))
         self.assertIsInstance(self.done[1][1], Slot)
 
+    async def test_requests_wait_for_a_target_that_backs_off(self):
+        """Requests stayed in the queue of a target that takes none."""
+        slots = await self.fill()
+        await self.queue('team', 3)
+        target = next(iter(self.node.targets.by_name.values()))
+        target.retry_at = self.node.clock.now() + 5
+        self.node.end(slots[0])
+        await _settle()
+        waits = [outcome.retry_after for _team, outcome in self.done]
+        self.assertEqual(waits, [5, 5, 5])
+        self.assertEqual(self.done[0][1], TARGETS_BACK_OFF)
+
+    async def test_return_is_that_of_the_first_target(self):
+        self.node = Node(make_rows(3))
+        now = self.node.clock.now()
+        targets = list(self.node.targets.by_name.values())
+        for target, seconds in zip(targets, (9, 4, 1), strict=True):
+            target.retry_at = now + seconds
+        targets[2].mark_leaving('start')
+        refusal = await self.node.routing.enter(self.node.ask())
+        self.assertEqual(refusal, TARGETS_BACK_OFF)
+        self.assertEqual(refusal.retry_after, 4)
+        self.node.clock.advance(4)
+        slot = await self.node.routing.enter(self.node.ask())
+        self.assertIs(slot.target, targets[1])
+
     async def test_unknown_model_is_refused(self):
         self.node.targets.update(())
         refusal = await self.node.routing.enter(self.node.ask())
--- a/tests/test_targets_announcements.py
+++ b/tests/test_targets_announcements.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+import attrs
 from parameterized import parameterized
 
 from balsamreach.config.reader import read_settings
@@ -57,7 +58,7 @@
         """Let a router take an answer's head and act on it."""
         headers = {'x-leaving': header} if header else {}
         announcements = self.watches[router].announcements
-        announcements.take(self.target(router), headers)
+        announcements.take(self.target(router), 200, headers)
         await settle()
         await self.net.settle()
 
@@ -87,6 +88,28 @@
         await self.watches[0].loads.poll(self.target(0))
         self.assertFalse(self.target(0).leaving)
 
+    async def test_back_off(self):
+        """A rejection's time to come back bound nobody but its caller."""
+        take = self.watches[0].announcements.take
+        for status, seconds in ((200, '9'), (503, '3'), (429, '2')):
+            take(self.target(), status, {'retry-after': seconds})
+        wait = self.target().retry_at - self.clock.now()
+        self.assertEqual(wait, 3)
+        self.assertEqual(self.target(1).retry_at, 0)
+
+    async def test_back_off_of_all_rows_of_a_host(self):
+        """A host got requests through another row while it backed off."""
+        targets = self.watches[0].marks.targets
+        targets.update([_ROW, attrs.evolve(_ROW, name='other')])
+        announcements = self.watches[0].announcements
+        announcements.take(self.target(), 503, {'retry-after': '3'})
+        other = targets.by_name['other']
+        self.assertEqual(other.retry_at, self.target().retry_at)
+        targets.update([_ROW])
+        targets.update([_ROW, attrs.evolve(_ROW, name='again')])
+        again = targets.by_name['again']
+        self.assertEqual(again.retry_at, other.retry_at)
+
     @parameterized.expand(
         [
             ('no header', '', 0),
--- a/tests/test_targets_registry.py
+++ b/tests/test_targets_registry.py
@@ -43,6 +43,16 @@
         self.assertFalse(target.mark_leaving('a'))
         self.assertFalse(target.leaving)
 
+    @parameterized.expand((('first', ''), ('same', 'a'), ('later', 'b')))
+    def test_back_off_of_a_start(self, name, start):
+        """A restarted target was left alone for what it had asked before."""
+        target = Target(_ROW)
+        if start:
+            target.take_report(_report('a', 10), 10)
+        target.retry_at = 99
+        target.take_report(_report(start or 'a', 20), 20)
+        self.assertEqual(target.retry_at, 0 if name == 'later' else 99)
+
     def test_a_mark_is_not_undone_by_a_report_without_it(self):
         """A leaving host gets new work again.
 
