Heed what targets say of themselves in answers to polls and orders

Cause: the client that polls, orders and reads cache events drops the heads of all answers, so X-Leaving and Retry-After there reach nothing; a rejected poll is a bare fault. Change: each head is told, with the address that it came from, to what heeds those of requests. Ruled out: pausing polls while a target backs off. They are one a second from its home router, and show that it has started again. Measured: the two new tests fail without the change (no head is told, and retry_at stays 0); 42 tests of the modules touched pass.

--- a/src/balsamreach/gateway/target_client.py
+++ b/src/balsamreach/gateway/target_client.py
@@ -66,6 +66,7 @@
         asked_at = self._clock.now()
         prepare = self._prepare_fresh if fresh else self._prepare
         body = await self._fetch(
+            address,
             HTTPRequest(
                 target_url(self._routing, address, '/load'),
                 prepare_curl_callback=prepare,
@@ -84,6 +85,7 @@
         """Ask for cache events from a sequence number on."""
         path = f'/cache-events?since={since}'
         body = await self._fetch(
+            address,
             HTTPRequest(
                 target_url(self._routing, address, path),
                 prepare_curl_callback=self._prepare,
@@ -107,6 +109,7 @@
             'model': order.model,
         }
         body = await self._fetch(
+            address,
             HTTPRequest(
                 target_url(self._routing, address, '/orders'),
                 method='POST',
@@ -131,6 +134,7 @@
 
     async def _fetch(
         self,
+        address: str,
         request: HTTPRequest,
     ) -> Mapping[str, Any] | TargetFault:
         try:
@@ -139,6 +143,10 @@
             refused = exc.errno in _NO_CONNECTION
             fault = UNREACHABLE if refused else NO_ANSWER
             return fault.because(str(exc))
+        if self.on_head is not None:
+            named = response.headers.get_all()
+            headers = {name.lower(): text for name, text in named}
+            self.on_head(address, response.code, headers)
         if response.code >= _FIRST_ERROR:
             return REFUSED.because(f'the target answered {response.code}')
         try:
--- a/src/balsamreach/targets/announcements.py
+++ b/src/balsamreach/targets/announcements.py
@@ -58,6 +58,18 @@
             self._back_off(target, retry_after)
         self._take_leaving(target, headers)
 
+    def take_from(
+        self,
+        address: str,
+        status: int,
+        headers: Mapping[str, str],
+    ) -> None:
+        """Take the head of an answer to anything else asked of a target."""
+        # Hosts that say nothing of themselves are not looked for.
+        says = LEAVING_HEADER in headers or read_retry_after(status, headers)
+        for target in self.marks.targets.at_address(address) if says else ():
+            self.take(target, status, headers)
+
     def _back_off(self, target: Target, retry_after: float) -> None:
         now = self.clock.now()
         is_news = target.retry_at <= now
--- a/src/balsamreach/targets/client.py
+++ b/src/balsamreach/targets/client.py
@@ -1,6 +1,7 @@
 """Abstract base of the client that asks targets and orders them."""
 
 import abc
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -59,8 +60,20 @@
     model: str = ''
 
 
+#: Takes the address of a target, and the status and headers of its answer.
+HeadTaker = Callable[[str, int, Mapping[str, str]], None]
+
+
 class TargetClient(abc.ABC):
-    """Speaks to targets by their address."""
+    """Speaks to targets by their address.
+
+    Parameters
+    ----------
+    on_head : callable or None
+        Called with the head of each answer, header names in lower case.
+    """
+
+    on_head: HeadTaker | None = None
 
     @abc.abstractmethod
     async def load(
--- a/src/balsamreach/targets/watch.py
+++ b/src/balsamreach/targets/watch.py
@@ -84,10 +84,12 @@
             sharing=LoadSharing(targets, net, clock, metrics),
         ),
     )
+    announcements = Announcements(marks, loads, clock, metrics)
+    parts.client.on_head = announcements.take_from
     return TargetWatch(
         marks=marks,
         loads=loads,
         cache=CacheFollower(cfg, targets, parts.client, clock, metrics),
         hosts=HostFollower(cfg, parts.hosts, marks, net, clock),
-        announcements=Announcements(marks, loads, clock, metrics),
+        announcements=announcements,
     )
--- a/tests/test_gateway_target_client.py
+++ b/tests/test_gateway_target_client.py
@@ -43,6 +43,21 @@
         self.assertEqual(events.events, (CacheEvent(1, 'x', stored=True),))
         self.assertEqual(events.next_seq, 2)
 
+    async def test_heads_of_all_answers_are_told(self) -> None:
+        """What a target said of itself to a poll or an order was dropped."""
+        heads = []
+        self.client.on_head = lambda *head: heads.append(head)
+        self.engine.cfg.leaving_header = 'first'
+        address = self.running.address
+        await self.client.load(address)
+        await self.client.cache_events(address, 0)
+        await self.client.order(address, Order(LEAVE, 3, 'another start'))
+        told = [(one, headers['x-leaving']) for one, _, headers in heads]
+        self.assertEqual(set(told), {(address, 'first')})
+        statuses = [status for _address, status, _headers in heads]
+        self.assertEqual(statuses[:2], [200, 200])
+        self.assertGreaterEqual(statuses[2], 400)
+
     async def test_silent_and_gone(self) -> None:
         self.engine.set_silent(silent=True)
         address = self.running.address
--- a/tests/test_targets_announcements.py
+++ b/tests/test_targets_announcements.py
@@ -97,6 +97,16 @@
         self.assertEqual(wait, 3)
         self.assertEqual(self.target(1).retry_at, 0)
 
+    async def test_answer_to_a_poll(self):
+        """What a target said of itself to a poll kept nobody away."""
+        take = self.client.on_head
+        take(_ADDRESS, 503, {'retry-after': '3'})
+        take('127.0.0.1:1', 503, {'retry-after': '9'})
+        take(_ADDRESS, 200, {})
+        # The watchers share this client; the last one made has its heads.
+        target = self.target(1)
+        self.assertEqual(target.retry_at - self.clock.now(), 3)
+
     async def test_back_off_of_all_rows_of_a_host(self):
         """A host got requests through another row while it backed off."""
         targets = self.watches[0].marks.targets
