Play seeded runs in which targets leave and reject, and check users' bounds

Both bounds, and that 'not run' is true, are checked at the stand-ins; a router that just started has 2 s to hear from its peers.

--- a/src/balsamreach/standins/listed_target.py
+++ b/src/balsamreach/standins/listed_target.py
@@ -29,6 +29,8 @@
         Identity that its caller gave it.
     at : float
         Monotonic seconds.
+    ran : bool
+        Whether the target ran it.
     retry_after : float
         Seconds that its rejection asked the sender to wait; 0 for none.
     """
@@ -36,6 +38,7 @@
     sender: str
     request_id: str
     at: float
+    ran: bool = True
     retry_after: float = 0
 
 
@@ -97,24 +100,25 @@
         if self.target.full:
             self._reject()
             return
-        self._note()
+        self._note(ran=True)
         self.target.running += 1
         try:
             await self._run()
         finally:
             self.target.running -= 1
 
-    def _note(self, retry_after: float = 0) -> None:
+    def _note(self, *, ran: bool, retry_after: float = 0) -> None:
         arrival = Arrival(
             sender=self.request.headers.get(SENDER, ''),
             request_id=self.request.headers['Attempt-Id'],
             at=self.target.clock.now(),
+            ran=ran,
             retry_after=retry_after,
         )
         self.target.arrivals.append(arrival)
 
     def _reject(self) -> None:
-        self._note(self.target.retry_after)
+        self._note(ran=False, retry_after=self.target.retry_after)
         self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
         self.set_header('Not-Executed', '1')
         if self.target.retry_after:
--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
+from http import HTTPStatus
 
 import attrs
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
@@ -31,6 +32,8 @@
 #: that on, which the users allow a router.
 _MOST_WHILE_BACKING_OFF = 2
 _BACK_OFF_GRACE_S = 0.5
+#: Seconds after its start in which a router hears what the others know.
+_START_S = 2.0
 _ROUTE = {'host': 'host.example', 'max_attempts': 2, 'timeout_ms': 5000}
 _CONFIGURATION = {
     'version': 3,
@@ -96,6 +99,10 @@
         Answers that said that their targets leave.
     statuses : Counter
         What callers got, by service and status.
+    refused : set of str
+        Requests of which callers were told that they did not run.
+    ready_at : dict of str to float
+        Monotonic seconds at which each router began to serve.
     """
 
     seed: int
@@ -106,6 +113,9 @@
     asked_at: dict[str, float] = attrs.field(factory=dict)
     leaving: list[PassedOn] = attrs.field(factory=list)
     statuses: Counter = attrs.field(factory=Counter)
+    refused: set[str] = attrs.field(factory=set)
+    ready_at: dict[str, float] = attrs.field(factory=dict)
+    _live: list[int] = attrs.field(factory=list)
     rng: random.Random = attrs.field(init=False)
     _servers: list[HTTPServer] = attrs.field(factory=list)
     _ids: Iterator[int] = attrs.field(factory=itertools.count)
@@ -177,17 +187,28 @@
             ),
         )
         await router.start()
+        number = len(self.routers)
         self.routers.append(router)
         assert await until(lambda: router.state == 'ready')
-        others = len(self.routers) - 1
         net = router.parts.net
+        others = len(self._live)
         assert await until(lambda: len(net.neighbours()) >= others)
+        self.ready_at[f'router-{number}'] = self.clock.now()
+        self._live.append(number)
         return router
 
+    async def replace_router(self) -> None:
+        """Let a router leave, and start another one in its place."""
+        number = self._live.pop(self.rng.randrange(len(self._live)))
+        leaving = asyncio.ensure_future(self.routers[number].leave())
+        await self.add_router()
+        await leaving
+
     async def stop(self) -> None:
         """Stop everything."""
         self.store.answer()
-        await asyncio.gather(*(router.leave() for router in self.routers))
+        routers = (self.routers[number] for number in self._live)
+        await asyncio.gather(*(router.leave() for router in routers))
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
@@ -206,7 +227,7 @@
         until_at = self.clock.now() + seconds
         sending = []
         while self.clock.now() < until_at:
-            router = self.rng.randrange(len(self.routers))
+            router = self.rng.choice(self._live)
             service = self.rng.choice((LLM, DESK))
             sending.append(asyncio.ensure_future(self.send(router, service)))
             await self.clock.sleep(self.rng.expovariate(rate))
@@ -237,6 +258,8 @@
             raise_error=False,
         )
         self.statuses[service, answer.code] += 1
+        if answer.code == HTTPStatus.SERVICE_UNAVAILABLE:
+            self.refused.add(request_id)
         if answer.headers.get('Server-Leaving'):
             target_id = answer.headers['Response-Stamp']
             now = self.clock.now()
@@ -270,9 +293,25 @@
             f'{target_id}: {arrival.request_id} of {arrival.sender}'
             for target_id, at in first.items()
             for arrival in self.targets[target_id].arrivals
-            if self.asked_at[arrival.request_id] > at + bound
+            if self._is_late(arrival, at + bound)
         ]
 
+    def untrue_refusals(self) -> list[str]:
+        """Return requests that ran though their callers were told not."""
+        ran = {
+            arrival.request_id
+            for target in self.targets.values()
+            for arrival in target.arrivals
+            if arrival.ran
+        }
+        return sorted(ran & self.refused)
+
+    def _is_late(self, arrival: Arrival, ends: float) -> bool:
+        # A router that has just started may hear it from its peers last.
+        ready_at = self.ready_at[arrival.sender]
+        asked_at = self.asked_at[arrival.request_id]
+        return asked_at > max(ends, ready_at + _START_S)
+
     def _serve(self, app: Application) -> str:
         listener, port = bind_unused_port()
         server = HTTPServer(app)
--- a/tests/test_platform_notices.py
+++ b/tests/test_platform_notices.py
@@ -1,8 +1,12 @@
 """Tests of routers whose targets say in answers what routers must heed."""
 
+from http import HTTPStatus
+
+from parameterized import parameterized
 from tornado.testing import AsyncTestCase, gen_test
 
 from tests.listed_fleet import DESK, LLM, ListedFleet
+from tests.notices_run import NoticesRun
 
 _SEED = 7
 _RATE = 120
@@ -54,3 +58,20 @@
         self.assertEqual(self.fleet.leaving_breaches(_DRAIN_S), [])
         self.assertEqual(self.fleet.statuses.keys(), {(LLM, 200), (DESK, 200)})
         await self.fleet.stop()
+
+
+class SeededRunTest(AsyncTestCase):
+    """Targets leave and reject, routers restart, the store falls silent."""
+
+    @parameterized.expand(((1,), (2,), (3,)))
+    @gen_test(timeout=120)
+    async def test_bounds_hold(self, seed):
+        run = NoticesRun(seed)
+        breaches = await run.run()
+        self.assertEqual(breaches, [], run.events)
+        served = sum(
+            count
+            for (_service, code), count in run.fleet.statuses.items()
+            if code == HTTPStatus.OK
+        )
+        self.assertGreater(served, 0)
