Read header lines of one name as one list

Cause: of several lines with one name the last one stood for all, so a target that asks for 7 and 3 s got requests after 3, and callers lost the others. Change: such lines are joined, but for those that hold no list.

--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -12,6 +12,7 @@
 _HEAD_LIMIT = 64 * 1024
 _REFUSED = 0
 _FINAL = 200
+_NO_LISTS = frozenset(('content-length', 'set-cookie'))
 
 
 @attrs.define(eq=False)
@@ -85,11 +86,18 @@
             self._headers = {}
         elif line:
             name, _colon, text = line.partition(':')
-            self._headers[name.strip().lower()] = text.strip()
+            self._add_header(name.strip().lower(), text.strip())
         elif self._status >= _FINAL:
             self.started = True
             self.intake.start(self._status, self._headers)
 
+    def _add_header(self, name: str, text: str) -> None:
+        known = self._headers.get(name, text)
+        # Lines of one name are one list, but for those that hold no list.
+        if known != text and name not in _NO_LISTS:
+            text = f'{known}, {text}'
+        self._headers[name] = text
+
 
 def _status_of(line: str) -> int:
     code = line.split(' ')[1]
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -263,6 +263,17 @@
         self.assertIsNone(end)
         self.assertEqual(bytes(second.held), b'two')
 
+    @gen_test
+    async def test_time_to_come_back_that_is_given_twice(self):
+        """A target got requests before the longer of two times was over."""
+        self.serve(
+            b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nNot-Executed: 1\r\n'
+            b'Retry-After: 7\r\nRetry-After: 3\r\nRetry-After: 3\r\n\r\n',
+        )
+        end, intake = await self.send()
+        self.assertIsNone(end)
+        self.assertEqual(intake.head.notice.retry_after, 7)
+
     @gen_test
     async def test_an_answer_cut_short(self):
         self.serve(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx', close=True)
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -327,6 +327,17 @@
         wait = float(outlet.headers['retry-after'])
         self.assertTrue(2 <= wait <= 3, wait)
 
+    def test_return_is_that_of_a_target_that_stays(self):
+        """Callers came back to targets of which the last one had left."""
+        call = relay_samples.call(PLAIN, seconds=60)
+        leaves = answer(503, not_executed='1', retry_after='3')
+        self.world.run(call, leaves, _LONG_BACK_OFF)
+        places = self.world.chooser.places
+        places.put(attrs.evolve(self.first_target(), leaving=True))
+        outlet = self.world.run(call)
+        wait = float(outlet.headers['retry-after'])
+        self.assertTrue(9 <= wait <= 10, wait)
+
     @parameterized.expand(
         (
             ('another_target', answer(421, retry_after='3')),
