--- a/src/balsamreach/catalogue/exchange.py
+++ b/src/balsamreach/catalogue/exchange.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from balsamreach.catalogue import told
+from balsamreach.catalogue import serialization
 from balsamreach.catalogue.known import Known
 from balsamreach.clock import Clock
 from balsamreach.peers.base import FETCH_GAPS, PeerNet
@@ -51,15 +51,15 @@
 
     def tell_target(self, entry: TargetEntry) -> None:
         """Tell all peers of a target that is new or leaves."""
-        self._tell(told.target_row(entry))
+        self._tell(serialization.target_row(entry))
 
     def tell_gone(self, target_id: str, version: int) -> None:
         """Tell all peers of a target that a change of the list took away."""
-        self._tell(told.gone_row(target_id, version))
+        self._tell(serialization.gone_row(target_id, version))
 
     def tell_evacuation(self, order: Evacuation) -> None:
         """Tell all peers of an evacuation, or of the end of one."""
-        self._tell(told.order_row(order))
+        self._tell(serialization.order_row(order))
 
     def catch_up(self) -> None:
         """Tell new neighbours of the targets that leave.
--- a/src/balsamreach/catalogue/known.py
+++ b/src/balsamreach/catalogue/known.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamreach.catalogue import told
+from balsamreach.catalogue import serialization
 from balsamreach.catalogue.catalogue import Catalogue
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.placement.evacuations import Evacuations
@@ -56,8 +56,8 @@
 
     def rows(self, since: int) -> tuple[TableRow, ...]:
         """Return all that is known; the configuration if it is newer."""
-        rows = [told.target_row(place.entry) for place in self.places]
-        rows.extend(map(told.order_row, self.evacuations))
+        rows = [serialization.target_row(place.entry) for place in self.places]
+        rows.extend(map(serialization.order_row, self.evacuations))
         catalogue = self.view.current
         if catalogue is not None and catalogue.version > since:
             rows.append(self._pack(catalogue))
@@ -68,14 +68,14 @@
         source: str,
         rows: Iterable[TableRow],
     ) -> tuple[TableRow, ...]:
-        """Bring in what another router told.
+        """Take in the rows of another router.
 
         Parameters
         ----------
         source : str
             Its incarnation, for the log.
         rows : iterable of TableRow
-            What it told.
+            What it sent.
 
         Returns
         -------
@@ -84,35 +84,37 @@
         """
         news = []
         for row in rows:
-            if row.key == told.CONFIGURATION:
+            if row.key == serialization.CONFIGURATION:
                 self._take_configuration(source, row)
-            elif row.key.startswith(told.TARGET):
+            elif row.key.startswith(serialization.TARGET):
                 news.extend(self._take_target(source, row))
-            elif row.key.startswith(told.EVACUATION):
+            elif row.key.startswith(serialization.EVACUATION):
                 news.extend(self._take_order(source, row))
         return tuple(news)
 
     def leaving_rows(self) -> tuple[TableRow, ...]:
         """Return the rows of all targets that leave."""
         entries = (place.entry for place in self.places)
-        return tuple(map(told.target_row, filter(_is_leaving, entries)))
+        return tuple(
+            map(serialization.target_row, filter(_is_leaving, entries))
+        )
 
     def _pack(self, catalogue: Catalogue) -> TableRow:
         # Peers that were cut off ask all at once, and each packing of a large
         # configuration holds up requests for milliseconds.
         if self._packed is None or self._packed.version != catalogue.version:
-            self._packed = told.configuration_row(catalogue)
+            self._packed = serialization.configuration_row(catalogue)
         return self._packed
 
     def _take_configuration(self, source: str, row: TableRow) -> None:
         if row.version <= self.view.version:
             return
-        catalogue = self.decode(told.read_document(row))
+        catalogue = self.decode(serialization.read_document(row))
         if catalogue is not None and self.view.offer(catalogue, source):
             self.metrics.count(LEARNT, what='configuration')
 
     def _take_order(self, source: str, row: TableRow) -> list[TableRow]:
-        order = told.read_order(row)
+        order = serialization.read_order(row)
         if not self.evacuations.put(order, source):
             return []
         self.metrics.count(LEARNT, what='evacuation')
@@ -120,10 +122,10 @@
 
     def _take_target(self, source: str, row: TableRow) -> list[TableRow]:
         if not row.body:
-            target_id = row.key.removeprefix(told.TARGET)
+            target_id = row.key.removeprefix(serialization.TARGET)
             self.places.remove(target_id, row.version)
             return []
-        entry = told.read_target_row(row)
+        entry = serialization.read_target_row(row)
         if entry is None or not self.places.put(entry):
             return []
         self.metrics.count(LEARNT, what='target')
--- a/src/balsamreach/catalogue/told.py
+++ b/src/balsamreach/catalogue/serialization.py
@@ -1,4 +1,4 @@
-"""How routers write down for each other what the store says."""
+"""Serialization of catalogue entries for messages between routers."""
 
 import json
 import zlib
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -98,17 +98,17 @@
             'all targets asked for no requests',
         )
 
-    def visit(self, call: RelayCall, place: Place) -> 'Visit':
+    def begin(self, call: RelayCall, place: Place) -> 'InFlight':
         """Take note that a request is being sent."""
         place.breaker.begin()
         self.warming.sent(place)
         if call.prompt is None:
-            return Visit(place)
+            return InFlight(place)
         capacity = self._engine(call).cache_tokens
         self.engines.note(call.prompt, place, capacity)
-        visit = Visit(place, call.prompt.tokens)
-        self.on_sent(visit.unread)
-        return visit
+        in_flight = InFlight(place, call.prompt.tokens)
+        self.on_sent(in_flight.unread)
+        return in_flight
 
     def succeeded(self, place: Place) -> None:
         """Take note of a good end."""
@@ -131,9 +131,9 @@
         """Take note that a target is no more."""
         self.places.drop(place)
 
-    def shed(self, place: Place) -> None:
+    def rejected(self, place: Place) -> None:
         """Take note that a target had no room."""
-        place.breaker.let_go()
+        place.breaker.release_probe()
 
     def tokens_per_event(self, call: RelayCall) -> int:
         """Return the most tokens that an event of the answer holds."""
@@ -171,7 +171,7 @@
 
 
 @attrs.define(eq=False)
-class Visit:
+class InFlight:
     """One request at one target, counted there until it ends.
 
     Parameters
@@ -190,14 +190,14 @@
         self.place.running += 1
         self.place.unread += self.unread
 
-    def heard(self) -> None:
+    def head_received(self) -> None:
         """Take note that the target has read the prompt, or never will."""
         self.place.unread -= self.unread
         self.unread = 0
 
     def end(self) -> None:
         """Count the request out."""
-        self.heard()
+        self.head_received()
         self.place.running -= 1
 
 
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -11,7 +11,7 @@
 from balsamreach.placement.places import Place
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
-from balsamreach.relay.chooser import Chooser, Visit
+from balsamreach.relay.chooser import Chooser, InFlight
 from balsamreach.relay.codec import Codec
 from balsamreach.relay.events import EventCutter
 from balsamreach.relay.exchange import Exchange, Outgoing
@@ -121,30 +121,30 @@
     async def _try(self, place: Place) -> RelayFault | None:
         self._tried.add(place.incarnation)
         intake = self._intake()
-        visit = self.parts.chooser.visit(self.call, place)
+        in_flight = self.parts.chooser.begin(self.call, place)
         self.parts.link.carry(self.call.size)
-        intake.on_head = partial(self._take_head, place, visit, intake)
+        intake.on_head = partial(self._take_head, place, in_flight, intake)
         try:
             end = await self.parts.exchange.send(self._outgoing(place), intake)
         except asyncio.CancelledError:
             # Nobody judges this attempt; a probe would keep its target
             # closed for good.
-            place.breaker.let_go()
+            place.breaker.release_probe()
             self.told.append(f'{place.incarnation} cancelled')
             raise
         finally:
             intake.close()
-            self._leave(visit, intake)
+            self._leave(in_flight, intake)
         return self._conclude(place, intake, end)
 
     def _take_head(
         self,
         place: Place,
-        visit: Visit,
+        in_flight: InFlight,
         intake: AnswerIntake,
         *_head: object,
     ) -> None:
-        visit.heard()
+        in_flight.head_received()
         # Another target's answer says nothing of the one that was meant.
         if not (intake.foreign or intake.misdirected):
             self.parts.notices.take(place, intake.head.notice)
@@ -163,8 +163,8 @@
         self.told.append(f'{place.incarnation} {told}')
         return fault
 
-    def _leave(self, visit: Visit, intake: AnswerIntake) -> None:
-        visit.end()
+    def _leave(self, in_flight: InFlight, intake: AnswerIntake) -> None:
+        in_flight.end()
         if not intake.sent:
             return
         # Where another target has the address, nobody meant got the request;
--- a/src/balsamreach/relay/verdicts.py
+++ b/src/balsamreach/relay/verdicts.py
@@ -78,7 +78,7 @@
             reason = 'another target has its address'
             return Verdict(faults.MISDIRECTED.because(reason))
         if head.not_run:
-            self.chooser.shed(place)
+            self.chooser.rejected(place)
             reason = f'the target declined with {head.status}'
             return Verdict(faults.TARGETS_FULL.because(reason))
         if head.status >= _SERVER_ERROR:
--- a/src/balsamreach/routing/breaker.py
+++ b/src/balsamreach/routing/breaker.py
@@ -80,6 +80,6 @@
         self._probing = False
         return True
 
-    def let_go(self) -> None:
+    def release_probe(self) -> None:
         """Take note of a request that ended without telling anything."""
         self._probing = False
--- a/src/balsamreach/routing/feedback.py
+++ b/src/balsamreach/routing/feedback.py
@@ -60,7 +60,7 @@
     def ended(self, slot: Slot) -> None:
         """Take note of how an exchange ended."""
         if slot.verdict == Verdict.UNUSED:
-            slot.state.breaker.let_go()
+            slot.state.breaker.release_probe()
             return
         self.metrics.count(_VERDICTS, verdict=slot.verdict.value)
         self._tell_quarantine(slot)
@@ -96,7 +96,7 @@
         if slot.verdict in {Verdict.GOOD, Verdict.DECLINED}:
             breaker.succeed()
         elif slot.verdict not in _FAILURES:
-            breaker.let_go()
+            breaker.release_probe()
         elif breaker.fail(
             self.clock.now(),
             self.rng,
--- a/tests/test_catalogue_exchange.py
+++ b/tests/test_catalogue_exchange.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from balsamreach.catalogue import told
+from balsamreach.catalogue import serialization
 from balsamreach.catalogue.exchange import CatalogueExchange
 from balsamreach.catalogue.known import Known
 from balsamreach.catalogue.view import CatalogueView
@@ -305,7 +305,7 @@
     async def answer_late(self, _member, message):
         self.asked.append(message)
         await self.rig.clock.sleep(_LATE_GAPS * self.two.cfg.peers.gap_timeout)
-        return TableRows(0, 6, (told.configuration_row(_version(6)),))
+        return TableRows(0, 6, (serialization.configuration_row(_version(6)),))
 
     async def test_a_configuration_that_is_long_on_its_way(self):
         """Guards against asking anew for what is on its way already."""
