Bound requests at targets by what made them back off

Cause: each rejection that names a time takes a target from a router for all of it; its requests pile up at the other targets, which reject next. Change: with such a rejection a router bounds its requests in progress at that start; the bound rises fast with requests that are accepted, then slowly. Nothing changes before a first rejection that names a time. Ruled out: holding requests until a target returns, and telling other routers.

--- a/src/balsamreach/placement/notices.py
+++ b/src/balsamreach/placement/notices.py
@@ -7,6 +7,8 @@
 
 from balsamreach.clock import Clock
 from balsamreach.placement.places import Place, Places, TargetEntry
+from balsamreach.placement.standings import Window
+from balsamreach.placement.windows import narrow, widen
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
@@ -69,6 +71,18 @@
         if leaves or backs_off:
             self._log(place, notice)
 
+    def accepted(self, place: Place) -> None:
+        """Take note that a target has begun to answer a request."""
+        standings = self.places.standings
+        known = standings.find(place.incarnation)
+        if known.window is None:
+            return
+        window: Window | None = widen(known.window, self.clock.now())
+        if window.limit > place.entry.slots:
+            window = None
+        standing = attrs.evolve(known, window=window)
+        standings.put(place.incarnation, standing)
+
     def _mark_leaving(self, place: Place) -> bool:
         entry = attrs.evolve(place.entry, leaving=True)
         if not self.places.put(entry):
@@ -79,10 +93,14 @@
     def _back_off(self, place: Place, notice: TargetNotice) -> bool:
         now = self.clock.now()
         known = self.places.standings.find(place.incarnation)
+        is_news = known.retry_at <= now
         until = max(known.retry_at, now + notice.retry_after)
         standing = attrs.evolve(known, retry_at=until)
+        if is_news:
+            window = narrow(place, known.window, notice.retry_after, now)
+            standing = attrs.evolve(standing, window=window)
         self.places.standings.put(place.incarnation, standing)
-        return known.retry_at <= now
+        return is_news
 
     def _log(self, place: Place, notice: TargetNotice) -> None:
         log_event(
--- a/src/balsamreach/placement/places.py
+++ b/src/balsamreach/placement/places.py
@@ -72,6 +72,8 @@
         Its newest entry in the list.
     running : int
         Requests of this router that are there.
+    most_running : int
+        The most of them at once since it last backed off.
     unread : int
         Prompt tokens of this router's requests there whose first event has
         not come.
@@ -94,6 +96,7 @@
 
     entry: TargetEntry
     running: int = 0
+    most_running: int = 0
     unread: int = 0
     others_running: int = 0
     others_unread: int = 0
--- a/src/balsamreach/placement/standings.py
+++ b/src/balsamreach/placement/standings.py
@@ -7,6 +7,28 @@
 _MOST_KEPT = 2000
 
 
+@attrs.frozen(kw_only=True)
+class Window:
+    """How many requests a target bears of this router.
+
+    Parameters
+    ----------
+    limit : float
+        Requests in progress at once.
+    fast_until : float
+        Limit up to which it rises with each request accepted.
+    step : float
+        Seconds in which it rises by one beyond that.
+    opened_at : float
+        Monotonic seconds of the last rise.
+    """
+
+    limit: float
+    fast_until: float
+    step: float
+    opened_at: float
+
+
 @attrs.frozen
 class Standing:
     """What one start of a target has said of itself.
@@ -17,10 +39,27 @@
         Whether it will leave.
     retry_at : float
         Monotonic seconds up to which it wants no requests.
+    window : Window or None
+        What it bears, where it has rejected requests of late.
     """
 
     leaving: bool = False
     retry_at: float = float('-inf')
+    window: Window | None = None
+
+    def allows(self, running: int, now: float) -> bool:
+        """Return whether one more request may be sent.
+
+        Parameters
+        ----------
+        running : int
+            Requests of this router in progress there.
+        now : float
+            Monotonic seconds.
+        """
+        if self.retry_at > now:
+            return False
+        return self.window is None or running < self.window.limit
 
 
 _NOTHING_SAID = Standing()
@@ -44,10 +83,6 @@
         """Return what a start has said."""
         return self._by_start.get(incarnation, _NOTHING_SAID)
 
-    def retry_at(self, incarnation: str) -> float:
-        """Return monotonic seconds up to which a start wants no requests."""
-        return self.find(incarnation).retry_at
-
     def leaves(self, incarnation: str) -> None:
         """Note that a start will leave."""
         known = self.find(incarnation)
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -84,19 +84,21 @@
         """Return why no target may be sent a request now, None if one may."""
         if self.has_target(call, _NONE_TRIED):
             return None
-        now = self.clock.now()
-        retry_at = self.places.standings.retry_at
-        returns = [
-            retry_at(place.incarnation)
+        find = self.places.standings.find
+        standings = [
+            find(place.incarnation)
             for place in self.places.of(call.service)
-            if self._takes_work(place) and retry_at(place.incarnation) > now
+            if self._takes_work(place)
         ]
-        if not returns:
-            return faults.NO_TARGET.because('no target takes requests')
-        return faults.TARGETS_BACK_OFF.after(
-            min(returns) - now,
-            'all targets asked for no requests',
-        )
+        wait = min((one.retry_at for one in standings), default=0)
+        wait -= self.clock.now()
+        if wait > 0:
+            reason = 'all targets asked for no requests'
+            return faults.TARGETS_BACK_OFF.after(wait, reason)
+        if any(one.window for one in standings):
+            reason = 'the targets have as many requests as they bore'
+            return faults.TARGETS_FULL.because(reason)
+        return faults.NO_TARGET.because('no target takes requests')
 
     def begin(self, call: RelayCall, place: Place) -> 'InFlight':
         """Take note that a request is being sent."""
@@ -145,11 +147,11 @@
         tried: Set[str],
     ) -> Iterator[Place]:
         service = self._service(call)
-        retry_at = self.places.standings.retry_at
+        find = self.places.standings.find
         now = self.clock.now()
         for place in self.places.of(call.service):
             start = place.incarnation
-            if start in tried or retry_at(start) > now:
+            if start in tried or not find(start).allows(place.running, now):
                 continue
             if self._takes_work(place) and self.warming.allows(place, service):
                 yield place
@@ -187,7 +189,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Count the request in."""
-        self.place.running += 1
+        place = self.place
+        place.running += 1
+        place.most_running = max(place.most_running, place.running)
         self.place.unread += self.unread
 
     def head_received(self) -> None:
--- a/src/balsamreach/relay/tries.py
+++ b/src/balsamreach/relay/tries.py
@@ -146,8 +146,11 @@
     ) -> None:
         in_flight.head_received()
         # Another target's answer says nothing of the one that was meant.
-        if not (intake.foreign or intake.misdirected):
-            self.parts.notices.take(place, intake.head.notice)
+        if intake.foreign or intake.misdirected:
+            return
+        self.parts.notices.take(place, intake.head.notice)
+        if not intake.declined:
+            self.parts.notices.accepted(place)
 
     def _conclude(
         self,
