Refuse where a zone's targets leave and all others back off

Cause: 'all members leave' and 'a member takes requests' were told alike by a wait of 0, so a zone whose targets leave counted as one that serves. Change: a group tells when its first member takes requests, or that none stays.

--- a/src/balsamreach/routing/pools.py
+++ b/src/balsamreach/routing/pools.py
@@ -103,20 +103,28 @@
         """Return whether no member is known to work."""
         return all(state.breaker.open for state in self.members)
 
-    def back_off(self, now: float) -> float:
-        """Return for how many seconds no member takes requests by its word.
-
-        0 where one of them has not asked for none, or all leave.
+    def retry_at(self, now: float) -> float | None:
+        """Return when the first member takes requests by its own word.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds; what lies before it is returned as it is found.
+
+        Returns
+        -------
+        float or None
+            Monotonic seconds; None where all members leave.
         """
-        waits = []
+        first = None
         for state in self.members:
             target = state.target
             if target.leaving:
                 continue
             if target.retry_at <= now:
-                return 0
-            waits.append(target.retry_at - now)
-        return min(waits, default=0)
+                return target.retry_at
+            first = min(target.retry_at, first or target.retry_at)
+        return first
 
     def load(self, index: int, now: float) -> float:
         """Return a member's likely load in relation to its weight."""
@@ -165,13 +173,14 @@
 
     def refuse(self, now: float) -> RoutingFault | None:
         """Return a refusal if all targets back off, by when the first ends."""
-        if self.near is not None and not self.near.back_off(now):
+        near = None if self.near is None else self.near.retry_at(now)
+        if near is not None and near <= now:
             return None
-        wait = self.everyone.back_off(now)
-        if not wait:
+        first = self.everyone.retry_at(now)
+        if first is None or first <= now:
             return None
         return faults.TARGETS_BACK_OFF.after(
-            wait,
+            first - now,
             'all targets asked for no requests',
         )
 
--- a/tests/test_routing_admission.py
+++ b/tests/test_routing_admission.py
@@ -176,6 +176,20 @@
         slot = await self.node.routing.enter(self.node.ask())
         self.assertIs(slot.target, targets[1])
 
+    async def test_own_zone_leaves_and_the_other_backs_off(self):
+        """A request was queued though no target of any zone takes it."""
+        away = make_rows(2, zone='zone-b')
+        self.node = Node([*make_rows(2), *away])
+        now = self.node.clock.now()
+        for target in self.node.targets.by_name.values():
+            if target.row.zone == 'zone-a':
+                target.mark_leaving('start')
+            else:
+                target.retry_at = now + 4
+        refusal = await self.node.routing.enter(self.node.ask())
+        self.assertEqual(refusal, TARGETS_BACK_OFF)
+        self.assertEqual(refusal.retry_after, 4)
+
     async def test_unknown_model_is_refused(self):
         self.node.targets.update(())
         refusal = await self.node.routing.enter(self.node.ask())
