Let the routers of the tests take free ports for their peers

Cause: the fleet of the tests of notices looked for a free port, gave it back and had a router bind it again; another module's test may take it in between. Change: port 0, and the routers that stand already as seeds.

--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -167,8 +167,8 @@
 
     async def add_router(self) -> RelayRouter:
         """Start a router and wait until it serves and knows the others."""
-        listener, port = bind_unused_port()
-        listener.close()
+        known = [self.routers[number].parts.net for number in self._live]
+        seeds = ', '.join(net.me.address for net in known)
         router = make_router(
             read_settings(
                 None,
@@ -178,7 +178,8 @@
                     f'platform.table={self._store_url}',
                     'peers.fleet=platform',
                     'peers.address=127.0.0.1',
-                    f'peers.port={port}',
+                    'peers.port=0',
+                    f'peers.seeds={seeds}',
                     'callers.address=127.0.0.1',
                     'callers.port=0',
                     'probes.address=127.0.0.1',
