Let the caller forget the most requests at a target, and say one thing a line

Found by reading the whole change again. Cause: narrow() returned a window and, unsaid, changed the place that it was given; the loop that tells new neighbours chose what it runs over by two conditions within its head. Change: who takes the window resets the count; the loop's conditions stand before it. Behaviour is as before, tests are untouched. Ruled out: one reader for both paths' back-offs. They keep them for different things, a start and a row's target, and share what reads the header.

--- a/src/balsamreach/catalogue/exchange.py
+++ b/src/balsamreach/catalogue/exchange.py
@@ -71,8 +71,12 @@
         now = frozenset(member.incarnation for member in members)
         new = now - self._neighbours
         self._neighbours = now
-        rows = self.known.leaving_rows() if new else ()
-        for incarnation in new if rows else ():
+        if not new:
+            return
+        rows = self.known.leaving_rows()
+        if not rows:
+            return
+        for incarnation in new:
             self.net.tell(incarnation, TableRows(0, 0, rows))
 
     def _tell(self, row: TableRow, besides: str = '') -> None:
--- a/src/balsamreach/placement/notices.py
+++ b/src/balsamreach/placement/notices.py
@@ -98,6 +98,7 @@
         standing = attrs.evolve(known, retry_at=until)
         if is_news:
             window = narrow(place, known.window, notice.retry_after, now)
+            place.most_running = 0
             standing = attrs.evolve(standing, window=window)
         self.places.standings.put(place.incarnation, standing)
         return is_news
--- a/src/balsamreach/placement/windows.py
+++ b/src/balsamreach/placement/windows.py
@@ -48,7 +48,6 @@
     if not others and before is not None:
         # A rejection without any load says nothing of how much is borne.
         fast_until = before.fast_until
-    place.most_running = 0
     return Window(
         limit=limit,
         fast_until=max(limit, fast_until),
