--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -14,6 +14,7 @@
 )
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.loans import Loans
+from balsamreach.budget.refusal_log import RefusalLog
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.waiters import Waiter
 from balsamreach.config.settings import BudgetSettings
@@ -81,6 +82,11 @@
     account_drawer: AccountDrawer
     _refusals: dict[str, _Refusal] = attrs.field(factory=dict)
     _workers: dict[str, asyncio.Task] = attrs.field(factory=dict)
+    _refusal_log: RefusalLog = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the log of refusals."""
+        self._refusal_log = RefusalLog(self.book.clock)
 
     async def obtain(
         self,
@@ -126,7 +132,7 @@
     ) -> Reservation | BudgetFault:
         if waiter in ledger.queue:
             fault = NO_ALLOTMENT.because('the draw takes too long')
-            ledger.queue.resolve(waiter, fault)
+            self._resolve_refused(ledger, waiter, fault)
         return waiter.outcome.result()
 
     def _current_refusal(
@@ -200,7 +206,21 @@
             tried.fault,
         )
         for waiter in waiters:
-            ledger.queue.resolve(waiter, tried.fault)
+            self._resolve_refused(ledger, waiter, tried.fault)
+
+    def _resolve_refused(
+        self,
+        ledger: Ledger,
+        waiter: Waiter,
+        fault: BudgetFault,
+    ) -> None:
+        self._refusal_log.record(
+            ledger,
+            waiter.tokens,
+            fault,
+            is_backing_off=self.account_drawer.is_backing_off(),
+        )
+        ledger.queue.resolve(waiter, fault)
 
     async def _try_once(self, ledger: Ledger) -> _TryResult:
         fault = await self.account_drawer.draw(ledger)
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -27,6 +27,7 @@
 #: Maximum number of attempts for one request. Attempts without a connection
 #: reached no target and don't count against the route's own limit.
 _MAX_TRIES = 4
+_MS = 1000
 
 
 @attrs.frozen(kw_only=True)
@@ -68,12 +69,16 @@
         Response to the caller.
     reservation : Reservation
         Tokens that the request has reserved and used.
+    reserved_at : float or None
+        Monotonic seconds at which the tokens were reserved, or refused.
     may_have_run : bool
         Whether a target may have run the request.
     events : int
         Events that were sent to the caller.
     outcomes : list of str
         Target and outcome of each attempt, for the log.
+    durations_ms : list of int
+        Milliseconds that each attempt took, in the order of ``outcomes``.
     timing : EventTiming
         Arrival times of the events.
     """
@@ -82,9 +87,11 @@
     call: RelayCall
     caller_response: CallerResponse
     reservation: Reservation = attrs.field(factory=Reservation)
+    reserved_at: float | None = None
     may_have_run: bool = False
     events: int = 0
     outcomes: list[str] = attrs.field(factory=list)
+    durations_ms: list[int] = attrs.field(factory=list)
     timing: EventTiming = attrs.field(init=False)
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _tried: set[str] = attrs.field(factory=set)
@@ -124,6 +131,7 @@
         in_flight = self.parts.chooser.begin(self.call, place)
         self.parts.link.add(self.call.size)
         intake.on_head = partial(self._on_head, place, in_flight, intake)
+        sent_at = self.parts.clock.now()
         try:
             end = await self.parts.exchange.send(
                 self._make_outgoing(place), intake
@@ -135,8 +143,7 @@
             self.outcomes.append(f'{place.incarnation} cancelled')
             raise
         finally:
-            intake.close()
-            self._end_exchange(in_flight, intake)
+            self._end_exchange(in_flight, intake, sent_at)
         return self._finish_attempt(place, intake, end)
 
     def _on_head(
@@ -168,8 +175,13 @@
         self.outcomes.append(f'{place.incarnation} {outcome}')
         return fault
 
-    def _end_exchange(self, in_flight: InFlight, intake: AnswerIntake) -> None:
+    def _end_exchange(
+        self, in_flight: InFlight, intake: AnswerIntake, sent_at: float
+    ) -> None:
+        intake.close()
         in_flight.end()
+        duration = self.parts.clock.now() - sent_at
+        self.durations_ms.append(round(duration * _MS))
         if not intake.sent:
             return
         # If another target has the address, the request didn't reach the
--- a/src/balsamreach/relay/request_log.py
+++ b/src/balsamreach/relay/request_log.py
@@ -74,7 +74,9 @@
             configuration=call.catalogue_version,
             took_ms=round(duration * _MS),
             left_ms=round((call.deadline - self.clock.now()) * _MS),
+            reserved_ms=self._reserved_ms(attempts, started),
             targets=attempts.outcomes,
+            attempts_ms=attempts.durations_ms,
             events=attempts.events,
             ran=attempts.may_have_run,
             reserved=attempts.reservation.tokens,
@@ -83,3 +85,11 @@
             longest_gap_ms=attempts.timing.longest_gap_ms,
             input_tokens=call.prompt and call.prompt.tokens,
         )
+
+    def _reserved_ms(
+        self, attempts: 'RelayAttempts', started: float
+    ) -> int | None:
+        reserved_at = attempts.reserved_at
+        if reserved_at is None:
+            return None
+        return round((reserved_at - started) * _MS)
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -88,6 +88,7 @@
 
     async def _run_charged(self, attempts: RelayAttempts) -> RelayFault | None:
         reservation = await self.parts.spending.reserve(self.call)
+        attempts.reserved_at = self.parts.clock.now()
         if isinstance(reservation, RelayFault):
             return reservation
         attempts.reservation = reservation
