Add messages on target speeds, target failures and heavy teams

Cause: the parts that are built side by side each need a message between routers, and the ordinals of the schema must be consecutive.

Change: TargetRates, TargetFailures and HeavyTeams, without senders yet.

--- a/src/balsamreach/wire/kinds.py
+++ b/src/balsamreach/wire/kinds.py
@@ -3,7 +3,14 @@
 from balsamreach.wire.answers import AnswerAsk, AnswerPart
 from balsamreach.wire.base import Message
 from balsamreach.wire.bills import BillCopies, BillCopy
-from balsamreach.wire.loads import LoadWords, TargetLoad, TargetLoads
+from balsamreach.wire.loads import (
+    HeavyTeams,
+    LoadWords,
+    TargetFailures,
+    TargetLoad,
+    TargetLoads,
+    TargetRates,
+)
 from balsamreach.wire.loans import (
     LenderAsk,
     LenderGone,
@@ -84,4 +91,7 @@
     TokensAsk,
     TokensGrant,
     TokensUsed,
+    HeavyTeams,
+    TargetFailures,
+    TargetRates,
 )
--- a/src/balsamreach/wire/loads.py
+++ b/src/balsamreach/wire/loads.py
@@ -58,3 +58,65 @@
     targets: tuple[str, ...] = ()
     running: tuple[int, ...] = ()
     unread: tuple[int, ...] = ()
+
+
+@attrs.frozen(repr=False)
+class TargetRates(Message):
+    """Reading speeds of engines, measured from their responses.
+
+    Parameters
+    ----------
+    scope : str
+        Whose measurements they are: the sender's since its last message, its
+        zone's, or the fleet's estimate.
+    targets : tuple of str
+        Incarnations of the targets.
+    tokens_per_second : tuple of int
+        Prompt tokens that each target processes in a second.
+    weights : tuple of int
+        Prompt tokens that each measurement is based on.
+    """
+
+    scope: str
+    targets: tuple[str, ...] = ()
+    tokens_per_second: tuple[int, ...] = ()
+    weights: tuple[int, ...] = ()
+
+
+@attrs.frozen(repr=False)
+class TargetFailures(Message):
+    """Failures and recoveries of targets that a router has seen.
+
+    Parameters
+    ----------
+    scope : str
+        Whose observations they are: those of the sender, or of its zone.
+    targets : tuple of str
+        Incarnations of the targets.
+    outcomes : tuple of str
+        What was seen of each: ``refused``, ``timed_out``, ``silent`` or
+        ``recovered``.
+    """
+
+    scope: str
+    targets: tuple[str, ...] = ()
+    outcomes: tuple[str, ...] = ()
+
+
+@attrs.frozen(repr=False)
+class HeavyTeams(Message):
+    """Teams whose requests take much of the sender's link.
+
+    Parameters
+    ----------
+    teams : tuple of str
+        The teams.
+    bytes_per_second : tuple of int
+        Bytes of each team's requests and responses that cross the link.
+    out_of_rotation : bool
+        Whether the sender is out of the load balancer's rotation.
+    """
+
+    teams: tuple[str, ...] = ()
+    bytes_per_second: tuple[int, ...] = ()
+    out_of_rotation: bool = False
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -53,6 +53,9 @@
     tokensAsk @43 :TokensAsk;
     tokensGrant @44 :TokensGrant;
     tokensUsed @45 :TokensUsed;
+    heavyTeams @46 :HeavyTeams;
+    targetFailures @47 :TargetFailures;
+    targetRates @48 :TargetRates;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that a question belongs to; empty for
@@ -326,3 +329,22 @@
   numbers @0 :List(UInt64);
   used @1 :List(Int64);
 }
+
+struct HeavyTeams {
+  teams @0 :List(Text);
+  bytesPerSecond @1 :List(UInt32);
+  outOfRotation @2 :Bool;
+}
+
+struct TargetFailures {
+  scope @0 :Text;
+  targets @1 :List(Text);
+  outcomes @2 :List(Text);
+}
+
+struct TargetRates {
+  scope @0 :Text;
+  targets @1 :List(Text);
+  tokensPerSecond @2 :List(UInt32);
+  weights @3 :List(UInt32);
+}
