--- a/tests/test_budget_refusal_log.py
+++ b/tests/test_budget_refusal_log.py
@@ -37,8 +37,6 @@
                     NO_ALLOTMENT.because('late'),
                     is_backing_off=False,
                 )
-        found = [line.event_fields['omitted'] for line in logs.records]
-        self.assertEqual(found, omitted)
-        self.assertEqual(
-            logs.records[0].event_fields['reason'], 'no_allotment: late'
-        )
+            fields = [line.event_fields for line in logs.records]
+        self.assertEqual([each['omitted'] for each in fields], omitted)
+        self.assertEqual(fields[0]['reason'], 'no_allotment: late')
