Add settings for backups of streams

Cause: streams that can't be resumed are lost when their engine crashes (docs/design/uneven-load.md, part 5).

Anything but true means that the service allows none. The configuration is passed between routers as its document, so catalogue/serialization.py keeps the field without a change.

--- a/src/balsamreach/catalogue/entries.py
+++ b/src/balsamreach/catalogue/entries.py
@@ -88,11 +88,14 @@
         Tokens that fit into an engine's memory.
     tokens_per_event : int
         Maximum tokens in one event of a stream.
+    backups : bool
+        Whether an engine may copy the KV cache of a request to another one.
     """
 
     slots: int
     cache_tokens: int
     tokens_per_event: int = 1
+    backups: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/balsamreach/platform/configuration.py
+++ b/src/balsamreach/platform/configuration.py
@@ -203,6 +203,7 @@
             cache_tokens=int(engine['kv_capacity']),
             # The stride is the number of tokens per stream event.
             tokens_per_event=int(engine.get('stride') or 1),
+            backups=engine.get('backups') is True,
         )
     return Service(
         name=fields['name'],
