Tell closed connections to targets from other broken exchanges

Cause: a stream may continue at another engine only if the first one has stopped working. A broken exchange doesn't show that: curl reports an invalid chunk, after which it closes the connection itself, with the code of a reset connection (56), and only the system's error tells them apart (trial against a loopback server: errno 104 and 0).

Change: UpstreamFault.closed_by_target, set for a partial file and for ECONNRESET.

Result: test_gateway_relay passes with a closed, a reset and an invalid response.

--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -13,8 +13,18 @@
     from balsamreach.targets.registry import Target
 
 
+@attrs.frozen
 class UpstreamFault(Fault):
-    """Reason why a target's answer is incomplete."""
+    """Reason why a target's answer is incomplete.
+
+    Parameters
+    ----------
+    closed_by_target : bool
+        Whether the target closed or reset the connection, so that it no
+        longer works on the request.
+    """
+
+    closed_by_target: bool = attrs.field(default=False, eq=False)
 
 
 #: No connection was made, so no byte can have reached the target.
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -1,5 +1,6 @@
 """Pool of curl handles that runs transfers."""
 
+import errno
 from collections.abc import Callable
 
 import attrs
@@ -60,10 +61,11 @@
         watch.start()
         try:
             end = await self._loop.perform(curl)
+            os_error = curl.getinfo(pycurl.OS_ERRNO)
         finally:
             watch.stop()
             self._release(curl)
-        return _fault_of(end, transfer)
+        return _fault_of(end, transfer, os_error)
 
     def close(self) -> None:
         """Close all connections."""
@@ -86,7 +88,9 @@
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
 
 
-def _fault_of(end: TransferEnd, transfer: Transfer) -> UpstreamFault | None:
+def _fault_of(
+    end: TransferEnd, transfer: Transfer, os_error: int
+) -> UpstreamFault | None:
     if end.code == pycurl.E_OK and transfer.head_complete:
         return None
     # Curl reports no error for a connection that closes within the head; the
@@ -99,6 +103,16 @@
         return NOT_SENT.because(end.message or 'no connection in time')
     if end.code == SILENCE_CODE:
         return SILENT.because('no data within the gap timeout')
-    return BROKEN.because(
+    fault = BROKEN.because(
         transfer.abort_reason or end.message or 'no whole head'
     )
+    closed = _is_closed_by_target(end.code, os_error)
+    return attrs.evolve(fault, closed_by_target=closed)
+
+
+def _is_closed_by_target(code: int, os_error: int) -> bool:
+    # Curl reports a malformed chunk with the same code as a reset connection,
+    # but the target that sent it may still be running the request.
+    if code == pycurl.E_RECV_ERROR:
+        return os_error == errno.ECONNRESET
+    return code == pycurl.E_PARTIAL_FILE
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -3,7 +3,9 @@
 import asyncio
 import random
 import socket
+import struct
 
+from parameterized import parameterized
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
@@ -176,10 +178,11 @@
 class _FakeTarget(TCPServer):
     """Sends one of the given answers per request, in order."""
 
-    def __init__(self, answers, *, close=False):
+    def __init__(self, answers, *, close=False, reset=False):
         super().__init__()
         self.answers = list(answers)
-        self.close = close
+        self.close = close or reset
+        self.reset = reset
         self.connections = 0
         self.requests = []
 
@@ -189,6 +192,12 @@
             while self.answers:
                 self.requests.append(await stream.read_until(b'\r\n\r\n'))
                 await stream.write(self.answers.pop(0))
+                if self.reset:
+                    # A lingering time of 0 makes the close send a reset.
+                    linger = struct.pack('ii', 1, 0)
+                    stream.socket.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, linger
+                    )
                 if self.close:
                     stream.close()
         except StreamClosedError:
@@ -210,9 +219,9 @@
             self.target.stop()
         super().tearDown()
 
-    def serve(self, *answers, close=False):
+    def serve(self, *answers, **ending):
         """Start a target with these answers."""
-        self.target = _FakeTarget(answers, close=close)
+        self.target = _FakeTarget(answers, **ending)
         listener, port = bind_unused_port()
         self.port = port
         self.target.add_sockets([listener])
@@ -282,11 +291,24 @@
         self.assertIsNone(end)
         self.assertEqual(intake.head.notice.retry_after, 7)
 
+    @parameterized.expand(
+        (
+            ('closed', b'Content-Length: 9\r\n\r\nx', {'close': True}, True),
+            ('reset', b'Content-Length: 9\r\n\r\nx', {'reset': True}, True),
+            ('invalid', b'Transfer-Encoding: chunked\r\n\r\nx', {}, False),
+        )
+    )
     @gen_test
-    async def test_incomplete_answer_is_broken(self):
-        self.serve(b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx', close=True)
+    async def test_incomplete_answer_is_broken(self, _, rest, ending, closed):
+        """Only a target that closed its connection has stopped working.
+
+        Curl reports an invalid chunk, after which it closes the connection
+        itself, with the same code as a reset.
+        """
+        self.serve(b'HTTP/1.1 200 OK\r\n%s' % rest, **ending)
         end, _intake = await self.send()
         self.assertEqual(end, BROKEN)
+        self.assertEqual(end.closed_by_target, closed)
 
     @gen_test
     async def test_invalid_answer_is_broken(self):
@@ -309,6 +331,7 @@
         self.serve(b'', b'')
         end, intake = await self.send(silence_timeout=0.05)
         self.assertEqual(end, SILENT)
+        self.assertFalse(end.closed_by_target)
         self.assertTrue(intake.sent)
 
     @gen_test
