Continue streams at a backup engine after a failure

Change: the first attempt of such a stream names a second engine, to which the first copies the KV cache. If the first engine closes or resets the connection after an event with an id, one more attempt goes to exactly that engine, with the event splitter, the caller's response and the reservation of the first. It counts in the retry budget. A failure there ends the request as answer_broken, whatever the attempt's own fault: a refused connection would otherwise permit a third engine, and a rejection would state that nothing ran. request_ended has backup and backup_used, and balsamreach_relay_backups_total counts the outcomes.

--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -170,6 +170,7 @@
             clock=self.clock,
             link=link,
             stream_gap=cfg.relay.stream_gap,
+            backup_tokens=cfg.relay.backup_tokens,
         )
         return RelayRunParts(
             codec=codec,
--- a/src/balsamreach/platform/header_names.py
+++ b/src/balsamreach/platform/header_names.py
@@ -18,6 +18,10 @@
 TEAM = 'Tenant-Name'
 #: Priority of a request at an engine, from 0 (first) to 9 (last).
 PRIORITY = 'Request-Priority'
+#: Address of the engine to which the KV cache of the request is copied.
+KV_BACKUP = 'Kv-Backup'
+#: ``ip:port/id`` of the copied KV cache from which the request continues.
+KV_FROM = 'Kv-From'
 #: In an answer: the target's signature.
 SIGNATURE = 'Response-Stamp'
 #: In an answer: the target did not run the request.
@@ -37,11 +41,11 @@
         PRIORITY,
         AUTHORIZATION,
         LAST_EVENT_ID,
+        KV_BACKUP,
+        KV_FROM,
         'Expect-Version',
         'Kv-Hold',
         'Kv-Fetch',
-        'Kv-From',
-        'Kv-Backup',
         'Pin-Ms',
     )
 )
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -17,6 +17,7 @@
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.codec import (
     AnswerHead,
+    CacheCopy,
     CallerRequest,
     Codec,
     RouterResponse,
@@ -113,6 +114,7 @@
         target: TargetEntry,
         time_left: float,
         last_event: str,
+        copy: CacheCopy | None = None,
     ) -> list[tuple[str, str]]:
         """Return the headers to send to a target."""
         added = [
@@ -126,6 +128,8 @@
             added.append((header_names.TEAM, call.team.name))
         if last_event:
             added.append((header_names.LAST_EVENT_ID, last_event))
+        if copy is not None:
+            added.append(_copy_header(call, copy))
         return [*call.headers, *added]
 
     def read_answer(self, status: int, headers: dict[str, str]) -> AnswerHead:
@@ -199,6 +203,12 @@
         )
 
 
+def _copy_header(call: RelayCall, copy: CacheCopy) -> tuple[str, str]:
+    if copy.is_source:
+        return header_names.KV_FROM, f'{copy.address}/{call.request_id}'
+    return header_names.KV_BACKUP, copy.address
+
+
 def _read_notice(status: int, headers: dict[str, str]) -> TargetNotice:
     leaving = headers.get(header_names.LEAVING.lower(), '')
     return TargetNotice(
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -11,6 +11,7 @@
 from balsamreach.placement.relay_targets import RelayTarget
 from balsamreach.relay import faults
 from balsamreach.relay.attempt_results import AttemptClassifier, Verdict
+from balsamreach.relay.backups import StreamBackup
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.chooser import Chooser, InFlight
@@ -42,6 +43,9 @@
         Counts the bytes that cross the host's link.
     stream_gap : float
         Seconds of silence after which a stream is aborted.
+    backup_tokens : int
+        Maximum tokens of a prompt whose stream gets a backup engine; 0 for
+        none.
     """
 
     codec: Codec
@@ -53,6 +57,7 @@
     clock: Clock
     link: HostLink
     stream_gap: float
+    backup_tokens: int = 0
 
 
 @attrs.define(eq=False)
@@ -81,6 +86,8 @@
         Milliseconds that each attempt took, in the order of ``outcomes``.
     timing : EventTiming
         Arrival times of the events.
+    backup : StreamBackup
+        Engine that continues the stream if the first one fails.
     """
 
     parts: RelayAttemptParts
@@ -93,13 +100,21 @@
     outcomes: list[str] = attrs.field(factory=list)
     durations_ms: list[int] = attrs.field(factory=list)
     timing: EventTiming = attrs.field(init=False)
+    backup: StreamBackup = attrs.field(init=False)
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _tried: set[str] = attrs.field(factory=set)
     _reached: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Set the event after which the caller wants the stream to resume."""
-        self.timing = EventTiming(self.parts.clock.now())
+        parts = self.parts
+        self.timing = EventTiming(parts.clock.now())
+        self.backup = StreamBackup(
+            self.call,
+            parts.chooser,
+            parts.retry_budget,
+            parts.backup_tokens,
+        )
         if self.call.last_event.isdecimal():
             self._splitter.last_id = int(self.call.last_event)
 
@@ -127,6 +142,7 @@
 
     async def _try(self, place: RelayTarget) -> RelayFault | None:
         self._tried.add(place.incarnation)
+        self.backup.prepare_attempt(place, self._splitter.last_id)
         intake = self._make_intake()
         in_flight = self.parts.chooser.begin(self.call, place)
         self.parts.link.add(self.call.size)
@@ -144,7 +160,11 @@
             raise
         finally:
             self._end_exchange(in_flight, intake, sent_at)
-        return self._finish_attempt(place, intake, end)
+        fault = self._finish_attempt(place, intake, end)
+        if intake.problem:
+            return fault
+        engine = self.backup.take(end, self._splitter.last_id)
+        return fault if engine is None else await self._try(engine)
 
     def _on_head(
         self,
@@ -173,7 +193,13 @@
         if verdict.fault is not None:
             outcome = verdict.fault.reason or verdict.fault.code
         self.outcomes.append(f'{place.incarnation} {outcome}')
-        return fault
+        if fault is None or not self.backup.used:
+            return fault
+        # The first engine ran the request, so a fault of the backup engine
+        # must neither permit another attempt nor claim that nothing ran.
+        return faults.BROKEN.because(
+            f'the stream could not be continued: {outcome}'
+        )
 
     def _end_exchange(
         self, in_flight: InFlight, intake: AnswerIntake, sent_at: float
@@ -209,8 +235,8 @@
         self.parts.link.add(2 * (size + CHUNK_OVERHEAD_BYTES))
         self.timing.record(self.parts.clock.now())
         self.events += events
-        per_event = self.parts.chooser.tokens_per_event(self.call)
-        self.reservation.output_tokens += events * per_event
+        traits = self.parts.chooser.engine_traits(self.call)
+        self.reservation.output_tokens += events * traits.tokens_per_event
 
     def _make_outgoing(self, place: RelayTarget) -> Outgoing:
         time_left = self.call.deadline - self.parts.clock.now()
@@ -222,6 +248,7 @@
             place.entry,
             time_left,
             last_event,
+            self.backup.copy,
         )
         return Outgoing(
             target=place.entry,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -108,7 +108,7 @@
         self.cold_targets.record_sent(place)
         if call.prompt is None:
             return InFlight(place)
-        capacity = self._engine_traits(call).cache_tokens
+        capacity = self.engine_traits(call).cache_tokens
         self.engines.record_sent(call.prompt, place, capacity)
         in_flight = InFlight(place, call.prompt.tokens)
         self.on_sent(in_flight.unread)
@@ -140,9 +140,30 @@
         """Record that a target rejected a request."""
         place.breaker.release_probe()
 
-    def tokens_per_event(self, call: RelayCall) -> int:
-        """Return the maximum number of tokens in an event of a response."""
-        return self._engine_traits(call).tokens_per_event
+    def other_targets(
+        self, call: RelayCall, first: RelayTarget
+    ) -> tuple[RelayTarget, ...]:
+        """Return the working targets besides one that accept a request.
+
+        Parameters
+        ----------
+        call : RelayCall
+            The request.
+        first : RelayTarget
+            Target to leave out.
+        """
+        return tuple(
+            place
+            for place in self._eligible(call, {first.incarnation})
+            if not place.breaker.is_open
+        )
+
+    def engine_traits(self, call: RelayCall) -> EngineTraits:
+        """Return the properties of the engines of a request's service."""
+        service = self._service(call)
+        if service is None or service.engine is None:
+            return _DEFAULT_TRAITS
+        return service.engine
 
     def _eligible(
         self,
@@ -172,12 +193,6 @@
         catalogue = self.view.current
         return catalogue.services.get(call.service) if catalogue else None
 
-    def _engine_traits(self, call: RelayCall) -> EngineTraits:
-        service = self._service(call)
-        if service is None or service.engine is None:
-            return _DEFAULT_TRAITS
-        return service.engine
-
 
 @attrs.define(eq=False)
 class InFlight:
--- a/src/balsamreach/relay/codec.py
+++ b/src/balsamreach/relay/codec.py
@@ -37,6 +37,23 @@
     arrived: float
 
 
+@attrs.frozen
+class CacheCopy:
+    """A copy of a request's KV cache at a backup engine.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` of the backup engine.
+    is_source : bool
+        Whether the attempt continues from the copy; otherwise its engine
+        sends the copy.
+    """
+
+    address: str
+    is_source: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class AnswerHead:
     """Status and headers of a target's response.
@@ -107,6 +124,7 @@
         target: TargetEntry,
         time_left: float,
         last_event: str,
+        copy: CacheCopy | None = None,
     ) -> list[tuple[str, str]]:
         """Return the headers of an attempt.
 
@@ -120,6 +138,8 @@
             Seconds until the deadline.
         last_event : str
             Id of the event after which a stream resumes; empty for all of it.
+        copy : CacheCopy or None
+            Copy that the target sends or continues from; None for neither.
         """
 
     @abc.abstractmethod
--- a/src/balsamreach/relay/request_log.py
+++ b/src/balsamreach/relay/request_log.py
@@ -13,9 +13,11 @@
 
 if TYPE_CHECKING:
     from balsamreach.relay.attempts import RelayAttempts
+    from balsamreach.relay.backups import StreamBackup
 
 REQUESTS_TOTAL = 'balsamreach_relay_requests_total'
 REQUEST_SECONDS = 'balsamreach_relay_request_seconds'
+BACKUPS = 'balsamreach_relay_backups_total'
 
 _logger = logging.getLogger(__name__)
 _MS = 1000
@@ -30,7 +32,7 @@
     clock : Clock
         Source of the current time.
     metrics : Metrics
-        Counts requests by outcome and observes their duration.
+        Counts requests and backups by outcome and observes durations.
     """
 
     clock: Clock
@@ -62,6 +64,9 @@
             REQUESTS_TOTAL, outcome=outcome, service=call.service
         )
         self.metrics.observe(REQUEST_SECONDS, duration, service=call.service)
+        backup = attempts.backup
+        if backup.engine is not None:
+            self.metrics.count(BACKUPS, outcome=_backup_outcome(backup, fault))
         log_event(
             _logger,
             logging.INFO if fault is None else logging.WARNING,
@@ -77,6 +82,8 @@
             reserved_ms=self._reserved_ms(attempts, started),
             targets=attempts.outcomes,
             attempts_ms=attempts.durations_ms,
+            backup=backup.engine and backup.engine.incarnation,
+            backup_used=backup.used,
             events=attempts.events,
             ran=attempts.may_have_run,
             reserved=attempts.reservation.tokens,
@@ -93,3 +100,9 @@
         if reserved_at is None:
             return None
         return round((reserved_at - started) * _MS)
+
+
+def _backup_outcome(backup: 'StreamBackup', fault: RelayFault | None) -> str:
+    if backup.used:
+        return 'continued' if fault is None else 'failed'
+    return 'not_needed' if fault is None else 'not_used'
--- a/tests/relay_scripts.py
+++ b/tests/relay_scripts.py
@@ -8,6 +8,7 @@
 from balsamreach.dispatch.upstream import Intake, UpstreamFault
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.exchange import Exchange, Outgoing
+from balsamreach.relay.spending import Reservation, Spending
 from tests.relay_samples import SIGNED
 
 #: What a target does with an attempt.
@@ -124,3 +125,18 @@
     def abort(self):
         """Record that the response was aborted."""
         self.aborted = True
+
+
+class RecordingSpending(Spending):
+    """Reserves all that is asked for, and records what is charged."""
+
+    def __init__(self) -> None:
+        self.used: list[int] = []
+
+    async def reserve(self, call):
+        """Reserve the maximum number of tokens of the request."""
+        return Reservation(tokens=call.prompt.max_tokens)
+
+    def charge(self, call, reservation):
+        """Record the tokens used."""
+        self.used.append(reservation.used)
--- a/tests/test_platform_requests.py
+++ b/tests/test_platform_requests.py
@@ -6,6 +6,10 @@
 
 from parameterized import parameterized
 
+from balsamreach.catalogue.serialization import (
+    configuration_row,
+    read_document,
+)
 from balsamreach.placement.notices import TargetNotice
 from balsamreach.platform.configuration import CatalogueReader
 from balsamreach.platform.requests import PlatformCodec
@@ -100,10 +104,26 @@
     def test_services_teams_and_limits(self):
         engine = _CATALOGUE.services['engines'].engine
         self.assertEqual(engine.tokens_per_event, 7)
+        self.assertFalse(engine.backups)
         self.assertIsNone(_CATALOGUE.services['desk'].engine)
         self.assertEqual(_CATALOGUE.teams['t'].prepaid, 900)
         self.assertEqual(_CATALOGUE.limits.body_bytes, 4096)
 
+    @parameterized.expand(
+        ((True, True), (False, False), (1, False), ('x', False))
+    )
+    def test_backups(self, value, allowed):
+        """An engine that doesn't clearly allow copies gets none.
+
+        The field must also survive the document that routers send each other.
+        """
+        service = _FIELDS['services'][0]
+        engine = service['engine'] | {'backups': value}
+        fields = _FIELDS | {'services': [service | {'engine': engine}]}
+        row = configuration_row(CatalogueReader().read(fields))
+        catalogue = CatalogueReader().decode(read_document(row))
+        self.assertIs(catalogue.services['engines'].engine.backups, allowed)
+
     def test_document_round_trip(self):
         again = CatalogueReader().decode(_CATALOGUE.write())
         self.assertEqual(again.version, 7)
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -12,7 +12,7 @@
 from balsamreach.placement.relay_targets import RelayTargets, TargetEntry
 from balsamreach.relay.faults import BUDGET_EXHAUSTED
 from balsamreach.relay.run import RelayRun
-from balsamreach.relay.spending import Reservation, Spending
+from balsamreach.relay.spending import Spending
 from tests import relay_samples
 from tests.relay_harness import RelayHarness
 from tests.relay_samples import (
@@ -27,6 +27,7 @@
 )
 from tests.relay_scripts import (
     RecordingResponse,
+    RecordingSpending,
     Responding,
     Script,
     Unresponsive,
@@ -384,7 +385,7 @@
         self.assertEqual(harness.exchange.sent, [])
 
     def test_charges_forwarded_events(self):
-        spending = _RecordingSpending()
+        spending = RecordingSpending()
         harness = RelayHarness(spending)
         harness.run(
             relay_samples.call(STREAM), answer(200, event(1) + event(2))
@@ -392,7 +393,7 @@
         self.assertEqual(spending.used, [100 + 2 * 7])
 
     def test_request_that_did_not_run_is_free(self):
-        spending = _RecordingSpending()
+        spending = RecordingSpending()
         harness = RelayHarness(spending)
         harness.run(relay_samples.call(STREAM), _SHED, _SHED)
         self.assertEqual(spending.used, [0])
@@ -441,14 +442,3 @@
 
     def charge(self, call, reservation):
         raise AssertionError('nothing was reserved')
-
-
-class _RecordingSpending(Spending):
-    def __init__(self):
-        self.used = []
-
-    async def reserve(self, call):
-        return Reservation(tokens=call.prompt.max_tokens)
-
-    def charge(self, call, reservation):
-        self.used.append(reservation.used)
