Allow eight attempts while connections are refused

Cause: with a fifth of the engines down, requests are rejected after four refused connections of 4 ms each, although most engines work.

Change: NOT_SENT tells in a typed field whether the connection was refused, timed out or failed otherwise. TryLimit allows up to eight attempts while the last one was refused and under a quarter of the route's aim has passed; four otherwise, as before.

--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -1,8 +1,9 @@
 """Interface of the transport that sends requests to targets."""
 
 import abc
+import enum
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Self
 
 import attrs
 
@@ -13,8 +14,33 @@
     from balsamreach.targets.registry import Target
 
 
+class ConnectFailure(enum.Enum):
+    """Why no connection to a target was made."""
+
+    #: The host responded, but nothing listens at the address.
+    REFUSED = 'refused'
+    #: The host did not respond in time.
+    TIMED_OUT = 'timed_out'
+    #: Any other reason, such as a failed TLS handshake.
+    OTHER = 'other'
+
+
+@attrs.frozen
 class UpstreamFault(Fault):
-    """Reason why a target's answer is incomplete."""
+    """Reason why a target's answer is incomplete.
+
+    Parameters
+    ----------
+    connect_failure : ConnectFailure or None
+        Why there was no connection; None for faults other than NOT_SENT and
+        if the transport doesn't tell.
+    """
+
+    connect_failure: ConnectFailure | None = attrs.field(default=None, eq=False)
+
+    def because_of(self, failure: ConnectFailure, reason: str) -> Self:
+        """Return a copy with the reason why there was no connection."""
+        return attrs.evolve(self, connect_failure=failure, reason=reason)
 
 
 #: No connection was made, so no byte can have reached the target.
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -1,5 +1,6 @@
 """Pool of curl handles that runs transfers."""
 
+import errno
 from collections.abc import Callable
 
 import attrs
@@ -9,6 +10,7 @@
     BROKEN,
     NOT_SENT,
     SILENT,
+    ConnectFailure,
     Intake,
     UpstreamFault,
 )
@@ -60,10 +62,11 @@
         watch.start()
         try:
             end = await self._loop.perform(curl)
+            failure = _connect_failure(end, curl)
         finally:
             watch.stop()
             self._release(curl)
-        return _fault_of(end, transfer)
+        return _fault_of(end, transfer, failure)
 
     def close(self) -> None:
         """Close all connections."""
@@ -86,7 +89,20 @@
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
 
 
-def _fault_of(end: TransferEnd, transfer: Transfer) -> UpstreamFault | None:
+def _connect_failure(end: TransferEnd, curl: pycurl.Curl) -> ConnectFailure:
+    if end.code == pycurl.E_OPERATION_TIMEDOUT:
+        return ConnectFailure.TIMED_OUT
+    # Curl has one error code for a refused connection and for an address
+    # without a route.
+    os_error = curl.getinfo(pycurl.OS_ERRNO)
+    if end.code == pycurl.E_COULDNT_CONNECT and os_error == errno.ECONNREFUSED:
+        return ConnectFailure.REFUSED
+    return ConnectFailure.OTHER
+
+
+def _fault_of(
+    end: TransferEnd, transfer: Transfer, failure: ConnectFailure
+) -> UpstreamFault | None:
     if end.code == pycurl.E_OK and transfer.head_complete:
         return None
     # Curl reports no error for a connection that closes within the head; the
@@ -96,7 +112,8 @@
     # timed-out answer. Only the fact that sending never began proves that
     # the request was not sent.
     if not transfer.intake.sent:
-        return NOT_SENT.because(end.message or 'no connection in time')
+        reason = end.message or 'no connection in time'
+        return NOT_SENT.because_of(failure, reason)
     if end.code == SILENCE_CODE:
         return SILENT.because('no data within the gap timeout')
     return BROKEN.because(
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -23,10 +23,8 @@
 from balsamreach.relay.response_intakes import AnswerIntake, StreamIntake
 from balsamreach.relay.retry_budget import RelayRetryBudget
 from balsamreach.relay.spending import Reservation
+from balsamreach.relay.try_limit import TryLimit
 
-#: Maximum number of attempts for one request. Attempts without a connection
-#: reached no target and don't count against the route's own limit.
-_MAX_TRIES = 4
 _MS = 1000
 
 
@@ -96,10 +94,13 @@
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _tried: set[str] = attrs.field(factory=set)
     _reached: int = 0
+    _try_limit: TryLimit = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Set the event after which the caller wants the stream to resume."""
-        self.timing = EventTiming(self.parts.clock.now())
+        now = self.parts.clock.now()
+        self.timing = EventTiming(now)
+        self._try_limit = TryLimit(now, self.call.route.aim)
         if self.call.last_event.isdecimal():
             self._splitter.last_id = int(self.call.last_event)
 
@@ -113,7 +114,7 @@
         """
         self.parts.retry_budget.record_first(self.call.service)
         fault = faults.NO_TARGET.because('no target accepts requests')
-        for _ in range(_MAX_TRIES):
+        while self._try_limit.allows(self.parts.clock.now()):
             place = self.parts.chooser.choose(self.call, self._tried)
             if place is None:
                 return fault
@@ -167,6 +168,7 @@
         intake: AnswerIntake,
         end: UpstreamFault | None,
     ) -> RelayFault | None:
+        self._try_limit.record(end)
         verdict = self.parts.classifier.classify(self.call, place, intake, end)
         fault = self._deliver(verdict, intake)
         outcome = 'answered'
--- a/tests/test_gateway_curl_upstream.py
+++ b/tests/test_gateway_curl_upstream.py
@@ -16,6 +16,7 @@
     NOT_SENT,
     SILENT,
     Attempt,
+    ConnectFailure,
     Intake,
 )
 from balsamreach.gateway.curl_upstream import CurlUpstream
@@ -172,6 +173,7 @@
         intake = RecordingIntake()
         outcome = await self.make_upstream().send(_attempt(address), intake)
         self.assertEqual(outcome, NOT_SENT)
+        self.assertIs(outcome.connect_failure, ConnectFailure.REFUSED)
         self.assertFalse(intake.sent)
 
     @parameterized.expand((('stream', True), ('whole', False)))
