Add sources and ages to TargetFailures

Cause: a time-out counts only if two different routers have seen it, and an old failure must not outweigh a newer response. The message named neither the observer nor the time, and a hub that forwards it is not the observer.

Change: two new last fields, which no router has sent or read so far. The scope `fleet` marks what a hub passes on from other zones.

Result: test_wire_codec and test_wire_kinds pass.

--- a/src/balsamreach/wire/loads.py
+++ b/src/balsamreach/wire/loads.py
@@ -90,17 +90,25 @@
     Parameters
     ----------
     scope : str
-        Whose observations they are: those of the sender, or of its zone.
+        Whose observations they are: those of the sender, of its zone, or of
+        other zones.
     targets : tuple of str
-        Incarnations of the targets.
+        Incarnations of the targets, or ``zone:NAME`` for a whole zone.
     outcomes : tuple of str
         What was seen of each: ``refused``, ``timed_out``, ``silent`` or
         ``recovered``.
+    sources : tuple of str
+        Incarnation of the router that saw it, for ``silent`` followed by a
+        slash and a number of the exchange.
+    ages_ms : tuple of int
+        Milliseconds from the observation until this message was sent.
     """
 
     scope: str
     targets: tuple[str, ...] = ()
     outcomes: tuple[str, ...] = ()
+    sources: tuple[str, ...] = ()
+    ages_ms: tuple[int, ...] = ()
 
 
 @attrs.frozen(repr=False)
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -340,6 +340,8 @@
   scope @0 :Text;
   targets @1 :List(Text);
   outcomes @2 :List(Text);
+  sources @3 :List(Text);
+  agesMs @4 :List(UInt32);
 }
 
 struct TargetRates {
