Share failures of targets across the fleet

Cause: a crashed engine looks idle and attracts requests, and each of 86 routers finds that out for itself; a partition costs each request 200 ms.

Change: routers report refused connections, time-outs, silent plain targets and recoveries through the first hubs at once, at most one message each 20 ms. A report excludes a target for a second at most; a renewed exclusion needs refused probes of two routers of the own zone, or a failure of its own. Zones whose targets time out are excluded for 1, 2 and 4 s. Retries don't probe while a working target is left. Without hubs nothing is sent.

--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
 from balsamreach.config.relay_settings import RelaySettings
@@ -9,20 +11,40 @@
 from balsamreach.placement.cold_targets import ColdTargetLimiter
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
+from balsamreach.placement.failure_sharing import FailureSharing
 from balsamreach.placement.notices import Notices
 from balsamreach.placement.relay_targets import RelayTargets
 from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.sharing import LoadSharing
+from balsamreach.placement.target_failures import FailureTracker
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.retry_budget import RelayRetryBudget
 from balsamreach.telemetry.metrics import Metrics
 
 
+@attrs.frozen
+class Sharing:
+    """What a router exchanges with its peers about targets.
+
+    Parameters
+    ----------
+    loads : LoadSharing
+        Exchanges the loads of engines.
+    failures : FailureSharing
+        Exchanges failures, in fleets with hubs.
+    """
+
+    loads: LoadSharing
+    failures: FailureSharing
+
+
 def make_chooser(
     zone: str,
     net: PeerNet,
     view: CatalogueView,
     clock: Clock,
     rng: random.Random,
+    metrics: Metrics,
 ) -> Chooser:
     """Return a chooser of targets; it knows no target yet.
 
@@ -38,6 +60,8 @@
         Source of the current time.
     rng : random.Random
         Chooses between equally good targets.
+    metrics : Metrics
+        Counts reported failures and unreachable zones.
     """
     evacuations = Evacuations(clock)
     cold_targets = ColdTargetLimiter(
@@ -46,15 +70,39 @@
         evacuations,
         clock,
     )
+    places = RelayTargets(rng)
     return Chooser(
-        RelayTargets(rng),
+        places,
         EngineChooser(zone),
         ServiceChooser(zone, rng),
         view,
         clock,
         evacuations,
         cold_targets,
+        FailureTracker(net.me.incarnation, places, clock, rng, metrics),
+    )
+
+
+def make_sharing(net: PeerNet, chooser: Chooser, clock: Clock) -> Sharing:
+    """Create and start what is exchanged with peers about targets.
+
+    Parameters
+    ----------
+    net : PeerNet
+        Peer network.
+    chooser : Chooser
+        Chooser of targets, which uses what peers report.
+    clock : Clock
+        Source of the current time.
+    """
+    sharing = Sharing(
+        LoadSharing(net, chooser.places, clock),
+        FailureSharing(net, chooser.failures, clock),
     )
+    chooser.on_sent = sharing.loads.on_request_sent
+    sharing.loads.start()
+    sharing.failures.start()
+    return sharing
 
 
 def make_notices(
--- /dev/null
+++ b/src/balsamreach/placement/received_failures.py
@@ -0,0 +1,145 @@
+"""Applies the failures that other routers have reported."""
+
+import logging
+
+import attrs
+
+from balsamreach.placement.failure_evidence import (
+    RECOVERED,
+    REFUSED,
+    SILENT,
+    TIMED_OUT,
+    ZONE_PREFIX,
+    Accusations,
+    FailureReport,
+    TargetRecord,
+)
+from balsamreach.placement.relay_targets import RelayTarget
+from balsamreach.placement.target_failures import FailureTracker
+from balsamreach.telemetry.logs import log_event
+
+REPORTS = 'balsamreach_target_failure_reports_total'
+
+_logger = logging.getLogger(__name__)
+_MS = 1000
+#: Stands for all reporters of time-outs together.
+_EVERYONE = ''
+
+
+@attrs.define(eq=False)
+class ReceivedFailures:
+    """Decides how reports of other routers act on targets and zones.
+
+    Parameters
+    ----------
+    tracker : FailureTracker
+        What this router has seen itself.
+    """
+
+    tracker: FailureTracker
+    _accusations: Accusations = attrs.field(factory=Accusations)
+
+    def receive(self, report: FailureReport) -> str:
+        """Apply a report of another router.
+
+        Returns
+        -------
+        str
+            What became of it, for the counter.
+        """
+        outcome = self._apply(report)
+        self.tracker.metrics.count(REPORTS, outcome=outcome)
+        return outcome
+
+    def _apply(self, report: FailureReport) -> str:
+        if report.target.startswith(ZONE_PREFIX):
+            return self._apply_to_zone(report)
+        place = self.tracker.places.find_incarnation(report.target)
+        if place is None:
+            return 'unknown'
+        record = self.tracker.records.of(place)
+        if report.outcome == RECOVERED:
+            return self._apply_recovery(place, record, report)
+        return self._apply_failure(place, record, report)
+
+    def _apply_to_zone(self, report: FailureReport) -> str:
+        zone = report.target.removeprefix(ZONE_PREFIX)
+        now = self.tracker.clock.now()
+        record = self.tracker.records.of_zone(zone)
+        record.add_evidence(report)
+        if self.tracker.zones.has_timed_out(zone):
+            record.add_evidence(attrs.evolve(report, source=self.tracker.me))
+        if not record.is_confirmed(TIMED_OUT, now):
+            return 'unconfirmed'
+        if self.tracker.zones.exclude(
+            zone, report.observed_at, report.reporter
+        ):
+            return 'applied'
+        return 'refuted'
+
+    def _apply_recovery(
+        self, place: RelayTarget, record: TargetRecord, report: FailureReport
+    ) -> str:
+        if not record.recover(report.observed_at):
+            return 'outdated'
+        # Others may reach the target over a path that this router lacks.
+        if record.own_failure in {REFUSED, SILENT}:
+            record.own_failure = ''
+            place.breaker.record_success()
+        self._log('target_recovered', place, report)
+        return 'applied'
+
+    def _apply_failure(
+        self, place: RelayTarget, record: TargetRecord, report: FailureReport
+    ) -> str:
+        now = self.tracker.clock.now()
+        if report.observed_at <= record.recovered_at:
+            return 'outdated'
+        answered = self.tracker.exchanges.is_answered_since
+        if answered(place.incarnation, report.observed_at):
+            return 'refuted'
+        if not self._is_credible(place, report):
+            return 'distrusted'
+        record.add_evidence(report)
+        if not record.is_confirmed(report.outcome, now):
+            return 'unconfirmed'
+        if not record.exclude(report, now, self.tracker.rng):
+            return 'repeated'
+        self._log('target_excluded', place, report)
+        return 'applied'
+
+    def _is_credible(self, place: RelayTarget, report: FailureReport) -> bool:
+        service = self.tracker.places.of_service(place.entry.service)
+        members = {one.incarnation for one in service}
+        now = self.tracker.clock.now()
+        accused = self._accusations.add(report, members, now)
+        if accused.is_credible:
+            return self._is_plausible(report, members)
+        for incarnation in accused.targets:
+            record = self.tracker.records.get(incarnation)
+            if record is not None:
+                record.withdraw(report.reporter)
+        return False
+
+    def _is_plausible(self, report: FailureReport, service: set[str]) -> bool:
+        # The routers of a zone that is cut off confirm each other's time-outs.
+        if report.outcome != TIMED_OUT:
+            return True
+        everyone = attrs.evolve(report, source=_EVERYONE)
+        now = self.tracker.clock.now()
+        return self._accusations.add(everyone, service, now).is_credible
+
+    def _log(
+        self, event: str, place: RelayTarget, report: FailureReport
+    ) -> None:
+        age = self.tracker.clock.now() - report.observed_at
+        log_event(
+            _logger,
+            logging.WARNING,
+            event,
+            target=place.incarnation,
+            service=place.entry.service,
+            reason=report.outcome,
+            reporter=report.source,
+            age_ms=round(age * _MS),
+        )
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -92,6 +92,8 @@
     def _not_connected(self, place: RelayTarget, end: UpstreamFault) -> Verdict:
         self.quarantine.record_refused(place)
         self.chooser.record_failure(place, certain=True)
+        failures = self.chooser.failures
+        failures.record_not_connected(place, end.connect_failure)
         reason = f'no connection: {end.reason}'
         return Verdict(faults.NO_TARGET.because(reason))
 
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -158,6 +158,7 @@
         # The response of another target doesn't apply to the intended one.
         if intake.for_other_request or intake.misdirected:
             return
+        in_flight.record_response(is_success=intake.is_success)
         self.parts.notices.apply(place, intake.head.notice)
         if not intake.declined:
             self.parts.notices.record_accepted(place)
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -12,6 +12,8 @@
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.silent_exchanges import TargetExchange
+from balsamreach.placement.target_failures import FailureTracker
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
@@ -43,6 +45,8 @@
         Zones that get no new requests.
     cold_targets : ColdTargetLimiter
         Bounds the rate of requests to cold targets.
+    failures : FailureTracker
+        Withholds requests from targets and zones that others see fail, too.
     on_sent : callable
         Called with the number of tokens of each prompt that is sent.
     """
@@ -54,6 +58,7 @@
     clock: Clock
     evacuations: Evacuations
     cold_targets: ColdTargetLimiter
+    failures: FailureTracker
     on_sent: Callable[[int], None] = _ignore
 
     def choose(self, call: RelayCall, tried: Set[str]) -> RelayTarget | None:
@@ -67,13 +72,7 @@
             Incarnations that it was already sent to.
         """
         eligible = list(self._eligible(call, tried))
-        now = self.clock.now()
-        usable = [
-            place for place in eligible if place.breaker.allows_request(now)
-        ]
-        # If the breakers exclude all targets, the failures may be on this
-        # router's side; refusing without an attempt would help nobody.
-        candidates = usable or eligible
+        candidates = self.failures.usable(eligible, is_retry=bool(tried))
         if call.prompt is None:
             return self.services.choose(candidates)
         return self.engines.choose(call.prompt, candidates)
@@ -106,11 +105,13 @@
         """Count a request as in progress, until ``InFlight.end`` is called."""
         place.breaker.record_start()
         self.cold_targets.record_sent(place)
-        if call.prompt is None:
-            return InFlight(place)
+        is_plain = call.prompt is None
+        exchange = self.failures.begin(place, is_plain=is_plain)
+        if is_plain:
+            return InFlight(place, self.failures, exchange)
         capacity = self._engine_traits(call).cache_tokens
         self.engines.record_sent(call.prompt, place, capacity)
-        in_flight = InFlight(place, call.prompt.tokens)
+        in_flight = InFlight(place, self.failures, exchange, call.prompt.tokens)
         self.on_sent(in_flight.unread)
         return in_flight
 
@@ -187,11 +188,17 @@
     ----------
     place : RelayTarget
         The target.
+    failures : FailureTracker
+        Follows exchanges that have no response.
+    exchange : TargetExchange
+        The request, as it is known there.
     unread : int
         Prompt tokens that the target has not processed yet.
     """
 
     place: RelayTarget
+    failures: FailureTracker
+    exchange: TargetExchange
     unread: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -206,9 +213,16 @@
         self.place.unread -= self.unread
         self.unread = 0
 
+    def record_response(self, *, is_success: bool) -> None:
+        """Record that the response is the target's own."""
+        self.failures.record_response(self.exchange)
+        if is_success:
+            self.failures.exchanges.learn(self.exchange)
+
     def end(self) -> None:
         """Remove the request from the target's counts."""
         self.head_received()
+        self.failures.exchanges.end(self.exchange)
         self.place.running -= 1
 
 
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -51,6 +51,7 @@
             self.view,
             self.clock,
             random.Random(1),
+            self.metrics,
         )
         self.evacuations = self.chooser.evacuations
         for service in (ENGINES, DESK):
