Let a response end earlier time-outs and silences

Cause: two silent exchanges within 2 s opened the breaker even if the target had responded in between; the test looked only after the last response, which closes the breaker, and so missed it.

Change: each response clears the evidence that waits for confirmation. The test checks before each response.

--- a/src/balsamreach/placement/failure_evidence.py
+++ b/src/balsamreach/placement/failure_evidence.py
@@ -139,16 +139,17 @@
         if excluded is not None and now >= excluded.probe_at:
             excluded.probe_at = excluded.until
 
+    def record_reached(self, now: float) -> None:
+        """Record a response; earlier time-outs and silences count no more."""
+        self.reached_at = now
+        self._evidence.clear()
+
     def record_failure(self, outcome: str, source: str, now: float) -> None:
         """Record a failure that this router saw."""
         self.own_failure = outcome
         self._failed_at = now
         self._evidence[outcome, source] = now
 
-    def record_silence(self, source: str, now: float) -> None:
-        """Record one exchange of this router without a response."""
-        self._evidence[SILENT, source] = now
-
     def has_failed_before(self, exchange: TargetExchange) -> bool:
         """Return whether it failed before an exchange, and not recovered."""
         return self.is_suspected and exchange.started >= self._failed_at
@@ -174,7 +175,7 @@
         return True
 
     def add_evidence(self, report: FailureReport) -> None:
-        """Record a report that another one may confirm."""
+        """Record an observation that another one may confirm."""
         seen = self._evidence.get((report.outcome, report.source), _NEVER)
         self._evidence[report.outcome, report.source] = max(
             seen, report.observed_at
--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -137,7 +137,7 @@
         exchange.responded = True
         place, now = exchange.place, self.clock.now()
         record = self.records.of(place)
-        record.reached_at = now
+        record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
         if not self.is_shared() or not record.has_failed_before(exchange):
             return
@@ -172,7 +172,9 @@
             self._silences += 1
             source = f'{self.me}/{self._silences}'
             record = self.records.of(place)
-            record.record_silence(source, now)
+            record.add_evidence(
+                FailureReport(place.incarnation, SILENT, source, now)
+            )
             if record.is_confirmed(SILENT, now):
                 record.record_failure(SILENT, source, now)
                 place.breaker.record_failure(now, self.rng, certain=True)
--- a/tests/failure_fleet.py
+++ b/tests/failure_fleet.py
@@ -141,7 +141,7 @@
             self.clock.advance(self.step_s)
 
     def _add_requests(self, mean):
-        count = int(mean) + (self.rng.random() < mean % 1)
+        count = int(mean + self.rng.random())
         for router in self.rng.choices(self.routers, k=count):
             limit = TryLimit(self.clock.now(), 0.545)
             self._pending.append(_Request(router, limit))
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -317,8 +317,8 @@
             self.begin(1)
             self.clock.advance(0.3)
             self.tracker.check_silent()
+            self.assertTrue(self.router.allows('d1'))
             self.router.answer('d1')
-        self.assertTrue(self.router.allows('d1'))
 
     def test_engine_is_never_silent(self):
         running = RunningExchanges(self.clock)
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -7,7 +7,12 @@
 import attrs
 from parameterized import parameterized
 
-from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
+from balsamreach.dispatch.upstream import (
+    BROKEN,
+    NOT_SENT,
+    SILENT,
+    ConnectFailure,
+)
 from balsamreach.placement.evacuations import Evacuation
 from balsamreach.placement.relay_targets import RelayTargets, TargetEntry
 from balsamreach.relay.faults import BUDGET_EXHAUSTED
@@ -105,6 +110,28 @@
         self.assertEqual(_status(caller_response), status)
         self.assertEqual(len(self.harness.exchange.sent), sent)
 
+    @parameterized.expand(
+        (
+            ('refused', ConnectFailure.REFUSED, 200, 8),
+            ('timed_out', ConnectFailure.TIMED_OUT, 503, 4),
+        )
+    )
+    def test_many_unreachable_targets(self, _, failure, status, sent):
+        """A crash of most targets doesn't reject requests at once.
+
+        Refused connections cost milliseconds; time-outs don't.
+        """
+        for number in range(3, 9):
+            new = relay_samples.entry(f'desk-{number}', relay_samples.DESK)
+            self.harness.chooser.places.put(new)
+        fault = NOT_SENT.because_of(failure, 'no connection')
+        scripts = [unreachable(fault) for _ in range(7)]
+        caller_response = self.harness.run(
+            relay_samples.call(PLAIN), *scripts, _OK
+        )
+        self.assertEqual(_status(caller_response), status)
+        self.assertEqual(len(self.harness.exchange.sent), sent)
+
     @parameterized.expand(
         (
             ('late_answer', answer(200, b'x', attempt_id='another')),
