--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -10,6 +10,7 @@
     BROKEN,
     NOT_SENT,
     SILENT,
+    ConnectFailure,
     Intake,
     UpstreamFault,
 )
@@ -88,6 +89,16 @@
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
 
 
+def _connect_failure(code: int, os_error: int) -> ConnectFailure:
+    if code == pycurl.E_OPERATION_TIMEDOUT:
+        return ConnectFailure.TIMED_OUT
+    # Curl has one error code for a refused connection and for an address
+    # without a route.
+    if code == pycurl.E_COULDNT_CONNECT and os_error == errno.ECONNREFUSED:
+        return ConnectFailure.REFUSED
+    return ConnectFailure.OTHER
+
+
 def _fault_of(
     end: TransferEnd, transfer: Transfer, os_error: int
 ) -> UpstreamFault | None:
@@ -100,7 +111,9 @@
     # timed-out answer. Only the fact that sending never began proves that
     # the request was not sent.
     if not transfer.intake.sent:
-        return NOT_SENT.because(end.message or 'no connection in time')
+        failure = _connect_failure(end.code, os_error)
+        reason = end.message or 'no connection in time'
+        return NOT_SENT.because_of(failure, reason)
     if end.code == SILENCE_CODE:
         return SILENT.because('no data within the gap timeout')
     fault = BROKEN.because(
