Predict the time to the first event at an engine

Cause: the choice of an engine doesn't know the latency objective of a request, nor what its prompt costs the streams that run there.

Change: pure functions for the terms of the cost in docs/design/uneven-load.md.

Result: 9 table-driven tests give the page's figures.

--- /dev/null
+++ b/src/balsamreach/placement/first_event.py
@@ -0,0 +1,95 @@
+"""Predicts when a request's first event arrives, and what it costs others."""
+
+import attrs
+
+#: Milliseconds to the first event of a prompt without unprocessed tokens.
+BASE_MS = 30
+#: Milliseconds that sending to another zone adds.
+OTHER_ZONE_MS = 4
+#: Share of the latency objective from which on more time costs extra. The
+#: prediction is uncertain, since reported loads are up to 0.2 s old.
+AIM_SHARE = 0.8
+#: Cost of each millisecond beyond that share.
+LATE_FACTOR = 4
+#: Cost of each millisecond of processing for each running request: streams
+#: get fewer tokens meanwhile.
+DELAY_FACTOR = 0.25
+#: Share of the event gap that processing one prompt may take at no extra
+#: cost. Prompts that follow each other add up in one gap.
+GAP_SHARE = 0.6
+#: Cost of each millisecond beyond that share for each running request.
+GAP_FACTOR = 2
+
+_MS = 1000
+
+
+@attrs.frozen
+class LatencyGoals:
+    """Times within which callers expect events.
+
+    Parameters
+    ----------
+    first_event : float
+        Seconds to the first event.
+    event_gap : float
+        Seconds between two events of a stream; 0 if not set.
+    """
+
+    first_event: float
+    event_gap: float = 0
+
+    @property
+    def late_after_ms(self) -> float:
+        """Milliseconds to the first event from which on time costs extra."""
+        return self.first_event * AIM_SHARE * _MS
+
+    @property
+    def free_gap_ms(self) -> float:
+        """Milliseconds of processing that cost a running stream no extra."""
+        if not self.event_gap:
+            return float('inf')
+        return self.event_gap * GAP_SHARE * _MS
+
+
+def first_event_ms(
+    queued: float, uncached: float, speed: float, distance_ms: float = 0
+) -> float:
+    """Return the predicted milliseconds to the first event.
+
+    Parameters
+    ----------
+    queued : float
+        Unprocessed prompt tokens at the engine.
+    uncached : float
+        Tokens of the prompt that the engine has to process.
+    speed : float
+        Tokens that it processes in a millisecond.
+    distance_ms : float
+        Milliseconds that the distance adds.
+    """
+    return BASE_MS + (queued + uncached) / speed + distance_ms
+
+
+def lateness_cost_ms(first_ms: float, late_after_ms: float) -> float:
+    """Return the extra cost of a first event close to its objective."""
+    if first_ms <= late_after_ms:
+        return 0
+    return LATE_FACTOR * (first_ms - late_after_ms)
+
+
+def running_cost_ms(read_ms: float, running: int, free_gap_ms: float) -> float:
+    """Return what processing a prompt costs the requests running there.
+
+    Parameters
+    ----------
+    read_ms : float
+        Milliseconds that the engine takes to process the prompt.
+    running : int
+        Requests running there.
+    free_gap_ms : float
+        Milliseconds of processing that cost a stream no extra.
+    """
+    each = DELAY_FACTOR * read_ms
+    if read_ms > free_gap_ms:
+        each += GAP_FACTOR * (read_ms - free_gap_ms)
+    return running * each
--- /dev/null
+++ b/tests/test_placement_first_event.py
@@ -0,0 +1,46 @@
+"""Tests of predicted first events and of the cost to running requests."""
+
+import math
+import unittest
+
+from parameterized import parameterized
+
+from balsamreach.placement.first_event import (
+    LatencyGoals,
+    first_event_ms,
+    lateness_cost_ms,
+    running_cost_ms,
+)
+
+
+class FirstEventTest(unittest.TestCase):
+    """The predictions follow the formulas of docs/design/uneven-load.md."""
+
+    @parameterized.expand(
+        (
+            ('idle', 0, 0, 100, 0, 30),
+            ('own tokens', 0, 8000, 40, 0, 230),
+            ('queue of other zone', 4000, 4000, 100, 4, 114),
+        )
+    )
+    def test_time(self, _, queued, uncached, speed, distance, expected):
+        found = first_event_ms(queued, uncached, speed, distance)
+        self.assertEqual(found, expected)
+
+    @parameterized.expand((('on time', 400, 0), ('close', 450, 200)))
+    def test_lateness(self, _, first_ms, expected):
+        late_after = LatencyGoals(0.5).late_after_ms
+        self.assertEqual(lateness_cost_ms(first_ms, late_after), expected)
+
+    @parameterized.expand(
+        (
+            ('nobody runs', 0, 1000, 0.6, 0),
+            ('short prompt', 4, 100, 0.6, 100),
+            ('beyond share of the gap', 4, 460, 0.6, 460 + 8 * 100),
+            ('no gap set', 4, 1000, 0, 1000),
+        )
+    )
+    def test_running(self, _, running, read_ms, gap, expected):
+        free_gap = LatencyGoals(1, gap).free_gap_ms
+        found = running_cost_ms(read_ms, running, free_gap)
+        self.assertTrue(math.isclose(found, expected), found)
