Apply the bound of a speed before the drift of an idle engine

Cause: the drift to the median began at the measured value. An estimate that is wrong by a factor of 100 stayed at the bound for 50 s longer than one that is wrong by 4.

Change: the distance from the median is bounded first and then shrinks.

Result: the test of an idle engine starts from 0.1 tokens/ms instead of 10 and gives the same speeds as before: 10, 20, 34, 40 after 9, 40, 100, 220 s.

--- a/src/balsamreach/placement/engine_speeds.py
+++ b/src/balsamreach/placement/engine_speeds.py
@@ -212,11 +212,12 @@
         estimate = self._estimates.get(engine)
         if estimate is None:
             return median
+        limit = math.log(MAX_FACTOR)
+        distance = min(max(estimate.log_speed - median, -limit), limit)
         share = estimate.tokens / (estimate.tokens + PRIOR_TOKENS)
+        # From the bound, so that the wrongest estimate takes no longer.
         share *= _remaining(self.age(engine) - IDLE_S)
-        limit = math.log(MAX_FACTOR)
-        distance = (estimate.log_speed - median) * share
-        return median + min(max(distance, -limit), limit)
+        return median + distance * share
 
     def _log_median(self) -> float:
         now = self.clock.now()
--- a/tests/test_placement_engine_speeds.py
+++ b/tests/test_placement_engine_speeds.py
@@ -88,7 +88,7 @@
     def test_idle_engine_approaches_median(self):
         """An engine that is wrongly held to be slow gets long prompts again."""
         self.make_fleet(40)
-        self.speeds.replace(SpeedSample('one', 10, 1e9))
+        self.speeds.replace(SpeedSample('one', 0.1, 1e9))
         found = []
         for seconds in (9, 31, 60, 120):
             self.clock.advance(seconds)
