Weigh the delay of running streams by what their callers notice

Cause: a quarter of the processing time for each running request outweighs the request itself from five running requests on, so long prompts avoid the fast engines, which run more requests. A stream that is delayed within its event gap is still on time, and the excess over the gap is charged separately.

Change: a twentieth instead, so that the 10 to 20 streams of a busy engine count about as much as the request.

--- a/src/balsamreach/placement/first_event.py
+++ b/src/balsamreach/placement/first_event.py
@@ -11,9 +11,10 @@
 AIM_SHARE = 0.8
 #: Cost of each millisecond beyond that share.
 LATE_FACTOR = 4
-#: Cost of each millisecond of processing for each running request: streams
-#: get fewer tokens meanwhile.
-DELAY_FACTOR = 0.25
+#: Cost of each millisecond of processing for each running request. A stream
+#: that is delayed within its event gap is still on time, so the 10 to 20
+#: streams of a busy engine together count about as much as the request itself.
+DELAY_FACTOR = 0.05
 #: Share of the event gap that processing one prompt may take at no extra
 #: cost. Prompts that follow each other add up in one gap.
 GAP_SHARE = 0.6
--- a/tests/test_placement_first_event.py
+++ b/tests/test_placement_first_event.py
@@ -35,9 +35,9 @@
     @parameterized.expand(
         (
             ('nobody runs', 0, 1000, 0.6, 0),
-            ('short prompt', 4, 100, 0.6, 100),
-            ('beyond share of the gap', 4, 460, 0.6, 460 + 8 * 100),
-            ('no gap set', 4, 1000, 0, 1000),
+            ('short prompt', 4, 100, 0.6, 20),
+            ('beyond share of the gap', 4, 460, 0.6, 92 + 8 * 100),
+            ('no gap set', 4, 1000, 0, 200),
         )
     )
     def test_running(self, _, running, read_ms, gap, expected):
