Choose engines by predicted time to first event

Cause: with one speed assumed for all engines, slow ones get long prompts that delay their streams, while fast ones are idle.

Change: where hubs exist, EngineCosts compares the predicted first event, its excess over the objective, and the cost to running requests; ties are broken at random and rendezvous hashing is weighted by speed. Without hubs the score is as before. Streams with over 1,500 uncached tokens give samples, timed from the sending of their own attempt. Queued tokens are counted without those expected to be cached, as in the prediction.

--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -2,21 +2,43 @@
 
 import random
 
+import attrs
+
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
 from balsamreach.config.relay_settings import RelaySettings
 from balsamreach.peers.base import PeerNet
 from balsamreach.placement.cold_targets import ColdTargetLimiter
+from balsamreach.placement.engine_costs import EngineCosts
+from balsamreach.placement.engine_speeds import EngineSpeeds
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.notices import Notices
 from balsamreach.placement.relay_targets import RelayTargets
 from balsamreach.placement.services import ServiceChooser
+from balsamreach.placement.sharing import LoadSharing
+from balsamreach.placement.speed_sharing import SpeedSharing
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.retry_budget import RelayRetryBudget
 from balsamreach.telemetry.metrics import Metrics
 
 
+@attrs.frozen
+class Sharing:
+    """What routers tell each other about targets.
+
+    Parameters
+    ----------
+    loads : LoadSharing
+        Loads of all targets.
+    speeds : SpeedSharing
+        Speeds of engines.
+    """
+
+    loads: LoadSharing
+    speeds: SpeedSharing
+
+
 def make_chooser(
     zone: str,
     net: PeerNet,
@@ -48,7 +70,11 @@
     )
     return Chooser(
         RelayTargets(rng),
-        EngineChooser(zone),
+        EngineChooser(
+            zone,
+            EngineCosts(zone, EngineSpeeds(clock), rng),
+            lambda: bool(net.hubs.hubs_of(zone)),
+        ),
         ServiceChooser(zone, rng),
         view,
         clock,
@@ -57,6 +83,31 @@
     )
 
 
+def make_sharing(
+    chooser: Chooser, net: PeerNet, clock: Clock, metrics: Metrics
+) -> Sharing:
+    """Create and start the exchange of loads and speeds with peers.
+
+    Parameters
+    ----------
+    chooser : Chooser
+        Uses what is received, and reports the requests that it sends.
+    net : PeerNet
+        Peer network.
+    clock : Clock
+        Source of the current time.
+    metrics : Metrics
+        Shows the range of the speeds.
+    """
+    places, speeds = chooser.places, chooser.engines.costs.speeds
+    loads = LoadSharing(net, places, clock)
+    chooser.on_sent = loads.on_request_sent
+    loads.start()
+    speed_sharing = SpeedSharing(net, places, speeds, clock, metrics)
+    speed_sharing.start()
+    return Sharing(loads, speed_sharing)
+
+
 def make_notices(
     places: RelayTargets, clock: Clock, metrics: Metrics
 ) -> Notices:
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -12,14 +12,15 @@
 from balsamreach.config.settings import Settings
 from balsamreach.daemon.peer_net import make_peer_net
 from balsamreach.daemon.placing_parts import (
+    Sharing,
     make_chooser,
     make_notices,
     make_retry_budget,
+    make_sharing,
 )
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.placement.relay_targets import RelayTargets
-from balsamreach.placement.sharing import LoadSharing
 from balsamreach.relay.attempt_results import AttemptClassifier
 from balsamreach.relay.attempts import RelayAttemptParts
 from balsamreach.relay.chooser import Chooser
@@ -47,7 +48,7 @@
     places: RelayTargets
     chooser: Chooser
     exchange: RelayCurl
-    sharing: LoadSharing
+    sharing: Sharing
     holdings: Holdings
     run: RelayRunParts
 
@@ -89,7 +90,9 @@
         places=chooser.places,
         chooser=chooser,
         exchange=exchange,
-        sharing=builder.make_sharing(chooser),
+        sharing=make_sharing(
+            chooser, builder.net, builder.clock, builder.metrics
+        ),
         holdings=holdings,
         run=builder.make_run(codec, exchange, chooser, holdings),
     )
@@ -137,13 +140,6 @@
             self.view.metered,
         )
 
-    def make_sharing(self, chooser: Chooser) -> LoadSharing:
-        """Create and start the exchange of engine loads with peers."""
-        sharing = LoadSharing(self.net, chooser.places, self.clock)
-        chooser.on_sent = sharing.on_request_sent
-        sharing.start()
-        return sharing
-
     def make_run(
         self,
         codec: Codec,
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -85,7 +85,8 @@
             holdings.run,
             holdings.run_reports,
             holdings.parts.home_client.run,
-            self.parts.sharing.run,
+            self.parts.sharing.loads.run,
+            self.parts.sharing.speeds.run,
             self._tick,
         )
         self._tasks = [asyncio.ensure_future(run()) for run in runners]
--- a/src/balsamreach/placement/engines.py
+++ b/src/balsamreach/placement/engines.py
@@ -5,16 +5,18 @@
 the engines' caches hold all shared parts once, but no engine holds them all.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
 from balsamreach.peers.rendezvous import rendezvous_weight
+from balsamreach.placement.engine_costs import EngineCosts
+from balsamreach.placement.first_event import BASE_MS, LatencyGoals
 from balsamreach.placement.prompts import CacheEstimate, Prompt
 from balsamreach.placement.relay_targets import RelayTarget
 
-#: Prompt tokens that a typical engine processes in a millisecond. Only the
-#: ratios between scores matter.
+#: Prompt tokens that a typical engine processes in a millisecond, where no
+#: speeds are shared. Only the ratios between scores matter.
 TOKENS_PER_MS = 100
 #: Cost, in milliseconds of waiting, of each shared token that is processed
 #: again. It is charged on top of the processing time and is about five times
@@ -25,6 +27,11 @@
 RUNNING_MS = 1
 #: Cost, in milliseconds of waiting, of sending to another zone.
 OTHER_ZONE_MS = 4
+#: Tokens not known to be cached from which on a prompt gives a sample of its
+#: engine's speed. The time of a shorter one is mostly the network's.
+MIN_SAMPLE_TOKENS = 1500
+
+_MS = 1000
 
 
 @attrs.define
@@ -35,14 +42,23 @@
     ----------
     zone : str
         Zone of this router.
+    costs : EngineCosts or None
+        Compares engines where speeds are shared; None if they never are.
+    shares_speeds : callable
+        Returns whether routers share the speeds of engines now.
     """
 
     zone: str
+    costs: EngineCosts | None = None
+    shares_speeds: Callable[[], bool] = bool
+    _last_prompt: Prompt | None = None
+    _last_preferred: RelayTarget | None = None
 
     def choose(
         self,
         prompt: Prompt,
         places: Iterable[RelayTarget],
+        goals: LatencyGoals,
     ) -> RelayTarget | None:
         """Return the engine with the lowest score, None if there is none.
 
@@ -52,10 +68,17 @@
             Prompt of the request.
         places : iterable of RelayTarget
             Engines that may be used.
+        goals : LatencyGoals
+            Times within which the caller expects events.
         """
         candidates = tuple(places)
         if not candidates:
             return None
+        if self._uses_speeds:
+            preferred = self.costs.preferred(prompt, candidates)
+            self._last_prompt = prompt
+            self._last_preferred = preferred
+            return self.costs.choose(prompt, candidates, preferred, goals)
         preferred = self._preferred(prompt, candidates)
         return min(
             candidates,
@@ -77,7 +100,7 @@
 
     def record_sent(
         self, prompt: Prompt, place: RelayTarget, capacity: int
-    ) -> None:
+    ) -> int:
         """Record that a prompt was sent to an engine.
 
         Parameters
@@ -88,10 +111,50 @@
             The engine.
         capacity : int
             Tokens that the engine's cache holds.
+
+        Returns
+        -------
+        int
+            Tokens that count as unprocessed until the first event.
         """
+        unread = prompt.tokens
+        if self._uses_speeds:
+            unread -= self._expected_cached(prompt, place)
         if place.cache is None:
             place.cache = CacheEstimate(capacity)
         place.cache.add(prompt.shared)
+        return unread
+
+    def record_first_event(
+        self, place: RelayTarget, unread: int, processed: int, seconds: float
+    ) -> None:
+        """Record when a stream began, as a sample of the engine's speed.
+
+        Parameters
+        ----------
+        place : RelayTarget
+            The engine.
+        unread : int
+            Tokens of the prompt that the engine had to process.
+        processed : int
+            The same, and all tokens that were queued before.
+        seconds : float
+            Time since the request was sent.
+        """
+        if unread >= MIN_SAMPLE_TOKENS and self._uses_speeds:
+            reading = seconds - BASE_MS / _MS
+            self.costs.speeds.record(place.incarnation, processed, reading)
+
+    @property
+    def _uses_speeds(self) -> bool:
+        return self.costs is not None and self.shares_speeds()
+
+    def _expected_cached(self, prompt: Prompt, place: RelayTarget) -> int:
+        # The same expectation as that of the choice, so that predictions and
+        # samples agree on what an engine has to process.
+        if prompt is self._last_prompt and place is self._last_preferred:
+            return sum(part.tokens for part in prompt.shared)
+        return self._cached(prompt, place)
 
     def _cached(self, prompt: Prompt, place: RelayTarget) -> int:
         if place.cache is None:
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -130,8 +130,8 @@
         intake = self._make_intake()
         in_flight = self.parts.chooser.begin(self.call, place)
         self.parts.link.add(self.call.size)
-        intake.on_head = partial(self._on_head, place, in_flight, intake)
         sent_at = self.parts.clock.now()
+        intake.on_head = partial(self._on_head, in_flight, intake, sent_at)
         try:
             end = await self.parts.exchange.send(
                 self._make_outgoing(place), intake
@@ -148,11 +148,12 @@
 
     def _on_head(
         self,
-        place: RelayTarget,
         in_flight: InFlight,
         intake: AnswerIntake,
+        sent_at: float,
         *_head: object,
     ) -> None:
+        place = in_flight.place
         in_flight.head_received()
         # The response of another target doesn't apply to the intended one.
         if intake.for_other_request or intake.misdirected:
@@ -160,6 +161,16 @@
         self.parts.notices.apply(place, intake.head.notice)
         if not intake.declined:
             self.parts.notices.record_accepted(place)
+        # A response that isn't a stream begins when all of it is generated.
+        if not isinstance(intake, StreamIntake) or intake.problem:
+            return
+        if intake.is_success:
+            self.parts.chooser.engines.record_first_event(
+                place,
+                in_flight.sent_unread,
+                in_flight.sent_queued,
+                self.parts.clock.now() - sent_at,
+            )
 
     def _finish_attempt(
         self,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -10,6 +10,7 @@
 from balsamreach.placement.cold_targets import ColdTargetLimiter
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
+from balsamreach.placement.first_event import LatencyGoals
 from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.relay import faults
@@ -76,7 +77,8 @@
         candidates = usable or eligible
         if call.prompt is None:
             return self.services.choose(candidates)
-        return self.engines.choose(call.prompt, candidates)
+        goals = LatencyGoals(call.route.aim, call.route.event_gap)
+        return self.engines.choose(call.prompt, candidates, goals)
 
     def has_target(self, call: RelayCall, tried: Set[str]) -> bool:
         """Return whether ``choose`` would find a target."""
@@ -109,8 +111,8 @@
         if call.prompt is None:
             return InFlight(place)
         capacity = self._engine_traits(call).cache_tokens
-        self.engines.record_sent(call.prompt, place, capacity)
-        in_flight = InFlight(place, call.prompt.tokens)
+        unread = self.engines.record_sent(call.prompt, place, capacity)
+        in_flight = InFlight(place, unread)
         self.on_sent(in_flight.unread)
         return in_flight
 
@@ -189,10 +191,15 @@
         The target.
     unread : int
         Prompt tokens that the target has not processed yet.
+    sent_unread, sent_queued : int
+        Unprocessed prompt tokens when the request was sent: its own, and all
+        at the target, its own included.
     """
 
     place: RelayTarget
     unread: int = 0
+    sent_unread: int = attrs.field(init=False)
+    sent_queued: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Add the request to the target's counts."""
@@ -200,6 +207,8 @@
         place.running += 1
         place.peak_running = max(place.peak_running, place.running)
         self.place.unread += self.unread
+        self.sent_unread = self.unread
+        self.sent_queued = place.queued
 
     def head_received(self) -> None:
         """Record that the target has processed the prompt, or never will."""
