Test that fleets without hubs choose engines as before

Cause: the new score must not apply where no speeds are shared.

Change: 50 prompts against uneven loads, with and without EngineCosts.

--- a/tests/test_placement_engines.py
+++ b/tests/test_placement_engines.py
@@ -199,6 +199,22 @@
         self.clock.advance(90)
         self.assertEqual(self.choose(), 'engine-2')
 
+    def test_present_score_without_hubs(self):
+        """Small fleets, which share no speeds, choose and count as before."""
+        for number, place in enumerate(self.places):
+            place.unread = 4000 * (number % 4)
+            place.running = number
+        self.rate('engine-5', 400)
+        costs = EngineCosts('z0', self.speeds, random.Random(1))
+        places = self.places.of_service(ENGINES)
+        for part in range(50):
+            prompt = _prompt(f'part-{part}')
+            plain = EngineChooser('z0').choose(prompt, places, _GOALS)
+            chooser = EngineChooser('z0', costs, bool)
+            self.assertIs(chooser.choose(prompt, places, _GOALS), plain)
+            unread = chooser.record_sent(prompt, plain, _CAPACITY)
+            self.assertEqual(unread, prompt.tokens)
+
     def test_speeds_are_refreshed(self):
         chooser = self.chooser()
         places = self.places.of_service(ENGINES)
