Compute the range of engines' speeds only when it is logged

Cause: the gauges were computed each second from all engines.

Change: gauges and log event are updated together, at most every 10 s once any speed is known; known() builds one object per engine instead of two.

--- a/src/balsamreach/placement/engine_speeds.py
+++ b/src/balsamreach/placement/engine_speeds.py
@@ -170,9 +170,8 @@
         """Yield the mean of each engine's samples, without the prior."""
         now = self.clock.now()
         for engine, estimate in self._estimates.items():
-            sample = _to_sample(engine, estimate)
-            share = _remaining(now - estimate.sampled_at)
-            yield attrs.evolve(sample, tokens=sample.tokens * share)
+            tokens = estimate.tokens * _remaining(now - estimate.sampled_at)
+            yield SpeedSample(engine, math.exp(estimate.log_speed), tokens)
 
     def speed(self, engine: str) -> float:
         """Return the tokens that an engine processes in a millisecond."""
--- a/src/balsamreach/placement/speed_sharing.py
+++ b/src/balsamreach/placement/speed_sharing.py
@@ -178,12 +178,14 @@
                 yield SpeedSample(engine, rate / _MS, weight)
 
     def _report(self) -> None:
+        now = self.clock.now()
+        if now - self._logged_at < _LOG_INTERVAL_S:
+            return
         engines = [
             sample.engine
             for sample in self.speeds.known()
             if sample.tokens >= PRIOR_TOKENS
         ]
-        now = self.clock.now()
         self.metrics.gauge('balsamreach_engine_speeds_known', len(engines))
         if not engines:
             return
@@ -198,8 +200,6 @@
             self.metrics.gauge(
                 'balsamreach_engine_speed_tokens_per_ms', speed, which=which
             )
-        if now - self._logged_at < _LOG_INTERVAL_S:
-            return
         self._logged_at = now
         age = max(self.speeds.age(engine) for engine in engines)
         log_event(
