--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -9,6 +9,8 @@
 from balsamreach.config.relay_settings import RelaySettings
 from balsamreach.peers.base import PeerNet
 from balsamreach.placement.cold_targets import ColdTargetLimiter
+from balsamreach.placement.engine_costs import EngineCosts
+from balsamreach.placement.engine_speeds import EngineSpeeds
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.placement.failure_sharing import FailureSharing
@@ -16,6 +18,7 @@
 from balsamreach.placement.relay_targets import RelayTargets
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.sharing import LoadSharing
+from balsamreach.placement.speed_sharing import SpeedSharing
 from balsamreach.placement.target_failures import FailureTracker
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.retry_budget import RelayRetryBudget
@@ -32,10 +35,13 @@
         Exchanges the loads of engines.
     failures : FailureSharing
         Exchanges failures, in fleets with hubs.
+    speeds : SpeedSharing
+        Exchanges the speeds of engines, in fleets with hubs.
     """
 
     loads: LoadSharing
     failures: FailureSharing
+    speeds: SpeedSharing
 
 
 def make_chooser(
@@ -73,7 +79,11 @@
     places = RelayTargets(rng)
     return Chooser(
         places,
-        EngineChooser(zone),
+        EngineChooser(
+            zone,
+            EngineCosts(zone, EngineSpeeds(clock), rng),
+            lambda: bool(net.hubs.hubs_of(zone)),
+        ),
         ServiceChooser(zone, rng),
         view,
         clock,
@@ -83,7 +93,9 @@
     )
 
 
-def make_sharing(net: PeerNet, chooser: Chooser, clock: Clock) -> Sharing:
+def make_sharing(
+    net: PeerNet, chooser: Chooser, clock: Clock, metrics: Metrics
+) -> Sharing:
     """Create and start what is exchanged with peers about targets.
 
     Parameters
@@ -94,14 +106,19 @@
         Chooser of targets, which uses what peers report.
     clock : Clock
         Source of the current time.
+    metrics : Metrics
+        Shows the range of the engines' speeds.
     """
+    places, speeds = chooser.places, chooser.engines.costs.speeds
     sharing = Sharing(
-        LoadSharing(net, chooser.places, clock),
+        LoadSharing(net, places, clock),
         FailureSharing(net, chooser.failures, clock),
+        SpeedSharing(net, places, speeds, clock, metrics),
     )
     chooser.on_sent = sharing.loads.on_request_sent
     sharing.loads.start()
     sharing.failures.start()
+    sharing.speeds.start()
     return sharing
 
 
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -91,7 +91,9 @@
         places=chooser.places,
         chooser=chooser,
         exchange=exchange,
-        sharing=make_sharing(builder.net, chooser, builder.clock),
+        sharing=make_sharing(
+            builder.net, chooser, builder.clock, builder.metrics
+        ),
         holdings=holdings,
         run=builder.make_run(codec, exchange, chooser, holdings),
     )
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -87,6 +87,7 @@
             holdings.parts.home_client.run,
             self.parts.sharing.loads.run,
             self.parts.sharing.failures.run,
+            self.parts.sharing.speeds.run,
             self._tick,
         )
         self._tasks = [asyncio.ensure_future(run()) for run in runners]
