Reject requests that the host's link can't carry in time

Cause: all requests of a large team arrive through one small host. Its link is saturated, connections to targets and token requests time out, targets are recorded as failed, and few requests are answered.

A body that alone takes longer than the limit is admitted while the data ahead of it takes at most half of the limit; otherwise an idle small host would reject it at each retry. - While the backlog is over 100 ms, the timeouts for connecting to a target and for a home's response are extended by twice the backlog, at most 1 s. A connection that times out meanwhile isn't recorded as the target's failure; a refused one still is. UpstreamFault.timed_out tells them apart. - HostLink can count the same bytes and the requests by team (TeamTraffic).

--- a/src/balsamreach/budget/home_client.py
+++ b/src/balsamreach/budget/home_client.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -76,12 +77,15 @@
         Counts asks by outcome.
     timeout : float
         Seconds within which a home must answer.
+    extra_seconds : callable
+        Returns the seconds that this host's own link adds to that.
     """
 
     net: PeerNet
     clock: Clock
     metrics: Metrics
     timeout: float
+    extra_seconds: Callable[[], float] = float
     _ask_numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     _backoff_until: dict[str, float] = attrs.field(factory=dict)
     _unsettled: dict[str, dict[int, int]] = attrs.field(factory=dict)
@@ -123,7 +127,9 @@
         ask = TokensAsk(number, team, tokens)
         task = asyncio.ensure_future(self.net.ask(home.incarnation, ask))
         try:
-            await asyncio.wait({task}, timeout=self.timeout)
+            await asyncio.wait(
+                {task}, timeout=self.timeout + self.extra_seconds()
+            )
         except asyncio.CancelledError:
             self._add_unsettled(home.incarnation, number, 0)
             raise
--- a/src/balsamreach/config/relay_settings.py
+++ b/src/balsamreach/config/relay_settings.py
@@ -22,3 +22,4 @@
     retry_window: float = key(units.read_duration)
     spend_window: float = key(units.read_duration)
     grace: float = key(units.read_duration)
+    link_control: bool = key(units.read_flag)
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -10,6 +10,7 @@
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
+from balsamreach.daemon.link_parts import LinkParts, make_link_parts
 from balsamreach.daemon.peer_net import make_peer_net
 from balsamreach.daemon.placing_parts import (
     make_chooser,
@@ -24,7 +25,6 @@
 from balsamreach.relay.attempts import RelayAttemptParts
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.codec import Codec
-from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.prepaid_spending import PrepaidSpending
 from balsamreach.relay.quarantine import make_quarantine
 from balsamreach.relay.request_log import RequestLog
@@ -115,14 +115,16 @@
     metrics: Metrics
     view: CatalogueView = attrs.field(factory=CatalogueView)
     freshness_check: FreshnessCheck = attrs.field(init=False)
+    link_parts: LinkParts = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the freshness check; its source is set later."""
+        """Create the freshness check, whose source is set later."""
         self.freshness_check = FreshnessCheck(self.view, self.clock)
+        self.link_parts = make_link_parts(self.cfg, self.clock)
 
     def make_holdings(self, outside: Outside) -> Holdings:
         """Create what admits requests against held tokens."""
-        return Holdings(
+        holdings = Holdings(
             outside.table,
             self.view.prepaid,
             self.net.me.incarnation,
@@ -136,6 +138,9 @@
             self.metrics,
             self.view.metered,
         )
+        home_client = holdings.parts.home_client
+        home_client.extra_seconds = self.link_parts.delay.extra_seconds
+        return holdings
 
     def make_sharing(self, chooser: Chooser) -> LoadSharing:
         """Create and start the exchange of engine loads with peers."""
@@ -159,24 +164,27 @@
             self.metrics,
             self.net,
         )
-        link = HostLink(cfg.host.link, self.clock)
         attempt_parts = RelayAttemptParts(
             codec=codec,
             chooser=chooser,
             exchange=exchange,
             retry_budget=make_retry_budget(cfg.relay, self.net, self.clock),
-            classifier=AttemptClassifier(chooser, quarantine),
+            classifier=AttemptClassifier(
+                chooser, quarantine, self.link_parts.delay.is_high
+            ),
             notices=make_notices(chooser.places, self.clock, self.metrics),
             clock=self.clock,
-            link=link,
+            link=self.link_parts.link,
             stream_gap=cfg.relay.stream_gap,
+            connect_timeout=self.link_parts.connect_timeout,
         )
         return RelayRunParts(
             codec=codec,
             spending=PrepaidSpending(holdings, self.view, self.freshness_check),
             quarantine=quarantine,
-            link=link,
+            link=self.link_parts.link,
             attempt_parts=attempt_parts,
             clock=self.clock,
             log=RequestLog(self.clock, self.metrics),
+            link_control=cfg.relay.link_control,
         )
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -13,8 +13,17 @@
     from balsamreach.targets.registry import Target
 
 
+@attrs.frozen
 class UpstreamFault(Fault):
-    """Reason why a target's answer is incomplete."""
+    """Reason why a target's answer is incomplete.
+
+    Parameters
+    ----------
+    timed_out : bool
+        Whether a connection took too long, rather than being refused.
+    """
+
+    timed_out: bool = attrs.field(default=False, eq=False)
 
 
 #: No connection was made, so no byte can have reached the target.
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -96,7 +96,9 @@
     # timed-out answer. Only the fact that sending never began proves that
     # the request was not sent.
     if not transfer.intake.sent:
-        return NOT_SENT.because(end.message or 'no connection in time')
+        fault = NOT_SENT.because(end.message or 'no connection in time')
+        timed_out = end.code == pycurl.E_OPERATION_TIMEDOUT
+        return attrs.evolve(fault, timed_out=timed_out)
     if end.code == SILENCE_CODE:
         return SILENT.because('no data within the gap timeout')
     return BROKEN.because(
--- a/src/balsamreach/gateway/relay_curl.py
+++ b/src/balsamreach/gateway/relay_curl.py
@@ -26,7 +26,8 @@
     Parameters
     ----------
     connect_timeout : float
-        Maximum seconds to establish a connection.
+        Maximum seconds to establish a connection, unless an attempt has its
+        own.
     """
 
     connect_timeout: float
@@ -60,7 +61,8 @@
         set_callbacks(curl, transfer)
 
     def _set_reuse(self, curl: pycurl.Curl, outgoing: Outgoing) -> None:
-        connect_ms = int(self.connect_timeout * _MS)
+        timeout = outgoing.connect_timeout or self.connect_timeout
+        connect_ms = int(timeout * _MS)
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
         curl.setopt(pycurl.MAXAGE_CONN, _MAX_IDLE_S)
         if outgoing.new_connection:
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -1,5 +1,7 @@
 """Classifies how an attempt ended, and records the result."""
 
+from collections.abc import Callable
+
 import attrs
 
 from balsamreach.dispatch.upstream import NOT_SENT, SILENT, UpstreamFault
@@ -41,10 +43,14 @@
         Withholds requests from targets that fail.
     quarantine : CrashQuarantine
         Quarantines requests that crash targets.
+    link_delayed : callable
+        Returns whether a connection may have timed out because of this host's
+        own link.
     """
 
     chooser: Chooser
     quarantine: CrashQuarantine
+    link_delayed: Callable[[], bool] = bool
 
     def classify(
         self,
@@ -90,9 +96,14 @@
         return Verdict(deliverable=True)
 
     def _not_connected(self, place: RelayTarget, end: UpstreamFault) -> Verdict:
+        reason = f'no connection: {end.reason}'
+        if end.timed_out and self.link_delayed():
+            # All targets that are tried would otherwise count as failed,
+            # although only this host's link is saturated.
+            place.breaker.release_probe()
+            return Verdict(faults.NO_TARGET.because(reason))
         self.quarantine.record_refused(place)
         self.chooser.record_failure(place, certain=True)
-        reason = f'no connection: {end.reason}'
         return Verdict(faults.NO_TARGET.because(reason))
 
     def _broken(
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to targets until one of them responds."""
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 
 import attrs
@@ -42,6 +43,9 @@
         Counts the bytes that cross the host's link.
     stream_gap : float
         Seconds of silence after which a stream is aborted.
+    connect_timeout : callable
+        Returns the maximum seconds to connect to a target now; 0 for the
+        default of the exchange.
     """
 
     codec: Codec
@@ -53,6 +57,7 @@
     clock: Clock
     link: HostLink
     stream_gap: float
+    connect_timeout: Callable[[], float] = float
 
 
 @attrs.define(eq=False)
@@ -129,7 +134,7 @@
         self._tried.add(place.incarnation)
         intake = self._make_intake()
         in_flight = self.parts.chooser.begin(self.call, place)
-        self.parts.link.add(self.call.size)
+        self.parts.link.add(self.call.size, self.call.team_name)
         intake.on_head = partial(self._on_head, place, in_flight, intake)
         sent_at = self.parts.clock.now()
         try:
@@ -206,7 +211,8 @@
 
     def _count_events(self, events: int, size: int) -> None:
         # Twice: received from the target and sent to the caller.
-        self.parts.link.add(2 * (size + CHUNK_OVERHEAD_BYTES))
+        crossing = 2 * (size + CHUNK_OVERHEAD_BYTES)
+        self.parts.link.add(crossing, self.call.team_name)
         self.timing.record(self.parts.clock.now())
         self.events += events
         per_event = self.parts.chooser.tokens_per_event(self.call)
@@ -233,6 +239,7 @@
             silence_timeout=self.parts.stream_gap
             if self.call.route.streams
             else 0,
+            connect_timeout=self.parts.connect_timeout(),
         )
 
     def _may_retry(self, fault: RelayFault) -> bool:
@@ -264,7 +271,7 @@
             return self._finish_stream(intake)
         if self.caller_response.started:
             return faults.BROKEN.because('the stream could not be resumed')
-        self.parts.link.add(2 * len(intake.body))
+        self.parts.link.add(2 * len(intake.body), self.call.team_name)
         self.caller_response.start(intake.head.status, intake.head.headers)
         self.caller_response.write(bytes(intake.body))
         self.caller_response.finish()
--- a/src/balsamreach/relay/exchange.py
+++ b/src/balsamreach/relay/exchange.py
@@ -28,6 +28,9 @@
     silence_timeout : float
         Seconds of silence after which the attempt is aborted; 0 for no
         bound.
+    connect_timeout : float
+        Maximum seconds to establish a connection; 0 for the default of the
+        exchange.
     """
 
     target: TargetEntry
@@ -37,6 +40,7 @@
     body: bytes = b''
     new_connection: bool = False
     silence_timeout: float = 0
+    connect_timeout: float = 0
 
 
 class Exchange(abc.ABC):
--- a/src/balsamreach/relay/host_link.py
+++ b/src/balsamreach/relay/host_link.py
@@ -10,6 +10,7 @@
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.relay.team_traffic import TeamTraffic
 
 #: Bytes per megabit.
 _BYTES_PER_MBIT = 125_000
@@ -37,17 +38,32 @@
         case it never counts as full.
     clock : Clock
         Source of the current time.
+    traffic : TeamTraffic or None
+        Counts the same bytes by team; None if that is not needed.
     """
 
     mbit: float
     clock: Clock
+    traffic: TeamTraffic | None = None
     _backlog: float = 0
     _drained_at: float = 0
 
-    def add(self, size: float) -> None:
-        """Add bytes that cross the link, in either direction."""
+    def add(self, size: int, team: str = '', requests: int = 0) -> None:
+        """Add bytes that cross the link, in either direction.
+
+        Parameters
+        ----------
+        size : int
+            The bytes.
+        team : str
+            Team whose request or response they belong to; empty if none.
+        requests : int
+            Requests of the team that were received with them.
+        """
         self._drain()
         self._backlog += size
+        if team and self.traffic is not None:
+            self.traffic.add(team, size, requests)
 
     def is_full(self) -> bool:
         """Return whether the backlog is too large."""
@@ -58,14 +74,19 @@
         if not self.mbit:
             return 0
         self._drain()
-        return self._backlog / self._rate
+        return self._backlog / self.usable_rate
+
+    def transfer_seconds(self, size: int) -> float:
+        """Return the seconds that the link needs for some bytes alone."""
+        return size / self.usable_rate if self.mbit else 0
 
     @property
-    def _rate(self) -> float:
+    def usable_rate(self) -> float:
+        """Bytes per second that requests may use; 0 if unknown."""
         return self.mbit * _BYTES_PER_MBIT * _USABLE_SHARE
 
     def _drain(self) -> None:
         now = self.clock.now()
-        carried = (now - self._drained_at) * self._rate
+        carried = (now - self._drained_at) * self.usable_rate
         self._backlog = max(0, self._backlog - carried)
         self._drained_at = now
--- a/src/balsamreach/relay/request_log.py
+++ b/src/balsamreach/relay/request_log.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
 from balsamreach.telemetry.logs import log_event
@@ -16,6 +17,7 @@
 
 REQUESTS_TOTAL = 'balsamreach_relay_requests_total'
 REQUEST_SECONDS = 'balsamreach_relay_request_seconds'
+LINK_REJECTIONS = 'balsamreach_relay_link_rejections_total'
 
 _logger = logging.getLogger(__name__)
 _MS = 1000
@@ -62,6 +64,8 @@
             REQUESTS_TOTAL, outcome=outcome, service=call.service
         )
         self.metrics.observe(REQUEST_SECONDS, duration, service=call.service)
+        if fault == faults.HOST_OVERLOADED:
+            self.metrics.count(LINK_REJECTIONS, priority=call.priority)
         log_event(
             _logger,
             logging.INFO if fault is None else logging.WARNING,
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -12,6 +12,7 @@
 from balsamreach.relay.codec import Codec
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.host_link import HostLink
+from balsamreach.relay.link_admission import check_link
 from balsamreach.relay.quarantine import CrashQuarantine
 from balsamreach.relay.request_log import RequestLog
 from balsamreach.relay.retry_jitter import RetryJitter
@@ -20,7 +21,13 @@
 
 @attrs.frozen(kw_only=True)
 class RelayRunParts:
-    """The services that process every request."""
+    """The services that process every request.
+
+    Parameters
+    ----------
+    link_control : bool
+        Whether requests that the link can't carry in time are rejected.
+    """
 
     codec: Codec
     spending: Spending
@@ -30,6 +37,7 @@
     clock: Clock
     log: RequestLog
     retry_jitter: RetryJitter = attrs.field(factory=RetryJitter)
+    link_control: bool = False
 
 
 @attrs.define(eq=False)
@@ -65,10 +73,8 @@
             self._refuse(fault)
 
     async def _admit(self, attempts: RelayAttempts) -> RelayFault | None:
-        self.parts.link.add(self.call.size)
-        refusal = self.parts.quarantine.check(self.call)
-        if refusal is None:
-            refusal = self.parts.attempt_parts.chooser.refusal(self.call)
+        self.parts.link.add(self.call.size, self.call.team_name, requests=1)
+        refusal = self._check()
         if refusal is not None:
             return refusal
         time_left = self.call.deadline - self.parts.clock.now()
@@ -86,6 +92,14 @@
                 'its time limit has passed'
             )
 
+    def _check(self) -> RelayFault | None:
+        refusal = self.parts.quarantine.check(self.call)
+        if refusal is None:
+            refusal = self.parts.attempt_parts.chooser.refusal(self.call)
+        if refusal is None and self.parts.link_control:
+            refusal = check_link(self.call, self.parts.link)
+        return refusal
+
     async def _run_charged(self, attempts: RelayAttempts) -> RelayFault | None:
         reservation = await self.parts.spending.reserve(self.call)
         attempts.reserved_at = self.parts.clock.now()
