Leave the rotation before a reported heavy team saturates the link

Cause: when a small host leaves the rotation because of a large team, the load balancer moves the team to the next small host, which saturates and leaves as well, and after 6 s the team is back at the first one.

Change, with [relay] link_control on and the link's bandwidth known: - A router counts bytes and requests by team over a sliding second, reports teams above half of its usable link to its zone (HeavyTeams, hubs only), and leaves at once when a team that another router reported arrives.

--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -49,6 +49,7 @@
     exchange: RelayCurl
     sharing: LoadSharing
     holdings: Holdings
+    link_parts: LinkParts
     run: RelayRunParts
 
 
@@ -91,6 +92,7 @@
         exchange=exchange,
         sharing=builder.make_sharing(chooser),
         holdings=holdings,
+        link_parts=builder.link_parts,
         run=builder.make_run(codec, exchange, chooser, holdings),
     )
 
@@ -120,7 +122,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the freshness check, whose source is set later."""
         self.freshness_check = FreshnessCheck(self.view, self.clock)
-        self.link_parts = make_link_parts(self.cfg, self.clock)
+        self.link_parts = make_link_parts(self.cfg, self.net, self.clock)
 
     def make_holdings(self, outside: Outside) -> Holdings:
         """Create what admits requests against held tokens."""
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -16,7 +16,6 @@
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.codec import CallerRequest
 from balsamreach.relay.faults import RelayFault
-from balsamreach.relay.rotation import Rotation
 from balsamreach.relay.run import RelayRun
 from balsamreach.telemetry.logs import log_event
 
@@ -66,11 +65,6 @@
     callers: OpenListener = attrs.field(init=False)
     probes: OpenListener = attrs.field(init=False)
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
-    _rotation: Rotation = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Start in the rotation of the load balancer."""
-        self._rotation = Rotation(self.parts.run.link, self.parts.clock)
 
     async def start(self) -> None:
         """Open the listeners and begin to follow configuration and targets."""
@@ -214,7 +208,7 @@
     def _update_rotation(self) -> None:
         if self.state not in {_READY, _OUT_OF_ROTATION}:
             return
-        is_out = self._rotation.is_out()
+        is_out = self.parts.link_parts.update()
         if is_out == self.server.crowded:
             return
         self.server.crowded = is_out
@@ -225,6 +219,7 @@
             logging.INFO,
             f'router_{self.state}',
             reason=f'the link is {wait_ms} ms behind',
+            **self.parts.link_parts.describe_cause(),
         )
 
 
