--- a/src/balsamreach/config/relay_settings.py
+++ b/src/balsamreach/config/relay_settings.py
@@ -23,3 +23,4 @@
     spend_window: float = key(units.read_duration)
     grace: float = key(units.read_duration)
     backup_tokens: int = key(units.read_count)
+    link_control: bool = key(units.read_flag)
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -1,8 +1,15 @@
 """Classifies how an attempt ended, and records the result."""
 
+from collections.abc import Callable
+
 import attrs
 
-from balsamreach.dispatch.upstream import NOT_SENT, SILENT, UpstreamFault
+from balsamreach.dispatch.upstream import (
+    NOT_SENT,
+    SILENT,
+    ConnectFailure,
+    UpstreamFault,
+)
 from balsamreach.placement.relay_targets import RelayTarget
 from balsamreach.relay import faults
 from balsamreach.relay.call import RelayCall
@@ -41,10 +48,14 @@
         Withholds requests from targets that fail.
     quarantine : CrashQuarantine
         Quarantines requests that crash targets.
+    link_delayed : callable
+        Returns whether a connection may have timed out because of this host's
+        own link.
     """
 
     chooser: Chooser
     quarantine: CrashQuarantine
+    link_delayed: Callable[[], bool] = bool
 
     def classify(
         self,
@@ -90,11 +101,17 @@
         return Verdict(deliverable=True)
 
     def _not_connected(self, place: RelayTarget, end: UpstreamFault) -> Verdict:
+        reason = f'no connection: {end.reason}'
+        timed_out = end.connect_failure is ConnectFailure.TIMED_OUT
+        if timed_out and self.link_delayed():
+            # All targets that are tried would otherwise count as failed,
+            # although only this host's link is saturated.
+            place.breaker.release_probe()
+            return Verdict(faults.NO_TARGET.because(reason))
         self.quarantine.record_refused(place)
         self.chooser.record_failure(place, certain=True)
         failures = self.chooser.failures
         failures.record_not_connected(place, end.connect_failure)
-        reason = f'no connection: {end.reason}'
         return Verdict(faults.NO_TARGET.because(reason))
 
     def _broken(
