Size the holdings of a cut-off router by all known routers

Change: in a fleet that is large enough for hubs, such a router counts the distinct addresses of all routers that it has known, dead ones included. Fleets without hubs, and the start of a fleet, count as before.

Result: the table in test_budget_sizing gives 9 holders instead of 1 for a router that has lost 8 others.

--- a/src/balsamreach/budget/homes.py
+++ b/src/balsamreach/budget/homes.py
@@ -75,8 +75,18 @@
 
 
 def count_holders(net: PeerNet) -> int:
-    """Return how many routers hold a team's tokens: one per zone, or all."""
-    return len(net.hubs.zones()) or len(net.members())
+    """Return how many routers hold a team's tokens: one per zone, or all.
+
+    A router of a large fleet that sees no other one counts all that it has
+    known. It can't tell whether they died or it is cut off from them; as the
+    only holder it would draw a third of a budget while they hold the rest.
+    """
+    members = net.members()
+    if len(members) == 1:
+        known = {member.address for member in (*members, *net.dead_members())}
+        if net.hubs.has_hubs(len(known)):
+            return len(known)
+    return len(net.hubs.zones()) or len(members)
 
 
 def count_reporters(net: PeerNet) -> int:
--- a/src/balsamreach/peers/base.py
+++ b/src/balsamreach/peers/base.py
@@ -30,6 +30,10 @@
     def zones(self) -> tuple[str, ...]:
         """Return the zones that have hubs."""
 
+    def has_hubs(self, _routers: int) -> bool:
+        """Return whether a fleet of so many routers has hubs."""
+        return False
+
 
 class NoHubs(HubSelector):
     """No hubs: in a small fleet each router is connected to each other."""
--- a/src/balsamreach/peers/hubs.py
+++ b/src/balsamreach/peers/hubs.py
@@ -48,6 +48,10 @@
         self._refresh()
         return tuple(zone for zone, hubs in self._by_zone.items() if hubs)
 
+    def has_hubs(self, routers: int) -> bool:
+        """Return whether a fleet of so many routers has hubs."""
+        return routers > self.cfg.max_peers + 1
+
     def _refresh(self) -> None:
         if self._hubs_version == self.membership.version:
             return
@@ -55,7 +59,7 @@
         alive = self.membership.alive()
         zones = sorted({member.zone for member in alive})
         limit = self.cfg.hubs_per_zone
-        if len(alive) <= self.cfg.max_peers + 1:
+        if not self.has_hubs(len(alive)):
             limit = 0
         self._by_zone = {zone: pick_hubs(alive, zone, limit) for zone in zones}
 
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -183,6 +183,10 @@
         zones = sorted({member.zone for member in self._members()})
         return tuple(zones) if self.fabric.hubs_per_zone else ()
 
+    def has_hubs(self, routers: int) -> bool:
+        """Return whether a fleet of so many routers has hubs."""
+        return routers > 2 and self.fabric.hubs_per_zone > 0
+
     def _members(self) -> tuple[Member, ...]:
         return tuple(net.me for net in self.fabric.nets.values())
 
@@ -193,6 +197,11 @@
 
     fabric: FakeNet
     handlers: dict[type[Message], Handler] = attrs.field(factory=dict)
+    dead: tuple[Member, ...] = ()
+
+    def dead_members(self) -> tuple[Member, ...]:
+        """Return the routers that the test set."""
+        return self.dead
 
     def members(self) -> tuple[Member, ...]:
         """Return all members that were not killed."""
--- a/tests/test_budget_sizing.py
+++ b/tests/test_budget_sizing.py
@@ -12,12 +12,14 @@
     allotment_key,
     encode_record,
 )
+from balsamreach.budget.homes import count_holders
 from balsamreach.budget.ledger import Ledger
 from balsamreach.budget.moves import Move, MoveRows, plan_move
 from balsamreach.budget.rate import Rate
 from balsamreach.budget.sizing import Sizing
 from balsamreach.services.base import Row
 from tests.budget_world import SETTINGS, VirtualClock
+from tests.fake_net import FakeNet
 
 
 class SpentLoanTest(unittest.TestCase):
@@ -55,3 +57,27 @@
         written = {write.key: write.value for write in plan.writes}
         after = written.get(account_key('team'), account)
         self.assertEqual(after['taken'], 1000 - expected)
+
+
+class CountHoldersTest(unittest.TestCase):
+    """Guards against a router that draws a third of a budget when cut off."""
+
+    @parameterized.expand(
+        [
+            ('fleet starts', 2, 1, 0, 1),
+            ('large fleet', 2, 9, 0, 1),
+            ('large fleet, some dead', 2, 5, 4, 1),
+            ('cut off', 2, 1, 8, 9),
+            ('small fleet', 2, 1, 1, 1),
+            ('no hubs', 0, 1, 8, 1),
+            ('no hubs, several', 0, 4, 0, 4),
+        ]
+    )
+    def test_count(self, _name, hubs, alive, dead, expected):
+        network = FakeNet(hubs_per_zone=hubs)
+        nets = [network.join(f'router-{one}') for one in range(alive + dead)]
+        gone = tuple(net.me for net in nets[alive:])
+        for member in gone:
+            network.kill(member.incarnation)
+        nets[0].dead = gone
+        self.assertEqual(count_holders(nets[0]), expected)
