Ask the other hub, then draw here, where a home has no tokens

Cause: a home that can't reach the store refuses what it can't cover, and its refusal was final although the zone's other hub or the router itself reaches the store. Waiting requests got tokens by arrival alone.

Change: after `no_allotment` of a home the router asks the zone's other hub and then reserves for itself, unless its own store is known to be away. For 0.5 s it asks the other hub first for that team. A reservation ends within the home's timeout and `draw_wait` together, as before: a second hub leaves 0.15 s for the router's own draw, and a hub answers other routers within 0.25 s, since an answer after their timeout of 0.3 s counts as silence. A home that doesn't answer at all is handled as before. An ask that arrives twice is reserved once; the second reservation was never freed.

`TokensAsk` carries the urgency and `TokensGrant` the retry time, as last fields; waiting requests are served by urgency, then by arrival.

Result, in virtual time with the home cut off from the store and from the other hub, three requests of one router: before, all three were refused; now the other hub grants all three, and the router itself where neither hub reaches the store. No reservation took longer than 0.7 s, also with a store that hangs.

--- a/src/balsamreach/budget/faults.py
+++ b/src/balsamreach/budget/faults.py
@@ -13,9 +13,13 @@
     ----------
     retry_after : float
         Seconds after which a retry makes sense; 0 if it never does.
+    tokens_wait : float
+        Seconds after which tokens may have arrived for a team whose requests
+        got none for a while; 0 if that isn't known.
     """
 
     retry_after: float = attrs.field(default=0, eq=False)
+    tokens_wait: float = attrs.field(default=0, eq=False)
 
 
 #: The account has fewer free tokens than the request may need.
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -25,6 +25,7 @@
 from balsamreach.budget.moves import Move
 from balsamreach.budget.prepaid import PrepaidLookup
 from balsamreach.budget.rate import Rate
+from balsamreach.budget.waiters import TokensNeed
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
 from balsamreach.peers.base import PeerNet
@@ -95,29 +96,44 @@
         self,
         team: str,
         tokens: int,
+        urgency: int = 0,
     ) -> Reservation | BudgetFault:
         """Reserve the most tokens that a request may use before it runs.
 
+        Parameters
+        ----------
+        team : str
+            Team that pays.
+        tokens : int
+            Most tokens that the request may use.
+        urgency : int
+            Waiting requests with a higher number are served first.
+
         Returns
         -------
         Reservation or BudgetFault
             EXHAUSTED only where the account itself has too little left.
         """
-        home_client = self.parts.home_client
-        home = home_client.find(team)
-        if home is not None:
-            outcome = await home_client.reserve(home, team, tokens)
-            if outcome is not None:
-                return outcome
-        return await self.reserve_here(team, tokens)
+        return await self.parts.home_failover.reserve(
+            TokensNeed(team, tokens, urgency),
+        )
 
     async def reserve_here(
         self,
-        team: str,
-        tokens: int,
+        need: TokensNeed,
+        max_wait: float,
     ) -> Reservation | BudgetFault:
-        """Reserve tokens for a request out of what this router holds."""
-        ledger = self._ledger(team)
+        """Reserve tokens for a request out of what this router holds.
+
+        Parameters
+        ----------
+        need : TokensNeed
+            What the request needs.
+        max_wait : float
+            Seconds that it may wait; it waits no longer than ``draw_wait``.
+        """
+        tokens = need.tokens
+        ledger = self._ledger(need.team)
         ledger.squares_rate.add(tokens**2, self.clock.now())
         reservation = None
         if not ledger.queue:
@@ -125,7 +141,12 @@
         if reservation is not None:
             ledger.rate.add(tokens, self.clock.now())
             return reservation
-        return await self.parts.obtainer.obtain(ledger, tokens)
+        return await self.parts.obtainer.obtain(
+            ledger,
+            tokens,
+            need.urgency,
+            max_wait,
+        )
 
     def charge(self, reservation: Reservation, tokens: int) -> None:
         """Charge what a request used and free the rest."""
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -1,5 +1,6 @@
 """Builds the components that manage the tokens held by one router."""
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -8,6 +9,7 @@
 from balsamreach.budget.adaptive_sizing import AdaptiveSizing
 from balsamreach.budget.book import LedgerBook
 from balsamreach.budget.home_client import HomeClient
+from balsamreach.budget.home_failover import HomeFailover
 from balsamreach.budget.home_server import HomeServer
 from balsamreach.budget.homes import (
     count_holders,
@@ -44,6 +46,9 @@
 #: ask lenders while the table service is away; waiting for one that is gone
 #: must leave enough time for other sources.
 _HOME_TIMEOUT_S = 0.3
+#: Longest wait at a home for tokens for another router. If the home refused
+#: later than that router waits, it would count as not answering.
+_HOME_WAIT_S = 0.25
 
 #: Part of the report interval whose expected spending a report covers beyond
 #: the tokens in use. These tokens are lost if this router dies; spending that
@@ -74,6 +79,7 @@
     obtainer: Obtainer
     predecessor_closer: PredecessorCloser
     home_client: HomeClient
+    home_failover: HomeFailover
     home_server: HomeServer
 
 
@@ -126,13 +132,25 @@
         timeout=_DRAW_TIMEOUT_S,
         reporter=reporter,
     )
+    home_client = HomeClient(
+        holdings.net,
+        holdings.clock,
+        holdings.metrics,
+        _HOME_TIMEOUT_S,
+    )
     return HoldingsParts(
         book=book,
         reporter=reporter,
         sizing=sizing,
         loans=loans,
         handover=TokenHandover(loans),
-        obtainer=Obtainer(book, sizing, loans, holdings.cfg, account_drawer),
+        obtainer=Obtainer(
+            book,
+            sizing,
+            loans,
+            holdings.cfg,
+            account_drawer,
+        ),
         predecessor_closer=PredecessorCloser(
             accounts,
             registration,
@@ -140,16 +158,18 @@
             holdings.clock.now(),
             holdings.metrics,
         ),
-        home_client=HomeClient(
-            holdings.net,
-            holdings.clock,
+        home_client=home_client,
+        home_failover=HomeFailover(
+            home_client,
+            holdings.reserve_here,
+            holdings.cfg.draw_wait,
+            account_drawer,
             holdings.metrics,
-            _HOME_TIMEOUT_S,
         ),
         home_server=HomeServer(
             holdings.net,
             holdings.clock,
-            holdings.reserve_here,
+            partial(holdings.reserve_here, max_wait=_HOME_WAIT_S),
             holdings.charge,
             holdings.spent,
         ),
--- a/src/balsamreach/budget/home_client.py
+++ b/src/balsamreach/budget/home_client.py
@@ -19,8 +19,9 @@
     NO_ALLOTMENT,
     BudgetFault,
 )
-from balsamreach.budget.homes import home_of
+from balsamreach.budget.homes import homes_of
 from balsamreach.budget.ledger import Reservation
+from balsamreach.budget.waiters import TokensNeed
 from balsamreach.clock import Clock
 from balsamreach.peers.base import PeerNet
 from balsamreach.telemetry.metrics import Metrics
@@ -34,6 +35,10 @@
 #: that died is removed from the membership within two seconds; one that only
 #: paused for a moment is soon back.
 _NO_ANSWER_BACKOFF_S = 1.0
+#: Seconds for which the zone's other hub is asked first after a hub had no
+#: tokens for a team: the time in which a hub doesn't ask a table service that
+#: failed.
+_NO_TOKENS_BACKOFF_S = 0.5
 #: Seconds between two reports of actual use to homes. Until then a home
 #: counts the whole reservations as used, which is little compared with what
 #: it holds.
@@ -84,23 +89,34 @@
     timeout: float
     _ask_numbers: Any = attrs.field(factory=lambda: itertools.count(1))
     _backoff_until: dict[str, float] = attrs.field(factory=dict)
+    _no_tokens_until: dict[tuple[str, str], float] = attrs.field(factory=dict)
     _unsettled: dict[str, dict[int, int]] = attrs.field(factory=dict)
     _spent: dict[str, int] = attrs.field(factory=dict)
 
-    def find(self, team: str) -> Member | None:
-        """Return the router that holds a team's tokens for this one.
+    def hubs_to_ask(self, team: str) -> tuple[Member, ...]:
+        """Return the hubs that may reserve a team's tokens, in order.
 
         Returns
         -------
-        Member or None
-            None where this router holds them itself: it is the home, the
-            fleet has no hubs, or the home doesn't answer.
+        tuple of Member
+            The home and the zone's other hub, which may be this router; the
+            one that had no tokens last comes second. Empty where this router
+            holds the tokens itself: it is the home, the fleet has no hubs, or
+            the home doesn't answer.
         """
-        home = home_of(team, self.net, self.net.me.zone)
-        if home is None or home.incarnation == self.net.me.incarnation:
-            return None
-        backoff_until = self._backoff_until.get(home.incarnation, 0)
-        return None if self.clock.now() < backoff_until else home
+        homes = homes_of(team, self.net)
+        if not homes or homes[0].incarnation == self.net.me.incarnation:
+            return ()
+        now = self.clock.now()
+        if now < self._backoff_until.get(homes[0].incarnation, 0):
+            return ()
+        answering = [
+            home
+            for home in homes
+            if now >= self._backoff_until.get(home.incarnation, 0)
+        ]
+        answering.sort(key=lambda home: self._refused_until(home, team))
+        return tuple(answering)
 
     def spent(self, team: str) -> int:
         """Return a lower bound of the tokens used by a team, told by homes."""
@@ -109,21 +125,30 @@
     async def reserve(
         self,
         home: Member,
-        team: str,
-        tokens: int,
+        need: TokensNeed,
+        max_wait: float,
     ) -> HomeReservation | BudgetFault | None:
         """Ask a home to reserve a request's tokens.
 
+        Parameters
+        ----------
+        home : Member
+            The team's home, or the zone's other hub.
+        need : TokensNeed
+            What the request needs.
+        max_wait : float
+            Seconds within which the home must answer.
+
         Returns
         -------
         HomeReservation or BudgetFault or None
             None if the home gave no answer.
         """
         number = next(self._ask_numbers)
-        ask = TokensAsk(number, team, tokens)
+        ask = TokensAsk(number, need.team, need.tokens, need.urgency)
         task = asyncio.ensure_future(self.net.ask(home.incarnation, ask))
         try:
-            await asyncio.wait({task}, timeout=self.timeout)
+            await asyncio.wait({task}, timeout=max_wait)
         except asyncio.CancelledError:
             self._add_unsettled(home.incarnation, number, 0)
             raise
@@ -163,6 +188,13 @@
         for home, until in tuple(self._backoff_until.items()):
             if until <= now:
                 self._backoff_until.pop(home)
+        for key, refused_until in tuple(self._no_tokens_until.items()):
+            if refused_until <= now:
+                self._no_tokens_until.pop(key)
+
+    def _refused_until(self, home: Member, team: str) -> float:
+        until = self._no_tokens_until.get((home.incarnation, team), 0)
+        return until if self.clock.now() < until else 0
 
     def _handle_answer(
         self,
@@ -181,7 +213,15 @@
             )
         self.metrics.count(HOME_ASKS, outcome=answer.code)
         fault = _FAULTS.get(answer.code, NO_ALLOTMENT)
-        return fault.because(answer.reason)
+        if fault == NO_ALLOTMENT:
+            self._no_tokens_until[home.incarnation, ask.team] = (
+                self.clock.now() + _NO_TOKENS_BACKOFF_S
+            )
+        return attrs.evolve(
+            fault,
+            reason=answer.reason,
+            tokens_wait=answer.retry_after,
+        )
 
     def _add_unsettled(self, home: str, number: int, tokens: int) -> None:
         unsettled = self._unsettled.setdefault(home, {})
--- a/src/balsamreach/budget/home_server.py
+++ b/src/balsamreach/budget/home_server.py
@@ -7,6 +7,7 @@
 
 from balsamreach.budget.faults import NO_ALLOTMENT, BudgetFault
 from balsamreach.budget.ledger import Reservation
+from balsamreach.budget.waiters import TokensNeed
 from balsamreach.clock import Clock
 from balsamreach.peers.base import PeerNet
 from balsamreach.wire.membership import Member
@@ -22,7 +23,7 @@
 #: live router appear dead.
 _LOST_AFTER_S = 120
 
-Reserve = Callable[[str, int], Awaitable[Reservation | BudgetFault]]
+Reserve = Callable[[TokensNeed], Awaitable[Reservation | BudgetFault]]
 Charge = Callable[[Reservation, int], None]
 #: Incarnation of the asking router and number of its ask.
 AskKey = tuple[str, int]
@@ -85,7 +86,9 @@
         key = (member.incarnation, ask.number)
         if len(self._reservations) >= _MAX_RESERVATIONS:
             return self._refuse(ask, NO_ALLOTMENT.because('too many requests'))
-        outcome = await self.reserve(ask.team, ask.tokens)
+        outcome = await self.reserve(
+            TokensNeed(ask.team, ask.tokens, ask.urgency),
+        )
         if isinstance(outcome, BudgetFault):
             return self._refuse(ask, outcome)
         if key in self._ended_early:
@@ -95,7 +98,11 @@
             return self._refuse(
                 ask, NO_ALLOTMENT.because('the tokens came too late')
             )
-        self._reservations[key] = outcome
+        if key in self._reservations:
+            # The same ask has arrived twice; its tokens are reserved once.
+            self.charge(outcome, 0)
+        else:
+            self._reservations[key] = outcome
         return TokensGrant(granted=True, spent=self.spent(ask.team))
 
     def _refuse(self, ask: TokensAsk, fault: BudgetFault) -> TokensGrant:
@@ -104,6 +111,7 @@
             code=fault.code,
             reason=fault.reason,
             spent=self.spent(ask.team),
+            retry_after=fault.tokens_wait,
         )
 
     async def _handle_used(self, member: Member, message: TokensUsed) -> Done:
--- a/src/balsamreach/budget/homes.py
+++ b/src/balsamreach/budget/homes.py
@@ -33,6 +33,21 @@
     return highest_weight_member(team, net.hubs.hubs_of(zone))
 
 
+def homes_of(team: str, net: PeerNet) -> tuple[Member, ...]:
+    """Return a team's home in this router's zone and the hub after it.
+
+    Returns
+    -------
+    tuple of Member
+        At most two; empty if there are no hubs.
+    """
+    hubs = net.hubs.hubs_of(net.me.zone)
+    home = highest_weight_member(team, hubs)
+    others = [hub for hub in hubs if hub != home]
+    second = highest_weight_member(team, others)
+    return tuple(hub for hub in (home, second) if hub is not None)
+
+
 def potential_lenders(team: str, net: PeerNet) -> tuple[Member, ...]:
     """Return the routers that this one may ask for a team's tokens.
 
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -92,6 +92,8 @@
         self,
         ledger: Ledger,
         tokens: int,
+        urgency: int = 0,
+        max_wait: float | None = None,
     ) -> Reservation | BudgetFault:
         """Wait until a request's tokens are reserved or refused.
 
@@ -101,6 +103,10 @@
             The team's ledger.
         tokens : int
             What the request needs.
+        urgency : int
+            Requests with a higher number are served first.
+        max_wait : float or None
+            Seconds that the request may wait if less than ``draw_wait``.
 
         Returns
         -------
@@ -110,10 +116,13 @@
         refusal = self._current_refusal(ledger, tokens)
         if refusal is not None:
             return refusal
-        waiter = ledger.queue.add(tokens)
+        wait = self.cfg.draw_wait
+        if max_wait is not None:
+            wait = min(wait, max_wait)
+        waiter = ledger.queue.add(tokens, urgency)
         self._start_worker(ledger)
         try:
-            await asyncio.wait({waiter.outcome}, timeout=self.cfg.draw_wait)
+            await asyncio.wait({waiter.outcome}, timeout=wait)
         except asyncio.CancelledError:
             # The draw goes on: its tokens can serve the next request.
             reservation = self._leave_queue(ledger, waiter)
--- a/src/balsamreach/relay/prepaid_spending.py
+++ b/src/balsamreach/relay/prepaid_spending.py
@@ -11,6 +11,9 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.spending import Reservation, Spending
 
+#: Urgency of requests with priority 0, the highest.
+_MAX_URGENCY = 9
+
 
 @attrs.define
 class PrepaidSpending(Spending):
@@ -35,18 +38,22 @@
         prepaid = self.view.prepaid(call.team_name)
         if call.prompt is None or prepaid is None:
             return Reservation()
-        tokens = call.prompt.max_tokens
-        reserved = await self.holdings.reserve(call.team_name, tokens)
+        need = (
+            call.team_name,
+            call.prompt.max_tokens,
+            max(0, _MAX_URGENCY - call.priority),
+        )
+        reserved = await self.holdings.reserve(*need)
         if reserved == EXHAUSTED and self._exceeds_balance(call):
             # A newer version of the configuration may have raised the budget.
             if not await self.freshness_check.confirm():
                 return _unreachable(reserved)
             if self._exceeds_balance(call):
                 return faults.BUDGET_EXHAUSTED.because(reserved.reason)
-            reserved = await self.holdings.reserve(call.team_name, tokens)
+            reserved = await self.holdings.reserve(*need)
         if isinstance(reserved, BudgetFault):
             return _unreachable(reserved)
-        return Reservation(tokens=tokens, hold=reserved)
+        return Reservation(tokens=call.prompt.max_tokens, hold=reserved)
 
     def charge(self, call: RelayCall, reservation: Reservation) -> None:
         """Charge the tokens used and release the rest."""
@@ -66,4 +73,7 @@
 
 
 def _unreachable(fault: BudgetFault) -> RelayFault:
-    return faults.BUDGET_UNREACHABLE.because(f'{fault.code}: {fault.reason}')
+    return faults.BUDGET_UNREACHABLE.with_retry_after(
+        fault.tokens_wait or faults.BUDGET_UNREACHABLE.retry_after,
+        f'{fault.code}: {fault.reason}',
+    )
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -316,6 +316,7 @@
   number @0 :UInt64;
   team @1 :Text;
   tokens @2 :Int64;
+  urgency @3 :UInt16;
 }
 
 struct TokensGrant {
@@ -323,6 +324,7 @@
   code @1 :Text;
   reason @2 :Text;
   spent @3 :Int64;
+  retryAfter @4 :Float64;
 }
 
 struct TokensUsed {
--- a/src/balsamreach/wire/tokens.py
+++ b/src/balsamreach/wire/tokens.py
@@ -17,11 +17,15 @@
         Team whose budget is used.
     tokens : int
         Maximum number of tokens that the request may use.
+    urgency : int
+        Requests with a higher number are served first, from 0 to 9; 0 from
+        older routers.
     """
 
     number: int
     team: str
     tokens: int
+    urgency: int = 0
 
 
 @attrs.frozen(repr=False)
@@ -36,12 +40,16 @@
         Error code and sentence if they are not.
     spent : int
         Tokens that the home router has counted as used by the team.
+    retry_after : float
+        Seconds after which a refused request may find tokens; 0 if that isn't
+        known, and from older routers.
     """
 
     granted: bool
     code: str = ''
     reason: str = ''
     spent: int = 0
+    retry_after: float = 0
 
 
 @attrs.frozen(repr=False)
--- /dev/null
+++ b/tests/test_budget_home_failover.py
@@ -0,0 +1,185 @@
+"""Tests of budgets whose home has no tokens or no table service."""
+
+import asyncio
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.budget.home_client import HomeReservation
+from balsamreach.budget.homes import homes_of
+from balsamreach.budget.ledger import Reservation
+from balsamreach.services.faults import UNREACHABLE
+from balsamreach.wire.tokens import TokensAsk
+from tests.budget_world import SwitchedService
+from tests.fake_net import FakeNet
+from tests.holdings_fleet import TEAM, Fleet
+from tests.virtual_loop import LoopClock, virtual
+
+_ROUTERS = 8
+#: Longest time of a refused reservation; the rest is rounding of floats.
+_BOUND_S = 0.7 + 1e-6
+_AT_ONCE_S = 0.05
+
+
+class _HangingService(SwitchedService):
+    """A table service that answers no call in time."""
+
+    async def commit(self, change):
+        """Fail after ten seconds."""
+        await asyncio.sleep(10)
+        return UNREACHABLE
+
+    async def read(self, keys):
+        """Fail after ten seconds."""
+        await asyncio.sleep(10)
+        return UNREACHABLE
+
+
+@attrs.define(eq=False)
+class _Zone:
+    """A zone's home, its other hub and a router that asks them."""
+
+    fleet: Fleet
+    home: str = ''
+    other: str = ''
+    asker: str = ''
+
+    def __attrs_post_init__(self):
+        for _ in range(_ROUTERS):
+            self.fleet.start()
+        net = next(iter(self.fleet.routers.values())).net
+        hubs = [hub.incarnation for hub in homes_of(TEAM, net)]
+        self.home = hubs[0]
+        self.other = hubs[1]
+        # The home could otherwise borrow where it can't draw.
+        self.fleet.network.cut([self.home], [self.other])
+        self.asker = next(one for one in self.fleet.routers if one not in hubs)
+
+    def cut_store(self, *names):
+        for name in names:
+            self.fleet.connections[name].open = False
+
+    def hang_store(self, *names):
+        for name in names:
+            connection = self.fleet.connections[name]
+            connection.service = _HangingService(connection.service)
+
+    async def reserve(self, tokens=100):
+        """Reserve at the asker; return the outcome and the time it took."""
+        began = self.fleet.clock.now()
+        held = await self.fleet.routers[self.asker].reserve(TEAM, tokens)
+        return held, self.fleet.clock.now() - began
+
+    def asks(self):
+        sent = self.fleet.network.sent
+        return sum(isinstance(one, TokensAsk) for one in sent)
+
+    def reserved_and_billed(self):
+        """Return the sums over all routers alive."""
+        ledgers = [
+            router.book.ledger(TEAM) for router in self.fleet.routers.values()
+        ]
+        reserved = sum(ledger.reserved for ledger in ledgers)
+        return reserved, sum(ledger.billed for ledger in ledgers)
+
+    async def settle(self):
+        for router in self.fleet.routers.values():
+            await router.parts.home_client.settle()
+
+
+def _zone(prepaid=100_000):
+    network = FakeNet(hubs_per_zone=2)
+    return _Zone(Fleet(prepaid, clock=LoopClock(), network=network))
+
+
+class HomeFailoverTest(unittest.TestCase):
+    """A home's refusal for lack of its store isn't the last word."""
+
+    @parameterized.expand(
+        [
+            ('home', 'cut_store', ('home',), 'other'),
+            ('home hangs', 'hang_store', ('home',), 'other'),
+            ('both hubs', 'cut_store', ('home', 'other'), 'here'),
+            ('both hang', 'hang_store', ('home', 'other'), 'here'),
+            ('all', 'cut_store', ('home', 'other', 'asker'), 'nobody'),
+            ('all hang', 'hang_store', ('home', 'other', 'asker'), 'nobody'),
+        ]
+    )
+    @virtual
+    async def test_who_grants(self, _name, fault, names, expected):
+        """Guards against refusals while another router reaches the store.
+
+        Hubs lose the store or wait for it in vain. A refusal must come no
+        later than it did when only the home was asked.
+        """
+        zone = _zone()
+        getattr(zone, fault)(*(getattr(zone, one) for one in names))
+        for _ in range(3):
+            held, seconds = await zone.reserve()
+            self.assertLessEqual(seconds, _BOUND_S)
+            self.assertEqual(self.granted_by(zone, held), expected)
+
+    def granted_by(self, zone, held):
+        if isinstance(held, HomeReservation):
+            return 'other' if held.home == zone.other else 'home'
+        return 'here' if isinstance(held, Reservation) else 'nobody'
+
+    @virtual
+    async def test_other_hub_is_asked_first_for_a_while(self):
+        """Guards against a useless ask of the home before each request."""
+        zone = _zone()
+        zone.cut_store(zone.home)
+        asks = []
+        for pause in (0, 0.1, 0.6):
+            await asyncio.sleep(pause)
+            before = zone.asks()
+            await zone.reserve()
+            asks.append(zone.asks() - before)
+        self.assertEqual(asks, [2, 1, 2])
+
+    @parameterized.expand(
+        [
+            (f'{fault}, {"other hub" if moved else "home"}', fault, moved)
+            for fault in ('lost', 'answers_lost', 'doubled', 'late', 'death')
+            for moved in (False, True)
+        ]
+    )
+    @virtual
+    async def test_nothing_stays_reserved(self, _name, fault, moved):
+        """Guards against tokens lost or charged twice.
+
+        The ask of the hub that is asked first is lost, doubled or late, its
+        answer is lost, or it dies before it answers. The request gets its
+        tokens elsewhere; what the first hub reserved must be freed.
+        """
+        zone = _zone()
+        if moved:
+            zone.cut_store(zone.home)
+            await self.finish(zone, await zone.reserve())
+        work = asyncio.ensure_future(zone.reserve())
+        await self.inject(zone, fault, zone.other if moved else zone.home)
+        await self.finish(zone, await work)
+        zone.fleet.network.release()
+        await asyncio.sleep(1)
+        reserved, billed = zone.reserved_and_billed()
+        self.assertEqual(reserved, 0)
+        killed = moved and fault == 'death'
+        self.assertEqual(billed, 40 * (1 + moved - killed))
+
+    async def inject(self, zone, fault, hub):
+        network = zone.fleet.network
+        if fault in {'late', 'death'}:
+            network.held = {TokensAsk}
+            await asyncio.sleep(0.1)
+        else:
+            getattr(network, fault)[TokensAsk] = 1
+        if fault == 'death':
+            zone.fleet.kill(hub)
+            network.release()
+
+    async def finish(self, zone, outcome):
+        held, _ = outcome
+        self.assertIsInstance(held, Reservation)
+        zone.fleet.routers[zone.asker].charge(held, 40)
+        await zone.settle()
--- a/tests/test_budget_homing_histories.py
+++ b/tests/test_budget_homing_histories.py
@@ -1,11 +1,13 @@
 """Random histories of budgets held by hubs: never over the budget."""
 
+import asyncio
 import random
 import unittest
 
 import attrs
 from parameterized import parameterized
 
+from balsamreach.budget.homes import homes_of
 from balsamreach.budget.ledger import Reservation
 from balsamreach.wire.tokens import TokensAsk, TokensUsed
 from tests.fake_net import FakeNet
@@ -46,10 +48,21 @@
 
     async def begin_request(self) -> None:
         """Begin a request."""
+        await self.fleet.clock.drive(self.reserve(self.pick_router()))
+
+    async def begin_requests(self) -> None:
+        """Begin requests of different urgency at one router at once."""
         name = self.pick_router()
-        router = self.fleet.routers[name]
-        tokens = self.rng.randrange(1, 400)
-        held = await self.fleet.clock.drive(router.reserve(TEAM, tokens))
+        work = asyncio.gather(*(self.reserve(name) for _ in range(6)))
+        await self.fleet.clock.drive(work)
+
+    async def reserve(self, name: str) -> None:
+        """Begin a request at a router if it gets its tokens."""
+        held = await self.fleet.routers[name].reserve(
+            TEAM,
+            self.rng.randrange(1, 400),
+            self.rng.randrange(10),
+        )
         if isinstance(held, Reservation):
             self.running.append((name, held))
 
@@ -109,15 +122,28 @@
         connection.open = not connection.open
         lost = self.rng.choice((network.lost, network.answers_lost))
         lost[self.rng.choice((TokensAsk, TokensUsed))] += 1
+        network.doubled[TokensAsk] += self.rng.choice((0, 1))
         self.fleet.platform.weather.lose_answers = self.rng.choice((0, 1))
 
+    async def cut_off_home(self) -> None:
+        """Disconnect a zone's home, or both its hubs, from the store."""
+        hubs = homes_of(TEAM, self.fleet.routers[self.pick_router()].net)
+        for hub in hubs[: self.rng.choice((1, 1, 2))]:
+            self.fleet.connections[hub.incarnation].open = False
+
+    async def reconnect(self) -> None:
+        """Reconnect all routers to the store."""
+        for connection in self.fleet.connections.values():
+            connection.open = True
+
     async def change_hubs(self) -> None:
         """Change the number of hubs that routers know."""
         self.fleet.network.hubs_per_zone = self.rng.choice((0, 1, 2, 2))
 
 
 _WEIGHTS = {
-    _World.begin_request: 60,
+    _World.begin_request: 50,
+    _World.begin_requests: 4,
     _World.end_request: 50,
     _World.settle: 25,
     _World.report_and_move: 25,
@@ -126,6 +152,8 @@
     _World.partition: 4,
     _World.inject_faults: 8,
     _World.change_hubs: 2,
+    _World.cut_off_home: 6,
+    _World.reconnect: 6,
 }
 
 
--- a/tests/test_budget_waiters.py
+++ b/tests/test_budget_waiters.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 
 import attrs
+from parameterized import parameterized
 
 from balsamreach.budget.account import Bill, account_key
 from balsamreach.budget.faults import EXHAUSTED
-from balsamreach.budget.ledger import Reservation
+from balsamreach.budget.ledger import Ledger, Reservation
+from balsamreach.budget.rate import Rate
 from tests.budget_world import SETTINGS, SwitchedService, World
 
 _TOKENS = 100
@@ -94,6 +96,34 @@
         )
 
 
+class UrgencyTest(unittest.IsolatedAsyncioTestCase):
+    """The order in which tokens that arrive are given out."""
+
+    @parameterized.expand(
+        [
+            ('arrival', [(50, 0), (50, 0), (50, 0)], 100, [0, 1]),
+            ('urgency', [(50, 0), (50, 9), (50, 5)], 100, [1, 2]),
+            ('urgency, then arrival', [(50, 3), (50, 9), (50, 3)], 100, [0, 1]),
+            ('rest', [(50, 0), (50, 9), (200, 5)], 100, [0, 1]),
+        ]
+    )
+    async def test_order(self, _name, requests, arriving, served):
+        """Guards against urgent requests that wait behind others.
+
+        The tokens that arrive don't cover all requests that wait.
+        """
+        ledger = Ledger('team', Rate(0, 1))
+        waiters = [ledger.queue.add(*request) for request in requests]
+        ledger.granted = arriving
+        ledger.serve_queue()
+        done = [
+            number
+            for number, waiter in enumerate(waiters)
+            if waiter.outcome.done()
+        ]
+        self.assertEqual(done, served)
+
+
 class LastTokensTest(unittest.IsolatedAsyncioTestCase):
     """Three routers, and an account that has nothing free."""
 
--- a/tests/test_relay_metered.py
+++ b/tests/test_relay_metered.py
@@ -18,8 +18,10 @@
 
     used: int
     fault: object = budget_faults.EXHAUSTED
+    urgencies: list = attrs.field(factory=list)
 
-    async def reserve(self, _team, _tokens):
+    async def reserve(self, _team, _tokens, urgency):
+        self.urgencies.append(urgency)
         return self.fault
 
     def spent(self, _team):
@@ -74,3 +76,26 @@
         )
         refusal = await spending.reserve(call(STREAM))
         self.assertEqual(refusal, fault)
+
+    @parameterized.expand([('unknown', 0, 0.8), ('known', 3.2, 3.2)])
+    async def test_retry_time_of_a_shortage(self, _name, tokens_wait, expected):
+        """Guards against callers that retry while no tokens can come."""
+        fault = attrs.evolve(
+            budget_faults.NO_ALLOTMENT, tokens_wait=tokens_wait
+        )
+        refusal = await self.refuse(fault).reserve(call(STREAM))
+        self.assertEqual(refusal, faults.BUDGET_UNREACHABLE)
+        self.assertEqual(refusal.retry_after, expected)
+
+    @parameterized.expand([(0, 9), (4, 5), (9, 0), (12, 0)])
+    async def test_urgency_follows_priority(self, priority, urgency):
+        spending = self.refuse(budget_faults.NO_ALLOTMENT)
+        await spending.reserve(attrs.evolve(call(STREAM), priority=priority))
+        self.assertEqual(spending.holdings.urgencies, [urgency])
+
+    def refuse(self, fault):
+        view = CatalogueView()
+        view.update_if_newer(_configuration(5, 1000), 'store')
+        return PrepaidSpending(
+            _Holdings(0, fault), view, _Currency(view, True, 1000)
+        )
