Refuse at once the requests of a team that gets no tokens

Cause: near the end of a budget each request waits for tokens that don't arrive, is told to retry after 0.8 s, and waits in vain again.

Change: once a request has got nothing in all the time it could wait, and no token has arrived for its team meanwhile, the team's next requests are refused at once, while one at a time goes on waiting. Any arriving token ends that: a draw, a loan, a freed reservation or the opening of the reported allowance. The retry time doubles with the waits in vain, 0.8, 1.6 and 3.2 s; waits within 0.3 s, doubling up to 2 s, of the last one that counted don't count. In fleets with hubs only.

--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -24,6 +24,7 @@
 from balsamreach.budget.predecessor_closing import PredecessorCloser
 from balsamreach.budget.prepaid import PrepaidAccounts
 from balsamreach.budget.reporting import UsageReporter
+from balsamreach.budget.shortages import Shortages
 from balsamreach.budget.token_handover import TokenHandover
 from balsamreach.budget.usage import make_allowance
 from balsamreach.budget.usage_reports import Allowance, OpeningSchedule
@@ -150,6 +151,10 @@
             loans,
             holdings.cfg,
             account_drawer,
+            Shortages(
+                holdings.clock,
+                lambda: bool(holdings.net.hubs.zones()),
+            ),
         ),
         predecessor_closer=PredecessorCloser(
             accounts,
--- a/src/balsamreach/budget/ledger.py
+++ b/src/balsamreach/budget/ledger.py
@@ -74,6 +74,8 @@
         Requests that wait for tokens.
     spends_loans : bool
         Whether loans may be spent before they are recorded.
+    reserved_ever : int
+        Tokens of all reservations made here, over all time.
     """
 
     team: str
@@ -96,6 +98,7 @@
     squares_rate: Rate | None = None
     account_free: int | None = None
     limiter: UsageLimiter | None = None
+    reserved_ever: int = 0
     _lendable_before_return: int = 0
 
     @property
@@ -128,6 +131,7 @@
         if self.limiter is not None and tokens > self.limiter.room(self):
             return None
         self.reserved += tokens
+        self.reserved_ever += tokens
         return Reservation(self.team, tokens)
 
     def serve_queue(self) -> None:
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -15,10 +15,13 @@
 from balsamreach.budget.ledger import Ledger, Reservation
 from balsamreach.budget.loans import Loans
 from balsamreach.budget.refusal_log import RefusalLog
+from balsamreach.budget.shortages import Shortages, arrived_tokens
 from balsamreach.budget.sizing import Sizing
 from balsamreach.budget.waiters import Waiter
 from balsamreach.config.settings import BudgetSettings
 
+FAST_REFUSALS = 'balsamreach_budget_fast_refusals_total'
+
 #: Seconds for which a refusal also answers the team's next requests of at
 #: least that size.
 REFUSAL_TTL_S = 1
@@ -73,6 +76,8 @@
         Longest wait.
     account_drawer : AccountDrawer
         Draws on the account.
+    shortages : Shortages or None
+        Refuses requests at once while none get tokens; None where each waits.
     """
 
     book: LedgerBook
@@ -80,6 +85,7 @@
     loans: Loans | None
     cfg: BudgetSettings
     account_drawer: AccountDrawer
+    shortages: Shortages | None = None
     _refusals: dict[str, _Refusal] = attrs.field(factory=dict)
     _workers: dict[str, asyncio.Task] = attrs.field(factory=dict)
     _refusal_log: RefusalLog = attrs.field(init=False)
@@ -113,12 +119,13 @@
         Reservation or BudgetFault
             A fault is returned within ``draw_wait``.
         """
-        refusal = self._current_refusal(ledger, tokens)
-        if refusal is not None:
-            return refusal
+        decided = self._decide_at_once(ledger, tokens)
+        if decided is not None:
+            return decided
         wait = self.cfg.draw_wait
         if max_wait is not None:
             wait = min(wait, max_wait)
+        arrived = arrived_tokens(ledger)
         waiter = ledger.queue.add(tokens, urgency)
         self._start_worker(ledger)
         try:
@@ -129,7 +136,7 @@
             if isinstance(reservation, Reservation):
                 ledger.release(reservation)
             raise
-        obtained = self._leave_queue(ledger, waiter)
+        obtained = self._leave_queue(ledger, waiter, arrived)
         if isinstance(obtained, Reservation):
             ledger.rate.add(tokens, self.book.clock.now())
         return obtained
@@ -138,12 +145,42 @@
         self,
         ledger: Ledger,
         waiter: Waiter,
+        arrived: int | None = None,
     ) -> Reservation | BudgetFault:
         if waiter in ledger.queue:
             fault = NO_ALLOTMENT.because('the draw takes too long')
+            if self.shortages is not None and arrived is not None:
+                tokens_wait = self.shortages.note_late(ledger, arrived)
+                fault = attrs.evolve(fault, tokens_wait=tokens_wait)
             self._resolve_refused(ledger, waiter, fault)
         return waiter.outcome.result()
 
+    def _decide_at_once(
+        self,
+        ledger: Ledger,
+        tokens: int,
+    ) -> Reservation | BudgetFault | None:
+        refusal = self._current_refusal(ledger, tokens)
+        if refusal is not None or self.shortages is None:
+            return refusal
+        refusal = self.shortages.refusal(ledger)
+        if refusal is None:
+            return None
+        # The waiting request may be a large one, and the tokens left enough
+        # for a small one.
+        reservation = ledger.reserve(tokens)
+        if reservation is not None:
+            ledger.rate.add(tokens, self.book.clock.now())
+            return reservation
+        self.book.metrics.count(FAST_REFUSALS)
+        self._refusal_log.record(
+            ledger,
+            tokens,
+            refusal,
+            is_backing_off=self.account_drawer.is_backing_off(),
+        )
+        return refusal
+
     def _current_refusal(
         self,
         ledger: Ledger,
--- a/tests/test_budget_home_failover.py
+++ b/tests/test_budget_home_failover.py
@@ -6,14 +6,21 @@
 import attrs
 from parameterized import parameterized
 
+from balsamreach.budget.faults import NO_ALLOTMENT
 from balsamreach.budget.home_client import HomeReservation
 from balsamreach.budget.homes import homes_of
-from balsamreach.budget.ledger import Reservation
+from balsamreach.budget.ledger import Ledger, Reservation
+from balsamreach.budget.rate import Rate
+from balsamreach.budget.shortages import Shortages, arrived_tokens
+from balsamreach.budget.usage import UsageLimiter
+from balsamreach.budget.waiters import Waiter
 from balsamreach.services.faults import UNREACHABLE
+from balsamreach.wire.loans import LoanAsk, LoanGrant
 from balsamreach.wire.tokens import TokensAsk
 from tests.budget_world import SwitchedService
 from tests.fake_net import FakeNet
 from tests.holdings_fleet import TEAM, Fleet
+from tests.support import FakeClock
 from tests.virtual_loop import LoopClock, virtual
 
 _ROUTERS = 8
@@ -183,3 +190,127 @@
         self.assertIsInstance(held, Reservation)
         zone.fleet.routers[zone.asker].charge(held, 40)
         await zone.settle()
+
+
+class BurstTest(unittest.TestCase):
+    """400 requests within 2 s of a team that has nothing left for them."""
+
+    @virtual
+    async def test_most_are_refused_at_once(self):
+        """Guards against callers held up for tokens that don't come.
+
+        The account is empty, and another zone's home holds tokens that it
+        can't lend.
+        """
+        fleet = _zone(prepaid=1000).fleet
+        fleet.network.heal()
+        burst = _Burst(fleet)
+        await burst.run()
+        held_up = [wait for wait in burst.waits if wait > _AT_ONCE_S]
+        self.assertLess(len(held_up), len(burst.waits) / 2)
+        self.assertLessEqual(max(held_up), _BOUND_S)
+        self.assertEqual(max(burst.retries), 3.2)
+
+
+@attrs.define(eq=False)
+class _Burst:
+    """Requests that arrive at all routers of a zone in turn."""
+
+    fleet: Fleet
+    waits: list = attrs.field(factory=list)
+    retries: list = attrs.field(factory=list)
+
+    async def run(self):
+        """Use up the budget at another zone's home, then send requests."""
+        names = tuple(self.fleet.routers)
+        far = self.fleet.routers[self.fleet.start(zone='zone-b')]
+        far.net.handlers[LoanAsk] = self.keep_tokens
+        for _ in range(5):
+            await far.reserve(TEAM, 200)
+        requests = (
+            self.send(names[number % len(names)], number * 0.005)
+            for number in range(400)
+        )
+        await asyncio.gather(*requests)
+
+    async def send(self, name, delay):
+        """Send one request, which must be refused."""
+        await asyncio.sleep(delay)
+        began = self.fleet.clock.now()
+        refused = await self.fleet.routers[name].reserve(TEAM, 100)
+        assert refused == NO_ALLOTMENT, refused
+        self.waits.append(self.fleet.clock.now() - began)
+        self.retries.append(refused.tokens_wait)
+
+    async def keep_tokens(self, _member, ask):
+        """Lend nothing, like a home that can't report what it lends."""
+        await asyncio.sleep(0)
+        return LoanGrant(ask.loan_id, ask.team, 0, left=1000)
+
+
+def _draw(ledger):
+    ledger.granted += 1
+
+
+def _lower_reserved(ledger):
+    ledger.release(Reservation(TEAM, 10), 9)
+
+
+def _open(ledger):
+    ledger.limiter = UsageLimiter(lambda _team, _ahead=0: 51)
+
+
+class ShortagesTest(unittest.TestCase):
+    """Pauses grow while nothing arrives, and end with any token."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.shortages = Shortages(self.clock, lambda: True)
+        self.ledger = Ledger(TEAM, Rate(0, 1), granted=100)
+        self.ledger.limiter = UsageLimiter(lambda _team, _ahead=0: 50)
+        reservation = self.ledger.reserve(50)
+        self.assertIsNotNone(reservation)
+        # One request goes on trying.
+        self.ledger.queue.waiters.append(Waiter(1000, None))
+
+    def wait_in_vain(self):
+        arrived = arrived_tokens(self.ledger)
+        self.clock.advance(0.4)
+        return self.shortages.note_late(self.ledger, arrived)
+
+    def test_pauses_and_retry_times_double(self):
+        """Guards against callers who return much too early or too late."""
+        retries = [self.wait_in_vain() for _ in range(6)]
+        self.assertEqual(retries, [0.8, 1.6, 1.6, 3.2, 3.2, 3.2])
+        refusal = self.shortages.refusal(self.ledger)
+        self.assertEqual(refusal.tokens_wait, 3.2)
+
+    @parameterized.expand(
+        [
+            ('opening', _open, 0),
+            ('freed reservation', _lower_reserved, 0),
+            ('draw without allowance', _draw, 1),
+        ]
+    )
+    def test_tokens_end_a_pause(self, _name, arrive, refused):
+        """Guards against refusals while the team has tokens again."""
+        self.wait_in_vain()
+        arrive(self.ledger)
+        refusal = self.shortages.refusal(self.ledger)
+        self.assertEqual(refusal is not None, bool(refused))
+
+    def test_a_burst_begins_one_pause(self):
+        """Guards against long pauses after one wait of many requests."""
+        arrived = arrived_tokens(self.ledger)
+        self.clock.advance(0.4)
+        retries = {
+            self.shortages.note_late(self.ledger, arrived) for _ in range(9)
+        }
+        self.assertEqual(retries, {0.8})
+
+    def test_one_request_goes_on_trying(self):
+        """Guards against a shortage that nobody notices the end of."""
+        self.wait_in_vain()
+        self.assertEqual(self.shortages.refusal(self.ledger), NO_ALLOTMENT)
+        self.ledger.queue.waiters.clear()
+        self.assertIsNone(self.shortages.refusal(self.ledger))
