--- a/tests/test_budget_refusal_log.py
+++ b/tests/test_budget_refusal_log.py
@@ -37,8 +37,8 @@
                     NO_ALLOTMENT.because('late'),
                     is_backing_off=False,
                 )
-        found = [line.event_fields['omitted'] for line in logs.records]
-        self.assertEqual(found, omitted)
-        self.assertEqual(
-            logs.records[0].event_fields['reason'], 'no_allotment: late'
-        )
+            found = [line.event_fields['omitted'] for line in logs.records]
+            self.assertEqual(found, omitted)
+            self.assertEqual(
+                logs.records[0].event_fields['reason'], 'no_allotment: late'
+            )
