--- a/src/balsamreach/budget/homes.py
+++ b/src/balsamreach/budget/homes.py
@@ -33,6 +33,21 @@
     return highest_weight_member(team, net.hubs.hubs_of(zone))
 
 
+def homes_of(team: str, net: PeerNet) -> tuple[Member, ...]:
+    """Return a team's home in this router's zone and the hub after it.
+
+    Returns
+    -------
+    tuple of Member
+        At most two; empty if there are no hubs.
+    """
+    hubs = net.hubs.hubs_of(net.me.zone)
+    home = highest_weight_member(team, hubs)
+    others = [hub for hub in hubs if hub != home]
+    second = highest_weight_member(team, others)
+    return tuple(hub for hub in (home, second) if hub is not None)
+
+
 def potential_lenders(team: str, net: PeerNet) -> tuple[Member, ...]:
     """Return the routers that this one may ask for a team's tokens.
 
@@ -75,8 +90,18 @@
 
 
 def count_holders(net: PeerNet) -> int:
-    """Return how many routers hold a team's tokens: one per zone, or all."""
-    return len(net.hubs.zones()) or len(net.members())
+    """Return how many routers hold a team's tokens: one per zone, or all.
+
+    A router of a large fleet that sees no other one counts all that it has
+    known. It can't tell whether they died or it is cut off from them; as the
+    only holder it would draw a third of a budget while they hold the rest.
+    """
+    members = net.members()
+    if len(members) == 1:
+        known = {member.address for member in (*members, *net.dead_members())}
+        if net.hubs.has_hubs(len(known)):
+            return len(known)
+    return len(net.hubs.zones()) or len(members)
 
 
 def count_reporters(net: PeerNet) -> int:
--- a/tests/test_relay_link_admission.py
+++ b/tests/test_relay_link_admission.py
@@ -9,6 +9,7 @@
 from parameterized import parameterized
 
 from balsamreach.budget.home_client import HomeClient
+from balsamreach.budget.waiters import TokensNeed
 from balsamreach.dispatch.upstream import NOT_SENT, ConnectFailure
 from balsamreach.relay.faults import HOST_OVERLOADED
 from balsamreach.relay.host_link import HostLink
@@ -221,7 +222,9 @@
         net, home = fabric.join('router'), fabric.join('home')
         home.on(TokensAsk, _grant)
         client = HomeClient(net, FakeClock(), Metrics(), 0, lambda: extra)
-        reservation = asyncio.run(client.reserve(home.me, 'team-a', 5))
+        reservation = asyncio.run(
+            client.reserve(home.me, TokensNeed('team-a', 5), client.timeout)
+        )
         self.assertEqual(reservation is not None, used)
 
 
