Reject at a full link only what callers would give up

Cause: with limits of 250, 150 and 80 ms a host that had answered 78 of 78 requests a second answered 30 and rejected 111: the rejected callers come back to the same host, so a rejection saves half of a request's bytes at most, and the team's own priority puts all its requests into one class.

Change: limits of 1, 0.8 and 0.6 s, the time after which callers give up on a request that isn't read.

--- a/src/balsamreach/relay/link_admission.py
+++ b/src/balsamreach/relay/link_admission.py
@@ -1,9 +1,9 @@
 """Rejects requests that would wait too long for the host's link.
 
-A request that is admitted to a saturated link misses its latency objective,
-and delays the connections and token requests of all others. The load balancer
-moves callers away only after some seconds; until then, the requests that the
-link can't carry in time are rejected.
+A link that is seconds behind answers nobody in time: callers give up while
+their requests are in progress, and the connections and token requests of all
+others time out. The load balancer moves callers away only after some seconds;
+until then, the requests that the link can't carry in time are rejected.
 """
 
 from balsamreach.relay import faults
@@ -12,8 +12,10 @@
 from balsamreach.relay.host_link import HostLink
 
 #: Maximum wait for the link in seconds, by priority; the last one also holds
-#: for lower priorities. Derived from the latency objectives of callers.
-_MAX_WAITS_S = (0.25, 0.15, 0.08)
+#: for lower priorities. Callers give up on a request that is not read within a
+#: second. Shorter limits would reject requests that can be served, and their
+#: callers come back to the same host, which saves only half of the bytes.
+_MAX_WAITS_S = (1.0, 0.8, 0.6)
 #: Maximum body size, in bytes, of a plain call that may wait as long as the
 #: highest priority: it adds little to the queue and its service time is short.
 _PLAIN_BODY_BYTES = 2000
