Count the link's delay once in the bound of a reservation

Each ask of a hub was extended by the delay of this host's link, beyond the deadline that already contains it. With a delay of 1 s and a home that refused late, a reservation took 2.5 s, where 1.7 s is the bound; with a link saturated after the start, 1.5 s instead of 0.7 s. A hub that got less than the usual time was also recorded as not answering, for all teams.

The delay is deducted from the time left for a hub, and a hub is not asked if none is left. A hub counts as not answering only if it had its whole time.

--- a/src/balsamreach/budget/home_client.py
+++ b/src/balsamreach/budget/home_client.py
@@ -162,9 +162,12 @@
             # The ask may have arrived. Told that nothing was used, the home
             # frees the reservation, or refuses an ask that arrives later.
             self._add_unsettled(home.incarnation, number, 0)
-            self._backoff_until[home.incarnation] = (
-                self.clock.now() + _NO_ANSWER_BACKOFF_S
-            )
+            # A home that waits for tokens itself needs all of its time; given
+            # less, it isn't known to be down.
+            if task.done() or max_wait >= self.timeout:
+                self._backoff_until[home.incarnation] = (
+                    self.clock.now() + _NO_ANSWER_BACKOFF_S
+                )
             self.metrics.count(HOME_ASKS, outcome='silent')
             return None
         return self._handle_answer(home, ask, answer)
--- a/src/balsamreach/budget/home_failover.py
+++ b/src/balsamreach/budget/home_failover.py
@@ -34,8 +34,9 @@
         Reserves out of what this router holds or draws, within the given
         seconds.
     draw_wait : float
-        Longest wait of a request for tokens of this router, in seconds. It
-        and the timeout of a home together bound a reservation.
+        Longest wait of a request for tokens of this router, in seconds. It,
+        the timeout of a home and the link's delay at the start together bound
+        a reservation.
     account_drawer : AccountDrawer
         Tells whether the table service is known to be away.
     metrics : Metrics
@@ -65,6 +66,9 @@
             if hub.incarnation == client.net.me.incarnation:
                 return await self._reserve_own(need, deadline, refusal)
             left = deadline - client.clock.now() - _OWN_SHARE_S
+            left -= client.extra_seconds()
+            if left <= 0:
+                break
             outcome = await client.reserve(
                 hub,
                 need,
--- a/tests/test_budget_home_failover.py
+++ b/tests/test_budget_home_failover.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import attrs
 from parameterized import parameterized
@@ -16,7 +17,7 @@
 from balsamreach.budget.waiters import Waiter
 from balsamreach.services.faults import UNREACHABLE
 from balsamreach.wire.loans import LoanAsk, LoanGrant
-from balsamreach.wire.tokens import TokensAsk
+from balsamreach.wire.tokens import TokensAsk, TokensGrant
 from tests.budget_world import SwitchedService
 from tests.fake_net import FakeNet
 from tests.holdings_fleet import TEAM, Fleet
@@ -95,6 +96,19 @@
             await router.parts.home_client.settle()
 
 
+@attrs.frozen
+class _LateHubs:
+    """A home that refuses after some seconds, and a hub that hangs."""
+
+    home: str
+    seconds: float
+
+    async def ask(self, incarnation, _message, *_gaps):
+        """Answer in place of a hub."""
+        await asyncio.sleep(self.seconds if incarnation == self.home else 10)
+        return TokensGrant(granted=False, code=NO_ALLOTMENT.code)
+
+
 def _zone(prepaid=100_000):
     network = FakeNet(hubs_per_zone=2)
     return _Zone(Fleet(prepaid, clock=LoopClock(), network=network))
@@ -132,6 +146,38 @@
             return 'other' if held.home == zone.other else 'home'
         return 'here' if isinstance(held, Reservation) else 'nobody'
 
+    @parameterized.expand(
+        [
+            ('idle link', 0, 0, 0.26),
+            ('slow hub', 0, 0, 0.295),
+            ('saturated link', 1, 1, 1.2),
+            ('link saturated later', 0, 1, 0.2),
+        ]
+    )
+    @virtual
+    async def test_bound_with_a_delayed_link(self, _name, first, later, answer):
+        """Guards against a request that waits for the link's delay twice.
+
+        The home refuses after a while, the other hub doesn't answer, and this
+        router has no store. The link's delay may rise meanwhile.
+        """
+        zone = _zone()
+        zone.cut_store(zone.asker)
+        router = zone.fleet.routers[zone.asker]
+        client, began = router.parts.home_client, zone.fleet.clock.now()
+        client.extra_seconds = lambda: (
+            first if zone.fleet.clock.now() < began + 0.1 else later
+        )
+
+        hubs = _LateHubs(zone.home, answer)
+        with mock.patch.object(type(router.net), 'ask', hubs.ask):
+            held, seconds = await zone.reserve()
+        self.assertEqual(held, NO_ALLOTMENT)
+        self.assertLessEqual(seconds, _BOUND_S + first)
+        # The other hub had less time than it may take to wait for tokens.
+        asked = [hub.incarnation for hub in client.hubs_to_ask(TEAM)]
+        self.assertIn(zone.other, asked)
+
     @virtual
     async def test_other_hub_is_asked_first_for_a_while(self):
         """Guards against a useless ask of the home before each request."""
