Forget a shortage of tokens after ten seconds without a wait in vain

A shortage ended only when a team's tokens arrived. An hour later, the first request of a burst waited for its draw, and those behind it were refused with a Retry-After of up to 3.2 s, although the draw takes milliseconds.

A shortage without a wait in vain for 10 s is forgotten. Callers that follow the longest retry time are back before, so retry times still grow.

Of two new cases in test_budget_home_failover, the one after an hour failed before; both pass now.

--- a/src/balsamreach/budget/shortages.py
+++ b/src/balsamreach/budget/shortages.py
@@ -20,6 +20,9 @@
 #: value is that of other refusals for lack of tokens.
 _FIRST_RETRY_S = 0.8
 _MAX_RETRY_S = 3.2
+#: Seconds without a wait in vain after which a shortage is forgotten. Callers
+#: that follow the longest retry time, with jitter, are back before.
+_FORGET_AFTER_S = 10
 
 
 @attrs.define
@@ -34,11 +37,14 @@
         Waits in vain that count.
     until : float
         Time until which no further one counts.
+    last : float
+        Time of the last wait in vain, whether it counts or not.
     """
 
     arrived: int
     waits: int = 0
     until: float = 0
+    last: float = 0
 
     @property
     def pause(self) -> float:
@@ -101,11 +107,12 @@
         if not self.is_enabled() or arrived_tokens(ledger) > arrived:
             self._by_team.pop(ledger.team, None)
             return 0
+        now = self.clock.now()
         shortage = self._current(ledger)
         if shortage is None:
             shortage = _Shortage(arrived_tokens(ledger))
             self._by_team[ledger.team] = shortage
-        now = self.clock.now()
+        shortage.last = now
         if now >= shortage.until:
             shortage.waits += 1
             shortage.until = now + shortage.pause
@@ -125,7 +132,8 @@
         if shortage is None:
             return None
         arrived = arrived_tokens(ledger)
-        if arrived > shortage.arrived or not self.is_enabled():
+        is_old = self.clock.now() - shortage.last >= _FORGET_AFTER_S
+        if is_old or arrived > shortage.arrived or not self.is_enabled():
             self._by_team.pop(ledger.team)
             return None
         shortage.arrived = arrived
--- a/tests/test_budget_home_failover.py
+++ b/tests/test_budget_home_failover.py
@@ -354,6 +354,20 @@
         }
         self.assertEqual(retries, {0.8})
 
+    @parameterized.expand([('retries', 4, True), ('next hour', 3600, False)])
+    def test_a_shortage_is_forgotten(self, _name, idle_s, refused):
+        """Guards against refusals because of a shortage long ago.
+
+        The first request of a later burst may get its tokens within
+        milliseconds; those behind it must not be refused meanwhile.
+        """
+        for _ in range(6):
+            self.wait_in_vain()
+        self.clock.advance(idle_s)
+        refusal = self.shortages.refusal(self.ledger)
+        self.assertEqual(refusal is not None, refused)
+        self.assertEqual(self.wait_in_vain(), 3.2 if refused else 0.8)
+
     def test_one_request_goes_on_trying(self):
         """Guards against a shortage that nobody notices the end of."""
         self.wait_in_vain()
