Stay in rotation for 6 s after the longest absence

After 40 s out of rotation a router returned, and left again at its next check, 0.1 s later, if the team was still reported and three of its requests arrived within a second. The load balancer takes seconds to notice a return, so the router was out for good.

After an absence of the maximum length, reports don't make a router leave for 6 s. A link that is full still does.

A new test in test_relay_heavy_teams measured 0.1 s in rotation between two absences before; it requires 6 s, and passes now.

--- a/src/balsamreach/relay/rotation.py
+++ b/src/balsamreach/relay/rotation.py
@@ -24,6 +24,9 @@
 FULL_FOR_S = 0.1
 #: Maximum seconds out of rotation because of reports about a team.
 MAX_OUT_S = 40
+#: Seconds after such an absence for which reports don't make the router leave
+#: again. The load balancer takes about 2 s to notice that a router is back.
+MIN_BACK_S = 6
 #: Seconds after which a router that stays out decides again.
 _RECHECK_S = 0.05
 
@@ -52,6 +55,7 @@
     _out_until: float = float('-inf')
     _left_at: float | None = None
     _left_early: bool = False
+    _stays_until: float = float('-inf')
     _teams: set[str] = attrs.field(factory=set)
 
     def is_out(self) -> bool:
@@ -88,7 +92,9 @@
             self._left_at = now
             self.cause = None
             return
-        report = tracker.leave_now()
+        report = None
+        if now >= self._stays_until:
+            report = tracker.leave_now()
         if report is not None:
             self._left_at = now
             self._left_early = True
@@ -100,6 +106,8 @@
         report = None
         if now - self._left_at < MAX_OUT_S:
             report = tracker.stay_out(self._teams)
+        else:
+            self._stays_until = now + MIN_BACK_S
         if report is None:
             self._return(now)
             return
--- a/tests/test_relay_heavy_teams.py
+++ b/tests/test_relay_heavy_teams.py
@@ -1,5 +1,6 @@
 """Tests of heavy teams: detection, reports, and leaving the rotation."""
 
+import itertools
 import random
 import unittest
 
@@ -9,7 +10,7 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.daemon.link_parts import make_link_parts
 from balsamreach.relay.heavy_teams import REPORT_EXPIRY_S
-from balsamreach.relay.rotation import MAX_OUT_S, MIN_OUT_S
+from balsamreach.relay.rotation import MAX_OUT_S, MIN_BACK_S, MIN_OUT_S
 from balsamreach.wire.loads import HeavyTeams
 from tests.fake_net import FakeNet
 from tests.support import FakeClock
@@ -229,6 +230,27 @@
             await zone.tick()
         self.assertAlmostEqual(ticks * _TICK_S, expected, delta=0.3)
 
+    async def test_absences_are_separated(self):
+        """Guards against a router that is back too briefly to be noticed.
+
+        Another host reports the team all the time, and some of the team's
+        requests arrive here, also over connections that were kept open.
+        """
+        zone, states = _Zone((10,) * 6), []
+        for _ in range(1000):
+            zone.report(0, _HALF * 2)
+            zone.send(0, 1000, 1)
+            await zone.tick()
+            states.append(zone.out[0])
+        lengths = [
+            (is_out, len(tuple(run)) * _TICK_S)
+            for is_out, run in itertools.groupby(states)
+        ]
+        longest_out = max(length for is_out, length in lengths if is_out)
+        back = [length for is_out, length in lengths[1:-1] if not is_out]
+        self.assertLessEqual(longest_out, MAX_OUT_S + _TICK_S)
+        self.assertGreaterEqual(min(back), MIN_BACK_S - _TICK_S)
+
     @parameterized.expand(
         [(seed, loses) for seed in range(5) for loses in (False, True)]
     )
