Move the tokens of different teams at the same time

Cause: a router moved the tokens of all teams under one lock, one team after the other, a second after a round at the earliest. An outage of the store that ended 1.9 s before a zone was cut off left homes with holdings of half a second (available 462 of 2.6 million free in the account), and the draws of waiting requests queued behind the moves of other teams.

Attempts of different teams keep their own numbers.

--- a/src/balsamreach/budget/account_drawer.py
+++ b/src/balsamreach/budget/account_drawer.py
@@ -92,7 +92,9 @@
         if self.sizing.is_account_empty(ledger):
             return insufficient_tokens(ledger.team)
         for _ in range(_MAX_TRIES):
-            outcome = await self.book.apply_moves(partial(self._moves, ledger))
+            outcome = await self.book.apply_moves(
+                partial(self._moves, ledger), ledger.team
+            )
             if isinstance(outcome, BudgetFault):
                 self._note_fault(outcome)
                 return outcome
--- a/src/balsamreach/budget/book.py
+++ b/src/balsamreach/budget/book.py
@@ -62,6 +62,9 @@
     usage_limit : callable or None
         Returns how many tokens may be in use according to the reports; None
         where routers don't report.
+    parallel : bool
+        Whether moves of different teams are made at the same time. Each call
+        of ``apply_moves`` then concerns one team.
     closed : BudgetFault or None
         Why this router may spend nothing any more.
     ledgers : dict of str to Ledger
@@ -78,10 +81,12 @@
     rate_window: float = DEFAULT_WINDOW_S
     is_away: Callable[[], bool] = bool
     usage_limit: UsageLimit | None = None
+    parallel: bool = False
     closing_fault: BudgetFault | None = None
     ledgers: dict[str, Ledger] = attrs.field(factory=dict)
     recorded_loans: list[Loan] = attrs.field(factory=list)
-    _lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    _locks: dict[str, asyncio.Lock] = attrs.field(factory=dict)
+    _registering: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     def ledger(self, team: str) -> Ledger:
         """Return a team's ledger; create it if there is none."""
@@ -98,21 +103,25 @@
         """Register this router; return why it may not draw, None if it may."""
         # A successor on this address has to find this router in the row of
         # the address; otherwise it would not know whose allotments to close.
-        fault = self.closing_fault or await self.registration.register()
+        async with self._registering:
+            fault = self.closing_fault or await self.registration.register()
         if fault is not None:
             self.note_fault(fault)
         return fault
 
     async def apply_moves(
-        self, make_moves: MakeMoves
+        self, make_moves: MakeMoves, team: str = ''
     ) -> Outcomes | BudgetFault:
         """Plan moves, commit them and update the ledgers.
 
         Parameters
         ----------
         make_moves : callable
-            Returns the moves; called while no other move is in progress, so
-            that it sees the results of earlier ones.
+            Returns the moves; called while no other move of the team is in
+            progress, so that it sees the results of earlier ones.
+        team : str
+            The team that all moves concern. Empty for several teams, which
+            excludes all other moves unless moves are made in parallel.
 
         Returns
         -------
@@ -125,7 +134,7 @@
         if self.is_away():
             return _SERVICE_AWAY
         return await asyncio.shield(
-            asyncio.ensure_future(self._move(make_moves)),
+            asyncio.ensure_future(self._move(make_moves, team)),
         )
 
     def note_fault(self, fault: BudgetFault) -> None:
@@ -133,8 +142,17 @@
         if fault == TAKEN_OVER:
             self.closing_fault = fault
 
-    async def _move(self, make_moves: MakeMoves) -> Outcomes | BudgetFault:
-        async with self._lock:
+    def _lock(self, team: str) -> asyncio.Lock:
+        # With one lock for all teams, the draws of waiting requests would
+        # queue behind the moves of all other teams after an outage.
+        return self._locks.setdefault(
+            team if self.parallel else '', asyncio.Lock()
+        )
+
+    async def _move(
+        self, make_moves: MakeMoves, team: str
+    ) -> Outcomes | BudgetFault:
+        async with self._lock(team):
             fault = _SERVICE_AWAY if self.is_away() else await self.register()
             if fault is not None:
                 return fault
--- a/src/balsamreach/budget/holdings.py
+++ b/src/balsamreach/budget/holdings.py
@@ -25,6 +25,7 @@
 from balsamreach.budget.moves import Move
 from balsamreach.budget.prepaid import PrepaidLookup
 from balsamreach.budget.rate import Rate
+from balsamreach.budget.rounds import move_concurrently, wait_for_round
 from balsamreach.budget.waiters import TokensNeed
 from balsamreach.clock import Clock
 from balsamreach.config.settings import BudgetSettings
@@ -180,7 +181,7 @@
         """Draw and return tokens periodically, until cancelled."""
         await self.parts.predecessor_closer.close_when_available(self.book)
         while True:
-            await self.clock.sleep(self.cfg.flush_interval)
+            await wait_for_round(self.book, self.clock, self.cfg.flush_interval)
             await self.run_round()
 
     async def run_round(self) -> None:
@@ -191,15 +192,18 @@
         # each of the first requests would wait for a draw and a report of
         # its own, with a burst of calls from the whole zone when traffic
         # begins.
-        for home_team in home_teams(self.metered_teams(), self.net):
-            ledger = self._ledger(home_team)
-            if ledger.account_free is None:
-                await self.book.apply_moves(
-                    partial(_initial_draw, self, ledger)
-                )
-        for team in tuple(self.book.ledgers):
-            if _needs_move(self.book.ledgers[team], self.net):
-                await self.book.apply_moves(partial(self._due_moves, team))
+        first_draws = [
+            (team, partial(_initial_draw, self, self._ledger(team)))
+            for team in home_teams(self.metered_teams(), self.net)
+            if self._ledger(team).account_free is None
+        ]
+        await move_concurrently(self.book, first_draws)
+        due_moves = [
+            (team, partial(self._due_moves, team))
+            for team, ledger in self.book.ledgers.items()
+            if _needs_move(ledger, self.net)
+        ]
+        await move_concurrently(self.book, due_moves)
         await self.parts.loans.send_receipts()
         self.parts.home_server.charge_lost()
         held = sum(
@@ -224,7 +228,7 @@
             await self.clock.sleep(_LEAVE_POLL_S)
         for ledger in tuple(self.book.ledgers.values()):
             outcome = await self.book.apply_moves(
-                partial(self._return_moves, ledger)
+                partial(self._return_moves, ledger), ledger.team
             )
             if isinstance(outcome, BudgetFault):
                 await self.parts.handover.hand_over(ledger)
--- a/src/balsamreach/budget/holdings_parts.py
+++ b/src/balsamreach/budget/holdings_parts.py
@@ -106,6 +106,7 @@
         holdings.metrics,
         spends_loans=True,
         rate_window=holdings.rate_window,
+        parallel=True,
     )
     sizing = AdaptiveSizing(
         holdings.cfg,
--- a/src/balsamreach/budget/loans.py
+++ b/src/balsamreach/budget/loans.py
@@ -342,7 +342,7 @@
 async def _move_and_report(loans: Loans, ledger: Ledger, tokens: int) -> None:
     if tokens > min(ledger.unspent_granted, ledger.lendable - ledger.lent):
         await loans.book.apply_moves(
-            lambda: (loans.sizing.make_lendable(ledger),)
+            lambda: (loans.sizing.make_lendable(ledger),), ledger.team
         )
     if loans.reporter is not None and _lacks_room(ledger, tokens):
         await loans.reporter.report()
--- a/src/balsamreach/budget/move_committer.py
+++ b/src/balsamreach/budget/move_committer.py
@@ -30,7 +30,7 @@
 
 @attrs.define
 class MoveCommitter:
-    """Commits the moves of one incarnation, one commit at a time.
+    """Commits the moves of one incarnation, one commit of a team at a time.
 
     Parameters
     ----------
@@ -80,13 +80,14 @@
             if isinstance(rows, PlatformFault):
                 return NO_ALLOTMENT.because(f'table service: {rows.code}')
             self._attempt_number += 1
+            number = self._attempt_number
             plans = {
-                move.team: plan_move(move, self._move_rows(move, rows))
+                move.team: plan_move(move, self._move_rows(move, rows, number))
                 for move in moves
             }
             if TAKEN_OVER in plans.values():
                 return TAKEN_OVER.because('an allotment was closed')
-            outcome = await self._commit(plans)
+            outcome = await self._commit(plans, number)
             if not isinstance(outcome, PlatformFault):
                 self._drop_resolved(plans)
                 return _outcomes(plans)
@@ -120,15 +121,17 @@
             return rows
         return cached | {row.key: row for row in rows}
 
-    def _move_rows(self, move: Move, rows: dict[str, Row]) -> MoveRows:
+    def _move_rows(
+        self, move: Move, rows: dict[str, Row], number: int
+    ) -> MoveRows:
         own = rows[allotment_key(self.incarnation, move.team)]
         # An attempt whose answer was lost has left its number in the row if
         # it took effect. No two attempts share a number, so neither a loan
         # is recorded nor a draw made a second time.
-        number = (own.value or {}).get('seq', 0)
-        earlier_plan = self._unresolved.get(number, {}).get(move.team)
+        stored = (own.value or {}).get('seq', 0)
+        earlier_plan = self._unresolved.get(stored, {}).get(move.team)
         return MoveRows(
-            attempt_number=self._attempt_number,
+            attempt_number=number,
             wall_time=self.clock.wall(),
             account=rows[account_key(move.team)],
             own=own,
@@ -147,6 +150,7 @@
     async def _commit(
         self,
         plans: dict[str, MovePlan | BudgetFault],
+        number: int,
     ) -> int | PlatformFault:
         planned = {
             team: plan
@@ -161,7 +165,7 @@
             Commit(tuple(writes), tuple(checks)),
         )
         if outcome == UNKNOWN:
-            self._unresolved[self._attempt_number] = planned
+            self._unresolved[number] = planned
         elif outcome == CONFLICT:
             self.conflicts += 1
         if self.caches_own_rows:
--- a/src/balsamreach/budget/obtaining.py
+++ b/src/balsamreach/budget/obtaining.py
@@ -282,7 +282,8 @@
         # the loan is recorded.
         if ledger.borrowed and not self.account_drawer.is_backing_off():
             await self.book.apply_moves(
-                lambda: (self.sizing.record_loans_move(ledger),)
+                lambda: (self.sizing.record_loans_move(ledger),),
+                ledger.team,
             )
         if fault != EXHAUSTED:
             return _TryResult(fault, self._opening_tokens(ledger))
--- a/src/balsamreach/budget/recalling.py
+++ b/src/balsamreach/budget/recalling.py
@@ -135,7 +135,9 @@
             return RecallTold(team)
         ledger.recalled_until = self.book.clock.now() + RECALL_PERIOD_S
         for _ in range(_MOVES):
-            await self.book.apply_moves(partial(self._return_moves, ledger))
+            await self.book.apply_moves(
+                partial(self._return_moves, ledger), ledger.team
+            )
         held = ledger.reserved + ledger.unspent_granted + ledger.returning
         return RecallTold(team, ledger.billed, max(0, held))
 
