Pass reports of heavy teams on through the hubs

Cause: found in review: in a large fleet a router has connections to the hubs of its zone only, and a message without a connection is dropped. A peak of a heavy team never fell while the team was heavy.

Change: the first connected hub forwards a report, with its reporter; peaks fall by half in 5 s.

--- a/src/balsamreach/relay/heavy_team_sharing.py
+++ b/src/balsamreach/relay/heavy_team_sharing.py
@@ -1,4 +1,9 @@
-"""Exchanges reports about heavy teams with the routers of the zone."""
+"""Exchanges reports about heavy teams with the routers of the zone.
+
+In a large fleet a router has connections to the hubs of its zone only, so the
+first of them forwards the reports. A saturated host then sends each report
+once.
+"""
 
 import heapq
 
@@ -59,10 +64,25 @@
         teams = tuple(heapq.nlargest(_MAX_TEAMS, heavy, key=heavy.__getitem__))
         rates = tuple(min(heavy[team], _MAX_RATE) for team in teams)
         message = HeavyTeams(teams, rates, out_of_rotation)
-        if self._is_due(message) and self.net.hubs.hubs_of(self.net.me.zone):
+        if self._is_due(message) and self._hubs():
             self._sent = message
             self._sent_at = self.clock.now()
+            self._send(message)
+
+    def _hubs(self) -> tuple[Member, ...]:
+        return self.net.hubs.hubs_of(self.net.me.zone)
+
+    def _is_hub(self) -> bool:
+        me = self.net.me.incarnation
+        return any(hub.incarnation == me for hub in self._hubs())
+
+    def _send(self, message: HeavyTeams) -> None:
+        if self._is_hub():
             self.net.tell_zone(message)
+            return
+        for hub in self._hubs():
+            if self.net.tell(hub.incarnation, message):
+                return
 
     def _is_due(self, message: HeavyTeams) -> bool:
         if message.out_of_rotation != self._sent.out_of_rotation:
@@ -74,9 +94,15 @@
         return bool(has_content) and elapsed >= _REPEAT_S
 
     async def _receive(self, member: Member, message: HeavyTeams) -> None:
+        reporter = message.reporter or member.incarnation
+        if reporter == self.net.me.incarnation:
+            return
         rates = zip(message.teams, message.bytes_per_second, strict=False)
         self.tracker.reports.record(
-            member.incarnation,
+            reporter,
             dict(rates),
             out_of_rotation=message.out_of_rotation,
         )
+        if not message.reporter and self._is_hub():
+            forwarded = attrs.evolve(message, reporter=reporter)
+            self.net.tell_zone(forwarded, exclude=reporter)
--- a/src/balsamreach/relay/heavy_teams.py
+++ b/src/balsamreach/relay/heavy_teams.py
@@ -27,6 +27,9 @@
 #: bandwidth; otherwise the routers that it left would return, and the load
 #: balancer would move it back.
 _MOVED_SHARE = 0.5
+#: Seconds in which a peak falls by half, so that a single burst doesn't keep
+#: other routers out of rotation.
+_PEAK_HALF_LIFE_S = 5
 #: Requests of a reported team within a second that show that it arrives here.
 _MIN_REQUESTS = 3
 #: Maximum part of a zone's routers that may be out of rotation because of
@@ -126,6 +129,14 @@
     since: float
     threshold: float
     peak: int = 0
+    measured_at: float = 0
+
+    def add(self, rate: int, now: float) -> None:
+        """Add a measurement; the peak decays between two of them."""
+        age = now - self.measured_at
+        decayed = self.peak * 0.5 ** (age / _PEAK_HALF_LIFE_S)
+        self.peak = max(rate, round(decayed))
+        self.measured_at = now
 
 
 @attrs.define(eq=False)
@@ -239,4 +250,4 @@
             usage = _Usage(self.clock.now(), threshold)
             self._usages[team] = usage
         usage.threshold = threshold
-        usage.peak = max(usage.peak, rate)
+        usage.add(rate, self.clock.now())
--- a/src/balsamreach/wire/loads.py
+++ b/src/balsamreach/wire/loads.py
@@ -123,8 +123,12 @@
         Bytes of each team's requests and responses that cross the link.
     out_of_rotation : bool
         Whether the sender is out of the load balancer's rotation.
+    reporter : str
+        Incarnation of the router that the message is about, if a hub has
+        forwarded it; empty for the sender.
     """
 
     teams: tuple[str, ...] = ()
     bytes_per_second: tuple[int, ...] = ()
     out_of_rotation: bool = False
+    reporter: str = ''
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -336,6 +336,7 @@
   teams @0 :List(Text);
   bytesPerSecond @1 :List(UInt32);
   outOfRotation @2 :Bool;
+  reporter @3 :Text;
 }
 
 struct TargetFailures {
