Keep the traits of engines for two seconds

Cause: a router of a large fleet has a few requests a second and computed the speeds and classes of 70 engines anew for nearly each of them.

Change: two seconds in place of a quarter; speeds change by a tenth a second at most.

--- a/src/balsamreach/placement/engine_costs.py
+++ b/src/balsamreach/placement/engine_costs.py
@@ -28,7 +28,7 @@
 TIE_MS = 5
 
 #: Seconds for which the speeds and classes of engines are kept.
-_REFRESH_S = 0.25
+_REFRESH_S = 2.0
 #: Bits of a hash that a float between 0 and 1 holds exactly, with the half
 #: that keeps it off both ends.
 _HASH_BITS = 52
