Leave the choice of targets as before in fleets without hubs

Cause: failures are shared only where hubs exist, but a router without hubs excluded zones, made up to eight attempts, and let retries avoid each target with a failure of its own. As only shared recoveries cleared that failure, retries avoided a target for good after one refused connection.

Change: without hubs, breakers alone decide, four attempts are made, and any response clears the router's own failure.

--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -112,6 +112,8 @@
         """
         now = self.clock.now()
         passing = [one for one in places if one.breaker.allows_request(now)]
+        if not self.is_shared():
+            return passing or places
         credible = list(filter(self.allows, passing))
         zones = self.zones
         reached = [one for one in credible if zones.allows(one.entry.zone)]
@@ -139,9 +141,11 @@
         record = self.records.of(place)
         record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
-        if not self.is_shared() or not record.has_failed_before(exchange):
+        if not record.has_failed_before(exchange):
             return
         record.record_success(now)
+        if not self.is_shared():
+            return
         # The response shows that the target works again; a stream may take
         # seconds until its end closes the breaker.
         if place.breaker.is_open:
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -114,7 +114,11 @@
         parts = self.parts
         now = parts.clock.now()
         self.timing = EventTiming(now)
-        self._try_limit = TryLimit(now, self.call.route.aim)
+        self._try_limit = TryLimit(
+            now,
+            self.call.route.aim,
+            extends_refused=parts.chooser.failures.is_shared(),
+        )
         self.backup = StreamBackup(
             self.call,
             parts.chooser,
--- a/src/balsamreach/relay/try_limit.py
+++ b/src/balsamreach/relay/try_limit.py
@@ -26,10 +26,13 @@
         Monotonic seconds at which the first attempt started.
     aim : float
         Seconds within which the response is on time.
+    extends_refused : bool
+        Whether refused connections allow more attempts.
     """
 
     started: float
     aim: float
+    extends_refused: bool = True
     _tries: int = 0
     _was_refused: bool = False
 
@@ -45,5 +48,5 @@
         if self._tries < _MAX_TRIES:
             return True
         in_time = now - self.started < self.aim * _AIM_SHARE
-        more = self._was_refused and in_time
+        more = self.extends_refused and self._was_refused and in_time
         return more and self._tries < _MAX_REFUSED_TRIES
--- a/tests/test_relay_try_limit.py
+++ b/tests/test_relay_try_limit.py
@@ -36,3 +36,11 @@
             limit.record(end)
             made += 1
         self.assertEqual(made, attempts)
+
+    def test_fleet_that_shares_no_failures(self):
+        """Small fleets keep their four attempts."""
+        limit = TryLimit(0, aim=1, extends_refused=False)
+        for _ in range(4):
+            self.assertTrue(limit.allows(0))
+            limit.record(_REFUSED)
+        self.assertFalse(limit.allows(0))
