Keep reported failures and continuations out of wrong decisions

Cause: the backup engine of a stream was chosen among engines whose breaker is closed, also among those that reports or an unreachable zone exclude.

Change: only engines without a known failure of theirs or their zone hold copies and continue streams; continuations give no samples.

--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -184,6 +184,11 @@
                 place.breaker.record_failure(now, self.rng, certain=True)
             self._report(place, SILENT, source)
 
+    def is_working(self, place: RelayTarget) -> bool:
+        """Return whether no failure of a target or its zone is known."""
+        is_reachable = not self.zones.is_excluded(place.entry.zone)
+        return is_reachable and self._is_working(place)
+
     def _is_working(self, place: RelayTarget) -> bool:
         record = self.records.get(place.incarnation)
         is_suspected = record is not None and record.is_suspected
--- a/src/balsamreach/placement/zone_reachability.py
+++ b/src/balsamreach/placement/zone_reachability.py
@@ -69,6 +69,11 @@
             return now >= zone.excluded_until
         return now >= max(zone.excluded_until, zone.probed_at + _PROBE_S)
 
+    def is_excluded(self, name: str) -> bool:
+        """Return whether a zone was excluded and not reached since."""
+        zone = self._zones.get(name)
+        return zone is not None and zone.is_excluded
+
     def record_start(self, name: str) -> None:
         """Record that a request is sent, as a probe of an excluded zone."""
         zone = self._zones.get(name)
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -195,7 +195,8 @@
         # A response that isn't a stream begins when all of it is generated.
         if not isinstance(intake, StreamIntake) or intake.problem:
             return
-        if intake.is_success:
+        # A backup engine continues from the copy and processes no prompt.
+        if intake.is_success and not self.backup.used:
             self.parts.chooser.engines.record_first_event(
                 place,
                 in_flight.sent_unread,
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -158,7 +158,7 @@
         return tuple(
             place
             for place in self._eligible(call, {first.incarnation})
-            if not place.breaker.is_open
+            if self.failures.is_working(place)
         )
 
     def engine_traits(self, call: RelayCall) -> EngineTraits:
--- a/tests/test_relay_backups.py
+++ b/tests/test_relay_backups.py
@@ -12,6 +12,9 @@
 
 from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
 from balsamreach.placement.evacuations import Evacuation
+from balsamreach.placement.failure_evidence import REFUSED, FailureReport
+from balsamreach.placement.prompts import Prompt
+from balsamreach.placement.received_failures import ReceivedFailures
 from balsamreach.placement.relay_targets import RelayTarget
 from balsamreach.relay.backups import choose_backup
 from balsamreach.relay.run import RelayRun
@@ -30,6 +33,7 @@
 from tests.relay_scripts import (
     RecordingResponse,
     RecordingSpending,
+    Script,
     answer,
     unreachable,
 )
@@ -40,6 +44,7 @@
 _REFUSED = unreachable(NOT_SENT.because('refused'))
 _REST = event(2) + event(3)
 _DIES = answer(200, event(1), end=_CLOSED)
+_OK = answer(200, _REST)
 
 
 @attrs.frozen
@@ -54,6 +59,19 @@
         return _DIES(outgoing, intake)
 
 
+@attrs.frozen
+class _Late:
+    """An engine that responds after some time."""
+
+    wait: Callable[[], None]
+    script: Script
+
+    def __call__(self, outgoing, intake):
+        """Let time pass, then respond."""
+        self.wait()
+        return self.script(outgoing, intake)
+
+
 def _with_backups(allowed):
     service = CATALOGUE.services[ENGINES]
     engine = attrs.evolve(service.engine, backups=allowed)
@@ -189,6 +207,8 @@
             ('leaves', 'mark_leaving'),
             ('evacuated', 'evacuate'),
             ('refuses_connections', 'open_breaker'),
+            ('reported_by_others', 'report_failure'),
+            ('zone_unreachable', 'cut_off_zone'),
             ('no_retry_left', 'use_up_retries'),
         )
     )
@@ -213,6 +233,16 @@
     def open_breaker(self, backup):
         self.harness.chooser.record_failure(backup, certain=True)
 
+    def report_failure(self, backup):
+        now = self.harness.clock.now()
+        report = FailureReport(backup.incarnation, REFUSED, 'peer', now)
+        ReceivedFailures(self.harness.chooser.failures).receive(report)
+
+    def cut_off_zone(self, backup):
+        zones = self.harness.chooser.failures.zones
+        for target in ('far-1', 'far-2'):
+            zones.record_timeout(backup.entry.zone, target)
+
     def use_up_retries(self, _backup):
         allow_retry = self.harness.retry_budget.allow_retry
         self.assertIn(False, [allow_retry(ENGINES) for _ in range(9)])
@@ -237,6 +267,29 @@
         self.assertEqual(['Kv-Backup' in names for names in sent], [expected])
         self.assertEqual(self.counted('not_needed'), expected)
 
+    def test_engine_excluded_by_reports_gets_no_copy(self):
+        self.report_failure(self.backup)
+        self.run_stream(answer(200, event(1)))
+        other = self.sent_headers()[0]['Kv-Backup']
+        self.assertNotEqual(other, self.backup.entry.address)
+
+    def test_continuation_gives_no_speed_sample(self):
+        """An engine that processes no prompt would look very fast."""
+        engines = self.harness.chooser.engines
+        engines.shares_speeds = lambda: True
+        prompt = Prompt(model='m', tokens=9000, max_output_tokens=50, parts=())
+        self.set_up_backups(prompt.tokens, allowed=True)
+        call = attrs.evolve(relay_samples.call(ONE_RUN), prompt=prompt)
+        speeds = engines.costs.speeds
+        self.harness.run(call, self.after(0.1, _DIES), self.after(0.04, _OK))
+        self.assertEqual(len(self.harness.exchange.sent), 2)
+        samples = speeds.take_gathered(9)
+        self.assertNotIn('other', [sample.engine for sample in samples])
+        self.assertEqual(len(samples), 1)
+
+    def after(self, seconds, script):
+        return _Late(partial(self.harness.clock.advance, seconds), script)
+
     def test_retry_gets_no_backup(self):
         caller_response = self.run_stream(_REFUSED, _DIES)
         self.assertTrue(caller_response.aborted)
