Ignore reports of failures that a router can't judge

Cause: one report with an outcome of a newer release excluded its target like a refused connection; reports on zones were applied whatever their outcome and sender's zone, and names that are no zone's were kept for good, also as labels of a metric.

Change: reports with unknown outcomes, on unknown zones, on zones with another outcome than a time-out, or from another zone count as 'unknown'.

Six new test cases fail without the change.

--- a/src/balsamreach/placement/failure_evidence.py
+++ b/src/balsamreach/placement/failure_evidence.py
@@ -12,6 +12,7 @@
 TIMED_OUT = 'timed_out'
 SILENT = 'silent'
 RECOVERED = 'recovered'
+_OUTCOMES = frozenset((REFUSED, TIMED_OUT, SILENT, RECOVERED))
 #: Precedes the name of a zone that stands for all its targets.
 ZONE_PREFIX = 'zone:'
 
@@ -71,6 +72,11 @@
         """Incarnation of the router that saw it."""
         return self.source.partition('/')[0]
 
+    @property
+    def has_known_outcome(self) -> bool:
+        """Whether this release knows the outcome; newer ones may add some."""
+        return self.outcome in _OUTCOMES
+
 
 @attrs.define(eq=False)
 class _Exclusion:
--- a/src/balsamreach/placement/received_failures.py
+++ b/src/balsamreach/placement/received_failures.py
@@ -52,6 +52,8 @@
         return outcome
 
     def _apply(self, report: FailureReport) -> str:
+        if not report.has_known_outcome:
+            return 'unknown'
         if report.target.startswith(ZONE_PREFIX):
             return self._apply_to_zone(report)
         place = self.tracker.places.find_incarnation(report.target)
@@ -64,6 +66,11 @@
 
     def _apply_to_zone(self, report: FailureReport) -> str:
         zone = report.target.removeprefix(ZONE_PREFIX)
+        # Only routers of this zone see whether it is cut off from another.
+        if not report.is_local or report.outcome != TIMED_OUT:
+            return 'unknown'
+        if all(place.entry.zone != zone for place in self.tracker.places):
+            return 'unknown'
         now = self.tracker.clock.now()
         record = self.tracker.records.of_zone(zone)
         record.add_evidence(report)
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -93,6 +93,30 @@
         self.assertEqual(self.receive(**fields), result)
         self.assertTrue(self.router.allows('e1'))
 
+    @parameterized.expand(
+        (
+            ('newer_outcome', 'slow', 'e1', True),
+            ('empty_outcome', '', 'e1', True),
+            ('unknown_zone', TIMED_OUT, 'zone:no-such-zone', True),
+            ('nameless_zone', TIMED_OUT, 'zone:', True),
+            ('zone_seen_from_another', TIMED_OUT, 'zone:zone-b', False),
+            ('zone_refused', REFUSED, 'zone:zone-b', True),
+        )
+    )
+    def test_odd_report(self, _, outcome, target, is_local):
+        """Reports that this release can't judge exclude nothing.
+
+        A name that is no zone's would be kept for good.
+        """
+        for source in ('a', 'b'):
+            result = self.receive(
+                outcome, source, target=target, is_local=is_local
+            )
+            self.assertEqual(result, 'unknown')
+        self.assertTrue(self.router.allows('e1'))
+        self.assertTrue(self.tracker.zones.allows('zone-b'))
+        self.assertIsNone(self.tracker.records.get(target))
+
     def test_confirmations_far_apart_don_t_count(self):
         self.receive(TIMED_OUT, 'a')
         self.clock.advance(1.1)
@@ -248,7 +272,8 @@
         """Two routers of this zone exclude a zone for a second."""
         zones = self.tracker.zones
         for source, allowed in (('a', True), ('a', True), ('b', False)):
-            self.receive(TIMED_OUT, source, target='zone:zone-b')
+            target = 'zone:zone-b'
+            self.receive(TIMED_OUT, source, target=target, is_local=True)
             self.assertEqual(zones.allows('zone-b'), allowed)
         self.clock.advance(1)
         zones.record_start('zone-b')
