Log at most one excluded and one recovered target a second

Change: one line a second of each event, with the number of those omitted, which is at most 16 lines for each router in 8 s; a recovery is logged only if the target was suspected.

The new test fails without the change, which logged seven lines for its reports where three are expected now.

--- a/src/balsamreach/placement/received_failures.py
+++ b/src/balsamreach/placement/received_failures.py
@@ -1,7 +1,5 @@
 """Applies the failures that other routers have reported."""
 
-import logging
-
 import attrs
 
 from balsamreach.placement.failure_evidence import (
@@ -14,14 +12,12 @@
     FailureReport,
     TargetRecord,
 )
+from balsamreach.placement.failure_log import FailureLog
 from balsamreach.placement.relay_targets import RelayTarget
 from balsamreach.placement.target_failures import FailureTracker
-from balsamreach.telemetry.logs import log_event
 
 REPORTS = 'balsamreach_target_failure_reports_total'
 
-_logger = logging.getLogger(__name__)
-_MS = 1000
 #: Stands for all reporters of time-outs together.
 _EVERYONE = ''
 
@@ -38,6 +34,11 @@
 
     tracker: FailureTracker
     _accusations: Accusations = attrs.field(factory=Accusations)
+    _log: FailureLog = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the log."""
+        self._log = FailureLog(self.tracker.clock)
 
     def receive(self, report: FailureReport) -> str:
         """Apply a report of another router.
@@ -87,13 +88,15 @@
     def _apply_recovery(
         self, place: RelayTarget, record: TargetRecord, report: FailureReport
     ) -> str:
+        was_suspected = record.is_suspected
         if not record.recover(report.observed_at):
             return 'outdated'
         # Others may reach the target over a path that this router lacks.
         if record.own_failure in {REFUSED, SILENT}:
             record.own_failure = ''
             place.breaker.record_success()
-        self._log('target_recovered', place, report)
+        if was_suspected:
+            self._log.record('target_recovered', place, report)
         return 'applied'
 
     def _apply_failure(
@@ -112,7 +115,7 @@
             return 'unconfirmed'
         if not record.exclude(report, now, self.tracker.rng):
             return 'repeated'
-        self._log('target_excluded', place, report)
+        self._log.record('target_excluded', place, report)
         return 'applied'
 
     def _is_credible(self, place: RelayTarget, report: FailureReport) -> bool:
@@ -135,18 +138,3 @@
         everyone = attrs.evolve(report, source=_EVERYONE)
         now = self.tracker.clock.now()
         return self._accusations.add(everyone, service, now).is_credible
-
-    def _log(
-        self, event: str, place: RelayTarget, report: FailureReport
-    ) -> None:
-        age = self.tracker.clock.now() - report.observed_at
-        log_event(
-            _logger,
-            logging.WARNING,
-            event,
-            target=place.incarnation,
-            service=place.entry.service,
-            reason=report.outcome,
-            reporter=report.source,
-            age_ms=round(age * _MS),
-        )
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import unittest
+from unittest import mock
 
 import attrs
 from parameterized import parameterized
@@ -117,6 +118,31 @@
         self.assertTrue(self.tracker.zones.allows('zone-b'))
         self.assertIsNone(self.tracker.records.get(target))
 
+    def test_log_is_bounded(self):
+        """A crash of many targets fills no log; reports of old news none."""
+        module = 'balsamreach.placement.failure_log'
+        patcher = mock.patch(f'{module}.log_event')
+        log_event = patcher.start()
+        self.addCleanup(patcher.stop)
+        for target in ('e0', 'e1', 'e2', 'e0'):
+            self.receive(target=target, source=f'saw-{target}')
+        for target in ('e4', 'e0', 'e1'):
+            self.receive(RECOVERED, target=target)
+        self.clock.advance(1)
+        self.receive(target='e3')
+        logged = [
+            (*call.args[2:], call.kwargs['target'], call.kwargs['omitted'])
+            for call in log_event.call_args_list
+        ]
+        self.assertEqual(
+            logged,
+            [
+                ('target_excluded', 'e0', 0),
+                ('target_recovered', 'e0', 0),
+                ('target_excluded', 'e3', 2),
+            ],
+        )
+
     def test_confirmations_far_apart_don_t_count(self):
         self.receive(TIMED_OUT, 'a')
         self.clock.advance(1.1)
