Report a target as recovered only if its response shows it

Cause: any response of a target that had refused connections closed the breakers of all routers when its head arrived, also an error with status 500 and one without the target's signature, which another process at its address may have sent. The failed probe then counted as the first of three failures.

Change: a response shows that a target works if it is the target's own and either no server error or a rejection without a run. Others count as failures of the probe, as before failures were shared.

--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -134,14 +134,25 @@
             record.record_start(self.clock.now())
         return self.exchanges.begin(place, is_plain=is_plain)
 
-    def record_response(self, exchange: TargetExchange) -> None:
-        """Record that the head of a response has arrived."""
+    def record_response(
+        self, exchange: TargetExchange, *, works: bool = True
+    ) -> None:
+        """Record that the head of a response has arrived.
+
+        Parameters
+        ----------
+        exchange : TargetExchange
+            The exchange.
+        works : bool
+            Whether the response shows that the target works. One that
+            restarts may answer with errors before it does.
+        """
         exchange.responded = True
         place, now = exchange.place, self.clock.now()
         record = self.records.of(place)
         record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
-        if not record.has_failed_before(exchange):
+        if not works or not record.has_failed_before(exchange):
             return
         record.record_success(now)
         if not self.is_shared():
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -188,7 +188,9 @@
         # The response of another target doesn't apply to the intended one.
         if intake.for_other_request or intake.misdirected:
             return
-        in_flight.record_response(is_success=intake.is_success)
+        in_flight.record_response(
+            is_success=intake.is_success, works=intake.shows_working
+        )
         self.parts.notices.apply(place, intake.head.notice)
         if not intake.declined:
             self.parts.notices.record_accepted(place)
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -237,10 +237,18 @@
         self.place.unread -= self.unread
         self.unread = 0
 
-    def record_response(self, *, is_success: bool) -> None:
-        """Record that the response is the target's own."""
-        self.failures.record_response(self.exchange)
-        if is_success:
+    def record_response(self, *, is_success: bool, works: bool) -> None:
+        """Record that a response has begun.
+
+        Parameters
+        ----------
+        is_success : bool
+            Whether its status is a success.
+        works : bool
+            Whether it shows that the target works.
+        """
+        self.failures.record_response(self.exchange, works=works)
+        if is_success and works:
             self.failures.exchanges.learn(self.exchange)
 
     def end(self) -> None:
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -12,6 +12,7 @@
 _MAX_PLAIN_BYTES = 8 << 20
 _OK = 200
 _MULTIPLE_CHOICES = 300
+_SERVER_ERROR = 500
 
 
 class AnswerIntake(Intake):
@@ -45,6 +46,13 @@
         head = self.head
         return head is not None and _OK <= head.status < _MULTIPLE_CHOICES
 
+    @property
+    def shows_working(self) -> bool:
+        """Whether the target is up: its own response, and no error of it."""
+        if self.head is None or self.problem:
+            return False
+        return self.head.status < _SERVER_ERROR or self.declined
+
     @property
     def for_other_request(self) -> bool:
         """Whether the response belongs to another request."""
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -14,6 +14,7 @@
     ConnectFailure,
 )
 from balsamreach.placement.evacuations import Evacuation
+from balsamreach.placement.failure_evidence import RECOVERED
 from balsamreach.placement.relay_targets import RelayTargets, TargetEntry
 from balsamreach.relay.faults import BUDGET_EXHAUSTED
 from balsamreach.relay.run import RelayRun
@@ -136,6 +137,37 @@
         self.assertEqual(_status(caller_response), status)
         self.assertEqual(len(self.harness.exchange.sent), sent)
 
+    @parameterized.expand(
+        (
+            ('answers', _OK, True),
+            ('declines', _SHED, True),
+            ('rejects', answer(404), True),
+            ('fails', answer(500), False),
+            ('unsigned', answer(200, b'x', response_stamp=''), False),
+            ('late_answer', answer(200, b'x', attempt_id='another'), False),
+        )
+    )
+    def test_probe(self, _, script, recovers):
+        """Only a target that works again is reported and used by all.
+
+        One that restarts may fail its first requests, or another process may
+        have its address.
+        """
+        failures = self.harness.chooser.failures
+        failures.is_shared = lambda: True
+        fault = NOT_SENT.because_of(ConnectFailure.REFUSED, 'refused')
+        refused = [unreachable(fault), unreachable(fault)]
+        self.harness.run(relay_samples.call(UNSAFE), *refused)
+        self.harness.clock.advance(2)
+        reports = []
+        failures.on_report = reports.append
+        self.harness.run(relay_samples.call(UNSAFE), script, script)
+        recovered = [one for one in reports if one.outcome == RECOVERED]
+        places = self.harness.chooser.places.of_service(DESK)
+        is_open = [place.breaker.is_open for place in places]
+        self.assertEqual(bool(recovered), recovers)
+        self.assertEqual(all(is_open), not recovers)
+
     @parameterized.expand(
         (
             ('late_answer', answer(200, b'x', attempt_id='another')),
