Handle reports at a cost that doesn't grow with the fleet

Cause: each report built a set of all targets of its service, and each new record of a target searched all records for targets that are gone.

Change: membership is looked up, and records are searched when their number has doubled. The accusations have a module of their own.

The new test fails without the change.

--- a/src/balsamreach/placement/failure_records.py
+++ b/src/balsamreach/placement/failure_records.py
@@ -6,6 +6,9 @@
 from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.silent_exchanges import RunningExchanges
 
+#: Records from which on those of targets that are gone are dropped.
+_MIN_RECORDS = 64
+
 
 @attrs.define
 class FailureRecords:
@@ -22,6 +25,7 @@
     places: RelayTargets
     exchanges: RunningExchanges
     _records: dict[str, TargetRecord] = attrs.field(factory=dict)
+    _forget_at: int = _MIN_RECORDS
 
     def get(self, name: str) -> TargetRecord | None:
         """Return the record of an incarnation, None if there is none."""
@@ -31,7 +35,11 @@
         """Return the record of a target, a new one if there is none."""
         record = self._records.get(place.incarnation)
         if record is None:
-            self._forget_gone()
+            # Not for each new record: a fleet has up to 10,000 targets.
+            if len(self._records) >= self._forget_at:
+                self._forget_gone()
+                kept = len(self._records)
+                self._forget_at = max(_MIN_RECORDS, 2 * kept)
             record = TargetRecord()
             self._records[place.incarnation] = record
         return record
--- a/src/balsamreach/placement/received_failures.py
+++ b/src/balsamreach/placement/received_failures.py
@@ -2,18 +2,18 @@
 
 import attrs
 
+from balsamreach.placement.accusations import Accusations, Accused
 from balsamreach.placement.failure_evidence import (
     RECOVERED,
     REFUSED,
     SILENT,
     TIMED_OUT,
     ZONE_PREFIX,
-    Accusations,
     FailureReport,
     TargetRecord,
 )
 from balsamreach.placement.failure_log import FailureLog
-from balsamreach.placement.relay_targets import RelayTarget
+from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.target_failures import FailureTracker
 
 REPORTS = 'balsamreach_target_failure_reports_total'
@@ -119,22 +119,43 @@
         return 'applied'
 
     def _is_credible(self, place: RelayTarget, report: FailureReport) -> bool:
-        service = self.tracker.places.of_service(place.entry.service)
-        members = {one.incarnation for one in service}
-        now = self.tracker.clock.now()
-        accused = self._accusations.add(report, members, now)
+        accused = self._accuse(place, report)
         if accused.is_credible:
-            return self._is_plausible(report, members)
+            return self._is_plausible(place, report)
         for incarnation in accused.targets:
             record = self.tracker.records.get(incarnation)
             if record is not None:
                 record.withdraw(report.reporter)
         return False
 
-    def _is_plausible(self, report: FailureReport, service: set[str]) -> bool:
+    def _is_plausible(self, place: RelayTarget, report: FailureReport) -> bool:
         # The routers of a zone that is cut off confirm each other's time-outs.
         if report.outcome != TIMED_OUT:
             return True
         everyone = attrs.evolve(report, source=_EVERYONE)
-        now = self.tracker.clock.now()
-        return self._accusations.add(everyone, service, now).is_credible
+        return self._accuse(place, everyone).is_credible
+
+    def _accuse(self, place: RelayTarget, report: FailureReport) -> Accused:
+        places, service = self.tracker.places, place.entry.service
+        return self._accusations.add(
+            report,
+            _TargetsOf(service, places),
+            len(places.of_service(service)),
+            self.tracker.clock.now(),
+        )
+
+
+@attrs.frozen
+class _TargetsOf:
+    """The incarnations of a service's targets.
+
+    Not a set: to make one of thousands of targets for each report would take
+    longer than the rest.
+    """
+
+    service: str
+    places: RelayTargets
+
+    def __contains__(self, incarnation: str) -> bool:
+        place = self.places.find_incarnation(incarnation)
+        return place is not None and place.entry.service == self.service
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -16,6 +16,7 @@
     TIMED_OUT,
     FailureReport,
 )
+from balsamreach.placement.relay_targets import RelayTarget
 from balsamreach.placement.silent_exchanges import RunningExchanges
 from tests.failure_fleet import engines, join
 from tests.fake_net import FakeNet
@@ -144,6 +145,22 @@
             self.receive(TIMED_OUT, source, age=age)
         self.assertEqual(self.router.allows('e1'), allowed)
 
+    def test_records_of_gone_targets_are_dropped(self):
+        """Restarts must not add up, nor cost a search for each target."""
+        records, places = self.tracker.records, self.router.places
+        with mock.patch.object(
+            places.__class__, 'find_incarnation', autospec=True
+        ) as find:
+            find.side_effect = lambda _self, name: name.startswith('e') or None
+            for number in range(1000):
+                gone = RelayTarget(entry(f'gone-{number}', DESK))
+                records.of(gone)
+                self.assertLessEqual(len(records._records), 64)
+            for number in range(1000):
+                records.of(RelayTarget(entry(f'e{number}', DESK)))
+            self.assertLess(find.call_count, 5000)
+        self.assertEqual(len(records._records), 1000)
+
     def test_log_is_bounded(self):
         """A crash of many targets fills no log; reports of old news none."""
         module = 'balsamreach.placement.failure_log'
