Bound what one message says of an engine's speed

Cause: weights and speeds of up to 2^32 were taken over as received. With the largest weight, one wrong number kept an engine at a quarter of its speed for more than 300 s of correct samples.

Change: a weight counts as a million tokens at most, and an estimate of a hub is bounded to the factor of four from the median within which speeds are used.

--- a/src/balsamreach/placement/engine_speeds.py
+++ b/src/balsamreach/placement/engine_speeds.py
@@ -144,7 +144,9 @@
     def replace(self, sample: SpeedSample) -> None:
         """Replace what is known of an engine by a hub's estimate."""
         known = self._estimates.setdefault(sample.engine, _Estimate())
-        known.log_speed = math.log(sample.speed)
+        # Kept as it is, a wrong speed would outweigh samples for minutes.
+        median = self._log_median()
+        known.log_speed = median + _bounded(math.log(sample.speed) - median)
         known.tokens = sample.tokens
         known.sampled_at = self.clock.now()
 
@@ -211,8 +213,7 @@
         estimate = self._estimates.get(engine)
         if estimate is None:
             return median
-        limit = math.log(MAX_FACTOR)
-        distance = min(max(estimate.log_speed - median, -limit), limit)
+        distance = _bounded(estimate.log_speed - median)
         share = estimate.tokens / (estimate.tokens + PRIOR_TOKENS)
         # From the bound, so that the wrongest estimate takes no longer.
         share *= _remaining(self.age(engine) - IDLE_S)
@@ -233,6 +234,11 @@
         return self._median
 
 
+def _bounded(distance: float) -> float:
+    limit = math.log(MAX_FACTOR)
+    return min(max(distance, -limit), limit)
+
+
 def _remaining(age: float) -> float:
     return 0.5 ** (max(0, age) / HALF_LIFE_S)
 
--- a/src/balsamreach/placement/speed_sharing.py
+++ b/src/balsamreach/placement/speed_sharing.py
@@ -39,6 +39,10 @@
 _MAX_ENGINES = 100
 _LOG_INTERVAL_S = 10
 _MAX_UINT32 = (1 << 32) - 1
+#: Maximum weight of a received sample, in tokens: what ten prompts that wait
+#: for each other at a fast engine add up to in a second. With the weight of
+#: an absurd one, a sample would determine the estimate for minutes.
+_MAX_WEIGHT = 1_000_000
 _MS = 1000
 
 
@@ -175,6 +179,7 @@
             # Estimates of dead incarnations would never be used.
             is_known = self.places.find_incarnation(engine) is not None
             if is_known and rate > 0 and weight > 0:
+                weight = min(weight, _MAX_WEIGHT)
                 yield SpeedSample(engine, rate / _MS, weight)
 
     def _report(self) -> None:
--- a/tests/test_placement_speed_sharing.py
+++ b/tests/test_placement_speed_sharing.py
@@ -18,6 +18,7 @@
 _ZONES = ('zone-a', 'zone-b')
 _ROUTERS = 5
 _TOKENS = 40_000
+_HUGE = (1 << 32) - 1
 _LOGGER = 'balsamreach.placement.speed_sharing'
 
 
@@ -169,6 +170,31 @@
         await self.net.settle()
         self.assertEqual(list(hub.speeds.known()), [])
 
+    @parameterized.expand(
+        (
+            ('slow_to_hub', 'router', 1, True),
+            ('fast_to_hub', 'router', _HUGE, True),
+            ('slow_from_hub', 'fleet', 1, False),
+            ('fast_from_hub', 'fleet', _HUGE, False),
+        )
+    )
+    async def test_absurd_message_is_corrected(self, _, scope, rate, to_hub):
+        """One wrong number must not starve or flood an engine for minutes.
+
+        Two minutes of samples correct the estimate to within a quarter.
+        """
+        names = (self.non_hub(), self.first_hub())
+        sender, receiver = names if to_hub else reversed(names)
+        message = TargetRates(scope, ('engine@1',), (rate,), (_HUGE,))
+        self.fleet[sender].net.tell(receiver, message)
+        await self.net.settle()
+        speeds = self.fleet[receiver].speeds
+        for _ in range(120):
+            self.clock.advance(1)
+            speeds.record('engine@1', 9000, 0.09)
+        self.assertLess(80, speeds.speed('engine@1'))
+        self.assertLess(speeds.speed('engine@1'), 125)
+
     async def test_log_at_most_every_ten_seconds(self):
         name = self.non_hub()
         for other in tuple(self.fleet):
