Don't blame targets for the delay of a saturated link

Cause: while the link of a small host is saturated, its responses are late. Connections that time out then count for nothing, but two late responses still marked a plain target as silent at all routers, and late first events gave samples that made engines look slow.

Change: while the link's backlog is high, exchanges that become silent are not counted, and first events give no samples.

The two new tests fail without the change. The link control must be on, as for timeouts.

--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -163,6 +163,7 @@
             self.metrics,
             self.net,
         )
+        chooser.failures.link_delayed = self.link_parts.delay.is_high
         attempt_parts = RelayAttemptParts(
             codec=codec,
             chooser=chooser,
--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -40,7 +40,7 @@
 
 
 def _is_never() -> bool:
-    """Return that failures are not shared."""
+    """Return false, until the callable is replaced."""
     return False
 
 
@@ -68,6 +68,8 @@
         What is known of each target.
     is_shared : callable
         Returns whether failures are shared in this fleet.
+    link_delayed : callable
+        Returns whether responses are late because of this host's own link.
     on_report : callable
         Called with each observation that other routers should know.
     """
@@ -81,6 +83,7 @@
     exchanges: RunningExchanges = attrs.field(init=False)
     records: FailureRecords = attrs.field(init=False)
     is_shared: Callable[[], bool] = _is_never
+    link_delayed: Callable[[], bool] = _is_never
     on_report: Callable[[FailureReport], None] = _ignore
     _silences: int = 0
 
@@ -180,7 +183,7 @@
     def check_silent(self) -> None:
         """Mark plain targets that have not responded for unusually long."""
         silent = self.exchanges.find_silent()
-        if not silent or not self.is_shared():
+        if not silent or not self.is_shared() or self.link_delayed():
             return
         for exchange in silent:
             place, now = exchange.place, self.clock.now()
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -198,7 +198,9 @@
         if not isinstance(intake, StreamIntake) or intake.problem:
             return
         # A backup engine continues from the copy and processes no prompt.
-        if intake.is_success and not self.backup.used:
+        is_sample = intake.is_success and not self.backup.used
+        # The wait for a saturated link is not the engine's.
+        if is_sample and not self.parts.classifier.link_delayed():
             self.parts.chooser.engines.record_first_event(
                 place,
                 in_flight.sent_unread,
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -437,6 +437,22 @@
         self.assertEqual(self.outcomes().count(('d1', SILENT)), reported)
         self.assertEqual(self.router.allows('d1'), allowed)
 
+    def test_saturated_link(self):
+        """Responses that wait for this host's link are no sign of silence.
+
+        All routers would leave targets that work, for as long as one host's
+        link is saturated.
+        """
+        self.learn(0.01)
+        self.begin(2)
+        self.tracker.link_delayed = lambda: True
+        self.clock.advance(0.3)
+        self.tracker.check_silent()
+        self.tracker.link_delayed = bool
+        self.tracker.check_silent()
+        self.assertNotIn(('d1', SILENT), self.outcomes())
+        self.assertTrue(self.router.allows('d1'))
+
     def test_success_in_between(self):
         """A slow request is no sign of a target that hangs."""
         self.learn(0.01)
--- a/tests/test_relay_speed_samples.py
+++ b/tests/test_relay_speed_samples.py
@@ -89,6 +89,13 @@
         self.harness.run(request, *scripts)
         self.assertEqual(self.samples(), [])
 
+    def test_saturated_link_gives_no_sample(self):
+        """A host whose link is saturated would make engines look slow."""
+        attempts = self.harness.parts.attempt_parts
+        attempts.classifier.link_delayed = lambda: True
+        self.harness.run(_call(prompt=_OWN), self.after(0.9, _OK))
+        self.assertEqual(self.samples(), [])
+
     def test_cached_prompt_gives_no_sample(self):
         """An engine that caches nearly all of a prompt isn't a fast one."""
         self.harness.run(_call(prompt=_PROMPT), self.after(0.05, _OK))
