Forward a time-out of a target from four routers at most

Cause: a hub forwarded the time-outs and silences of each router once in 0.5 s. While a zone is cut off, all routers may report each of its targets, so that what a router receives grew with the fleet times the targets.

Change: at most four sources of one failure of a target are forwarded in 0.5 s; two confirm each other.

The interval of 20 ms stays.

--- a/src/balsamreach/placement/failure_sharing.py
+++ b/src/balsamreach/placement/failure_sharing.py
@@ -14,6 +14,7 @@
     RECOVERED,
     REFUSED,
     SILENT,
+    TIMED_OUT,
     ZONE_PREFIX,
     FailureReport,
 )
@@ -33,6 +34,10 @@
 _MIN_INTERVAL_S = 0.02
 #: Seconds in which the same failure of a target is reported once.
 _REPEAT_S = 0.5
+#: Maximum sources of one failure of a target that are reported in that time.
+#: Two confirm each other; the others are for receivers that distrust one, or
+#: are one. All routers may see the targets of a zone that is cut off time out.
+_MAX_SOURCES = 4
 #: Maximum age of a report that is forwarded. It would exclude a target that
 #: may have recovered since.
 _MAX_AGE_S = 1.0
@@ -43,6 +48,7 @@
     """The reports sent of late, so that each is sent once."""
 
     _times: dict[tuple[str, ...], float] = attrs.field(factory=dict)
+    _counted: dict[tuple[str, str], list[float]] = attrs.field(factory=dict)
     _forget_at: float = float('-inf')
 
     def is_new(self, report: FailureReport, now: float) -> bool:
@@ -55,6 +61,8 @@
         if now >= self._forget_at:
             self._forget_at = now + _REPEAT_S
             self._forget_older(now - _REPEAT_S)
+        if _needs_confirmation(report) and not self._count(report, now):
+            return False
         # A target that fails after it has recovered fails anew.
         if report.outcome == RECOVERED:
             self._drop(report.target)
@@ -64,15 +72,35 @@
         self._times[key] = now
         return True
 
+    def _count(self, report: FailureReport, now: float) -> bool:
+        failure = report.target, report.outcome
+        times = [
+            time
+            for time in self._counted.get(failure, ())
+            if now < time + _REPEAT_S
+        ]
+        self._counted[failure] = times
+        if len(times) >= _MAX_SOURCES:
+            return False
+        times.append(now)
+        return True
+
     def _forget_older(self, oldest: float) -> None:
         self._times = {
             known: time for known, time in self._times.items() if time > oldest
         }
+        self._counted = {
+            known: times
+            for known, times in self._counted.items()
+            if times[-1] > oldest
+        }
 
     def _drop(self, target: str) -> None:
         for known in tuple(self._times):
             if known[0] == target:
                 self._times.pop(known)
+        for outcome in (TIMED_OUT, SILENT):
+            self._counted.pop((target, outcome), None)
 
 
 @attrs.define(eq=False)
@@ -235,9 +263,12 @@
     return report.target.startswith(ZONE_PREFIX)
 
 
+def _needs_confirmation(report: FailureReport) -> bool:
+    return report.outcome not in {RECOVERED, REFUSED}
+
+
 def _key(report: FailureReport) -> tuple[str, ...]:
-    # Time-outs and silences need a second source.
-    if report.outcome in {RECOVERED, REFUSED}:
+    if not _needs_confirmation(report):
         # Reports of the own zone count even if another zone was first.
         origin = ZONE if report.is_local else FLEET
         return report.target, report.outcome, origin
--- a/tests/test_placement_failure_sharing.py
+++ b/tests/test_placement_failure_sharing.py
@@ -2,6 +2,7 @@
 
 import logging
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
 
@@ -152,6 +153,19 @@
         }
         self.assertEqual(excluding, set(names))
 
+    async def test_time_outs_of_all_routers_take_few_rows(self):
+        """What routers receive must not grow with the number of reporters."""
+        receiver = self.router()
+        sharing = self.fleet[receiver].sharing
+        sharing.received = mock.Mock(wraps=sharing.received)
+        for name, one in self.fleet.items():
+            one.answer('e0')
+            if name != receiver:
+                one.fail('e1', _TIMEOUT)
+        await self.settle()
+        self.assertLessEqual(sharing.received.receive.call_count, 4)
+        self.assertEqual(self.excluding(), len(self.fleet))
+
     async def test_cut_off_router_is_not_believed(self):
         """A router whose own network fails excludes nothing elsewhere."""
         name = self.router()
