--- a/src/balsamreach/placement/failure_evidence.py
+++ b/src/balsamreach/placement/failure_evidence.py
@@ -1,7 +1,6 @@
 """What is known of the failures of one target, and by whom it was reported."""
 
 import random
-from collections.abc import Collection
 
 import attrs
 
@@ -12,6 +11,7 @@
 TIMED_OUT = 'timed_out'
 SILENT = 'silent'
 RECOVERED = 'recovered'
+_OUTCOMES = frozenset((REFUSED, TIMED_OUT, SILENT, RECOVERED))
 #: Precedes the name of a zone that stands for all its targets.
 ZONE_PREFIX = 'zone:'
 
@@ -34,10 +34,6 @@
 #: The same after a response has shown that the reports were wrong. The target
 #: may be cut off from the reporters for as long as a partition lasts.
 _REFUTED_S = 5.0
-#: Seconds for which a reporter's accusations are counted.
-_ACCUSATION_S = 1.0
-#: Targets of a service of which one reporter can accuse one: a third.
-_TARGETS_PER_ACCUSATION = 3
 
 
 @attrs.frozen
@@ -71,6 +67,11 @@
         """Incarnation of the router that saw it."""
         return self.source.partition('/')[0]
 
+    @property
+    def has_known_outcome(self) -> bool:
+        """Whether this release knows the outcome; newer ones may add some."""
+        return self.outcome in _OUTCOMES
+
 
 @attrs.define(eq=False)
 class _Exclusion:
@@ -148,7 +149,7 @@
         """Record a failure that this router saw."""
         self.own_failure = outcome
         self._failed_at = now
-        self._evidence[outcome, source] = now
+        _add_newest(self._evidence, (outcome, source), now)
 
     def has_failed_before(self, exchange: TargetExchange) -> bool:
         """Return whether it failed before an exchange, and not recovered."""
@@ -176,21 +177,14 @@
 
     def add_evidence(self, report: FailureReport) -> None:
         """Record an observation that another one may confirm."""
-        seen = self._evidence.get((report.outcome, report.source), _NEVER)
-        self._evidence[report.outcome, report.source] = max(
-            seen, report.observed_at
-        )
+        key = report.outcome, report.source
+        _add_newest(self._evidence, key, report.observed_at)
 
     def is_confirmed(self, outcome: str, now: float) -> bool:
         """Return whether enough sources have seen an outcome."""
         window = _CONFIRMATION_S.get(outcome)
         if window is None:
             return True
-        self._evidence = {
-            source: time
-            for source, time in self._evidence.items()
-            if time >= now - max(_CONFIRMATION_S.values())
-        }
         confirmations = sum(
             time >= now - window
             for (seen, _source), time in self._evidence.items()
@@ -235,52 +229,11 @@
         return now < self._reports_after and not self.own_failure
 
 
-@attrs.frozen
-class Accused:
-    """The targets of a service that a reporter has accused of late."""
-
-    targets: frozenset[str]
-    is_credible: bool
-
-
-@attrs.define
-class Accusations:
-    """Counts the targets that each reporter accuses.
-
-    A router that is itself cut off sees all targets fail.
-    """
-
-    _times: dict[str, dict[str, float]] = attrs.field(factory=dict)
-
-    def add(
-        self,
-        report: FailureReport,
-        service: Collection[str],
-        now: float,
-    ) -> Accused:
-        """Add a report, and return what its reporter says of the service.
-
-        Parameters
-        ----------
-        report : FailureReport
-            The report.
-        service : set of str
-            Incarnations of all targets of the service.
-        now : float
-            Monotonic seconds.
-        """
-        self._drop_older(now - _ACCUSATION_S)
-        times = self._times.setdefault(report.reporter, {})
-        times[report.target] = now
-        targets = frozenset(target for target in times if target in service)
-        # In a small service one target may be more than a third of it.
-        limit = max(1, len(service) // _TARGETS_PER_ACCUSATION)
-        return Accused(targets, len(targets) <= limit)
-
-    def _drop_older(self, oldest: float) -> None:
-        for reporter, times in tuple(self._times.items()):
-            for target, time in tuple(times.items()):
-                if time < oldest:
-                    times.pop(target)
-            if not times:
-                self._times.pop(reporter)
+def _add_newest(
+    evidence: dict[tuple[str, str], float], key: tuple[str, str], time: float
+) -> None:
+    evidence[key] = max(time, evidence.get(key, _NEVER))
+    same = [known for known in evidence if known[0] == key[0]]
+    # No more than needed: all routers may report the same target.
+    if len(same) > _CONFIRMATIONS:
+        evidence.pop(min(same, key=evidence.__getitem__))
--- a/src/balsamreach/placement/received_failures.py
+++ b/src/balsamreach/placement/received_failures.py
@@ -1,27 +1,23 @@
 """Applies the failures that other routers have reported."""
 
-import logging
-
 import attrs
 
+from balsamreach.placement.accusations import Accusations, Accused
 from balsamreach.placement.failure_evidence import (
     RECOVERED,
     REFUSED,
     SILENT,
     TIMED_OUT,
     ZONE_PREFIX,
-    Accusations,
     FailureReport,
     TargetRecord,
 )
-from balsamreach.placement.relay_targets import RelayTarget
+from balsamreach.placement.failure_log import FailureLog
+from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.target_failures import FailureTracker
-from balsamreach.telemetry.logs import log_event
 
 REPORTS = 'balsamreach_target_failure_reports_total'
 
-_logger = logging.getLogger(__name__)
-_MS = 1000
 #: Stands for all reporters of time-outs together.
 _EVERYONE = ''
 
@@ -38,6 +34,11 @@
 
     tracker: FailureTracker
     _accusations: Accusations = attrs.field(factory=Accusations)
+    _log: FailureLog = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the log."""
+        self._log = FailureLog(self.tracker.clock)
 
     def receive(self, report: FailureReport) -> str:
         """Apply a report of another router.
@@ -52,6 +53,8 @@
         return outcome
 
     def _apply(self, report: FailureReport) -> str:
+        if not report.has_known_outcome:
+            return 'unknown'
         if report.target.startswith(ZONE_PREFIX):
             return self._apply_to_zone(report)
         place = self.tracker.places.find_incarnation(report.target)
@@ -64,6 +67,11 @@
 
     def _apply_to_zone(self, report: FailureReport) -> str:
         zone = report.target.removeprefix(ZONE_PREFIX)
+        # Only routers of this zone see whether it is cut off from another.
+        if not report.is_local or report.outcome != TIMED_OUT:
+            return 'unknown'
+        if all(place.entry.zone != zone for place in self.tracker.places):
+            return 'unknown'
         now = self.tracker.clock.now()
         record = self.tracker.records.of_zone(zone)
         record.add_evidence(report)
@@ -80,13 +88,15 @@
     def _apply_recovery(
         self, place: RelayTarget, record: TargetRecord, report: FailureReport
     ) -> str:
+        was_suspected = record.is_suspected
         if not record.recover(report.observed_at):
             return 'outdated'
         # Others may reach the target over a path that this router lacks.
         if record.own_failure in {REFUSED, SILENT}:
             record.own_failure = ''
             place.breaker.record_success()
-        self._log('target_recovered', place, report)
+        if was_suspected:
+            self._log.record('target_recovered', place, report)
         return 'applied'
 
     def _apply_failure(
@@ -105,41 +115,47 @@
             return 'unconfirmed'
         if not record.exclude(report, now, self.tracker.rng):
             return 'repeated'
-        self._log('target_excluded', place, report)
+        self._log.record('target_excluded', place, report)
         return 'applied'
 
     def _is_credible(self, place: RelayTarget, report: FailureReport) -> bool:
-        service = self.tracker.places.of_service(place.entry.service)
-        members = {one.incarnation for one in service}
-        now = self.tracker.clock.now()
-        accused = self._accusations.add(report, members, now)
+        accused = self._accuse(place, report)
         if accused.is_credible:
-            return self._is_plausible(report, members)
+            return self._is_plausible(place, report)
         for incarnation in accused.targets:
             record = self.tracker.records.get(incarnation)
             if record is not None:
                 record.withdraw(report.reporter)
         return False
 
-    def _is_plausible(self, report: FailureReport, service: set[str]) -> bool:
+    def _is_plausible(self, place: RelayTarget, report: FailureReport) -> bool:
         # The routers of a zone that is cut off confirm each other's time-outs.
         if report.outcome != TIMED_OUT:
             return True
         everyone = attrs.evolve(report, source=_EVERYONE)
-        now = self.tracker.clock.now()
-        return self._accusations.add(everyone, service, now).is_credible
-
-    def _log(
-        self, event: str, place: RelayTarget, report: FailureReport
-    ) -> None:
-        age = self.tracker.clock.now() - report.observed_at
-        log_event(
-            _logger,
-            logging.WARNING,
-            event,
-            target=place.incarnation,
-            service=place.entry.service,
-            reason=report.outcome,
-            reporter=report.source,
-            age_ms=round(age * _MS),
+        return self._accuse(place, everyone).is_credible
+
+    def _accuse(self, place: RelayTarget, report: FailureReport) -> Accused:
+        places, service = self.tracker.places, place.entry.service
+        return self._accusations.add(
+            report,
+            _TargetsOf(service, places),
+            len(places.of_service(service)),
+            self.tracker.clock.now(),
         )
+
+
+@attrs.frozen
+class _TargetsOf:
+    """The incarnations of a service's targets.
+
+    Not a set: to make one of thousands of targets for each report would take
+    longer than the rest.
+    """
+
+    service: str
+    places: RelayTargets
+
+    def __contains__(self, incarnation: str) -> bool:
+        place = self.places.find_incarnation(incarnation)
+        return place is not None and place.entry.service == self.service
--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -40,7 +40,7 @@
 
 
 def _is_never() -> bool:
-    """Return that failures are not shared."""
+    """Return false, until the callable is replaced."""
     return False
 
 
@@ -68,6 +68,8 @@
         What is known of each target.
     is_shared : callable
         Returns whether failures are shared in this fleet.
+    link_delayed : callable
+        Returns whether responses are late because of this host's own link.
     on_report : callable
         Called with each observation that other routers should know.
     """
@@ -81,6 +83,7 @@
     exchanges: RunningExchanges = attrs.field(init=False)
     records: FailureRecords = attrs.field(init=False)
     is_shared: Callable[[], bool] = _is_never
+    link_delayed: Callable[[], bool] = _is_never
     on_report: Callable[[FailureReport], None] = _ignore
     _silences: int = 0
 
@@ -112,6 +115,8 @@
         """
         now = self.clock.now()
         passing = [one for one in places if one.breaker.allows_request(now)]
+        if not self.is_shared():
+            return passing or places
         credible = list(filter(self.allows, passing))
         zones = self.zones
         reached = [one for one in credible if zones.allows(one.entry.zone)]
@@ -132,16 +137,29 @@
             record.record_start(self.clock.now())
         return self.exchanges.begin(place, is_plain=is_plain)
 
-    def record_response(self, exchange: TargetExchange) -> None:
-        """Record that the head of a response has arrived."""
+    def record_response(
+        self, exchange: TargetExchange, *, works: bool = True
+    ) -> None:
+        """Record that the head of a response has arrived.
+
+        Parameters
+        ----------
+        exchange : TargetExchange
+            The exchange.
+        works : bool
+            Whether the response shows that the target works. One that
+            restarts may answer with errors before it does.
+        """
         exchange.responded = True
         place, now = exchange.place, self.clock.now()
         record = self.records.of(place)
         record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
-        if not self.is_shared() or not record.has_failed_before(exchange):
+        if not works or not record.has_failed_before(exchange):
             return
         record.record_success(now)
+        if not self.is_shared():
+            return
         # The response shows that the target works again; a stream may take
         # seconds until its end closes the breaker.
         if place.breaker.is_open:
@@ -165,7 +183,7 @@
     def check_silent(self) -> None:
         """Mark plain targets that have not responded for unusually long."""
         silent = self.exchanges.find_silent()
-        if not silent or not self.is_shared():
+        if not silent or not self.is_shared() or self.link_delayed():
             return
         for exchange in silent:
             place, now = exchange.place, self.clock.now()
@@ -180,6 +198,11 @@
                 place.breaker.record_failure(now, self.rng, certain=True)
             self._report(place, SILENT, source)
 
+    def is_working(self, place: RelayTarget) -> bool:
+        """Return whether no failure of a target or its zone is known."""
+        is_reachable = not self.zones.is_excluded(place.entry.zone)
+        return is_reachable and self._is_working(place)
+
     def _is_working(self, place: RelayTarget) -> bool:
         record = self.records.get(place.incarnation)
         is_suspected = record is not None and record.is_suspected
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -114,7 +114,11 @@
         parts = self.parts
         now = parts.clock.now()
         self.timing = EventTiming(now)
-        self._try_limit = TryLimit(now, self.call.route.aim)
+        self._try_limit = TryLimit(
+            now,
+            self.call.route.aim,
+            extends_refused=parts.chooser.failures.is_shared(),
+        )
         self.backup = StreamBackup(
             self.call,
             parts.chooser,
@@ -184,14 +188,19 @@
         # The response of another target doesn't apply to the intended one.
         if intake.for_other_request or intake.misdirected:
             return
-        in_flight.record_response(is_success=intake.is_success)
+        in_flight.record_response(
+            is_success=intake.is_success, works=intake.shows_working
+        )
         self.parts.notices.apply(place, intake.head.notice)
         if not intake.declined:
             self.parts.notices.record_accepted(place)
         # A response that isn't a stream begins when all of it is generated.
         if not isinstance(intake, StreamIntake) or intake.problem:
             return
-        if intake.is_success:
+        # A backup engine continues from the copy and processes no prompt.
+        is_sample = intake.is_success and not self.backup.used
+        # The wait for a saturated link is not the engine's.
+        if is_sample and not self.parts.classifier.link_delayed():
             self.parts.chooser.engines.record_first_event(
                 place,
                 in_flight.sent_unread,
