Look for silent targets ten times a second

Cause: each router woke up 50 times a second to look for silent targets and to send what the interval between two messages had held back; a wake-up costs more than the look.

Change: ten rounds a second; a report still leaves at once where nothing was sent within the last 20 ms.

--- a/src/balsamreach/placement/failure_sharing.py
+++ b/src/balsamreach/placement/failure_sharing.py
@@ -32,6 +32,9 @@
 _MS = 1000
 #: Minimum seconds between two messages of a router.
 _MIN_INTERVAL_S = 0.02
+#: Seconds between two rounds, which look for silent targets and send what the
+#: minimum interval has held back.
+_ROUND_S = 0.1
 #: Seconds in which the same failure of a target is reported once.
 _REPEAT_S = 0.5
 #: Maximum sources of one failure of a target that are reported in that time.
@@ -141,7 +144,7 @@
     async def run(self) -> None:
         """Send reports and look for silent targets, until cancelled."""
         while True:
-            await self.clock.sleep(_MIN_INTERVAL_S)
+            await self.clock.sleep(_ROUND_S)
             self.run_round()
 
     def run_round(self) -> None:
