Class engines by their speed relative to the median

Change: classes of a factor two around the median; an engine leaves class 0 only beyond 0.7 of a step.

--- a/src/balsamreach/placement/engine_speeds.py
+++ b/src/balsamreach/placement/engine_speeds.py
@@ -33,7 +33,7 @@
 #: Greatest factor between the speed that is used and the median.
 MAX_FACTOR = 4
 #: Ratio of the speeds of two neighbouring classes.
-CLASS_RATIO = 1.5
+CLASS_RATIO = 2
 
 #: Seconds for which the median is kept.
 _MEDIAN_S = 0.25
@@ -74,14 +74,14 @@
         Weight of the mean at ``sampled_at``.
     sampled_at : float
         Monotonic seconds of its last sample.
-    speed_class : int or None
+    speed_class : int
         Class of its speed when last asked for.
     """
 
     log_speed: float = 0
     tokens: float = 0
     sampled_at: float = 0
-    speed_class: int | None = None
+    speed_class: int = 0
 
     def add(self, log_speed: float, tokens: float, now: float) -> None:
         age = max(0, now - self.sampled_at)
@@ -180,13 +180,17 @@
         return math.exp(self._log_speed(engine))
 
     def speed_class(self, engine: str) -> int:
-        """Return the class of an engine's speed, in steps of a fixed ratio."""
-        steps = self._log_speed(engine) / math.log(CLASS_RATIO)
+        """Return the class of an engine's speed, 0 for those at the median.
+
+        Each class is twice as fast as the one below it. Engines of one speed,
+        whose estimates differ by noise alone, share a class.
+        """
         estimate = self._estimates.get(engine)
         if estimate is None:
-            return round(steps)
-        last = estimate.speed_class
-        if last is None or abs(steps - last) > _CLASS_STEPS:
+            return 0
+        distance = self._log_speed(engine) - self._log_median()
+        steps = distance / math.log(CLASS_RATIO)
+        if abs(steps - estimate.speed_class) > _CLASS_STEPS:
             estimate.speed_class = round(steps)
         return estimate.speed_class
 
