Let up to 45% of a zone avoid a heavy team, and wait less for the link

Change: 45% of a zone (the load balancer uses all of a zone of which less than half is ready), 60 s, and timeouts extended by 0.3 s at most.

--- a/src/balsamreach/relay/heavy_teams.py
+++ b/src/balsamreach/relay/heavy_teams.py
@@ -33,8 +33,9 @@
 #: Requests of a reported team within a second that show that it arrives here.
 _MIN_REQUESTS = 3
 #: Maximum part of a zone's routers that may be out of rotation because of
-#: heavy teams.
-MAX_OUT_SHARE = 0.35
+#: heavy teams. If more than half of a zone is out, the load balancer uses all
+#: of it; with fewer out, a team meets the same narrow hosts again.
+MAX_OUT_SHARE = 0.45
 
 
 @attrs.frozen
--- a/src/balsamreach/relay/link_delay.py
+++ b/src/balsamreach/relay/link_delay.py
@@ -9,8 +9,9 @@
 #: Multiple of the backlog by which timeouts are extended: a call and its
 #: answer each wait for the link.
 _CROSSINGS = 2
-#: Maximum extension of a timeout in seconds.
-_MAX_EXTRA_S = 1
+#: Maximum extension of a timeout in seconds. With more, callers at a saturated
+#: host wait until they give up, although they could retry at another host.
+_MAX_EXTRA_S = 0.3
 
 
 @attrs.frozen
--- a/src/balsamreach/relay/rotation.py
+++ b/src/balsamreach/relay/rotation.py
@@ -23,7 +23,7 @@
 #: time. It is short, because the load balancer takes seconds to react.
 FULL_FOR_S = 0.1
 #: Maximum seconds out of rotation because of reports about a team.
-MAX_OUT_S = 40
+MAX_OUT_S = 60
 #: Seconds after such an absence for which reports don't make the router leave
 #: again. The load balancer takes about 2 s to notice that a router is back.
 MIN_BACK_S = 6
