Share the bound of repeated log lines

Cause: two modules of this work counted omitted lines in the same way.

Change: telemetry/log_limit.py for both.

--- a/src/balsamreach/budget/refusal_log.py
+++ b/src/balsamreach/budget/refusal_log.py
@@ -7,6 +7,7 @@
 from balsamreach.budget.faults import BudgetFault
 from balsamreach.budget.ledger import Ledger
 from balsamreach.clock import Clock
+from balsamreach.telemetry.log_limit import LogLimit
 from balsamreach.telemetry.logs import log_event
 
 _logger = logging.getLogger(__name__)
@@ -26,8 +27,11 @@
     """
 
     clock: Clock
-    _logged_at: dict[str, float] = attrs.field(factory=dict)
-    _omitted: dict[str, int] = attrs.field(factory=dict)
+    _limit: LogLimit = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the bound of the rate."""
+        self._limit = LogLimit(self.clock, _INTERVAL_S)
 
     def record(
         self,
@@ -50,13 +54,9 @@
         is_backing_off : bool
             Whether the table service isn't asked after a failure.
         """
-        now = self.clock.now()
-        logged_at = self._logged_at.get(ledger.team, float('-inf'))
-        if now - logged_at < _INTERVAL_S:
-            omitted = self._omitted.get(ledger.team, 0)
-            self._omitted[ledger.team] = omitted + 1
+        omitted = self._limit.take(ledger.team)
+        if omitted is None:
             return
-        self._logged_at[ledger.team] = now
         log_event(
             _logger,
             logging.WARNING,
@@ -71,7 +71,7 @@
             account_free=ledger.account_free,
             usable=_usable(ledger),
             backing_off=is_backing_off,
-            omitted=self._omitted.pop(ledger.team, 0),
+            omitted=omitted,
         )
 
 
--- a/src/balsamreach/placement/failure_log.py
+++ b/src/balsamreach/placement/failure_log.py
@@ -7,6 +7,7 @@
 from balsamreach.clock import Clock
 from balsamreach.placement.failure_evidence import FailureReport
 from balsamreach.placement.relay_targets import RelayTarget
+from balsamreach.telemetry.log_limit import LogLimit
 from balsamreach.telemetry.logs import log_event
 
 _logger = logging.getLogger(__name__)
@@ -27,8 +28,11 @@
     """
 
     clock: Clock
-    _logged_at: dict[str, float] = attrs.field(factory=dict)
-    _omitted: dict[str, int] = attrs.field(factory=dict)
+    _limit: LogLimit = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the bound of the rate."""
+        self._limit = LogLimit(self.clock, _INTERVAL_S)
 
     def record(
         self, event: str, place: RelayTarget, report: FailureReport
@@ -44,11 +48,10 @@
         report : FailureReport
             The report that caused it.
         """
-        now = self.clock.now()
-        if now - self._logged_at.get(event, float('-inf')) < _INTERVAL_S:
-            self._omitted[event] = self._omitted.get(event, 0) + 1
+        omitted = self._limit.take(event)
+        if omitted is None:
             return
-        self._logged_at[event] = now
+        age = self.clock.now() - report.observed_at
         log_event(
             _logger,
             logging.WARNING,
@@ -57,6 +60,6 @@
             service=place.entry.service,
             reason=report.outcome,
             reporter=report.source,
-            age_ms=round((now - report.observed_at) * _MS),
-            omitted=self._omitted.pop(event, 0),
+            age_ms=round(age * _MS),
+            omitted=omitted,
         )
