Drop the cost of event gaps from the choice of engines

Change: only the cost for each running request stays, 0.08 of the time in place of 0.05; the module, the settings of the choice and the test of the gap go.

Result: 118 tests of these modules pass.

--- a/src/balsamreach/placement/engine_costs.py
+++ b/src/balsamreach/placement/engine_costs.py
@@ -13,8 +13,8 @@
 from balsamreach.placement.engine_speeds import CLASS_RATIO, EngineSpeeds
 from balsamreach.placement.first_event import (
     OTHER_ZONE_MS,
-    LatencyGoals,
     first_event_ms,
+    late_after_ms,
     lateness_cost_ms,
     running_cost_ms,
 )
@@ -71,7 +71,7 @@
         prompt: Prompt,
         candidates: tuple[RelayTarget, ...],
         preferred: RelayTarget | None,
-        goals: LatencyGoals,
+        aim: float,
     ) -> RelayTarget:
         """Return an engine of the lowest cost.
 
@@ -83,11 +83,11 @@
             Engines that may be used, at least one.
         preferred : RelayTarget or None
             Engine that is expected to cache the shared parts.
-        goals : LatencyGoals
-            Times within which the caller expects events.
+        aim : float
+            Seconds within which the first event is on time.
         """
         self._refresh()
-        costs = self._costs(prompt, candidates, preferred, goals)
+        costs = self._costs(prompt, candidates, preferred, aim)
         highest = min(costs) + TIE_MS
         best = [
             place
@@ -121,11 +121,11 @@
         prompt: Prompt,
         candidates: tuple[RelayTarget, ...],
         preferred: RelayTarget | None,
-        goals: LatencyGoals,
+        aim: float,
     ) -> list[float]:
         shared_parts = prompt.shared
         shared = sum(part.tokens for part in shared_parts)
-        late_after, free_gap = goals.late_after_ms, goals.free_gap_ms
+        late_after = late_after_ms(aim)
         costs = []
         for place in candidates:
             traits = self._traits.get(place) or self._add_traits(place)
@@ -148,7 +148,6 @@
                 + running_cost_ms(
                     uncached / traits.speed,
                     place.running + place.others_running,
-                    free_gap,
                 )
             )
         return costs
--- a/src/balsamreach/placement/engines.py
+++ b/src/balsamreach/placement/engines.py
@@ -11,7 +11,7 @@
 
 from balsamreach.peers.rendezvous import rendezvous_weight
 from balsamreach.placement.engine_costs import EngineCosts
-from balsamreach.placement.first_event import BASE_MS, LatencyGoals
+from balsamreach.placement.first_event import BASE_MS
 from balsamreach.placement.prompts import CacheEstimate, Prompt
 from balsamreach.placement.relay_targets import RelayTarget
 
@@ -58,7 +58,7 @@
         self,
         prompt: Prompt,
         places: Iterable[RelayTarget],
-        goals: LatencyGoals,
+        aim: float,
     ) -> RelayTarget | None:
         """Return the engine with the lowest score, None if there is none.
 
@@ -68,8 +68,8 @@
             Prompt of the request.
         places : iterable of RelayTarget
             Engines that may be used.
-        goals : LatencyGoals
-            Times within which the caller expects events.
+        aim : float
+            Seconds within which the first event is on time.
         """
         candidates = tuple(places)
         if not candidates:
@@ -78,7 +78,7 @@
             preferred = self.costs.preferred(prompt, candidates)
             self._last_prompt = prompt
             self._last_preferred = preferred
-            return self.costs.choose(prompt, candidates, preferred, goals)
+            return self.costs.choose(prompt, candidates, preferred, aim)
         preferred = self._preferred(prompt, candidates)
         return min(
             candidates,
--- a/src/balsamreach/placement/first_event.py
+++ b/src/balsamreach/placement/first_event.py
@@ -1,7 +1,5 @@
 """Predicts when a request's first event arrives, and what it costs others."""
 
-import attrs
-
 #: Milliseconds to the first event of a prompt without unprocessed tokens.
 BASE_MS = 30
 #: Milliseconds that sending to another zone adds.
@@ -12,44 +10,21 @@
 #: Cost of each millisecond beyond that share.
 LATE_FACTOR = 4
 #: Cost of each millisecond of processing for each running request. A stream
-#: that is delayed within its event gap is still on time, so the 10 to 20
-#: streams of a busy engine together count about as much as the request itself.
-DELAY_FACTOR = 0.05
-#: Share of the event gap that processing one prompt may take at no extra
-#: cost. Prompts that follow each other add up in one gap.
-GAP_SHARE = 0.6
-#: Cost of each millisecond beyond that share for each running request.
-GAP_FACTOR = 2
-
+#: that is delayed within its event gap is still on time, so the dozen streams
+#: of a busy engine together count about as much as the request itself.
+DELAY_FACTOR = 0.08
 _MS = 1000
 
 
-@attrs.frozen
-class LatencyGoals:
-    """Times within which callers expect events.
+def late_after_ms(aim: float) -> float:
+    """Return the milliseconds to the first event that cost nothing extra.
 
     Parameters
     ----------
-    first_event : float
-        Seconds to the first event.
-    event_gap : float
-        Seconds between two events of a stream; 0 if not set.
+    aim : float
+        Seconds within which the first event is on time.
     """
-
-    first_event: float
-    event_gap: float = 0
-
-    @property
-    def late_after_ms(self) -> float:
-        """Milliseconds to the first event from which on time costs extra."""
-        return self.first_event * AIM_SHARE * _MS
-
-    @property
-    def free_gap_ms(self) -> float:
-        """Milliseconds of processing that cost a running stream no extra."""
-        if not self.event_gap:
-            return float('inf')
-        return self.event_gap * GAP_SHARE * _MS
+    return aim * AIM_SHARE * _MS
 
 
 def first_event_ms(
@@ -78,7 +53,7 @@
     return LATE_FACTOR * (first_ms - late_after_ms)
 
 
-def running_cost_ms(read_ms: float, running: int, free_gap_ms: float) -> float:
+def running_cost_ms(read_ms: float, running: int) -> float:
     """Return what processing a prompt costs the requests running there.
 
     Parameters
@@ -87,10 +62,5 @@
         Milliseconds that the engine takes to process the prompt.
     running : int
         Requests running there.
-    free_gap_ms : float
-        Milliseconds of processing that cost a stream no extra.
     """
-    each = DELAY_FACTOR * read_ms
-    if read_ms > free_gap_ms:
-        each += GAP_FACTOR * (read_ms - free_gap_ms)
-    return running * each
+    return running * DELAY_FACTOR * read_ms
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -10,7 +10,6 @@
 from balsamreach.placement.cold_targets import ColdTargetLimiter
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
-from balsamreach.placement.first_event import LatencyGoals
 from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
 from balsamreach.placement.services import ServiceChooser
 from balsamreach.placement.silent_exchanges import TargetExchange
@@ -76,8 +75,7 @@
         candidates = self.failures.usable(eligible, is_retry=bool(tried))
         if call.prompt is None:
             return self.services.choose(candidates)
-        goals = LatencyGoals(call.route.aim, call.route.event_gap)
-        return self.engines.choose(call.prompt, candidates, goals)
+        return self.engines.choose(call.prompt, candidates, call.route.aim)
 
     def has_target(self, call: RelayCall, tried: Set[str]) -> bool:
         """Return whether ``choose`` would find a target."""
