--- a/tests/test_placement_engine_speeds.py
+++ b/tests/test_placement_engine_speeds.py
@@ -96,6 +96,7 @@
         self.assertEqual(found, [10, 20, 34, 40])
 
     def test_invalid_samples_are_ignored(self):
+        """Guards against estimates that an impossible sample spoils."""
         self.speeds.record('one', 5000, 0)
         self.speeds.record('one', 5000, -0.01)
         self.assertEqual(list(self.speeds.known()), [])
@@ -129,6 +130,7 @@
         self.assertEqual(self.speeds.take_gathered(9), [])
 
     def test_gone_engines_are_dropped(self):
+        """Guards against memory that grows with each restart of an engine."""
         self.sample('one', 50, 20)
         self.speeds.retain(())
         self.assertAlmostEqual(self.speeds.speed('one'), PRIOR_SPEED)
--- a/tests/test_placement_failure_sharing.py
+++ b/tests/test_placement_failure_sharing.py
@@ -75,6 +75,7 @@
         self.assertEqual(self.excluding(), len(self.fleet))
 
     async def test_recovery_reaches_all(self):
+        """Guards against routers that go on avoiding a target that is back."""
         self.fleet[self.router()].fail('e1')
         await self.settle()
         self.clock.advance(0.9)
@@ -131,6 +132,7 @@
         self.assertEqual(self.excluding(), 0)
 
     async def test_next_hub_takes_over(self):
+        """Guards against reports that are lost for good with a dead hub."""
         dead = self.hub()
         self.net.kill(dead)
         self.fleet.pop(dead)
--- a/tests/test_placement_speed_sharing.py
+++ b/tests/test_placement_speed_sharing.py
@@ -102,6 +102,7 @@
         self.assert_all_know()
 
     async def test_late_and_reordered_messages(self):
+        """Guards against estimates that depend on the order of messages."""
         self.net.held.add(TargetRates)
         for _ in range(4):
             self.sample(self.non_hub())
@@ -120,6 +121,7 @@
         self.assert_all_know()
 
     async def test_samples_after_death_of_hub(self):
+        """Guards against speeds that nobody learns once a hub is dead."""
         self.kill(self.first_hub())
         self.sample(self.non_hub())
         await self.run_rounds()
@@ -164,6 +166,7 @@
         self.assertEqual(self.net.sent, [])
 
     async def test_invalid_rows_are_ignored(self):
+        """Guards against estimates that a malformed message spoils."""
         hub = self.fleet[self.first_hub()]
         message = TargetRates('router', ('engine@1', 'x'), (0, 9), (5, 5))
         self.fleet[self.non_hub()].net.tell(self.first_hub(), message)
--- a/tests/test_placement_target_failures.py
+++ b/tests/test_placement_target_failures.py
@@ -187,6 +187,7 @@
         )
 
     def test_confirmations_far_apart_don_t_count(self):
+        """Guards against an exclusion for two unrelated time-outs."""
         self.receive(TIMED_OUT, 'a')
         self.clock.advance(1.1)
         self.assertEqual(self.receive(TIMED_OUT, 'b'), 'unconfirmed')
@@ -230,6 +231,7 @@
         self.assertTrue(self.router.allows('e1'))
 
     def test_one_request_probes(self):
+        """Guards against all requests going to a target that is still down."""
         self.receive()
         self.clock.advance(0.999)
         self.assertTrue(self.router.allows('e1'))
@@ -292,6 +294,7 @@
     """What a router sees itself is reported, and excludes zones."""
 
     def test_timeout_of_cut_off_router_is_not_reported(self):
+        """Guards against reports by a router whose own network has failed."""
         self.router.fail('e1', _TIMEOUT)
         self.assertEqual(self.sent, [])
         self.router.answer('e2')
@@ -349,6 +352,7 @@
         self.assertTrue(zones.allows('zone-b'))
 
     def test_unreachable_zone_is_used_if_there_is_no_other(self):
+        """Guards against requests refused although a target is left."""
         for name in ('e1', 'e4'):
             self.router.fail(name, _TIMEOUT)
         far, near = self.router.place('e7'), self.router.place('e0')
@@ -464,6 +468,7 @@
             self.router.answer('d1')
 
     def test_engine_is_never_silent(self):
+        """Guards against engines excluded for a long prompt."""
         running = RunningExchanges(self.clock)
         place = self.router.place('e1')
         for _ in range(20):
--- a/tests/test_relay_backups.py
+++ b/tests/test_relay_backups.py
@@ -268,6 +268,7 @@
         self.assertEqual(self.counted('not_needed'), expected)
 
     def test_engine_excluded_by_reports_gets_no_copy(self):
+        """Guards against copies at an engine that has just failed."""
         self.report_failure(self.backup)
         self.run_stream(answer(200, event(1)))
         other = self.sent_headers()[0]['Kv-Backup']
@@ -291,6 +292,7 @@
         return _Late(partial(self.harness.clock.advance, seconds), script)
 
     def test_retry_gets_no_backup(self):
+        """Guards against copies that add load while engines fail."""
         caller_response = self.run_stream(_REFUSED, _DIES)
         self.assertTrue(caller_response.aborted)
         first, second = self.sent_headers()
--- a/tests/test_relay_heavy_teams.py
+++ b/tests/test_relay_heavy_teams.py
@@ -165,6 +165,7 @@
 
     @parameterized.expand((('lost', 'lost'), ('doubled', 'doubled')))
     async def test_first_report(self, _, failure):
+        """Guards against a report that is lost, doubled or kept for good."""
         zone = _Zone((10, 10))
         getattr(zone.fabric, failure)[HeavyTeams] = 1
         await zone.load(0, _HALF * 1.2, 2)
--- a/tests/test_relay_speed_samples.py
+++ b/tests/test_relay_speed_samples.py
@@ -84,6 +84,7 @@
         )
     )
     def test_no_sample(self, _, route, prompt, script):
+        """Guards against speeds learned from failures and short prompts."""
         request = _call(route, prompt=prompt or _call().prompt)
         scripts = (self.after(0.1, script), self.after(0.1, script))
         self.harness.run(request, *scripts)
--- a/tests/test_relay_try_limit.py
+++ b/tests/test_relay_try_limit.py
@@ -30,6 +30,7 @@
         )
     )
     def test_attempts(self, _, end, seconds, attempts):
+        """Guards against early refusals and endless attempts."""
         limit = TryLimit(0, aim=1)
         made = 0
         while limit.allows(made * seconds):
