Log when a router reaches no target of a service

Change: TargetAccess records failed connections and responses by service; service_unreachable, service_reached and services_unreachable_total report it.

--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -27,6 +27,7 @@
     RunningExchanges,
     TargetExchange,
 )
+from balsamreach.placement.target_access import TargetAccess
 from balsamreach.placement.zone_reachability import ZoneReachability
 from balsamreach.telemetry.metrics import Metrics
 
@@ -62,6 +63,8 @@
         Counts reports by what became of them.
     zones : ZoneReachability
         Zones that can't be reached.
+    access : TargetAccess
+        Services whose targets this router reaches.
     exchanges : RunningExchanges
         Exchanges in progress.
     records : FailureRecords
@@ -80,6 +83,7 @@
     rng: random.Random
     metrics: Metrics
     zones: ZoneReachability = attrs.field(init=False)
+    access: TargetAccess = attrs.field(init=False)
     exchanges: RunningExchanges = attrs.field(init=False)
     records: FailureRecords = attrs.field(init=False)
     is_shared: Callable[[], bool] = _is_never
@@ -90,6 +94,7 @@
     def __attrs_post_init__(self) -> None:
         """Start without observations."""
         self.zones = ZoneReachability(self.clock, self.metrics)
+        self.access = TargetAccess(self.clock, self.metrics)
         self.exchanges = RunningExchanges(self.clock)
         self.records = FailureRecords(self.places, self.exchanges)
 
@@ -155,6 +160,7 @@
         record = self.records.of(place)
         record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
+        self.access.record_reached(place)
         if not works or not record.has_failed_before(exchange):
             return
         record.record_success(now)
@@ -170,6 +176,7 @@
         self, place: RelayTarget, failure: ConnectFailure | None
     ) -> None:
         """Record that no connection to a target was made."""
+        self.access.record_not_connected(place)
         record = self.records.of(place)
         if failure is ConnectFailure.REFUSED:
             record.record_failure(REFUSED, self.me, self.clock.now())
