Check whether targets can be reached before blaming them

Cause: a router that lost its links to all targets of a service took that for failures of the targets: it opened their breakers, reported them to the other routers of a large fleet, and counted the requests in progress as suspects of a crash.

Change: a failed connection, a reset, or 0.4 s without a byte although requests are in progress put the service in doubt. Reports and suspicions wait for its result and are dropped if it reaches none.

--- a/src/balsamreach/placement/failure_records.py
+++ b/src/balsamreach/placement/failure_records.py
@@ -44,6 +44,10 @@
             self._records[place.incarnation] = record
         return record
 
+    def drop(self, place: RelayTarget) -> None:
+        """Forget the failures of a target."""
+        self._records.pop(place.incarnation, None)
+
     def of_zone(self, name: str) -> TargetRecord:
         """Return the record of reports on a zone."""
         return self._records.setdefault(f'{ZONE_PREFIX}{name}', TargetRecord())
--- a/src/balsamreach/placement/silent_exchanges.py
+++ b/src/balsamreach/placement/silent_exchanges.py
@@ -121,6 +121,16 @@
             for exchange in self._running.get(incarnation, ())
         )
 
+    def waiting_since(self) -> dict[str, float]:
+        """Return when the oldest exchange of each service began."""
+        oldest: dict[str, float] = {}
+        for running in self._running.values():
+            for exchange in running:
+                service = exchange.place.entry.service
+                known = oldest.get(service, exchange.started)
+                oldest[service] = min(known, exchange.started)
+        return oldest
+
     def find_silent(self) -> tuple[TargetExchange, ...]:
         """Return the exchanges that became silent since the last call."""
         now = self.clock.now()
--- a/src/balsamreach/placement/target_access.py
+++ b/src/balsamreach/placement/target_access.py
@@ -2,10 +2,11 @@
 
 Load pattern: a host loses its links to all targets of a service, while
 callers, peers and the store still reach it. To this router that looks as if
-all targets had failed at once.
+all targets had failed at once; the other routers see them work.
 """
 
 import logging
+from collections.abc import Callable
 
 import attrs
 
@@ -19,23 +20,41 @@
 _logger = logging.getLogger(__name__)
 _MS = 1000
 _NEVER = float('-inf')
-#: Targets of a service that must have failed without a response of any.
-_MIN_TARGETS = 2
+#: Seconds after a check that reached a target in which failures start no
+#: other one. A crashed target fails requests for that long, and a check opens
+#: connections to other targets.
+_RECHECK_S = 0.5
+#: Seconds without a byte of any target, although requests are in progress
+#: there, after which open connections may be dead. Sound targets pause for
+#: less as a rule; one that pauses for longer costs a connection.
+SILENCE_S = 0.4
+#: The same as ``_RECHECK_S`` for silence, which a long prompt causes as well.
+_SILENCE_RECHECK_S = 2.0
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Service:
     """What this router has seen of one service."""
 
-    failed: set[str] = attrs.field(factory=set)
-    zones: set[str] = attrs.field(factory=set)
+    heard_at: float = _NEVER
     reached_at: float = _NEVER
+    is_checked: bool = False
     is_unreachable: bool = False
+    deferred: list[Callable[[], None]] = attrs.field(factory=list)
+
+
+def _ignore(_service: str, _failed: str = '') -> None:
+    """Start nothing."""
 
 
 @attrs.define(eq=False)
 class TargetAccess:
-    """Records which services' targets this router reaches.
+    """Decides which services this router can't reach.
+
+    A failure puts its service in doubt until a check has tried to connect to
+    other targets. Evidence against targets waits for the result: if none can
+    be reached, the failures say something about this host only, and neither
+    this router nor others may withhold requests from the targets.
 
     Parameters
     ----------
@@ -43,46 +62,112 @@
         Source of the current time.
     metrics : Metrics
         Counts services that became unreachable.
+    start_check : callable
+        Starts a check of a service. Its second argument is the incarnation
+        of the target that failed, empty if none did. The result is passed to
+        ``conclude``.
+    on_restored : callable
+        Called with a service whose targets can be reached again.
     """
 
     clock: Clock
     metrics: Metrics
+    start_check: Callable[[str, str], None] | None = None
+    on_restored: Callable[[str], None] = _ignore
     _services: dict[str, _Service] = attrs.field(factory=dict)
 
-    def record_reached(self, place: RelayTarget) -> None:
-        """Record a response of a target."""
-        service = self._of(place)
-        service.reached_at = self.clock.now()
-        service.failed.clear()
-        service.zones.clear()
-        if service.is_unreachable:
-            service.is_unreachable = False
-            self._log(logging.WARNING, 'service_reached', place, service)
-
-    def record_not_connected(self, place: RelayTarget) -> None:
-        """Record that no connection to a target was made."""
-        service = self._of(place)
-        service.failed.add(place.incarnation)
-        service.zones.add(place.entry.zone)
-        if service.is_unreachable or len(service.failed) < _MIN_TARGETS:
+    def is_unreachable(self, service: str) -> bool:
+        """Return whether no target of a service can be reached."""
+        state = self._services.get(service)
+        return state is not None and state.is_unreachable
+
+    def record_heard(self, service: str) -> None:
+        """Record that bytes of a target of a service have arrived."""
+        self._of(service).heard_at = self.clock.now()
+
+    def record_failure(self, place: RelayTarget) -> None:
+        """Record that a target can't be connected to, or broke off."""
+        self._check(place.entry.service, place.incarnation, _RECHECK_S)
+
+    def record_waiting(self, service: str, since: float) -> None:
+        """Record that a request has waited at a target since a time."""
+        heard_at = max(since, self._of(service).heard_at)
+        if self.clock.now() - heard_at >= SILENCE_S:
+            self._check(service, '', _SILENCE_RECHECK_S)
+
+    def after_check(self, service: str, action: Callable[[], None]) -> None:
+        """Apply evidence against a target unless the service is unreachable.
+
+        Parameters
+        ----------
+        service : str
+            Service of the target.
+        action : callable
+            Applies the evidence; called once the check in progress, if any,
+            has reached a target, and never if it reaches none.
+        """
+        state = self._of(service)
+        if state.is_checked:
+            state.deferred.append(action)
+        elif not state.is_unreachable:
+            action()
+
+    def conclude(self, service: str, *, reached: bool) -> None:
+        """End a check.
+
+        Parameters
+        ----------
+        service : str
+            The service that was checked.
+        reached : bool
+            Whether a target of it could be connected to.
+        """
+        state = self._of(service)
+        was_unreachable = state.is_unreachable
+        state.is_checked = False
+        state.is_unreachable = not reached
+        deferred = state.deferred
+        state.deferred = []
+        if reached:
+            state.reached_at = self.clock.now()
+            for action in deferred:
+                action()
+        if was_unreachable and reached:
+            log_event(
+                _logger, logging.WARNING, 'service_reached', service=service
+            )
+            self.on_restored(service)
+        elif not was_unreachable and not reached:
+            self._record_unreachable(service, state)
+
+    def _check(self, service: str, failed: str, pause: float) -> None:
+        state = self._of(service)
+        if self.start_check is None or state.is_checked:
             return
-        service.is_unreachable = True
-        self.metrics.count(UNREACHABLE, service=place.entry.service)
-        self._log(logging.WARNING, 'service_unreachable', place, service)
-
-    def _of(self, place: RelayTarget) -> _Service:
-        return self._services.setdefault(place.entry.service, _Service())
+        if state.is_unreachable:
+            return
+        if self.clock.now() - state.reached_at < pause:
+            return
+        state.is_checked = True
+        self.start_check(service, failed)
 
-    def _log(
-        self, level: int, event: str, place: RelayTarget, service: _Service
-    ) -> None:
-        age = self.clock.now() - service.reached_at
+    def _record_unreachable(self, service: str, state: _Service) -> None:
+        self.metrics.count(UNREACHABLE, service=service)
+        age = self.clock.now() - state.heard_at
         log_event(
             _logger,
-            level,
-            event,
-            service=place.entry.service,
-            targets=len(service.failed),
-            zones=sorted(service.zones),
-            reached_ms=None if age == float('inf') else round(age * _MS),
+            logging.WARNING,
+            'service_unreachable',
+            service=service,
+            heard_ms=None if age == float('inf') else round(age * _MS),
         )
+        # The targets of other services may lie behind the same links.
+        for other in tuple(self._services):
+            self._check(other, '', _RECHECK_S)
+
+    def _of(self, service: str) -> _Service:
+        state = self._services.get(service)
+        if state is None:
+            state = _Service()
+            self._services[service] = state
+        return state
--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 
@@ -95,6 +96,7 @@
         """Start without observations."""
         self.zones = ZoneReachability(self.clock, self.metrics)
         self.access = TargetAccess(self.clock, self.metrics)
+        self.access.on_restored = self._forget_failures
         self.exchanges = RunningExchanges(self.clock)
         self.records = FailureRecords(self.places, self.exchanges)
 
@@ -160,7 +162,7 @@
         record = self.records.of(place)
         record.record_reached(now)
         self.zones.record_reached(place.entry.zone)
-        self.access.record_reached(place)
+        self.access.record_heard(place.entry.service)
         if not works or not record.has_failed_before(exchange):
             return
         record.record_success(now)
@@ -176,7 +178,7 @@
         self, place: RelayTarget, failure: ConnectFailure | None
     ) -> None:
         """Record that no connection to a target was made."""
-        self.access.record_not_connected(place)
+        self.access.record_failure(place)
         record = self.records.of(place)
         if failure is ConnectFailure.REFUSED:
             record.record_failure(REFUSED, self.me, self.clock.now())
@@ -189,6 +191,8 @@
 
     def check_silent(self) -> None:
         """Mark plain targets that have not responded for unusually long."""
+        for service, since in self.exchanges.waiting_since().items():
+            self.access.record_waiting(service, since)
         silent = self.exchanges.find_silent()
         if not silent or not self.is_shared() or self.link_delayed():
             return
@@ -225,19 +229,34 @@
         self._report(place, TIMED_OUT)
         if is_unreachable:
             target = f'{ZONE_PREFIX}{zone}'
-            self.on_report(
-                FailureReport(target, TIMED_OUT, self.me, now, is_local=True)
+            report = FailureReport(
+                target, TIMED_OUT, self.me, now, is_local=True
             )
+            self._send(place, report)
 
     def _report(
         self, place: RelayTarget, outcome: str, source: str = ''
     ) -> None:
-        self.on_report(
-            FailureReport(
-                place.incarnation,
-                outcome,
-                source or self.me,
-                self.clock.now(),
-                is_local=True,
-            )
+        report = FailureReport(
+            place.incarnation,
+            outcome,
+            source or self.me,
+            self.clock.now(),
+            is_local=True,
         )
+        if outcome == RECOVERED:
+            self.on_report(report)
+        else:
+            self._send(place, report)
+
+    def _send(self, place: RelayTarget, report: FailureReport) -> None:
+        # A router that reaches no target would make others avoid all of them.
+        send = partial(self.on_report, report)
+        self.access.after_check(place.entry.service, send)
+
+    def _forget_failures(self, service: str) -> None:
+        """Drop what was caused by this host's own lost links."""
+        for place in self.places.of_service(service):
+            place.breaker.record_success()
+            self.records.drop(place)
+            self.zones.record_reached(place.entry.zone)
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -1,6 +1,7 @@
 """Classifies how an attempt ended, and records the result."""
 
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 
@@ -37,6 +38,13 @@
     fault: RelayFault | None = None
     deliverable: bool = False
 
+    @property
+    def description(self) -> str:
+        """The result in a few words, for the log."""
+        if self.fault is None:
+            return 'answered'
+        return self.fault.reason or self.fault.code
+
 
 @attrs.define
 class AttemptClassifier:
@@ -108,10 +116,13 @@
             # although only this host's link is saturated.
             place.breaker.release_probe()
             return Verdict(faults.NO_TARGET.because(reason))
-        self.quarantine.record_refused(place)
-        self.chooser.record_failure(place, certain=True)
         failures = self.chooser.failures
         failures.record_not_connected(place, end.connect_failure)
+        self.chooser.record_failure(place, certain=True)
+        failures.access.after_check(
+            place.entry.service,
+            partial(self.quarantine.record_refused, place),
+        )
         return Verdict(faults.NO_TARGET.because(reason))
 
     def _broken(
@@ -124,7 +135,19 @@
         # Silence is as often the network's fault as the target's; only a
         # broken connection indicates a crash.
         if end is not None and end != SILENT:
-            self.quarantine.record_break(call, place)
+            self._record_break(call, place, end)
         self.chooser.record_failure(place, certain=False)
         reason = intake.problem or (end and end.reason) or ''
         return Verdict(faults.BROKEN.because(reason))
+
+    def _record_break(
+        self, call: RelayCall, place: RelayTarget, end: UpstreamFault
+    ) -> None:
+        access = self.chooser.failures.access
+        if end.closed_by_target:
+            access.record_failure(place)
+        # The links of this host may have broken, and not the target.
+        access.after_check(
+            place.entry.service,
+            partial(self.quarantine.record_break, call, place),
+        )
