Forward requests through routers that reach the targets

Cause: a request left a host only for a target. The cut router tried four of them, 200 ms each, although seven peers reached every target.

Change: a router that reaches no target of a service sends its requests to another router, which makes one attempt at a target that it chooses by what it knows itself. Budget, deadline, retries and response stay with the router that the caller is connected to. A request passes one other router at most; one that is cut off as well, leaving or without room on its link declines at once. Silent exchanges of repeatable requests with unreachable targets are given up after half a second. RelayAttempts hands delivery, history and parts to modules of their own.

Why it works: callers, peers and store still reach the cut router, so the peer's links are a second way to the same targets; the check keeps crashed targets and a single pause from being taken for a cut.

--- a/src/balsamreach/config/settings.py
+++ b/src/balsamreach/config/settings.py
@@ -71,6 +71,7 @@
     hubs_per_zone: int = key(units.read_count)
     heartbeat: float = key(units.read_duration)
     gap_timeout: float = key(units.read_duration)
+    forwarding_port: int = key(views.read_port)
 
 
 @attrs.frozen
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -10,6 +10,10 @@
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock, SystemClock
 from balsamreach.config.settings import Settings
+from balsamreach.daemon.forwarding_parts import (
+    ForwardingParts,
+    make_forwarding_parts,
+)
 from balsamreach.daemon.link_parts import LinkParts, make_link_parts
 from balsamreach.daemon.peer_net import make_peer_net
 from balsamreach.daemon.placing_parts import (
@@ -22,8 +26,8 @@
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.peers.net import TcpPeerNet
 from balsamreach.placement.relay_targets import RelayTargets
+from balsamreach.relay.attempt_parts import RelayAttemptParts
 from balsamreach.relay.attempt_results import AttemptClassifier
-from balsamreach.relay.attempts import RelayAttemptParts
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.codec import Codec
 from balsamreach.relay.prepaid_spending import PrepaidSpending
@@ -51,6 +55,7 @@
     sharing: Sharing
     holdings: Holdings
     link_parts: LinkParts
+    forwarding: ForwardingParts
     run: RelayRunParts
 
 
@@ -81,6 +86,9 @@
         builder.rng,
         builder.metrics,
     )
+    forwarding = make_forwarding_parts(
+        cfg, builder.net, chooser, builder.link_parts.connect_timeout
+    )
     return RelayParts(
         cfg=cfg,
         clock=builder.clock,
@@ -97,7 +105,8 @@
         ),
         holdings=holdings,
         link_parts=builder.link_parts,
-        run=builder.make_run(codec, exchange, chooser, holdings),
+        forwarding=forwarding,
+        run=builder.make_run(codec, exchange, chooser, holdings, forwarding),
     )
 
 
@@ -154,6 +163,7 @@
         exchange: RelayCurl,
         chooser: Chooser,
         holdings: Holdings,
+        forwarding: ForwardingParts,
     ) -> RelayRunParts:
         """Create the components that process every request."""
         cfg = self.cfg
@@ -178,6 +188,7 @@
             stream_gap=cfg.relay.stream_gap,
             backup_tokens=cfg.relay.backup_tokens,
             connect_timeout=self.link_parts.connect_timeout,
+            forwarder=forwarding.forwarder,
         )
         return RelayRunParts(
             codec=codec,
--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+from balsamreach.daemon.forwarding_listener import (
+    ForwardingListener,
+    open_forwarding_listener,
+)
 from balsamreach.daemon.listeners import OpenListener, open_listener
 from balsamreach.daemon.relay_parts import RelayParts
 from balsamreach.gateway.probes import Probes
@@ -64,6 +68,7 @@
     server: RelayServer = attrs.field(init=False)
     callers: OpenListener = attrs.field(init=False)
     probes: OpenListener = attrs.field(init=False)
+    forwarding: ForwardingListener = attrs.field(init=False)
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
 
     async def start(self) -> None:
@@ -118,6 +123,10 @@
             self.parts.metrics,
         )
         self.probes = open_listener(cfg, cfg.probes, probes)
+        self.forwarding = open_forwarding_listener(
+            self.parts, self._body_limit, lambda: self.state == _READY
+        )
+        self.parts.forwarding.checker.enable()
 
     async def _stop_accepting(self) -> None:
         self.server.leaving = True
@@ -125,6 +134,7 @@
         await self.parts.clock.sleep(_LEAVE_DELAY_S)
         self.callers.stop()
         self.server.leave()
+        self.forwarding.leave()
 
     async def _stop(self) -> None:
         for task in self._tasks:
@@ -132,12 +142,14 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.parts.net.stop()
         self.probes.stop()
+        await self.parts.forwarding.stop()
         self.parts.exchange.close()
 
     async def _drain(self, deadline: float) -> None:
         try:
             async with asyncio.timeout(deadline - self.parts.clock.now()):
                 await self.server.drain()
+                await self.forwarding.server.drain()
         except TimeoutError:
             log_event(
                 _logger,
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -37,6 +37,7 @@
         prepare: Prepare,
         intake: Intake,
         silence_timeout: float,
+        gives_up: Callable[[], bool] | None = None,
     ) -> UpstreamFault | None:
         """Run one transfer and pass the answer to its intake.
 
@@ -49,6 +50,8 @@
         silence_timeout : float
             Seconds without data after which the transfer is stopped; 0 for
             no limit.
+        gives_up : callable or None
+            Returns whether a silent transfer is stopped earlier.
 
         Returns
         -------
@@ -58,7 +61,9 @@
         transfer = Transfer(intake)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         prepare(curl, transfer)
-        watch = TransferWatch(self._loop, curl, transfer, silence_timeout)
+        watch = TransferWatch(
+            self._loop, curl, transfer, silence_timeout, gives_up
+        )
         watch.start()
         try:
             end = await self._loop.perform(curl)
--- a/src/balsamreach/gateway/curl_watch.py
+++ b/src/balsamreach/gateway/curl_watch.py
@@ -1,6 +1,7 @@
 """Timers that stop silent transfers and resume paused ones."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 import pycurl
@@ -12,6 +13,10 @@
 SILENCE_CODE = -1
 #: Number of checks of a transfer within one gap timeout.
 _CHECKS_PER_TIMEOUT = 8
+#: Number of silent checks after which a transfer may be given up early.
+_MIN_CHECKS = 2
+#: Seconds that a timeout would have, for the interval of checks without one.
+_DEFAULT_TIMEOUT_S = 2.0
 #: Seconds between checks of whether a paused transfer can resume.
 _RESUME_CHECK_S = 0.02
 
@@ -31,12 +36,15 @@
     silence_timeout : float
         Seconds without data after which the transfer is stopped; 0 for no
         limit.
+    gives_up : callable or None
+        Returns whether a silent transfer is stopped earlier; None for never.
     """
 
     curl_loop: CurlLoop
     curl: pycurl.Curl
     transfer: Transfer
     silence_timeout: float
+    gives_up: Callable[[], bool] | None = None
     _silent_checks: int = 0
     _check_timer: asyncio.TimerHandle | None = None
     _resume_timer: asyncio.TimerHandle | None = None
@@ -44,7 +52,7 @@
     def start(self) -> None:
         """Start the checks."""
         self.transfer.on_pause = self._schedule_resume
-        if self.silence_timeout:
+        if self.silence_timeout or self.gives_up is not None:
             self._schedule_check()
 
     def stop(self) -> None:
@@ -55,8 +63,9 @@
 
     def _schedule_check(self) -> None:
         loop = asyncio.get_running_loop()
+        timeout = self.silence_timeout or _DEFAULT_TIMEOUT_S
         self._check_timer = loop.call_later(
-            self.silence_timeout / _CHECKS_PER_TIMEOUT, self._check
+            timeout / _CHECKS_PER_TIMEOUT, self._check
         )
 
     def _check(self) -> None:
@@ -69,11 +78,19 @@
         else:
             self._silent_checks += 1
         self.transfer.received_data = False
-        if self._silent_checks < _CHECKS_PER_TIMEOUT:
+        if not self._is_too_silent():
             self._schedule_check()
             return
         self.curl_loop.complete(self.curl, TransferEnd(SILENCE_CODE))
 
+    def _is_too_silent(self) -> bool:
+        if self._silent_checks < _MIN_CHECKS:
+            return False
+        if self.gives_up is not None and self.gives_up():
+            return True
+        is_limited = self.silence_timeout > 0
+        return is_limited and self._silent_checks >= _CHECKS_PER_TIMEOUT
+
     def _schedule_resume(self) -> None:
         loop = asyncio.get_running_loop()
         self._resume_timer = loop.call_later(_RESUME_CHECK_S, self._try_resume)
--- a/src/balsamreach/gateway/relay_curl.py
+++ b/src/balsamreach/gateway/relay_curl.py
@@ -5,6 +5,7 @@
 import attrs
 import pycurl
 
+from balsamreach.curl_tls import CurlTls
 from balsamreach.dispatch.upstream import Intake, UpstreamFault
 from balsamreach.gateway.curl_handles import CurlHandles, set_callbacks
 from balsamreach.gateway.curl_transfer import Transfer
@@ -28,9 +29,12 @@
     connect_timeout : float
         Maximum seconds to establish a connection, unless an attempt has its
         own.
+    tls : CurlTls or None
+        Certificates for TLS connections; None for plain connections.
     """
 
     connect_timeout: float
+    tls: CurlTls | None = None
     _handles: CurlHandles = attrs.field(factory=CurlHandles)
 
     async def send(
@@ -41,7 +45,7 @@
         """Send an attempt and pass the answer to the intake."""
         prepare = partial(self._apply, outgoing)
         return await self._handles.send(
-            prepare, intake, outgoing.silence_timeout
+            prepare, intake, outgoing.silence_timeout, outgoing.gives_up
         )
 
     def close(self) -> None:
@@ -54,7 +58,9 @@
         curl: pycurl.Curl,
         transfer: Transfer,
     ) -> None:
-        _set_url(curl, outgoing)
+        _set_url(curl, outgoing, 'http' if self.tls is None else 'https')
+        if self.tls is not None:
+            self.tls.prepare(curl)
         _set_method(curl, outgoing)
         curl.setopt(pycurl.HTTPHEADER, _header_lines(outgoing.headers))
         self._set_reuse(curl, outgoing)
@@ -69,8 +75,8 @@
             curl.setopt(pycurl.FRESH_CONNECT, 1)
 
 
-def _set_url(curl: pycurl.Curl, outgoing: Outgoing) -> None:
-    url = f'http://{outgoing.target.address}{outgoing.path}'
+def _set_url(curl: pycurl.Curl, outgoing: Outgoing, scheme: str) -> None:
+    url = f'{scheme}://{outgoing.target.address}{outgoing.path}'
     curl.setopt(pycurl.URL, url)
     # Targets are addressed directly, even if the environment names a proxy.
     curl.setopt(pycurl.NOPROXY, '*')
--- a/src/balsamreach/platform/platform_settings.py
+++ b/src/balsamreach/platform/platform_settings.py
@@ -56,6 +56,10 @@
     # peer connections there, and ``seeds`` holds such addresses.
     _FieldMapping('listen.control', 'peers.address', part='address'),
     _FieldMapping('listen.control', 'peers.port', part='port'),
+    # The platform leaves these ports to what routers send each other.
+    _FieldMapping(
+        'port_range.0', 'peers.forwarding_port', unit='whole', optional=True
+    ),
     _FieldMapping('seeds', 'peers.seeds', unit='list'),
     _FieldMapping(
         'bounds.retry_budget_ratio', 'relay.retry_share', unit='share'
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -42,6 +42,7 @@
     faults.BUDGET_EXHAUSTED: 402,
     faults.BUDGET_UNREACHABLE: 503,
     faults.NO_TARGET: 503,
+    faults.CANNOT_FORWARD: 503,
     faults.MISDIRECTED: 503,
     faults.TARGETS_FULL: 503,
     faults.TARGETS_BACK_OFF: 503,
--- a/src/balsamreach/relay/exchange.py
+++ b/src/balsamreach/relay/exchange.py
@@ -1,6 +1,7 @@
 """Abstract base of the client that sends relayed requests to targets."""
 
 import abc
+from collections.abc import Callable
 
 import attrs
 
@@ -31,6 +32,9 @@
     connect_timeout : float
         Maximum seconds to establish a connection; 0 for the default of the
         exchange.
+    gives_up : callable or None
+        Returns whether silence for a part of the timeout is enough, since the
+        target can't be reached; None for never.
     """
 
     target: TargetEntry
@@ -41,6 +45,7 @@
     new_connection: bool = False
     silence_timeout: float = 0
     connect_timeout: float = 0
+    gives_up: Callable[[], bool] | None = None
 
 
 class Exchange(abc.ABC):
--- a/src/balsamreach/relay/faults.py
+++ b/src/balsamreach/relay/faults.py
@@ -51,6 +51,9 @@
 BUDGET_UNREACHABLE = RelayFault('budget_unreachable', retry_after=0.8)
 #: No target of the service can take the request now.
 NO_TARGET = RelayFault('no_target', retry_after=0.5)
+#: This router can't reach the targets, and the router that was asked to send
+#: the request for it could not either.
+CANNOT_FORWARD = RelayFault('cannot_forward', retry_after=0.5)
 #: Another target has the address now; the intended one is gone.
 MISDIRECTED = RelayFault('misdirected', retry_after=0.5)
 #: The targets have no free slots.
--- a/src/balsamreach/relay/request_log.py
+++ b/src/balsamreach/relay/request_log.py
@@ -17,6 +17,7 @@
 
 REQUESTS_TOTAL = 'balsamreach_relay_requests_total'
 REQUEST_SECONDS = 'balsamreach_relay_request_seconds'
+RUN_FOR_OTHERS = 'balsamreach_relay_run_for_others_total'
 BACKUPS = 'balsamreach_relay_backups_total'
 
 _logger = logging.getLogger(__name__)
@@ -80,19 +81,59 @@
             took_ms=round(duration * _MS),
             left_ms=round((call.deadline - self.clock.now()) * _MS),
             reserved_ms=self._reserved_ms(attempts, started),
-            targets=attempts.outcomes,
-            attempts_ms=attempts.durations_ms,
+            targets=attempts.history.outcomes,
+            attempts_ms=attempts.history.durations_ms,
             backup=backup.engine and backup.engine.incarnation,
             backup_used=backup.used,
-            events=attempts.events,
-            ran=attempts.may_have_run,
-            reserved=attempts.reservation.tokens,
-            charged=attempts.reservation.used,
-            first_event_ms=attempts.timing.first_event_ms,
-            longest_gap_ms=attempts.timing.longest_gap_ms,
+            events=attempts.delivery.events,
+            ran=attempts.history.may_have_run,
+            reserved=attempts.delivery.reservation.tokens,
+            charged=attempts.delivery.reservation.used,
+            first_event_ms=attempts.delivery.timing.first_event_ms,
+            longest_gap_ms=attempts.delivery.timing.longest_gap_ms,
             input_tokens=call.prompt and call.prompt.tokens,
         )
 
+    def record_forwarded(
+        self,
+        call: RelayCall,
+        attempts: 'RelayAttempts',
+        fault: RelayFault | None,
+        sender: str,
+    ) -> None:
+        """Log and count the end of a request of another router.
+
+        Parameters
+        ----------
+        call : RelayCall
+            The request.
+        attempts : RelayAttempts
+            Its attempt.
+        fault : RelayFault or None
+            Why there is no response; None if there is one.
+        sender : str
+            Incarnation of the other router.
+        """
+        outcome = 'answered' if fault is None else fault.code
+        self.metrics.count(
+            RUN_FOR_OTHERS, outcome=outcome, service=call.service
+        )
+        log_event(
+            _logger,
+            logging.INFO,
+            'forwarded_request_ended',
+            request_id=call.request_id,
+            team=call.team_name,
+            reason=None if fault is None else fault.reason or fault.code,
+            outcome=outcome,
+            sender=sender,
+            service=call.service,
+            targets=attempts.history.outcomes,
+            attempts_ms=attempts.history.durations_ms,
+            left_ms=round((call.deadline - self.clock.now()) * _MS),
+            ran=attempts.history.may_have_run,
+        )
+
     def _reserved_ms(
         self, attempts: 'RelayAttempts', started: float
     ) -> int | None:
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -6,7 +6,8 @@
 
 from balsamreach.clock import Clock
 from balsamreach.relay import faults
-from balsamreach.relay.attempts import RelayAttemptParts, RelayAttempts
+from balsamreach.relay.attempt_parts import RelayAttemptParts
+from balsamreach.relay.attempts import RelayAttempts
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.codec import Codec
@@ -78,7 +79,7 @@
             async with asyncio.timeout(time_left):
                 return await self._run_charged(attempts)
         except TimeoutError:
-            if attempts.may_have_run:
+            if attempts.history.may_have_run:
                 return faults.TIMED_OUT.because('its time limit has passed')
             return faults.EXPIRED_BEFORE_SENDING.because(
                 'its time limit has passed'
@@ -95,7 +96,7 @@
         attempts.reserved_at = self.parts.clock.now()
         if isinstance(reservation, RelayFault):
             return reservation
-        attempts.reservation = reservation
+        attempts.delivery.reservation = reservation
         try:
             return await attempts.run()
         finally:
@@ -104,7 +105,7 @@
     def _charge(
         self, attempts: RelayAttempts, reservation: Reservation
     ) -> None:
-        if attempts.may_have_run and self.call.prompt is not None:
+        if attempts.history.may_have_run and self.call.prompt is not None:
             reservation.prompt_tokens = self.call.prompt.tokens
         self.parts.spending.charge(self.call, reservation)
 
--- a/src/balsamreach/wire/kinds.py
+++ b/src/balsamreach/wire/kinds.py
@@ -3,6 +3,7 @@
 from balsamreach.wire.answers import AnswerAsk, AnswerPart
 from balsamreach.wire.base import Message
 from balsamreach.wire.bills import BillCopies, BillCopy
+from balsamreach.wire.forwarding import ForwardedRequest
 from balsamreach.wire.loads import (
     HeavyTeams,
     LoadWords,
@@ -94,4 +95,5 @@
     HeavyTeams,
     TargetFailures,
     TargetRates,
+    ForwardedRequest,
 )
--- a/src/balsamreach/wire/membership.py
+++ b/src/balsamreach/wire/membership.py
@@ -35,6 +35,9 @@
         receives this increments its revision.
     link : int
         Bandwidth of its host's link in Mbit/s; 0 if unknown.
+    forwarding : str
+        ``ip:port`` of its listener for requests that other routers forward;
+        empty if it accepts none.
     """
 
     incarnation: str
@@ -46,6 +49,7 @@
     revision: int = 0
     dead: bool = False
     link: int = 0
+    forwarding: str = ''
 
 
 @attrs.frozen(repr=False)
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -56,6 +56,7 @@
     heavyTeams @46 :HeavyTeams;
     targetFailures @47 :TargetFailures;
     targetRates @48 :TargetRates;
+    forwardedRequest @49 :ForwardedRequest;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that a question belongs to; empty for
@@ -72,6 +73,7 @@
   revision @6 :UInt32;
   dead @7 :Bool;
   link @8 :UInt32;
+  forwarding @9 :Text;
 }
 
 struct Hello {
@@ -353,3 +355,30 @@
   tokensPerSecond @2 :List(UInt32);
   weights @3 :List(UInt32);
 }
+
+struct ForwardedRequest {
+  fleet @0 :Text;
+  sender @1 :Text;
+  requestId @2 :Text;
+  method @3 :Text;
+  path @4 :Text;
+  headerNames @5 :List(Text);
+  headerValues @6 :List(Text);
+  service @7 :Text;
+  route @8 :Text;
+  team @9 :Text;
+  priority @10 :Int32;
+  leftMs @11 :UInt32;
+  aimMs @12 :UInt32;
+  streams @13 :Bool;
+  idempotent @14 :Bool;
+  resumable @15 :Bool;
+  lastEvent @16 :Text;
+  hasPrompt @17 :Bool;
+  model @18 :Text;
+  promptTokens @19 :UInt64;
+  maxOutputTokens @20 :UInt64;
+  partIds @21 :List(Text);
+  partTokens @22 :List(UInt64);
+  excluded @23 :List(Text);
+}
--- a/tests/cut_host.py
+++ b/tests/cut_host.py
@@ -15,6 +15,7 @@
     Intake,
     UpstreamFault,
 )
+from balsamreach.placement.access_checks import TargetConnector
 from balsamreach.relay.exchange import Exchange, Outgoing
 
 #: How a lost link shows: connections are dropped, refused, or reset once the
@@ -51,9 +52,18 @@
         return NOT_SENT.because_of(ConnectFailure.TIMED_OUT, 'timed out')
 
 
+class CutConnector(TargetConnector):
+    """Fails all connections."""
+
+    async def connect(self, address, max_seconds):
+        """Fail at once."""
+        return False
+
+
 def cut_off(router: RelayRouter, how: str) -> None:
     """Cut a router off from all targets."""
     parts = router.parts
+    parts.forwarding.checker.connector = CutConnector()
     parts.run = attrs.evolve(
         parts.run,
         attempt_parts=attrs.evolve(
--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -179,6 +179,7 @@
                     'peers.fleet=platform',
                     'peers.address=127.0.0.1',
                     'peers.port=0',
+                    'peers.forwarding_port=0',
                     f'peers.seeds={seeds}',
                     'callers.address=127.0.0.1',
                     'callers.port=0',
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -9,8 +9,8 @@
 from balsamreach.daemon.placing_parts import make_chooser, make_notices
 from balsamreach.placement.evacuations import Evacuations
 from balsamreach.platform.requests import PlatformCodec
+from balsamreach.relay.attempt_parts import RelayAttemptParts
 from balsamreach.relay.attempt_results import AttemptClassifier
-from balsamreach.relay.attempts import RelayAttemptParts
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.host_link import HostLink
--- a/tests/test_platform_cut_host.py
+++ b/tests/test_platform_cut_host.py
@@ -39,6 +39,8 @@
     @parameterized.expand(
         (
             ('one_dropped', 1, cut_host.DROPPED),
+            ('one_refused', 1, cut_host.REFUSED),
+            ('most_dropped', 2, cut_host.DROPPED),
             ('most_refused', 2, cut_host.REFUSED),
             ('most_reset', 2, cut_host.RESET),
         )
--- a/tests/test_platform_router.py
+++ b/tests/test_platform_router.py
@@ -46,6 +46,7 @@
             for section in ('callers', 'probes', 'peers')
             for key, value in (('address', '127.0.0.1'), ('port', 0))
         ]
+        places.append('peers.forwarding_port=0')
         cfg = read_settings(
             None,
             (
