Test the longer way of requests, and mend what the tests found

Cause: targets that the cut router could not connect to were left out by the router that helps as well, so a service of three targets ran out of them. A single connection that succeeded closed the breakers of all targets. A request that may run once tried its own way, 200 ms, after all routers had declined.

Change: only targets that a request reached are left out; breakers close for targets that a connection reaches; a request that may run once is rejected at once when neither this router nor another one reaches the service.

--- a/src/balsamreach/placement/access_checks.py
+++ b/src/balsamreach/placement/access_checks.py
@@ -19,6 +19,9 @@
 #: Seconds between two attempts to reach an unreachable service, by one
 #: connection each.
 _RETRY_S = 0.2
+#: Maximum targets that are connected to once the service is reached again, to
+#: close their breakers. The others are probed by requests.
+_MAX_FORGOTTEN = 16
 
 
 class TargetConnector(abc.ABC):
@@ -88,22 +91,37 @@
         # A saturated link delays all connections, to peers as well.
         reached = reached or self.failures.link_delayed()
         self.failures.access.conclude(service, reached=reached)
+        if not reached:
+            await self._wait_until_reached(service)
+
+    async def _wait_until_reached(self, service: str) -> None:
+        reached = False
         while not reached:
             await self.clock.sleep(_RETRY_S)
             reached = await self._reaches(service, '', 1)
-            if reached:
-                self.failures.access.conclude(service, reached=True)
+        self.failures.access.conclude(service, reached=True)
+        await self._forget_failures(service)
+
+    async def _forget_failures(self, service: str) -> None:
+        """Close the breakers that this host's lost links have opened."""
+        suspects = [
+            place
+            for place in self.failures.places.of_service(service)
+            if place.breaker.is_open
+        ]
+        results = await asyncio.gather(
+            *map(self._connect, suspects[:_MAX_FORGOTTEN])
+        )
+        for place, is_reached in zip(suspects, results, strict=False):
+            if is_reached:
+                self.failures.forget(place)
 
     async def _reaches(self, service: str, failed: str, count: int) -> bool:
         targets = self._pick(service, failed, count)
         if not targets:
             return True
-        timeout = self.timeout()
         attempts = [
-            asyncio.ensure_future(
-                self.connector.connect(place.entry.address, timeout)
-            )
-            for place in targets
+            asyncio.ensure_future(self._connect(place)) for place in targets
         ]
         try:
             for attempt in asyncio.as_completed(attempts):
@@ -114,6 +132,9 @@
                 attempt.cancel()
         return False
 
+    async def _connect(self, place: RelayTarget) -> bool:
+        return await self.connector.connect(place.entry.address, self.timeout())
+
     def _pick(self, service: str, failed: str, count: int) -> list[RelayTarget]:
         """Return targets of different zones, as far as there are any."""
         targets = [
--- a/src/balsamreach/placement/target_access.py
+++ b/src/balsamreach/placement/target_access.py
@@ -43,10 +43,6 @@
     deferred: list[Callable[[], None]] = attrs.field(factory=list)
 
 
-def _ignore(_service: str, _failed: str = '') -> None:
-    """Start nothing."""
-
-
 @attrs.define(eq=False)
 class TargetAccess:
     """Decides which services this router can't reach.
@@ -66,14 +62,11 @@
         Starts a check of a service. Its second argument is the incarnation
         of the target that failed, empty if none did. The result is passed to
         ``conclude``.
-    on_restored : callable
-        Called with a service whose targets can be reached again.
     """
 
     clock: Clock
     metrics: Metrics
     start_check: Callable[[str, str], None] | None = None
-    on_restored: Callable[[str], None] = _ignore
     _services: dict[str, _Service] = attrs.field(factory=dict)
 
     def is_unreachable(self, service: str) -> bool:
@@ -136,7 +129,6 @@
             log_event(
                 _logger, logging.WARNING, 'service_reached', service=service
             )
-            self.on_restored(service)
         elif not was_unreachable and not reached:
             self._record_unreachable(service, state)
 
--- a/src/balsamreach/placement/target_failures.py
+++ b/src/balsamreach/placement/target_failures.py
@@ -96,7 +96,6 @@
         """Start without observations."""
         self.zones = ZoneReachability(self.clock, self.metrics)
         self.access = TargetAccess(self.clock, self.metrics)
-        self.access.on_restored = self._forget_failures
         self.exchanges = RunningExchanges(self.clock)
         self.records = FailureRecords(self.places, self.exchanges)
 
@@ -209,6 +208,12 @@
                 place.breaker.record_failure(now, self.rng, certain=True)
             self._report(place, SILENT, source)
 
+    def forget(self, place: RelayTarget) -> None:
+        """Drop the failures of a target that this host's links caused."""
+        place.breaker.record_success()
+        self.records.drop(place)
+        self.zones.record_reached(place.entry.zone)
+
     def is_working(self, place: RelayTarget) -> bool:
         """Return whether no failure of a target or its zone is known."""
         is_reachable = not self.zones.is_excluded(place.entry.zone)
@@ -253,10 +258,3 @@
         # A router that reaches no target would make others avoid all of them.
         send = partial(self.on_report, report)
         self.access.after_check(place.entry.service, send)
-
-    def _forget_failures(self, service: str) -> None:
-        """Drop what was caused by this host's own lost links."""
-        for place in self.places.of_service(service):
-            place.breaker.record_success()
-            self.records.drop(place)
-            self.zones.record_reached(place.entry.zone)
--- a/src/balsamreach/relay/attempt_history.py
+++ b/src/balsamreach/relay/attempt_history.py
@@ -17,6 +17,8 @@
         Incarnations of the targets that were tried.
     reached : int
         Targets that the request reached.
+    reached_targets : set of str
+        Incarnations of these, and of those that another router did not reach.
     may_have_run : bool
         Whether a target may have run the request.
     outcomes : list of str
@@ -27,6 +29,7 @@
 
     tried: set[str] = attrs.field(factory=set)
     reached: int = 0
+    reached_targets: set[str] = attrs.field(factory=set)
     may_have_run: bool = False
     outcomes: list[str] = attrs.field(factory=list)
     durations_ms: list[int] = attrs.field(factory=list)
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to targets until one of them responds."""
 
 import asyncio
+from collections.abc import Callable
 from functools import partial
 
 import attrs
@@ -54,10 +55,13 @@
     delivery: ResponseDelivery = attrs.field(init=False)
     backup: StreamBackup = attrs.field(init=False)
     _try_limit: TryLimit = attrs.field(init=False)
+    _is_unreachable: Callable[[], bool] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the parts of this request."""
         parts = self.parts
+        access = parts.chooser.failures.access
+        self._is_unreachable = partial(access.is_unreachable, self.call.service)
         traits = parts.chooser.engine_traits(self.call)
         self.delivery = ResponseDelivery(
             codec=parts.codec,
@@ -94,7 +98,7 @@
             if router is not None:
                 ended = await self._forward(router)
             else:
-                place = self.parts.chooser.choose(self.call, self.history.tried)
+                place = self._choose_target()
                 if place is None:
                     return fault
                 ended = await self.send_to(place)
@@ -204,6 +208,7 @@
         self.history.record_duration(self.parts.clock.now() - sent_at)
         if not intake.sent:
             return
+        self.history.reached_targets.add(in_flight.place.incarnation)
         # If another target has the address, the request didn't reach the
         # intended one, but it still counts as a retry.
         if not intake.misdirected:
@@ -222,7 +227,7 @@
                 router,
                 self.call,
                 self.delivery.last_event,
-                self.history.tried,
+                self.history.reached_targets,
                 forwarded,
             )
         finally:
@@ -259,9 +264,12 @@
             return None
         return self.parts.forwarder.choose(self.call)
 
-    def _is_unreachable(self) -> bool:
-        access = self.parts.chooser.failures.access
-        return access.is_unreachable(self.call.service)
+    def _choose_target(self) -> RelayTarget | None:
+        # A connection that is still open may work although new ones fail, but
+        # only a request that may be sent again can use it.
+        if self._is_unreachable() and not self.call.repeatable:
+            return None
+        return self.parts.chooser.choose(self.call, self.history.tried)
 
     def _may_retry(self, fault: RelayFault) -> bool:
         if fault == faults.CANNOT_FORWARD and fault.not_run:
--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -77,10 +77,10 @@
 
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Receive the status and headers of the response."""
-        outcome = headers.pop(OUTCOME.lower(), '')
-        self.target = headers.pop(TARGET.lower(), '')
+        outcome = headers.get(OUTCOME.lower(), '')
+        self.target = headers.get(TARGET.lower(), '')
         if outcome == ANSWERED:
-            self.inner.start(status, headers)
+            self.inner.start(status, _without_own(headers))
             return
         self._reached = headers.get(REACHED.lower()) != NO
         fault = _FAULTS.get(outcome, faults.BROKEN)
@@ -138,7 +138,14 @@
         history.record_outcome(f'{self.target or "?"} by {router}', verdict)
         if self.target:
             history.tried.add(self.target)
+            history.reached_targets.add(self.target)
         if self.sent and self._reached:
             history.reached += 1
         if self.may_have_run:
             history.may_have_run = True
+
+
+def _without_own(headers: dict[str, str]) -> dict[str, str]:
+    """Return the headers of the target."""
+    own = {OUTCOME.lower(), TARGET.lower()}
+    return {name: text for name, text in headers.items() if name not in own}
--- a/src/balsamreach/relay/forwarding.py
+++ b/src/balsamreach/relay/forwarding.py
@@ -142,7 +142,7 @@
         last_event : str
             Id of the event after which a stream resumes; empty for all of it.
         excluded : iterable of str
-            Incarnations of targets that the request was already sent to.
+            Incarnations of targets that the other router leaves out.
         intake : ForwardedIntake
             Receives the response.
 
--- /dev/null
+++ b/tests/test_relay_forwarding.py
@@ -0,0 +1,313 @@
+"""Tests of requests that go through another router."""
+
+import asyncio
+import random
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.dispatch.upstream import BROKEN, NOT_SENT
+from balsamreach.platform.requests import PlatformCodec
+from balsamreach.relay import faults
+from balsamreach.relay.forwarded_intake import (
+    ANSWERED,
+    MAY_HAVE_RUN,
+    OUTCOME,
+    REACHED,
+    TARGET,
+    ForwardedIntake,
+)
+from balsamreach.relay.forwarded_run import ForwardedRunner, read_forwarded
+from balsamreach.relay.forwarding import Forwarder, ForwardingClient
+from balsamreach.relay.response_intakes import AnswerIntake
+from tests import relay_samples
+from tests.fake_net import FakeNet
+from tests.relay_harness import RelayHarness
+from tests.relay_samples import (
+    DESK,
+    ENGINES,
+    PLAIN,
+    STREAM,
+    UNSAFE,
+    event,
+)
+from tests.relay_scripts import (
+    RecordingResponse,
+    Responding,
+    Unresponsive,
+    answer,
+    unreachable,
+)
+
+
+def _passed_on(script):
+    """Return a router that passes on the response of a target."""
+    added = {OUTCOME.lower(): ANSWERED, TARGET.lower(): 'desk-2'}
+    return attrs.evolve(script, headers=script.headers | added)
+
+
+def _refusing(fault, *, ran='0'):
+    """Return a router that has no response of a target."""
+    headers = {
+        OUTCOME.lower(): fault.code,
+        TARGET.lower(): '',
+        MAY_HAVE_RUN.lower(): ran,
+        REACHED.lower(): ran,
+    }
+    return Responding(503, (), None, headers)
+
+
+_OK = _passed_on(answer(200, b'done'))
+_FAILED = _passed_on(answer(500, b'no'))
+_UNABLE = _refusing(faults.CANNOT_FORWARD)
+_NO_TARGET = _refusing(faults.NO_TARGET)
+_FULL = _refusing(faults.TARGETS_FULL)
+_TARGET_BROKE = _refusing(faults.BROKEN, ran='1')
+_DOWN = unreachable(NOT_SENT.because('refused'))
+_DIED = Unresponsive(BROKEN)
+_FOREIGN = Responding(404, (), None, {})
+
+
+def make_intake():
+    """Return what receives a plain response through another router."""
+    codec = PlatformCodec(random.Random(1))
+    return ForwardedIntake(AnswerIntake(codec, relay_samples.REQUEST))
+
+
+class ScriptedClient(ForwardingClient):
+    """Runs one script for each request sent to another router."""
+
+    def __init__(self, scripts):
+        self.scripts = list(scripts)
+        self.routers = []
+        self.messages = []
+
+    async def send(self, router, call, message, intake):
+        """Run the next script."""
+        self.routers.append(router.incarnation)
+        self.messages.append(message)
+        return self.scripts.pop(0)(None, intake)
+
+
+class ForwardingCase(unittest.TestCase):
+    """A router that reaches no target, among three that do."""
+
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.access = self.harness.chooser.failures.access
+        fabric = FakeNet()
+        self.net = fabric.join('me')
+        for name, zone in (
+            ('near-1', 'zone-a'),
+            ('near-2', 'zone-a'),
+            ('far-1', 'zone-b'),
+        ):
+            net = fabric.join(name, zone)
+            net.me = attrs.evolve(net.me, forwarding=f'{name}:1')
+        self.fabric = fabric
+        for service in (DESK, ENGINES):
+            self.access.conclude(service, reached=False)
+
+    def make_forwarder(self, *scripts):
+        self.client = ScriptedClient(scripts)
+        return Forwarder(
+            self.access,
+            self.net,
+            'fleet',
+            self.client,
+            self.harness.clock,
+            random.Random(1),
+            self.harness.metrics,
+        )
+
+    def run_call(self, route, *scripts):
+        """Process a request, and return the caller's response."""
+        parts = self.harness.parts
+        self.harness.parts = attrs.evolve(
+            parts,
+            attempt_parts=attrs.evolve(
+                parts.attempt_parts, forwarder=self.make_forwarder(*scripts)
+            ),
+        )
+        return self.harness.run(relay_samples.call(route))
+
+    def change(self, name, **changes):
+        """Change a router's entry."""
+        net = self.fabric.nets[name]
+        net.me = attrs.evolve(net.me, **changes)
+
+
+class ForwardedResponseTest(ForwardingCase):
+    """A request runs as often as allowed, and 'not run' is true."""
+
+    @parameterized.expand(
+        (
+            ('answered', PLAIN, [_OK], 200, 1),
+            ('answered_once', UNSAFE, [_OK], 200, 1),
+            ('cut_off_as_well', PLAIN, [_UNABLE, _OK], 200, 2),
+            ('cut_off_as_well_once', UNSAFE, [_UNABLE, _OK], 200, 2),
+            ('down_once', UNSAFE, [_DOWN, _OK], 200, 2),
+            ('target_down_once', UNSAFE, [_NO_TARGET, _OK], 200, 2),
+            ('died', PLAIN, [_DIED, _OK], 200, 2),
+            ('died_once', UNSAFE, [_DIED], 502, 1),
+            ('target_broke', PLAIN, [_TARGET_BROKE, _OK], 200, 2),
+            ('target_broke_once', UNSAFE, [_TARGET_BROKE], 502, 1),
+            ('declined_once', UNSAFE, [_FULL, _OK], 200, 2),
+            ('failed_once', UNSAFE, [_FAILED], 500, 1),
+            ('foreign_listener_once', UNSAFE, [_FOREIGN], 502, 1),
+            ('none_can_help', UNSAFE, [_UNABLE, _UNABLE, _UNABLE], 503, 3),
+        )
+    )
+    def test_plain(self, _, route, scripts, status, sent):
+        """Guards against running a request twice on the longer way."""
+        caller_response = self.run_call(route, *scripts)
+        self.assertEqual(caller_response.status, status)
+        self.assertEqual(len(self.client.routers), sent)
+
+    def test_no_other_router(self):
+        """Guards against time-outs of requests that can't be served."""
+        for router in ('near-1', 'near-2', 'far-1'):
+            self.change(router, leaving=True)
+        self.assertEqual(self.run_call(UNSAFE).status, 503)
+        self.assertEqual(self.harness.exchange.sent, [])
+
+    def test_stream_resumes_elsewhere(self):
+        """Guards against losing or doubling events when a router dies."""
+        begun = _passed_on(answer(200, event(1), event(2), end=BROKEN))
+        rest = _passed_on(answer(200, event(3)))
+        caller_response = self.run_call(STREAM, begun, rest)
+        self.assertEqual(caller_response.body, event(1) + event(2) + event(3))
+        self.assertTrue(caller_response.complete)
+        resumed = self.client.messages[1]
+        self.assertEqual(resumed.last_event, '2')
+        self.assertEqual(resumed.excluded, ('desk-2',))
+
+
+class ChoiceTest(ForwardingCase):
+    """The router that a request goes through."""
+
+    def choose(self, forwarder):
+        router = forwarder.choose(relay_samples.call(PLAIN))
+        return None if router is None else router.incarnation
+
+    def test_reachable_service(self):
+        """Guards against forwarding what can be sent from here."""
+        self.access.conclude(DESK, reached=True)
+        self.assertIsNone(self.choose(self.make_forwarder()))
+
+    @parameterized.expand(
+        (
+            ('leaving', {'leaving': True}),
+            ('older_release', {'forwarding': ''}),
+        )
+    )
+    def test_unusable_routers(self, _, changes):
+        """Guards against sending to routers that accept no requests."""
+        self.change('near-1', **changes)
+        self.assertEqual(self.choose(self.make_forwarder()), 'near-2')
+
+    def test_zone_of_unable_routers(self):
+        """Guards against asking all routers of a zone that is cut off."""
+        forwarder = self.make_forwarder(_UNABLE)
+        near = forwarder.choose(relay_samples.call(PLAIN))
+        self.assertEqual(near.zone, 'zone-a')
+        intake = make_intake()
+        asyncio.run(
+            forwarder.send(near, relay_samples.call(PLAIN), '', (), intake)
+        )
+        self.assertEqual(self.choose(forwarder), 'far-1')
+        self.harness.clock.advance(1)
+        self.assertIn(self.choose(forwarder), {'near-1', 'near-2'})
+
+
+class RunForOthersTest(unittest.TestCase):
+    """A router sends requests to targets for another one."""
+
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.has_room = True
+        parts = self.harness.parts
+        self.runner = ForwardedRunner(
+            parts.attempt_parts,
+            parts.clock,
+            parts.log,
+            lambda: self.has_room,
+        )
+
+    def run_message(self, route, *scripts):
+        """Run a forwarded request, and return the response."""
+        self.harness.exchange.scripts = list(scripts)
+        message = _describe(relay_samples.call(route), self.harness)
+        response = RecordingResponse()
+        asyncio.run(self.runner.run(message, b'body', response))
+        return response
+
+    @parameterized.expand(
+        (
+            ('answered', [answer(200, b'done')], ANSWERED, None),
+            ('failed', [answer(500)], ANSWERED, None),
+            ('declined', [answer(503, not_executed='1')], 'targets_full', '0'),
+            ('target_down', [_DOWN], 'no_target', '0'),
+            ('broken', [Unresponsive(BROKEN)], 'answer_broken', '1'),
+        )
+    )
+    def test_one_attempt(self, _, scripts, outcome, ran):
+        """Guards against a second run, and against a false 'not run'."""
+        response = self.run_message(PLAIN, *scripts)
+        self.assertEqual(response.headers[OUTCOME.lower()], outcome)
+        self.assertEqual(response.headers.get(MAY_HAVE_RUN.lower()), ran)
+        self.assertEqual(len(self.harness.exchange.sent), 1)
+        self.assertTrue(response.complete)
+
+    @parameterized.expand((('no_room', True), ('cut_off', False)))
+    def test_unable(self, _, reached):
+        """Guards against helping others without the means to."""
+        self.has_room = not reached
+        access = self.harness.chooser.failures.access
+        access.conclude(DESK, reached=reached)
+        response = self.run_message(PLAIN)
+        self.assertEqual(response.headers[OUTCOME.lower()], 'cannot_forward')
+        self.assertEqual(self.harness.exchange.sent, [])
+
+    def test_leaving_targets(self):
+        """Guards against sending to targets that leave, for another router."""
+        for place in self.harness.chooser.places.of_service(DESK):
+            place.entry = attrs.evolve(place.entry, leaving=True)
+        response = self.run_message(PLAIN)
+        self.assertEqual(response.headers[OUTCOME.lower()], 'no_target')
+        self.assertEqual(self.harness.exchange.sent, [])
+
+    def test_broken_stream_is_not_complete(self):
+        """Guards against a broken stream that looks complete."""
+        script = answer(200, event(1), end=BROKEN)
+        response = self.run_message(STREAM, script)
+        self.assertTrue(response.aborted)
+        self.assertEqual(response.body, event(1))
+
+    def test_request_is_unchanged(self):
+        """Guards against a request that changes on the longer way."""
+        call = relay_samples.call(STREAM)
+        message = _describe(call, self.harness)
+        received = read_forwarded(message, call.body, self.harness.clock.now())
+        for name in ('request_id', 'method', 'path', 'headers', 'body'):
+            self.assertEqual(getattr(received, name), getattr(call, name))
+        self.assertEqual(received.prompt, call.prompt)
+        self.assertEqual(received.fingerprint, call.fingerprint)
+        self.assertAlmostEqual(received.deadline, call.deadline, 2)
+
+
+def _describe(call, harness):
+    client = ScriptedClient([_OK])
+    forwarder = Forwarder(
+        harness.chooser.failures.access,
+        FakeNet().join('sender'),
+        'fleet',
+        client,
+        harness.clock,
+        random.Random(1),
+        harness.metrics,
+    )
+    router = FakeNet().join('router').me
+    asyncio.run(forwarder.send(router, call, '', (), make_intake()))
+    return client.messages[0]
