Keep to a share of what brittle targets bear

Nothing read the header, and nothing bounded the rejections of all routers together.

Change: while a service is brittle, a router sends a target no more than its share of the slots if over half of them are in use, and rests after a rejection for routers / (N / 2) seconds. A target of which nothing is heard for two seconds no longer counts as brittle.

Result: eight routers that send whenever they may cause at most 10 rejections in any second at N = 10 (unit test with a fake clock, 10 s). With N below the number of routers the first rejections of all routers may still exceed it.

--- a/src/balsamreach/daemon/forwarding_parts.py
+++ b/src/balsamreach/daemon/forwarding_parts.py
@@ -73,6 +73,7 @@
         ),
         checker=AccessChecker(
             failures,
+            cfg.host.zone,
             TcpConnector(),
             chooser.clock,
             rng,
--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -8,6 +8,7 @@
 from balsamreach.clock import Clock
 from balsamreach.config.relay_settings import RelaySettings
 from balsamreach.peers.base import PeerNet
+from balsamreach.placement.brittle_services import BrittleServices
 from balsamreach.placement.cold_targets import ColdTargetLimiter
 from balsamreach.placement.engine_costs import EngineCosts
 from balsamreach.placement.engine_speeds import EngineSpeeds
@@ -90,6 +91,7 @@
         evacuations,
         cold_targets,
         FailureTracker(net.me.incarnation, places, clock, rng, metrics),
+        BrittleServices(clock, lambda: len(net.members())),
     )
 
 
@@ -122,21 +124,17 @@
     return sharing
 
 
-def make_notices(
-    places: RelayTargets, clock: Clock, metrics: Metrics
-) -> Notices:
+def make_notices(chooser: Chooser, metrics: Metrics) -> Notices:
     """Return a handler of the notices in targets' response headers.
 
     Parameters
     ----------
-    places : RelayTargets
-        All targets.
-    clock : Clock
-        Source of the current time.
+    chooser : Chooser
+        Chooser of the targets.
     metrics : Metrics
         Counts notices.
     """
-    return Notices(places, clock, metrics)
+    return Notices(chooser.places, chooser.clock, metrics, chooser.brittle)
 
 
 def make_retry_budget(
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -182,7 +182,7 @@
             classifier=AttemptClassifier(
                 chooser, quarantine, self.link_parts.delay.is_high
             ),
-            notices=make_notices(chooser.places, self.clock, self.metrics),
+            notices=make_notices(chooser, self.metrics),
             clock=self.clock,
             link=self.link_parts.link,
             stream_gap=cfg.relay.stream_gap,
--- a/src/balsamreach/placement/access_checks.py
+++ b/src/balsamreach/placement/access_checks.py
@@ -49,6 +49,9 @@
     failures : FailureTracker
         Knows the targets; its ``access`` starts checks, and gets their
         results.
+    zone : str
+        Zone of this router. Its targets are tried first: while the zone is
+        cut off from the others, they are all that can be reached.
     connector : TargetConnector
         Opens the connections.
     clock : Clock
@@ -60,6 +63,7 @@
     """
 
     failures: FailureTracker
+    zone: str
     connector: TargetConnector
     clock: Clock
     rng: random.Random
@@ -145,6 +149,7 @@
         others = [place for place in targets if place.incarnation != failed]
         candidates = others or targets
         self.rng.shuffle(candidates)
+        candidates.sort(key=lambda place: place.entry.zone != self.zone)
         taken: Counter[str] = Counter()
         ranked = []
         for place in candidates:
--- a/src/balsamreach/placement/notices.py
+++ b/src/balsamreach/placement/notices.py
@@ -6,6 +6,7 @@
 import attrs
 
 from balsamreach.clock import Clock
+from balsamreach.placement.brittle_services import BrittleServices
 from balsamreach.placement.relay_targets import (
     RelayTarget,
     RelayTargets,
@@ -31,10 +32,13 @@
         Whether the target will leave.
     retry_after : float
         Seconds for which it wants no requests from this router; 0 for none.
+    max_rejections : int
+        Rejections in a second beyond which it falls over; 0 for no bound.
     """
 
     leaving: bool = False
     retry_after: float = 0
+    max_rejections: int = 0
 
 
 NO_NOTICE = TargetNotice()
@@ -56,6 +60,8 @@
         Source of the current time.
     metrics : Metrics
         Counts notices.
+    brittle : BrittleServices
+        Services whose targets fall over if they reject too much.
     tell : callable
         Announces the entry of a leaving target to other routers.
     """
@@ -63,18 +69,34 @@
     places: RelayTargets
     clock: Clock
     metrics: Metrics
+    brittle: BrittleServices
     tell: Callable[[TargetEntry], None] = _ignore
 
     def apply(self, place: RelayTarget, notice: TargetNotice) -> None:
         """Apply the notice of a response, as soon as its headers are read."""
         if notice == NO_NOTICE:
             return
+        if notice.max_rejections:
+            self.brittle.record(place.entry.service, notice.max_rejections)
+        if not notice.leaving and not notice.retry_after:
+            return
         self.metrics.count(NOTICES, leaving=notice.leaving)
         leaves = notice.leaving and self._mark_leaving(place)
         backs_off = notice.retry_after > 0 and self._back_off(place, notice)
         if leaves or backs_off:
             self._log(place, notice)
 
+    def record_rejected(self, place: RelayTarget, notice: TargetNotice) -> None:
+        """Record that a target has rejected a request.
+
+        A brittle one gets no requests for a while, as if it had asked for it.
+        """
+        rest = self.brittle.rest(place.entry.service)
+        if rest > notice.retry_after:
+            notice = attrs.evolve(notice, retry_after=rest)
+            if self._back_off(place, notice):
+                self._log(place, notice)
+
     def record_accepted(self, place: RelayTarget) -> None:
         """Record that a target has accepted a request, and widen its window."""
         restrictions = self.places.restrictions
--- a/src/balsamreach/platform/header_names.py
+++ b/src/balsamreach/platform/header_names.py
@@ -28,6 +28,8 @@
 NOT_RUN = 'Not-Executed'
 #: In an answer: the target that sent it is leaving.
 LEAVING = 'Server-Leaving'
+#: In an answer: rejections in a second beyond which the target falls over.
+BRITTLE = 'Server-Brittle'
 #: API key of a team, as a bearer token.
 AUTHORIZATION = 'Authorization'
 
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -31,6 +31,7 @@
 _REQUEST_ID = re.compile(r'[!-~]{1,200}')
 _TOKEN_COUNTS = re.compile(r'(\d{1,12}),(\d{1,12})')
 _PROMPT_PART = re.compile(r'([0-9a-fA-F]{1,64}):(\d{1,12})')
+_COUNT = re.compile(r'\d{1,9}')
 _BEARER = re.compile(r'[Bb]earer +(\S+)')
 
 _STATUS = {
@@ -215,9 +216,15 @@
     return TargetNotice(
         leaving=_FLAG_SET in map(str.strip, leaving.split(',')),
         retry_after=read_retry_after(status, headers),
+        max_rejections=_read_brittle(headers),
     )
 
 
+def _read_brittle(headers: dict[str, str]) -> int:
+    match = _COUNT.fullmatch(headers.get(header_names.BRITTLE.lower(), ''))
+    return max(1, int(match[0])) if match else 0
+
+
 def _read_team(
     headers: _Headers,
     route: Route,
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -166,7 +166,9 @@
             is_success=intake.is_success, works=intake.shows_working
         )
         self.parts.notices.apply(place, intake.head.notice)
-        if not intake.declined:
+        if intake.declined:
+            self.parts.notices.record_rejected(place, intake.head.notice)
+        else:
             self.parts.notices.record_accepted(place)
         # A response that isn't a stream begins when all of it is generated.
         if not isinstance(intake, StreamIntake) or intake.problem:
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -7,6 +7,7 @@
 from balsamreach.catalogue.entries import EngineTraits, Service
 from balsamreach.catalogue.view import CatalogueView
 from balsamreach.clock import Clock
+from balsamreach.placement.brittle_services import BrittleServices
 from balsamreach.placement.cold_targets import ColdTargetLimiter
 from balsamreach.placement.engines import EngineChooser
 from balsamreach.placement.evacuations import Evacuations
@@ -47,6 +48,8 @@
         Bounds the rate of requests to cold targets.
     failures : FailureTracker
         Withholds requests from targets and zones that others see fail, too.
+    brittle : BrittleServices
+        Bounds what is sent to targets that crash if they reject too much.
     on_sent : callable
         Called with the number of tokens of each prompt that is sent.
     """
@@ -59,6 +62,7 @@
     evacuations: Evacuations
     cold_targets: ColdTargetLimiter
     failures: FailureTracker
+    brittle: BrittleServices
     on_sent: Callable[[int], None] = _ignore
 
     def choose(self, call: RelayCall, tried: Set[str]) -> RelayTarget | None:
@@ -96,7 +100,8 @@
         if wait > 0:
             reason = 'all targets asked to receive no requests'
             return faults.TARGETS_BACK_OFF.with_retry_after(wait, reason)
-        if any(one.window for one in restrictions):
+        is_brittle = self.brittle.is_brittle(call.service)
+        if is_brittle or any(one.window for one in restrictions):
             reason = 'the targets have as many requests as they can take'
             return faults.TARGETS_FULL.because(reason)
         return faults.NO_TARGET.because('no target accepts requests')
@@ -180,6 +185,8 @@
                 place.running, now
             ):
                 continue
+            if not self.brittle.allows(place):
+                continue
             if self._accepts_requests(place) and self.cold_targets.allows(
                 place, service
             ):
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -68,11 +68,7 @@
             exchange=self.exchange,
             retry_budget=self.retry_budget,
             classifier=AttemptClassifier(self.chooser, quarantine),
-            notices=make_notices(
-                self.chooser.places,
-                self.clock,
-                self.metrics,
-            ),
+            notices=make_notices(self.chooser, self.metrics),
             clock=self.clock,
             link=self.link,
             stream_gap=2,
--- /dev/null
+++ b/tests/test_placement_brittle_services.py
@@ -0,0 +1,118 @@
+"""Tests of targets that fall over if they reject too many requests."""
+
+import random
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.placement.brittle_services import BrittleServices
+from balsamreach.placement.notices import Notices, TargetNotice
+from balsamreach.placement.relay_targets import RelayTarget, RelayTargets
+from balsamreach.platform.requests import PlatformCodec
+from balsamreach.telemetry.metrics import Metrics
+from tests.relay_harness import RelayHarness
+from tests.relay_samples import DESK, PLAIN, call, entry
+from tests.relay_scripts import answer
+from tests.support import FakeClock
+
+_SLOTS = 16
+_MAX_REJECTIONS = 10
+_SECOND = 1.0
+_STEP_S = 0.01
+
+
+class BrittleTest(unittest.TestCase):
+    """Routers keep to their share of what a brittle target bears."""
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.brittle = BrittleServices(self.clock, lambda: 8)
+        self.place = RelayTarget(entry('desk-1', DESK, slots=_SLOTS))
+
+    @parameterized.expand(
+        (
+            ('room', 1, 0, True),
+            ('own_share', 1, 12, True),
+            ('beyond_share', 2, 12, False),
+            ('target_half_free', 3, 4, True),
+        )
+    )
+    def test_share(self, _, running, others, allowed):
+        """Guards against filling a target that must not reject."""
+        self.brittle.record(DESK, _MAX_REJECTIONS)
+        self.place.running = running
+        self.place.others_running = others
+        self.assertEqual(self.brittle.allows(self.place), allowed)
+
+    def test_end(self):
+        """Guards against holding back requests after the state has ended."""
+        self.brittle.record(DESK, _MAX_REJECTIONS)
+        self.place.running = _SLOTS
+        self.clock.advance(3)
+        self.assertTrue(self.brittle.allows(self.place))
+        self.assertEqual(self.brittle.rest(DESK), 0)
+
+    def test_rejections_of_all_routers(self):
+        """Guards against rejections of all routers that add up to a crash."""
+        routers = [_Router(self.clock, 8) for _ in range(8)]
+        rejected_at = []
+        for _ in range(1000):
+            self.clock.advance(_STEP_S)
+            rejected_at.extend(
+                self.clock.now() for one in routers if one.send_rejected()
+            )
+        worst = max(_count_within(rejected_at, at) for at in rejected_at)
+        self.assertLessEqual(worst, _MAX_REJECTIONS)
+        self.assertGreater(len(rejected_at), len(routers))
+
+    @parameterized.expand((('5', 5), ('', 0), ('many', 0), ('-1', 0), ('0', 1)))
+    def test_header(self, text, rejections):
+        """Guards against a header that can't be read."""
+        head = PlatformCodec(random.Random(1)).read_answer(
+            200, {'server-brittle': text}
+        )
+        self.assertEqual(head.notice.max_rejections, rejections)
+
+    def test_rejected_request(self):
+        """Guards against sending on to a target that has just rejected."""
+        harness = RelayHarness()
+        shed = answer(503, not_executed='1', server_brittle='1')
+        harness.run(call(PLAIN), shed, shed)
+        response = harness.run(call(PLAIN))
+        self.assertEqual(response.status, 503)
+        self.assertIn('retry-after', response.headers)
+
+
+def _count_within(times, begins):
+    return sum(begins <= time < begins + _SECOND for time in times)
+
+
+@attrs.define(eq=False)
+class _Router:
+    """A router that sends to one target whenever it may."""
+
+    clock: FakeClock
+    routers: int
+    places: RelayTargets = attrs.field(init=False)
+    notices: Notices = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the router's state, with one target."""
+        self.places = RelayTargets(random.Random(1))
+        self.places.put(entry('desk-1', DESK, slots=_SLOTS))
+        brittle = BrittleServices(self.clock, lambda: self.routers)
+        self.notices = Notices(self.places, self.clock, Metrics(), brittle)
+
+    def send_rejected(self) -> bool:
+        """Send a request that is rejected, unless it is held back."""
+        place = self.places.find('desk-1')
+        find = self.places.restrictions.find
+        if not find(place.incarnation).allows(0, self.clock.now()):
+            return False
+        place.running = 1
+        notice = TargetNotice(max_rejections=_MAX_REJECTIONS)
+        self.notices.apply(place, notice)
+        self.notices.record_rejected(place, notice)
+        place.running = 0
+        return True
--- a/tests/test_placement_notices.py
+++ b/tests/test_placement_notices.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 
+from balsamreach.placement.brittle_services import BrittleServices
 from balsamreach.placement.notices import Notices, TargetNotice
 from balsamreach.placement.relay_targets import RelayTargets
 from balsamreach.telemetry.metrics import Metrics
@@ -21,6 +22,7 @@
             self.places,
             self.clock,
             Metrics(),
+            BrittleServices(self.clock),
             self.announced.append,
         )
         self.put(version=5)
--- a/tests/test_placement_target_access.py
+++ b/tests/test_placement_target_access.py
@@ -15,7 +15,7 @@
 from tests.relay_samples import DESK, ENGINES, entry
 from tests.support import FakeClock
 
-_ZONES = ('zone-a', 'zone-b', 'zone-c')
+_ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
 
 
 @attrs.define(eq=False)
@@ -46,14 +46,19 @@
         self.failures.on_report = self.reports.append
         self.connector = _Connector()
         checker = AccessChecker(
-            self.failures, self.connector, self.clock, rng, lambda: 0.2
+            self.failures,
+            'zone-d',
+            self.connector,
+            self.clock,
+            rng,
+            lambda: 0.2,
         )
         checker.enable()
         self.addAsyncCleanup(checker.stop)
         for service in (ENGINES, DESK):
-            for number in range(6):
+            for number in range(8):
                 name = f'{service}-{number}'
-                zone = _ZONES[number % 3]
+                zone = _ZONES[number % 4]
                 self.places.put(entry(name, service, zone=zone))
 
     def fail(self, name, failure=ConnectFailure.REFUSED):
@@ -94,7 +99,7 @@
 
     async def test_crashed_target(self):
         """Guards against taking the crash of one target for lost links."""
-        self.reach('desk-1', 'desk-2', 'desk-3', 'desk-4', 'desk-5')
+        self.reach(*(f'desk-{number}' for number in range(1, 8)))
         self.fail('desk-0')
         self.assertEqual(self.reports, [])
         await self.settle()
@@ -102,8 +107,11 @@
         self.assertEqual([one.target for one in self.reports], ['desk-0'])
 
     async def test_check_covers_zones(self):
-        """Guards against taking the loss of one zone for that of all."""
-        self.reach('desk-1', 'desk-4')
+        """Guards against taking a cut between zones for the loss of all.
+
+        The targets of the own zone are still reached.
+        """
+        self.reach('desk-3', 'desk-7')
         self.fail('desk-0')
         await self.settle()
         self.assertFalse(self.is_unreachable())
@@ -127,7 +135,7 @@
         self.fail('desk-0')
         self.fail('desk-1')
         await self.settle()
-        self.reach(*(f'desk-{number}' for number in range(6)))
+        self.reach(*(f'desk-{number}' for number in range(8)))
         self.clock.advance(1)
         await self.settle()
         self.assertFalse(self.is_unreachable())
@@ -146,7 +154,7 @@
 
     async def test_pause_of_a_sound_target(self):
         """Guards against taking the pause of a sound target for lost links."""
-        self.reach(*(f'desk-{number}' for number in range(6)))
+        self.reach(*(f'desk-{number}' for number in range(8)))
         place = self.places.find('desk-0')
         self.failures.begin(place, is_plain=True)
         for _ in range(15):
