Look up once for each request whether its service is brittle

Cause: the state was looked up for each target of a service at each choice, up to three times a request; a service has up to 10,000 targets.

Change: one look-up for each list of candidates.

Result: the tests of brittle services and of requests pass; no play.

--- a/src/balsamreach/placement/brittle_services.py
+++ b/src/balsamreach/placement/brittle_services.py
@@ -5,7 +5,7 @@
 keeps to its share of what the target can take and of what it may reject.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -71,14 +71,13 @@
         """Return whether targets of a service have said of late that it is."""
         return self._find(service) is not None
 
-    def allows(self, place: RelayTarget) -> bool:
-        """Return whether one more request may be sent to a target."""
-        if not self.is_brittle(place.entry.service):
-            return True
-        slots = place.entry.slots
-        if place.busy < slots * _FREE_SHARE:
-            return True
-        return place.running < max(1, slots // max(1, self.routers()))
+    def with_room(
+        self, service: str, places: Iterable[RelayTarget]
+    ) -> Iterable[RelayTarget]:
+        """Return the targets of a service that may get one more request."""
+        if self.is_brittle(service):
+            return filter(self._has_room, places)
+        return places
 
     def rest(self, service: str) -> float:
         """Return the seconds without requests after a rejection, or 0.
@@ -92,6 +91,12 @@
         allowed = max(1, brittle.max_rejections) * _REJECTION_SHARE
         return min(_MAX_REST_S, self.routers() / allowed)
 
+    def _has_room(self, place: RelayTarget) -> bool:
+        slots = place.entry.slots
+        if place.busy < slots * _FREE_SHARE:
+            return True
+        return place.running < max(1, slots // max(1, self.routers()))
+
     def _find(self, service: str) -> _Brittle | None:
         brittle = self._services.get(service)
         if brittle is None or brittle.until <= self.clock.now():
--- a/src/balsamreach/relay/chooser.py
+++ b/src/balsamreach/relay/chooser.py
@@ -179,14 +179,13 @@
         service = self._service(call)
         find = self.places.restrictions.find
         now = self.clock.now()
-        for place in self.places.of_service(call.service):
+        places = self.places.of_service(call.service)
+        for place in self.brittle.with_room(call.service, places):
             incarnation = place.incarnation
             if incarnation in tried or not find(incarnation).allows(
                 place.running, now
             ):
                 continue
-            if not self.brittle.allows(place):
-                continue
             if self._accepts_requests(place) and self.cold_targets.allows(
                 place, service
             ):
--- a/tests/test_placement_brittle_services.py
+++ b/tests/test_placement_brittle_services.py
@@ -43,14 +43,15 @@
         self.brittle.record(DESK, _MAX_REJECTIONS)
         self.place.running = running
         self.place.others_running = others
-        self.assertEqual(self.brittle.allows(self.place), allowed)
+        usable = list(self.brittle.with_room(DESK, [self.place]))
+        self.assertEqual(bool(usable), allowed)
 
     def test_end(self):
         """Guards against holding back requests after the state has ended."""
         self.brittle.record(DESK, _MAX_REJECTIONS)
-        self.place.running = _SLOTS
+        self.assertTrue(self.brittle.is_brittle(DESK))
         self.clock.advance(3)
-        self.assertTrue(self.brittle.allows(self.place))
+        self.assertFalse(self.brittle.is_brittle(DESK))
         self.assertEqual(self.brittle.rest(DESK), 0)
 
     def test_rejections_of_all_routers(self):
