Run seeded histories of lost links, restarts and rejections

Checked: nothing that was answered as not run has run, no order runs twice, and all routers serve all routes within a second of the last return.

--- a/src/balsamreach/daemon/forwarding_listener.py
+++ b/src/balsamreach/daemon/forwarding_listener.py
@@ -22,10 +22,13 @@
         Serves the connections.
     listener : OpenListener
         The open listener.
+    runner : ForwardedRunner
+        Runs the requests.
     """
 
     server: RelayServer
     listener: OpenListener
+    runner: ForwardedRunner
 
     def leave(self) -> None:
         """Accept no more requests, and close idle connections."""
@@ -66,4 +69,4 @@
     listener = open_listener(cfg, section, server)
     membership = parts.net.link_manager.membership
     membership.change_me(forwarding=listener.address)
-    return ForwardingListener(server, listener)
+    return ForwardingListener(server, listener, runner)
--- a/tests/cut_host.py
+++ b/tests/cut_host.py
@@ -60,13 +60,41 @@
         return False
 
 
-def cut_off(router: RelayRouter, how: str) -> None:
-    """Cut a router off from all targets."""
-    parts = router.parts
-    parts.forwarding.checker.connector = CutConnector()
-    parts.run = attrs.evolve(
-        parts.run,
-        attempt_parts=attrs.evolve(
-            parts.run.attempt_parts, exchange=CutExchange(how)
-        ),
-    )
+@attrs.frozen
+class _Links:
+    """What a router sends to targets with."""
+
+    exchange: Exchange
+    connector: TargetConnector
+
+
+@attrs.define(eq=False)
+class CutHosts:
+    """The routers that are cut off from all targets."""
+
+    _links: dict[RelayRouter, _Links] = attrs.field(factory=dict)
+
+    def cut_off(self, router: RelayRouter, how: str) -> None:
+        """Cut a router off, unless it is already."""
+        if router not in self._links:
+            links = _Links(
+                router.parts.run.attempt_parts.exchange,
+                router.parts.forwarding.checker.connector,
+            )
+            self._links[router] = links
+            _set_links(router, _Links(CutExchange(how), CutConnector()))
+
+    def reconnect(self, router: RelayRouter) -> None:
+        """Give a router its links back."""
+        if router in self._links:
+            _set_links(router, self._links.pop(router))
+
+
+def _set_links(router: RelayRouter, links: _Links) -> None:
+    """Replace what a router, its own and others' requests, are sent with."""
+    run = router.parts.run
+    attempt_parts = attrs.evolve(run.attempt_parts, exchange=links.exchange)
+    router.parts.run = attrs.evolve(run, attempt_parts=attempt_parts)
+    runner = router.forwarding.runner
+    runner.parts = attrs.evolve(runner.parts, exchange=links.exchange)
+    router.parts.forwarding.checker.connector = links.connector
--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -28,6 +28,8 @@
 
 LLM = 'llm'
 DESK = 'desk'
+#: Route of requests to the service DESK that may run once at most.
+ORDER = 'order'
 #: Requests that a router may send to a target during the back-off that the
 #: target asked for, not counting the first half second of it.
 _MAX_LATE_REQUESTS = 2
@@ -53,6 +55,13 @@
             'service': DESK,
             'route_type': 'idempotent',
         },
+        _ROUTE
+        | {
+            'name': ORDER,
+            'prefix': f'/{ORDER}/',
+            'service': DESK,
+            'route_type': 'non_idempotent',
+        },
     ],
     'services': [
         {'name': LLM, 'engine': {'slots': 64, 'kv_capacity': 100_000}},
@@ -101,6 +110,10 @@
         Number of answers by service and status.
     refused : set of str
         Ids of requests that were answered as not run.
+    orders : set of str
+        Ids of requests that may run once at most.
+    running : list of int
+        Indices of the routers that run now.
     ready_at : dict of str to float
         Monotonic seconds at which each router was ready.
     """
@@ -114,8 +127,9 @@
     leaving_notices: list[ForwardedNotice] = attrs.field(factory=list)
     statuses: Counter = attrs.field(factory=Counter)
     refused: set[str] = attrs.field(factory=set)
+    orders: set[str] = attrs.field(factory=set)
     ready_at: dict[str, float] = attrs.field(factory=dict)
-    _running: list[int] = attrs.field(factory=list)
+    running: list[int] = attrs.field(factory=list)
     rng: random.Random = attrs.field(init=False)
     _servers: list[HTTPServer] = attrs.field(factory=list)
     _ids: Iterator[int] = attrs.field(factory=itertools.count)
@@ -167,7 +181,7 @@
 
     async def add_router(self) -> RelayRouter:
         """Start a router and wait until it is ready and has all its peers."""
-        known = [self.routers[number].parts.net for number in self._running]
+        known = [self.routers[number].parts.net for number in self.running]
         seeds = ', '.join(net.me.address for net in known)
         router = make_router(
             read_settings(
@@ -195,15 +209,15 @@
         self.routers.append(router)
         assert await until(lambda: router.state == 'ready')
         net = router.parts.net
-        others = len(self._running)
+        others = len(self.running)
         assert await until(lambda: len(net.neighbours()) >= others)
         self.ready_at[f'router-{number}'] = self.clock.now()
-        self._running.append(number)
+        self.running.append(number)
         return router
 
     async def replace_router(self) -> None:
         """Shut down a random router while starting another one."""
-        number = self._running.pop(self.rng.randrange(len(self._running)))
+        number = self.running.pop(self.rng.randrange(len(self.running)))
         leaving = asyncio.ensure_future(self.routers[number].leave())
         await self.add_router()
         await leaving
@@ -211,7 +225,7 @@
     async def stop(self) -> None:
         """Stop all routers and stand-ins."""
         self.store.answer()
-        routers = (self.routers[number] for number in self._running)
+        routers = (self.routers[number] for number in self.running)
         await asyncio.gather(*(router.leave() for router in routers))
         for server in self._servers:
             server.stop()
@@ -231,7 +245,7 @@
         ends_at = self.clock.now() + seconds
         sending = []
         while self.clock.now() < ends_at:
-            router = self.rng.choice(self._running)
+            router = self.rng.choice(self.running)
             service = self.rng.choice((LLM, DESK))
             sending.append(asyncio.ensure_future(self.send(router, service)))
             await self.clock.sleep(self.rng.expovariate(rate))
@@ -252,6 +266,8 @@
             headers['Model-Name'] = 'model-a'
             headers['Token-Counts'] = '100,50'
             headers['Prompt-Prefix'] = f'{prompt:x}:60,{prompt + 100:x}:40'
+        if service == ORDER:
+            self.orders.add(request_id)
         self.sent_at[request_id] = self.clock.now()
         answer = await self._client.fetch(
             HTTPRequest(
@@ -310,6 +326,16 @@
         }
         return sorted(ran & self.refused)
 
+    def repeated_orders(self) -> list[str]:
+        """Return requests that ran twice, although they may run once."""
+        runs = Counter(
+            arrival.request_id
+            for target in self.targets.values()
+            for arrival in target.arrivals
+            if arrival.ran and arrival.request_id in self.orders
+        )
+        return [request_id for request_id, count in runs.items() if count > 1]
+
     def _is_late(self, arrival: Arrival, ends: float) -> bool:
         # A router that has just started still has to learn this from its
         # peers.
--- a/tests/test_platform_cut_host.py
+++ b/tests/test_platform_cut_host.py
@@ -9,6 +9,7 @@
 
 from tests import cut_host
 from tests.listed_fleet import DESK, LLM, ListedFleet
+from tests.lost_links_run import LostLinksRun
 
 _SEED = 1
 _ROUTERS = 3
@@ -50,9 +51,20 @@
 
         The router can't connect to any target, although its peers can.
         """
+        hosts = cut_host.CutHosts()
         for number in range(routers):
-            cut_host.cut_off(self.fleet.routers[number], how)
+            hosts.cut_off(self.fleet.routers[number], how)
         await self.count_served(routers, _FIRST_REQUESTS)
         served = await self.count_served(routers, _REQUESTS)
         sent = routers * _REQUESTS * len((LLM, DESK))
         self.assertGreaterEqual(served, _SERVED_SHARE * sent)
+
+
+class SeededRunTest(unittest.IsolatedAsyncioTestCase):
+    """Random runs in which links are lost and routers restart."""
+
+    @parameterized.expand(((1,), (2,), (3,)))
+    async def test_no_breaches(self, seed):
+        """Guards against second runs, false refusals and lasting failures."""
+        run = LostLinksRun(seed)
+        self.assertEqual(await run.run(), [], run.events)
