--- a/tests/lost_links_run.py
+++ b/tests/lost_links_run.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import logging
 import random
 import sys
 from collections.abc import Awaitable, Callable
@@ -16,6 +15,7 @@
 from balsamreach.daemon.relay_router import RelayRouter
 from tests.cut_host import DROPPED, REFUSED, RESET, CutHosts
 from tests.listed_fleet import DESK, LLM, ORDER, ListedFleet
+from tests.seeded_runs import run_seeds
 
 _ROUTERS = 4
 _TARGETS = 3
@@ -124,20 +124,5 @@
         await self.fleet.replace_router()
 
 
-def main() -> int:
-    """Run a range of seeds; return 1 if one of them has breaches."""
-    logging.disable()
-    first, last = map(int, sys.argv[1:3])
-    failed = 0
-    for seed in range(first, last + 1):
-        run = LostLinksRun(seed)
-        breaches = asyncio.run(run.run())
-        failed += bool(breaches)
-        statuses = dict(run.fleet.statuses)
-        sys.stdout.write(f'{seed}: {breaches} {run.events} {statuses}\n')
-        sys.stdout.flush()
-    return 1 if failed else 0
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(run_seeds(LostLinksRun))
--- a/tests/notices_run.py
+++ b/tests/notices_run.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import logging
 import random
 import sys
 from collections.abc import Awaitable, Callable
@@ -12,6 +11,7 @@
 import attrs
 
 from tests.listed_fleet import DESK, LLM, ListedFleet
+from tests.seeded_runs import run_seeds
 
 #: Seconds during which a leaving target may still get requests.
 _DRAIN_BOUND_S = 2
@@ -135,22 +135,5 @@
         await self.fleet.replace_router()
 
 
-def main() -> int:
-    """Run a range of seeds; return 1 if there were breaches, else 0."""
-    logging.getLogger().setLevel(logging.CRITICAL)
-    first, last = map(int, sys.argv[1:])
-    broken = 0
-    for seed in range(first, last + 1):
-        run = NoticesRun(seed)
-        breaches = asyncio.run(run.run())
-        broken += bool(breaches)
-        summary = f'{len(breaches)} breaches {breaches[:3]}'
-        served = dict(run.fleet.statuses)
-        sys.stdout.write(f'seed {seed}: {summary} {served} {run.events}\n')
-        sys.stdout.flush()
-    sys.stdout.write(f'{last - first + 1} seeds, {broken} broken\n')
-    return 1 if broken else 0
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(run_seeds(NoticesRun))
