Wait for a new check before a broken connection counts as a crash

Cause: within half a second after a check that reached a target, evidence was applied at once. Links lost and connections reset in that time counted as crashes of the targets, for which the requests in progress are blamed.

Change: a break is held until a check that begins after it has reached a target; within the half second that check is scheduled for its end.

Why it works: an earlier check says nothing about links lost since.

Evidence: test_break_after_a_check fails without the change (no record_break; the same evidence was applied at once).

--- a/src/balsamreach/placement/access_checks.py
+++ b/src/balsamreach/placement/access_checks.py
@@ -74,9 +74,20 @@
         """Run checks from now on."""
         self.failures.access.start_check = self.start
 
-    def start(self, service: str, failed: str) -> None:
-        """Start a check; ``failed`` names a target that has just failed."""
-        task = asyncio.ensure_future(self._run(service, failed))
+    def start(self, service: str, failed: str, delay: float) -> None:
+        """Start a check.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        failed : str
+            Incarnation of a target that has just failed; empty for none.
+        delay : float
+            Seconds to wait before.
+        """
+        run = self._run_later if delay else self._run
+        task = asyncio.ensure_future(run(service, failed, delay))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -87,7 +98,12 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _run(self, service: str, failed: str) -> None:
+    async def _run_later(self, service: str, failed: str, delay: float) -> None:
+        await self.clock.sleep(delay)
+        if self.failures.access.begin_check(service):
+            await self._run(service, failed)
+
+    async def _run(self, service: str, failed: str, _delay: float = 0) -> None:
         # Silence alone is weak evidence, so one connection comes first.
         reached = not failed and await self._reaches(service, failed, 1)
         if not reached:
--- a/src/balsamreach/placement/target_access.py
+++ b/src/balsamreach/placement/target_access.py
@@ -39,8 +39,10 @@
     heard_at: float = _NEVER
     reached_at: float = _NEVER
     is_checked: bool = False
+    is_scheduled: bool = False
     is_unreachable: bool = False
     deferred: list[Callable[[], None]] = attrs.field(factory=list)
+    breaks: list[Callable[[], None]] = attrs.field(factory=list)
 
 
 @attrs.define(eq=False)
@@ -60,13 +62,13 @@
         Counts services that became unreachable.
     start_check : callable
         Starts a check of a service. Its second argument is the incarnation
-        of the target that failed, empty if none did. The result is passed to
-        ``conclude``.
+        of the target that failed, empty if none did, the third one the
+        seconds to wait before. The result is passed to ``conclude``.
     """
 
     clock: Clock
     metrics: Metrics
-    start_check: Callable[[str, str], None] | None = None
+    start_check: Callable[[str, str, float], None] | None = None
     _services: dict[str, _Service] = attrs.field(factory=dict)
 
     def is_unreachable(self, service: str) -> bool:
@@ -79,9 +81,40 @@
         self._of(service).heard_at = self.clock.now()
 
     def record_failure(self, place: RelayTarget) -> None:
-        """Record that a target can't be connected to, or broke off."""
+        """Record that a target can't be connected to."""
         self._check(place.entry.service, place.incarnation, _RECHECK_S)
 
+    def record_break(
+        self, place: RelayTarget, action: Callable[[], None]
+    ) -> None:
+        """Record that a target closed a connection while a request ran.
+
+        Parameters
+        ----------
+        place : RelayTarget
+            The target.
+        action : callable
+            Records that the request may have crashed the target; called once
+            a check that began since has reached a target. An earlier one
+            doesn't show that the links of this host are still up.
+        """
+        service = place.entry.service
+        state = self._of(service)
+        if self.start_check is None:
+            action()
+        elif not state.is_unreachable:
+            state.breaks.append(action)
+            self._schedule(service, place.incarnation, state)
+
+    def begin_check(self, service: str) -> bool:
+        """Return whether a check that was scheduled is still needed."""
+        state = self._of(service)
+        state.is_scheduled = False
+        if state.is_checked or state.is_unreachable:
+            return False
+        state.is_checked = True
+        return True
+
     def record_waiting(self, service: str, since: float) -> None:
         """Record that a request has waited at a target since a time."""
         heard_at = max(since, self._of(service).heard_at)
@@ -119,8 +152,9 @@
         was_unreachable = state.is_unreachable
         state.is_checked = False
         state.is_unreachable = not reached
-        deferred = state.deferred
+        deferred = state.deferred + state.breaks
         state.deferred = []
+        state.breaks = []
         if reached:
             state.reached_at = self.clock.now()
             for action in deferred:
@@ -141,7 +175,15 @@
         if self.clock.now() - state.reached_at < pause:
             return
         state.is_checked = True
-        self.start_check(service, failed)
+        self.start_check(service, failed, 0)
+
+    def _schedule(self, service: str, failed: str, state: _Service) -> None:
+        wait = state.reached_at + _RECHECK_S - self.clock.now()
+        if wait <= 0:
+            self._check(service, failed, _RECHECK_S)
+        elif not state.is_checked and not state.is_scheduled:
+            state.is_scheduled = True
+            self.start_check(service, failed, wait)
 
     def _record_unreachable(self, service: str, state: _Service) -> None:
         self.metrics.count(UNREACHABLE, service=service)
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -144,10 +144,9 @@
         self, call: RelayCall, place: RelayTarget, end: UpstreamFault
     ) -> None:
         access = self.chooser.failures.access
-        if end.closed_by_target:
-            access.record_failure(place)
+        record = partial(self.quarantine.record_break, call, place)
         # The links of this host may have broken, and not the target.
-        access.after_check(
-            place.entry.service,
-            partial(self.quarantine.record_break, call, place),
-        )
+        if end.closed_by_target:
+            access.record_break(place, record)
+        else:
+            access.after_check(place.entry.service, record)
--- a/tests/lost_links_run.py
+++ b/tests/lost_links_run.py
@@ -48,6 +48,8 @@
     def __attrs_post_init__(self) -> None:
         """Create the fleet and the random source."""
         self.fleet = ListedFleet(self.seed)
+        # Separate from the source of the fleet: the events must not depend on
+        # the number of requests sent.
         self.rng = random.Random(self.seed)
 
     async def run(self) -> list[str]:
@@ -67,8 +69,9 @@
     async def _send(self) -> None:
         """Send requests one after the other, each to a random router."""
         while self._running:
-            number = self.rng.choice(self.fleet.running)
-            await self.fleet.send(number, self.rng.choice((LLM, DESK, ORDER)))
+            number = self.fleet.rng.choice(self.fleet.running)
+            service = self.fleet.rng.choice((LLM, DESK, ORDER))
+            await self.fleet.send(number, service)
 
     async def _end(self) -> list[str]:
         """Reconnect all hosts, and return what they don't serve then."""
--- a/tests/test_placement_target_access.py
+++ b/tests/test_placement_target_access.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from functools import partial
 
 import attrs
 from parameterized import parameterized
@@ -106,6 +107,40 @@
         self.assertFalse(self.is_unreachable())
         self.assertEqual([one.target for one in self.reports], ['desk-0'])
 
+    async def test_break_after_a_check(self):
+        """Guards against requests that count as crashes by lost links.
+
+        The links are lost just after a check, and break two connections.
+        """
+        self.reach(*(f'desk-{number}' for number in range(8)))
+        self.fail('desk-0')
+        await self.settle()
+        self.connector.reachable.clear()
+        suspected = []
+        access = self.failures.access
+        for name in ('desk-1', 'desk-2'):
+            place = self.places.find(name)
+            access.record_break(place, partial(suspected.append, name))
+        await self.settle()
+        self.clock.advance(0.6)
+        await self.settle()
+        self.assertTrue(self.is_unreachable())
+        self.assertEqual(suspected, [])
+
+    async def test_crash_of_a_target_at_work(self):
+        """Guards against losing what tells of a request that crashes."""
+        self.reach(*(f'desk-{number}' for number in range(1, 8)))
+        suspected = []
+        place = self.places.find('desk-0')
+        for _ in range(2):
+            self.failures.access.record_break(
+                place, partial(suspected.append, 'desk-0')
+            )
+            await self.settle()
+        self.clock.advance(0.6)
+        await self.settle()
+        self.assertEqual(suspected, ['desk-0', 'desk-0'])
+
     async def test_check_covers_zones(self):
         """Guards against taking a cut between zones for the loss of all.
 
