Log what ran at a target when its connection broke

Change: connection_broke, one line for each broken connection, with the shared parts, the fingerprint, and the time since the first event. No decision changes.

--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -1,5 +1,6 @@
 """Classifies how an attempt ended, and records the result."""
 
+import logging
 from collections.abc import Callable
 from functools import partial
 
@@ -18,8 +19,13 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.quarantine import CrashQuarantine
 from balsamreach.relay.response_intakes import AnswerIntake
+from balsamreach.telemetry.logs import log_event
 
 _SERVER_ERROR = 500
+#: Maximum parts of a prompt in a log line.
+_MAX_LOGGED_PARTS = 16
+
+_logger = logging.getLogger(__name__)
 
 
 @attrs.frozen
@@ -135,6 +141,7 @@
         # Silence is as often the network's fault as the target's; only a
         # broken connection indicates a crash.
         if end is not None and end != SILENT:
+            _log_break(call, place, intake, end)
             self._record_break(call, place, end)
         self.chooser.record_failure(place, certain=False)
         reason = intake.problem or (end and end.reason) or ''
@@ -150,3 +157,27 @@
             access.record_break(place, record)
         else:
             access.after_check(place.entry.service, record)
+
+
+def _log_break(
+    call: RelayCall,
+    place: RelayTarget,
+    intake: AnswerIntake,
+    end: UpstreamFault,
+) -> None:
+    """Log what ran at a target when its connection broke."""
+    shared = () if call.prompt is None else call.prompt.shared
+    log_event(
+        _logger,
+        logging.WARNING,
+        'connection_broke',
+        request_id=call.request_id,
+        team=call.team_name,
+        reason=end.reason,
+        service=call.service,
+        target=place.incarnation,
+        by_target=end.closed_by_target,
+        answering_ms=intake.progress and intake.progress.answering_ms,
+        parts=[part.part_id for part in shared[:_MAX_LOGGED_PARTS]],
+        fingerprint=call.fingerprint,
+    )
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -8,6 +8,7 @@
 from balsamreach.dispatch.upstream import UpstreamFault
 from balsamreach.placement.relay_targets import RelayTarget, TargetEntry
 from balsamreach.relay import faults
+from balsamreach.relay.answer_progress import AnswerProgress
 from balsamreach.relay.attempt_history import AttemptHistory
 from balsamreach.relay.attempt_parts import RelayAttemptParts
 from balsamreach.relay.attempt_results import Verdict
@@ -135,9 +136,11 @@
         """
         self.history.tried.add(place.incarnation)
         self.backup.prepare_attempt(place, self.delivery.last_id)
+        progress = AnswerProgress(self.parts.clock)
         intake = self.delivery.make_intake(
-            partial(self._on_events, place.entry)
+            partial(self._on_events, place.entry, progress)
         )
+        intake.progress = progress
         in_flight = self.parts.chooser.begin(self.call, place)
         self.parts.link.add(self.call.size, self.call.team_name)
         sent_at = self.parts.clock.now()
@@ -163,7 +166,8 @@
         engine = self.backup.take(end, self.delivery.last_id)
         return fault if engine is None else await self.send_to(engine)
 
-    def _on_events(self, entry: TargetEntry) -> None:
+    def _on_events(self, entry: TargetEntry, progress: AnswerProgress) -> None:
+        progress.record_events()
         failures = self.parts.chooser.failures
         failures.access.record_heard(entry.service)
         self.selection.bind(entry.release)
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from balsamreach.dispatch.upstream import Intake
+from balsamreach.relay.answer_progress import AnswerProgress
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.codec import AnswerHead, Codec
 from balsamreach.relay.events import EventSplitter
@@ -30,6 +31,9 @@
         Why the response is invalid; empty if it is not.
     held : bytearray
         The bytes received so far, unless they were forwarded.
+    progress : AnswerProgress or None
+        For how long the target has written events; None if another router
+        receives the response of the target.
     """
 
     def __init__(self, codec: Codec, request_id: str) -> None:
@@ -39,6 +43,7 @@
         self.head: AnswerHead | None = None
         self.problem = ''
         self.body = bytearray()
+        self.progress: AnswerProgress | None = None
 
     @property
     def is_success(self) -> bool:
