--- a/src/balsamreach/standins/listed_target.py
+++ b/src/balsamreach/standins/listed_target.py
@@ -7,9 +7,13 @@
 """
 
 import asyncio
+import socket
+import struct
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 
 import attrs
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.web import Application, RequestHandler
 
 from balsamreach.clock import Clock
@@ -19,6 +23,8 @@
 SENDER = 'X-Sender'
 #: Seconds for which a target that fell over is down.
 _DOWN_S = 1.0
+#: Closes a socket by a reset, as a host does whose process has been killed.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 @attrs.frozen(kw_only=True)
@@ -37,6 +43,8 @@
         Whether the target ran the request.
     retry_after : float
         ``Retry-After`` of the rejection in seconds; 0 for none.
+    shared_parts : frozenset of str
+        Parts of its prompt, without the last one.
     """
 
     sender: str
@@ -44,6 +52,7 @@
     at: float
     ran: bool = True
     retry_after: float = 0
+    shared_parts: frozenset[str] = frozenset()
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -79,6 +88,17 @@
     fallen_at : list of float
         Monotonic seconds at which it fell over. It closes all connections
         for a while then.
+    crashing_parts : set of str
+        Parts of prompts that crash the target when it begins to answer.
+    crash_delay : float
+        Seconds from the arrival of such a request to the crash.
+    on_crash : callable
+        Called with the target when it crashes.
+    delimited : bool
+        Whether streams are sent in chunks; otherwise they end with their
+        connection.
+    streams : set of IOStream
+        Connections of the requests in progress.
     """
 
     target_id: str
@@ -93,6 +113,11 @@
     retry_after: float = 0
     max_rejections: int = 0
     fallen_at: list[float] = attrs.field(factory=list)
+    crashing_parts: set[str] = attrs.field(factory=set)
+    crash_delay: float = 0
+    on_crash: Callable[['ListedTarget'], None] | None = None
+    delimited: bool = True
+    streams: set[IOStream] = attrs.field(factory=set)
     running: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
 
@@ -115,6 +140,25 @@
         if 0 < self.max_rejections < rejections:
             self.fallen_at.append(self.clock.now())
 
+    def break_connections(self, *, by_reset: bool) -> None:
+        """Close the connections of all requests in progress.
+
+        Parameters
+        ----------
+        by_reset : bool
+            Whether each is reset, and not closed in order.
+        """
+        for stream in tuple(self.streams):
+            if by_reset and stream.socket is not None:
+                stream.socket.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
+            stream.close()
+
+    def crashes_on(self, shared_parts: Iterable[str]) -> bool:
+        """Return whether a prompt with these parts crashes the target."""
+        return not self.crashing_parts.isdisjoint(shared_parts)
+
     def _has_fallen_since(self, since: float) -> bool:
         return any(at >= since for at in self.fallen_at)
 
@@ -139,11 +183,19 @@
             self._reject()
             return
         self._record_arrival(ran=True)
+        await self._run_counted()
+
+    async def _run_counted(self) -> None:
+        stream = self.request.connection.stream
         self.target.running += 1
+        self.target.streams.add(stream)
         try:
             await self._run()
+        except StreamClosedError:
+            self._finished = True
         finally:
             self.target.running -= 1
+            self.target.streams.discard(stream)
 
     def _set_notices(self) -> None:
         if self.target.max_rejections:
@@ -159,6 +211,7 @@
             at=self.target.clock.now(),
             ran=ran,
             retry_after=retry_after,
+            shared_parts=self._shared_parts(),
         )
         self.target.arrivals.append(arrival)
 
@@ -177,16 +230,46 @@
             await asyncio.sleep(self.target.work)
             self.finish(f'done {self.request.headers["Attempt-Id"]}')
             return
+        if self.target.crashes_on(self._shared_parts()):
+            await asyncio.sleep(self.target.crash_delay)
+            self.target.on_crash(self.target)
+            return
         self.set_header('Content-Type', 'text/event-stream')
+        if self.target.delimited:
+            await self._send_events()
+            self.finish()
+            return
+        await self._send_undelimited()
+
+    async def _send_events(self) -> None:
         first = int(self.request.headers.get('Last-Event-Id') or 0) + 1
         for number in range(first, self.target.events + 1):
-            self.write(f'id: {number}\ndata: {self.target.release}\n\n')
-            await self.flush()
+            await self._send_event(number)
             if number == self.target.breaks_after:
                 self.request.connection.stream.close()
-                return
+                raise StreamClosedError
             await asyncio.sleep(self.target.work)
-        self.finish()
+
+    async def _send_event(self, number: int) -> None:
+        self.write(f'id: {number}\ndata: {self.target.release}\n\n')
+        await self.flush()
+
+    async def _send_undelimited(self) -> None:
+        """Send a stream without a length, whose end is the connection's."""
+        lines = [f'{name}: {text}' for name, text in self._headers.get_all()]
+        stream = self.detach()
+        head = '\r\n'.join(['HTTP/1.1 200 OK', *lines, '', ''])
+        await stream.write(head.encode())
+        first = int(self.request.headers.get('Last-Event-Id') or 0) + 1
+        for number in range(first, self.target.events + 1):
+            event = f'id: {number}\ndata: {self.target.release}\n\n'
+            await stream.write(event.encode())
+            await asyncio.sleep(self.target.work)
+        stream.close()
+
+    def _shared_parts(self) -> frozenset[str]:
+        parts = self.request.headers.get('Prompt-Prefix', '').split(',')
+        return frozenset(part.partition(':')[0] for part in parts[:-1])
 
 
 def make_listed_target(target: ListedTarget) -> Application:
--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -28,6 +28,8 @@
 
 LLM = 'llm'
 DESK = 'desk'
+#: Route of streams of the service LLM that can't be resumed.
+CHAT = 'chat'
 #: Route of requests to the service DESK that may run once at most.
 ORDER = 'order'
 #: Requests that a router may send to a target during the back-off that the
@@ -49,6 +51,13 @@
             'stream_resume': True,
         },
         _ROUTE
+        | {
+            'name': CHAT,
+            'prefix': f'/{CHAT}/',
+            'service': LLM,
+            'route_type': 'streaming',
+        },
+        _ROUTE
         | {
             'name': DESK,
             'prefix': f'/{DESK}/',
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import zlib
 
 import attrs
 
@@ -31,6 +32,11 @@
         Status of each attempt, 0 for none.
     is_complete : bool
         Whether the stream has ended normally.
+    route : str
+        First element of the path.
+    shared_parts : tuple of str
+        Parts of the prompt that other requests have as well; one at random
+        if there are none.
     """
 
     fleet: ListedFleet
@@ -40,6 +46,8 @@
     statuses: list[int] = attrs.field(factory=list)
     is_complete: bool = False
     first_attempt: str = ''
+    route: str = LLM
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def is_mixed(self) -> bool:
@@ -87,14 +95,17 @@
             self.first_attempt = self.first_attempt or request_id
 
     def _request(self, request_id: str) -> bytes:
+        shared = self.shared_parts or (f'{self.fleet.rng.randrange(1000):x}',)
+        own = f'{zlib.crc32(self.name.encode()):x}'
+        parts = ','.join(f'{part}:20' for part in (*shared, own))
         lines = [
-            f'POST /{LLM}/{request_id} HTTP/1.1',
+            f'POST /{self.route}/{request_id} HTTP/1.1',
             'Host: host.example',
             'Authorization: Bearer key-a',
             f'Attempt-Id: {request_id}',
             'Model-Name: model-a',
             'Token-Counts: 100,50',
-            f'Prompt-Prefix: {self.fleet.rng.randrange(1000):x}:60,ffff:40',
+            f'Prompt-Prefix: {parts}',
             'Content-Length: 0',
             'Connection: close',
         ]
