Find parts of prompts that crash targets, and quarantine them

Cause: blame hung on the whole request (team, path, body). Requests that share a crashing part and nothing else had a fingerprint each, so none was ever at two crashes. Beside it: - a rejection (503, 421) and a stream without a length that a crash had cut off counted as the normal end that clears a suspect; - the quarantine was asked before the first attempt only, and not at all by a router that sends for another one; - a stream that had been answered for seconds counted as a cause of the crash that cut it off; - evidence waited up to half a second for a check of this host's links.

Crashes that a quarantined part explains are taken from all other suspects. The check is made before each attempt.

The row ended_within_event of test_relay_backups states now that its response is framed, as it meant: one without a length has ended with its connection.

--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -184,6 +184,7 @@
             classifier=AttemptClassifier(
                 chooser, quarantine, self.link_parts.delay.is_high
             ),
+            quarantine=quarantine,
             notices=make_notices(chooser, self.metrics),
             clock=self.clock,
             link=self.link_parts.link,
--- a/src/balsamreach/placement/target_access.py
+++ b/src/balsamreach/placement/target_access.py
@@ -24,6 +24,9 @@
 #: other one. A crashed target fails requests for that long, and a check opens
 #: connections to other targets.
 _RECHECK_S = 0.5
+#: The same for broken connections. The request that broke may crash one target
+#: after the other until a check shows that the links of this host are up.
+_BREAK_RECHECK_S = 0.1
 #: Seconds without a byte of any target, although requests are in progress
 #: there, after which open connections may be dead. Sound targets pause for
 #: less as a rule; one that pauses for longer costs a connection.
@@ -185,9 +188,9 @@
         self.start_check(service, failed, 0)
 
     def _schedule(self, service: str, failed: str, state: _Service) -> None:
-        wait = state.reached_at + _RECHECK_S - self.clock.now()
+        wait = state.reached_at + _BREAK_RECHECK_S - self.clock.now()
         if wait <= 0:
-            self._check(service, failed, _RECHECK_S)
+            self._check(service, failed, _BREAK_RECHECK_S)
         elif not state.is_checked and not state.is_scheduled:
             state.is_scheduled = True
             self.start_check(service, failed, wait)
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -50,6 +50,7 @@
     faults.TARGETS_FULL: 503,
     faults.TARGETS_BACK_OFF: 503,
     faults.QUARANTINED: 503,
+    faults.PART_QUARANTINED: 503,
     faults.EXPIRED_BEFORE_SENDING: 503,
     faults.TIMED_OUT: 504,
     faults.BROKEN: 502,
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -74,6 +74,7 @@
             targets.remove_expired,
             exchange.send_leaving_targets,
             parts.run.releases.run_round,
+            parts.run.quarantine.parts.run_round,
         ),
     )
 
--- a/src/balsamreach/relay/attempt_parts.py
+++ b/src/balsamreach/relay/attempt_parts.py
@@ -13,6 +13,7 @@
 from balsamreach.relay.exchange import Exchange
 from balsamreach.relay.forwarding import Forwarder
 from balsamreach.relay.host_link import HostLink
+from balsamreach.relay.quarantine import CrashQuarantine
 from balsamreach.relay.retry_budget import RelayRetryBudget
 
 
@@ -26,6 +27,8 @@
 
     Parameters
     ----------
+    quarantine : CrashQuarantine
+        Decides whether a request may crash targets.
     notices : Notices
         Applies the notices in response headers.
     link : HostLink
@@ -51,6 +54,7 @@
     exchange: Exchange
     retry_budget: RelayRetryBudget
     classifier: AttemptClassifier
+    quarantine: CrashQuarantine
     notices: Notices
     clock: Clock
     link: HostLink
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -7,6 +7,7 @@
 import attrs
 
 from balsamreach.dispatch.upstream import (
+    BROKEN,
     NOT_SENT,
     SILENT,
     ConnectFailure,
@@ -19,6 +20,7 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.quarantine import CrashQuarantine
 from balsamreach.relay.response_intakes import AnswerIntake
+from balsamreach.routing.part_suspects import PartBreak
 from balsamreach.telemetry.logs import log_event
 
 _SERVER_ERROR = 500
@@ -95,7 +97,6 @@
             return self._not_connected(place, end)
         if end is not None or intake.problem:
             return self._broken(call, place, intake, end)
-        self.quarantine.record_end(call, place)
         head = intake.head
         if head.misdirected:
             # The target list is outdated. A target never returns to an address
@@ -107,6 +108,7 @@
             self.chooser.record_rejection(place)
             reason = f'the target declined with status {head.status}'
             return Verdict(faults.TARGETS_FULL.because(reason))
+        self._record_end(call, place, intake)
         if head.status >= _SERVER_ERROR:
             self.chooser.record_failure(place, certain=False)
             reason = f'the target failed with status {head.status}'
@@ -114,6 +116,17 @@
         self.chooser.record_success(place)
         return Verdict(deliverable=True)
 
+    def _record_end(
+        self, call: RelayCall, place: RelayTarget, intake: AnswerIntake
+    ) -> None:
+        # A response without a length that ends with its connection may have
+        # been cut off by a crash.
+        if not intake.is_delimited:
+            return
+        self.quarantine.record_end(call, place)
+        if intake.is_success:
+            self.quarantine.record_answer(call)
+
     def _not_connected(self, place: RelayTarget, end: UpstreamFault) -> Verdict:
         reason = f'no connection: {end.reason}'
         timed_out = end.connect_failure is ConnectFailure.TIMED_OUT
@@ -142,16 +155,31 @@
         # broken connection indicates a crash.
         if end is not None and end != SILENT:
             _log_break(call, place, intake, end)
-            self._record_break(call, place, end)
+            self._record_break(call, place, intake, end)
         self.chooser.record_failure(place, certain=False)
         reason = intake.problem or (end and end.reason) or ''
         return Verdict(faults.BROKEN.because(reason))
 
     def _record_break(
-        self, call: RelayCall, place: RelayTarget, end: UpstreamFault
+        self,
+        call: RelayCall,
+        place: RelayTarget,
+        intake: AnswerIntake,
+        end: UpstreamFault,
     ) -> None:
         access = self.chooser.failures.access
-        record = partial(self.quarantine.record_break, call, place)
+        progress = intake.progress
+        record = partial(
+            self.quarantine.record_break,
+            call,
+            PartBreak(
+                place.incarnation,
+                call.fingerprint,
+                progress.sent_at,
+                self.chooser.clock.now(),
+            ),
+            is_answered=progress.is_proven,
+        )
         # The links of this host may have broken, and not the target.
         if end.closed_by_target:
             access.record_break(place, record)
@@ -159,6 +187,27 @@
             access.after_check(place.entry.service, record)
 
 
+def check_end(
+    intake: AnswerIntake, end: UpstreamFault | None
+) -> UpstreamFault | None:
+    """Return how an exchange ended, by its response too.
+
+    The host of a target that has crashed closes its connections in order. To
+    the transport that is the end of a response without a length.
+
+    Parameters
+    ----------
+    intake : AnswerIntake
+        The response.
+    end : UpstreamFault or None
+        Why the exchange failed by the transport; None if it did not.
+    """
+    if end is not None or not intake.is_cut:
+        return end
+    cut = BROKEN.because('the connection ended before the stream')
+    return attrs.evolve(cut, closed_by_target=True)
+
+
 def _log_break(
     call: RelayCall,
     place: RelayTarget,
@@ -177,7 +226,7 @@
         service=call.service,
         target=place.incarnation,
         by_target=end.closed_by_target,
-        answering_ms=intake.progress and intake.progress.answering_ms,
+        answering_ms=intake.progress.answering_ms,
         parts=[part.part_id for part in shared[:_MAX_LOGGED_PARTS]],
         fingerprint=call.fingerprint,
     )
--- a/src/balsamreach/relay/attempt_selection.py
+++ b/src/balsamreach/relay/attempt_selection.py
@@ -59,6 +59,17 @@
             return None
         return self.parts.chooser.choose(self.call, self.history.tried)
 
+    def check_quarantine(self) -> RelayFault | None:
+        """Return why no attempt may follow, None if one is made now.
+
+        While the request waited, or at its last attempt, it may have turned
+        out that it crashes targets.
+        """
+        refusal = self.parts.quarantine.begin_attempt(self.call)
+        if refusal is not None and self.history.may_have_run:
+            return faults.BROKEN.because(refusal.reason)
+        return refusal
+
     def may_retry(self, fault: RelayFault) -> bool:
         """Return whether another attempt may follow, and count it if so.
 
--- a/src/balsamreach/relay/attempts.py
+++ b/src/balsamreach/relay/attempts.py
@@ -11,7 +11,7 @@
 from balsamreach.relay.answer_progress import AnswerProgress
 from balsamreach.relay.attempt_history import AttemptHistory
 from balsamreach.relay.attempt_parts import RelayAttemptParts
-from balsamreach.relay.attempt_results import Verdict
+from balsamreach.relay.attempt_results import Verdict, check_end
 from balsamreach.relay.attempt_selection import AttemptSelection
 from balsamreach.relay.backups import StreamBackup
 from balsamreach.relay.call import RelayCall
@@ -106,6 +106,9 @@
         self.parts.retry_budget.record_first(self.call.service)
         fault = faults.NO_TARGET.because('no target accepts requests')
         while self._try_limit.allows(self.parts.clock.now()):
+            refusal = self.selection.check_quarantine()
+            if refusal is not None:
+                return refusal
             router = self.selection.choose_router()
             if router is not None:
                 ended = await self._forward(router)
@@ -136,7 +139,10 @@
         """
         self.history.tried.add(place.incarnation)
         self.backup.prepare_attempt(place, self.delivery.last_id)
-        progress = AnswerProgress(self.parts.clock)
+        progress = AnswerProgress(
+            self.parts.clock,
+            partial(self.parts.quarantine.record_answer, self.call),
+        )
         intake = self.delivery.make_intake(
             partial(self._on_events, place.entry, progress)
         )
@@ -160,8 +166,9 @@
             raise
         finally:
             self._end_exchange(in_flight, intake, sent_at)
+        end = check_end(intake, end)
         fault = self._finish_attempt(place, intake, end)
-        if intake.problem:
+        if intake.problem or self.parts.quarantine.check(self.call):
             return fault
         engine = self.backup.take(end, self.delivery.last_id)
         return fault if engine is None else await self.send_to(engine)
--- a/src/balsamreach/relay/faults.py
+++ b/src/balsamreach/relay/faults.py
@@ -69,6 +69,8 @@
 TARGETS_BACK_OFF = RelayFault('targets_back_off', retry_after=1)
 #: The request crashed several targets.
 QUARANTINED = RelayFault('request_quarantined', retry_after=30)
+#: The prompt has a part that crashes targets, or may do so.
+PART_QUARANTINED = RelayFault('part_quarantined', retry_after=30)
 #: The deadline passed before the request was sent to a target.
 EXPIRED_BEFORE_SENDING = RelayFault('deadline_passed')
 #: The deadline passed after the request was sent to a target.
--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -32,6 +32,8 @@
     for fault in (
         faults.CANNOT_FORWARD,
         faults.NO_TARGET,
+        faults.QUARANTINED,
+        faults.PART_QUARANTINED,
         faults.RELEASE_GONE,
         faults.MISDIRECTED,
         faults.TARGETS_FULL,
--- a/src/balsamreach/relay/forwarded_run.py
+++ b/src/balsamreach/relay/forwarded_run.py
@@ -175,7 +175,8 @@
             return faults.CANNOT_FORWARD.because('no target is reached here')
         if not self.is_available() or self.running > _MAX_RUNNING:
             return faults.CANNOT_FORWARD.because('this router has no room')
-        refusal = chooser.refusal(call)
+        refusal = self.parts.quarantine.check_forwarded(call)
+        refusal = refusal or chooser.refusal(call)
         if refusal is not None:
             return refusal
         place = chooser.choose(call, excluded)
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -31,6 +31,9 @@
         Why the response is invalid; empty if it is not.
     held : bytearray
         The bytes received so far, unless they were forwarded.
+    is_delimited : bool
+        Whether the headers say where the body ends; otherwise it ends with
+        its connection.
     progress : AnswerProgress or None
         For how long the target has written events; None if another router
         receives the response of the target.
@@ -43,6 +46,7 @@
         self.head: AnswerHead | None = None
         self.problem = ''
         self.body = bytearray()
+        self.is_delimited = True
         self.progress: AnswerProgress | None = None
 
     @property
@@ -71,6 +75,11 @@
         """Whether the address belongs to another target."""
         return self.head is not None and self.head.misdirected
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether it has ended, and can't be whole."""
+        return False
+
     @property
     def declined(self) -> bool:
         """Whether it is certain that the target did not run the request."""
@@ -82,6 +91,8 @@
         """Receive the status and headers of the response."""
         head = self.codec.read_answer(status, headers)
         self.head = head
+        is_chunked = 'chunked' in headers.get('transfer-encoding', '').lower()
+        self.is_delimited = is_chunked or 'content-length' in headers
         # A late response to an earlier request may arrive on the connection
         # in place of this one's. Forwarded, it would reach the wrong caller.
         if self.for_other_request:
@@ -128,6 +139,13 @@
         self.splitter = splitter
         self.on_events = on_events
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether its connection ended within an event or before the first."""
+        if self.is_delimited or not self.is_success:
+            return False
+        return self.splitter.has_partial or self.splitter.last_id < 0
+
     @property
     def is_full(self) -> bool:
         """Whether reading should pause until the caller has caught up."""
--- a/src/balsamreach/routing/quarantine.py
+++ b/src/balsamreach/routing/quarantine.py
@@ -122,6 +122,8 @@
         """Record a connection that broke before the exchange was complete."""
         now = self.clock.now()
         self.crash_detector.request_ended(fingerprint, target)
+        if self.suspects.is_explained(f'{target}@{incarnation}'):
+            return
         self.crash_detector.record_break(
             BrokenConnection(fingerprint, team, target, incarnation, now)
         )
@@ -202,6 +204,7 @@
         target, _at, incarnation = message.target.rpartition('@')
         suspect = self.suspects.by_fingerprint.get(fingerprint)
         is_known = suspect is not None and message.target in suspect.crashes
+        is_known = is_known or self.suspects.is_explained(message.target)
         if is_known or target in self.crash_detector.break_targets(fingerprint):
             return False
         self.crash_detector.record_break(
--- a/src/balsamreach/routing/suspects.py
+++ b/src/balsamreach/routing/suspects.py
@@ -6,6 +6,7 @@
 
 _MAX_REQUESTS = 10_000
 _MAX_CRASHES = 2000
+_MAX_EXPLAINED = 1000
 #: Seconds after the last crash at which a record expires.
 _RECORD_LIFETIME = 3600.0
 
@@ -56,6 +57,7 @@
     threshold: int
     by_fingerprint: OrderedDict[str, Suspect] = attrs.field(factory=OrderedDict)
     _present_at: OrderedDict[str, set[str]] = attrs.field(factory=OrderedDict)
+    _explained: dict[str, None] = attrs.field(factory=dict)
 
     def record_crash(
         self,
@@ -78,8 +80,11 @@
         Returns
         -------
         bool
-            False if it was recorded already or happened before a lift.
+            False if it was recorded already, happened before a lift, or has
+            another cause.
         """
+        if crash in self._explained:
+            return False
         suspect = self.by_fingerprint.get(fingerprint)
         if suspect is None:
             suspect = Suspect(team)
@@ -122,6 +127,29 @@
         self._evict(at)
         return True
 
+    def explain(self, crash: str) -> None:
+        """Remove a crash that none of the requests present has caused.
+
+        Parameters
+        ----------
+        crash : str
+            Crash id, ``target@incarnation``.
+        """
+        self._explained[crash] = None
+        while len(self._explained) > _MAX_EXPLAINED:
+            self._explained.pop(next(iter(self._explained)))
+        for fingerprint in self._present_at.pop(crash, ()):
+            suspect = self.by_fingerprint[fingerprint]
+            suspect.crashes.pop(crash)
+            if len(suspect.targets) < self.threshold:
+                suspect.quarantined_at = 0
+            if not suspect.crashes and not suspect.lifted_at:
+                self.by_fingerprint.pop(fingerprint)
+
+    def is_explained(self, crash: str) -> bool:
+        """Return whether a crash has another cause than its requests."""
+        return crash in self._explained
+
     def suspicion(self, fingerprint: str) -> float:
         """Return the suspicion: each crash counts as one, split among suspects.
 
--- a/src/balsamreach/wire/kinds.py
+++ b/src/balsamreach/wire/kinds.py
@@ -29,6 +29,7 @@
     Members,
     MembersAsk,
 )
+from balsamreach.wire.part_reports import PartReport, PartReports
 from balsamreach.wire.rates import (
     RateDemands,
     RatePart,
@@ -100,4 +101,6 @@
     StreamsBegun,
     ReleaseAsk,
     ReleaseTold,
+    PartReport,
+    PartReports,
 )
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -60,6 +60,8 @@
     streamsBegun @50 :StreamsBegun;
     releaseAsk @51 :ReleaseAsk;
     releaseTold @52 :ReleaseTold;
+    partReport @53 :PartReport;
+    partReports @54 :PartReports;
   }
   traceparent @31 :Text;
   # W3C trace context of the request that a question belongs to; empty for
@@ -407,3 +409,18 @@
   ageMs @2 :UInt32;
   seen @3 :List(Text);
 }
+
+struct PartReport {
+  service @0 :Text;
+  model @1 :Text;
+  part @2 :Text;
+  outcome @3 :Text;
+  target @4 :Text;
+  fingerprint @5 :Text;
+  ranMs @6 :UInt32;
+  ageMs @7 :UInt32;
+}
+
+struct PartReports {
+  reports @0 :List(PartReport);
+}
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -76,6 +76,7 @@
             exchange=self.exchange,
             retry_budget=self.retry_budget,
             classifier=AttemptClassifier(self.chooser, quarantine),
+            quarantine=quarantine,
             notices=make_notices(self.chooser, self.metrics),
             clock=self.clock,
             link=self.link,
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -51,6 +51,8 @@
         [
             ('by_reset', True, True, 6),
             ('undelimited_in_order', False, False, 6),
+            ('in_order', False, True, 6),
+            ('rare', True, False, 2),
         ]
     )
     async def test_target_after_target(self, _name, by_reset, delimited, rate):
@@ -60,6 +62,24 @@
         await self.run_callers(rate)
         late = self.targets.late_arrivals(_KNOWN_AFTER, _GRACE_S)
         self.assertLessEqual(late, _MAX_LATE)
+        self.assert_sound_served()
+
+    async def test_routers_that_have_restarted(self):
+        """Guards against a part that is unknown to routers which start anew."""
+        restarts = asyncio.ensure_future(self.restart_routers())
+        await self.run_callers(6)
+        await restarts
+        late = self.targets.late_arrivals(_KNOWN_AFTER, _GRACE_S)
+        self.assertLessEqual(late, _MAX_LATE)
+
+    async def restart_routers(self):
+        """Kill one router after the other while the part is sent."""
+        await asyncio.sleep(_QUIET_S + _CRASHING_S / 2)
+        for _ in range(_ROUTERS):
+            await self.fleet.kill_router()
+
+    def assert_sound_served(self):
+        """Check that sound requests begin as before once the part is known."""
         began = self.callers.sound[0].at
         quiet = self.callers.served_share(began, began + _QUIET_S)
         known_at = self.targets.crashed_at[:_KNOWN_AFTER][-1]
--- a/tests/test_relay_backups.py
+++ b/tests/test_relay_backups.py
@@ -182,7 +182,14 @@
             ('cut_by_router', answer(200, event(1), end=BROKEN)),
             ('no_event', answer(200, event(1)[:7], end=_CLOSED)),
             ('no_id', answer(200, b'data: x\n\n', end=_CLOSED)),
-            ('ended_within_event', answer(200, event(1) + event(2)[:7])),
+            (
+                'ended_within_event',
+                answer(
+                    200,
+                    event(1) + event(2)[:7],
+                    transfer_encoding='chunked',
+                ),
+            ),
             ('gap', answer(200, event(1) + event(3), end=_CLOSED)),
         )
     )
