Give the store's time and current rows in its stand-in

Its answers lacked now_ms, by which routers tell how old reports are, and a failed condition came without the current rows. Change: both are sent.

--- a/src/balsamreach/standins/row_store.py
+++ b/src/balsamreach/standins/row_store.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
@@ -17,6 +18,7 @@
 from balsamreach.standins.handlers import log_nothing
 
 _Key = tuple[str, str, str]
+_MS = 1000
 
 
 @attrs.define(eq=False)
@@ -107,8 +109,10 @@
             self.finish()
 
     def reply(self, **fields: Any) -> None:
-        """Respond with fields and the newest version."""
-        self.finish(json.dumps(fields | {'ver': self.state.version}))
+        """Respond with fields, the newest version and the store's time."""
+        now_ms = round(time.monotonic() * _MS)
+        common = {'ver': self.state.version, 'now_ms': now_ms}
+        self.finish(json.dumps(fields | common))
 
 
 class _ReadHandler(_StoreHandler):
@@ -165,7 +169,7 @@
         for check in body['expected_rev']:
             if self.state.version_of(_parse_key(check)) != check['ver']:
                 self.set_status(HTTPStatus.PRECONDITION_FAILED)
-                self.reply(rows=[])
+                self.reply(rows=self._current_rows(body['expected_rev']))
                 return
         writes = [(_parse_key(row), row['value']) for row in body['writes']]
         removed = [(_parse_key(row), None) for row in body['remove']]
@@ -176,6 +180,14 @@
             return
         self.reply()
 
+    def _current_rows(self, checks: list[dict[str, Any]]) -> list[Any]:
+        keys = [_parse_key(check) for check in checks]
+        return [
+            _row_json(key, *self.state.rows[key])
+            for key in keys
+            if key in self.state.rows
+        ]
+
 
 def make_row_store(state: RowStoreState) -> Application:
     """Return the application that serves a row store."""
