--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -121,7 +121,7 @@
     ) -> None:
         # A response without a length that ends with its connection may have
         # been cut off by a crash.
-        if not intake.is_delimited:
+        if not intake.shows_end:
             return
         self.quarantine.record_end(call, place)
         if intake.is_success:
--- a/src/balsamreach/relay/part_evidence.py
+++ b/src/balsamreach/relay/part_evidence.py
@@ -75,7 +75,7 @@
 
     def apply_answer(self, key: PartKey, at: float) -> bool:
         """Record an answer; return whether its part was suspected."""
-        breaks = self.suspects.breaks(key)
+        breaks = self._count_breaks(key)
         was_quarantined = self._is_quarantined(key)
         if not self.suspects.record_answer(key, at):
             return False
@@ -95,7 +95,7 @@
         is_new = self.suspects.record_break(
             key, PartBreak(report.target, report.fingerprint, sent_at, at)
         )
-        breaks = self.suspects.breaks(key)
+        breaks = self._count_breaks(key)
         if is_new and breaks >= _LOGGED_BREAKS:
             log_part('part_suspected', key, target=report.target, breaks=breaks)
         if was_quarantined:
@@ -112,16 +112,20 @@
         return True
 
     def _on_quarantined(self, key: PartKey) -> None:
-        targets = self.suspects.targets(key)
-        self.on_explained(targets)
+        record = self.suspects.find(key)
+        self.on_explained(frozenset(record.targets))
         self._update_gauge()
         log_part(
             'part_quarantined',
             key,
-            targets=sorted(targets),
-            breaks=self.suspects.breaks(key),
+            targets=sorted(record.targets),
+            breaks=len(record.breaks),
         )
 
+    def _count_breaks(self, key: PartKey) -> int:
+        record = self.suspects.find(key)
+        return 0 if record is None else len(record.breaks)
+
     def _is_quarantined(self, key: PartKey) -> bool:
         state = self.suspects.state(key, self.clock.now())
         return state is PartState.QUARANTINED
--- a/src/balsamreach/relay/part_quarantine.py
+++ b/src/balsamreach/relay/part_quarantine.py
@@ -125,16 +125,8 @@
         broken : PartBreak
             Its target, and when it was sent and broke.
         """
-        age = self.clock.now() - broken.broke_at
-        ran_ms = round((broken.broke_at - broken.sent_at) * _MS)
         for key in _keys_of(call):
-            report = attrs.evolve(
-                make_report(key, BROKE, age),
-                target=broken.target,
-                fingerprint=broken.fingerprint,
-                ran_ms=ran_ms,
-            )
-            self._observe(report)
+            self._observe(_report_break(key, broken, self.clock.now()))
 
     def record_answer(self, call: RelayCall) -> None:
         """Record that a target has answered a request."""
@@ -164,7 +156,11 @@
             if key not in announced:
                 announced.add(key)
                 outbox.add(report)
-        outbox.inform_new(tuple(reports.values()))
+        suspected = (
+            _report_break(suspect, broken, now)
+            for suspect, broken in self.suspects.suspected()
+        )
+        outbox.inform_new((*reports.values(), *suspected))
 
     def _observe(self, report: PartReport) -> None:
         if self.evidence.apply(report):
@@ -202,6 +198,15 @@
     return rendezvous_weight(key.part, me) / _WEIGHTS
 
 
+def _report_break(key: PartKey, broken: PartBreak, now: float) -> PartReport:
+    return attrs.evolve(
+        make_report(key, BROKE, now - broken.broke_at),
+        target=broken.target,
+        fingerprint=broken.fingerprint,
+        ran_ms=round((broken.broke_at - broken.sent_at) * _MS),
+    )
+
+
 def _keys_of(call: RelayCall) -> Iterator[PartKey]:
     if call.prompt is not None:
         for part in call.prompt.shared[:_MAX_PARTS]:
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -11,6 +11,9 @@
 #: Maximum size of a plain response, which is buffered until it is complete.
 #: A larger one is refused, since its caller could get an incomplete response.
 _MAX_PLAIN_BYTES = 8 << 20
+#: Events of a stream without a length that show that its target was not
+#: crashed by it: that happens as the target begins to answer.
+_PROOF_EVENTS = 2
 _OK = 200
 _MULTIPLE_CHOICES = 300
 _SERVER_ERROR = 500
@@ -80,6 +83,11 @@
         """Whether it has ended, and can't be whole."""
         return False
 
+    @property
+    def shows_end(self) -> bool:
+        """Whether an end in order shows that the target did not crash."""
+        return self.is_delimited or bool(self.body)
+
     @property
     def declined(self) -> bool:
         """Whether it is certain that the target did not run the request."""
@@ -124,6 +132,8 @@
         Splits the stream; shared by all attempts of the request.
     on_events : callable
         Called with the number of forwarded events and their bytes.
+    events : int
+        Events forwarded.
     """
 
     def __init__(
@@ -138,6 +148,7 @@
         self.caller_response = caller_response
         self.splitter = splitter
         self.on_events = on_events
+        self.events = 0
 
     @property
     def is_cut(self) -> bool:
@@ -146,6 +157,11 @@
             return False
         return self.splitter.has_partial or self.splitter.last_id < 0
 
+    @property
+    def shows_end(self) -> bool:
+        """Whether an end in order shows that the target did not crash."""
+        return self.is_delimited or self.events >= _PROOF_EVENTS
+
     @property
     def is_full(self) -> bool:
         """Whether reading should pause until the caller has caught up."""
@@ -161,6 +177,7 @@
         if not events:
             return
         self._start_caller_response()
+        self.events += len(events)
         chunk = b''.join(event.raw for event in events)
         self.on_events(len(events), len(chunk))
         self.caller_response.write(chunk)
--- a/src/balsamreach/routing/part_suspects.py
+++ b/src/balsamreach/routing/part_suspects.py
@@ -78,8 +78,20 @@
 
 
 @attrs.define(eq=False)
-class _Record:
-    """What is known of a suspected part."""
+class PartRecord:
+    """What is known of a suspected part.
+
+    Parameters
+    ----------
+    breaks : list of PartBreak
+        Breaks that count against it, in their order.
+    targets : set of str
+        Targets at whose crashes it was present.
+    tried_at : float
+        Monotonic seconds of the last trial.
+    quarantined_at : float or None
+        Monotonic seconds at which its quarantine began, None if it has not.
+    """
 
     breaks: list[PartBreak] = attrs.field(factory=list)
     targets: set[str] = attrs.field(factory=set)
@@ -133,7 +145,9 @@
     meanwhile: otherwise the service itself may be at fault.
     """
 
-    _records: OrderedDict[PartKey, _Record] = attrs.field(factory=OrderedDict)
+    _records: OrderedDict[PartKey, PartRecord] = attrs.field(
+        factory=OrderedDict
+    )
     _answered: OrderedDict[PartKey, float] = attrs.field(factory=OrderedDict)
     _services: dict[str, float] = attrs.field(factory=dict)
 
@@ -149,7 +163,7 @@
         """
         if self.clears(key, broken.broke_at):
             return False
-        record = self._records.setdefault(key, _Record())
+        record = self._records.setdefault(key, PartRecord())
         self._records.move_to_end(key)
         _evict(self._records)
         if not record.add(broken):
@@ -213,7 +227,7 @@
         """
         if self.clears(key, at):
             return False
-        record = self._records.setdefault(key, _Record())
+        record = self._records.setdefault(key, PartRecord())
         was_known = record.quarantined_at is not None
         record.quarantined_at = max(at, record.quarantined_at or at)
         _evict(self._records)
@@ -256,15 +270,9 @@
         opens_at += position * _TRIAL_SPREAD_S
         return now >= opens_at and now - record.tried_at >= _TRIAL_S
 
-    def targets(self, key: PartKey) -> frozenset[str]:
-        """Return the targets at whose crashes a part was present."""
-        record = self._records.get(key)
-        return frozenset() if record is None else frozenset(record.targets)
-
-    def breaks(self, key: PartKey) -> int:
-        """Return how many breaks count against a part."""
-        record = self._records.get(key)
-        return 0 if record is None else len(record.breaks)
+    def find(self, key: PartKey) -> PartRecord | None:
+        """Return what is known of a part, None if it is not suspected."""
+        return self._records.get(key)
 
     def quarantined(self) -> tuple[tuple[PartKey, float], ...]:
         """Return all quarantined parts, and when each quarantine began."""
@@ -274,6 +282,16 @@
             if record.quarantined_at is not None
         )
 
+    def suspected(self) -> tuple[tuple[PartKey, PartBreak], ...]:
+        """Return the breaks that count against parts on trial."""
+        return tuple(
+            (key, broken)
+            for key, record in self._records.items()
+            if record.quarantined_at is None
+            and len(record.breaks) >= _TRIAL_BREAKS
+            for broken in record.breaks
+        )
+
     def is_empty(self) -> bool:
         """Return whether no part is suspected."""
         return not self._records
--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -56,7 +56,7 @@
     down_s : float
         Seconds for which the address of a crashed target refuses connections.
     crashed_at : list of float
-        Monotonic seconds of all crashes.
+        Monotonic seconds of the crashes that a part has caused.
     crashing_parts : set of str
         Parts that crash the targets.
     """
@@ -94,12 +94,17 @@
         self.fleet.list_target(name, LLM, f'127.0.0.1:{port}')
         return target
 
-    def crash(self, target: ListedTarget) -> None:
+    def running(self) -> list[ListedTarget]:
+        """Return the targets that have not crashed."""
+        return [self.fleet.targets[name] for name in self._servers]
+
+    def crash(self, target: ListedTarget, *, by_chance: bool = False) -> None:
         """End a target; another one starts at its address a while later."""
         server = self._servers.pop(target.target_id, None)
         if server is None:
             return
-        self.crashed_at.append(self.fleet.clock.now())
+        if not by_chance:
+            self.crashed_at.append(self.fleet.clock.now())
         server.stop()
         target.break_connections(by_reset=self.by_reset)
         task = asyncio.ensure_future(self._replace(target.target_id, server))
--- a/tests/test_relay_part_quarantine.py
+++ b/tests/test_relay_part_quarantine.py
@@ -280,6 +280,14 @@
         crashes = self.quarantine.quarantine.crash_detector
         self.assertEqual(bool(crashes.unexplained_targets()), status != 200)
 
+    def test_short_streams_without_a_length(self):
+        """Guards against blaming parts whose answers have no certain end."""
+        for _ in range(4):
+            self.crash(1)
+            answered = answer(200, _EVENT, _EVENT.replace(b'1', b'2'))
+            self.run_call(_call(_CRASHING, 97), answered)
+        self.assertIsNone(self.quarantine.check(_call(_CRASHING, 99)))
+
     def test_forwarded_by_another_router(self):
         """Guards against crashes on the longer way."""
         self.crash(3)
