Count crashes of a part at one hub, and in the order of their times

What operators would see: at the target size a rack that dies with thousands of streams makes every router tell all others of each part that was there.

Cause: reports of first crashes were broadcast, although nearly all of them are cleared a moment later. Found by the test of a fleet with hubs: a router that had seen the second crash itself did not count the first one when it was told, and did not pass it on.

Change: in a fleet with hubs a part has a keeper, the hub of a zone chosen by rendezvous hashing; it tells the others from the second crash on. Breaks are kept and counted in the order of their times. bench/slopes_parts.py measures the cost; seeded runs draw the same events for a seed each time, and a caller without an end is a breach, not the end of the run.

LargeFleetTest runs all cases of the small fleet with hubs.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,6 +25,7 @@
     slopes_takeover,
 )
 from bench.slopes_kinds import Measure, Size
+from bench.slopes_parts import MEASURES as PART_MEASURES
 from bench.slopes_releases import MEASURES as RELEASE_MEASURES
 
 _MEASURES: dict[str, Measure] = {
@@ -37,6 +38,7 @@
     **slopes_takeover.MEASURES,
     **slopes_fleet.MEASURES,
     **RELEASE_MEASURES,
+    **PART_MEASURES,
 }
 _OUT = Path('build') / 'bench' / 'slopes.json'
 _RUNS = 3
--- a/bench/slopes_releases.py
+++ b/bench/slopes_releases.py
@@ -82,9 +82,7 @@
     async def run(self) -> float:
         """Return CPU microseconds for each stream, both ends together."""
         nets = self.network.nets.values()
-        hubs: HubSelector = NoHubs()
-        if self.routers > _MAX_FULL_MESH:
-            hubs = _FixedHubs(net.me for net in nets)
+        hubs = make_hubs(net.me for net in nets)
         routers = [self._make_router(net, hubs) for net in nets]
         began_at = time.process_time()
         for call in self.began:
@@ -108,6 +106,14 @@
         return releases
 
 
+def make_hubs(members: Iterable[Member]) -> HubSelector:
+    """Return the hubs of a fleet, none of a small one."""
+    everyone = tuple(members)
+    if len(everyone) <= _MAX_FULL_MESH:
+        return NoHubs()
+    return _FixedHubs(everyone)
+
+
 def _make_call(rng: random.Random) -> RelayCall:
     return RelayCall(
         request_id=f'{rng.getrandbits(64):016x}',
--- a/src/balsamreach/relay/part_evidence.py
+++ b/src/balsamreach/relay/part_evidence.py
@@ -156,6 +156,26 @@
     )
 
 
+def report_break(key: PartKey, broken: PartBreak, now: float) -> PartReport:
+    """Return a report about a break.
+
+    Parameters
+    ----------
+    key : PartKey
+        The part.
+    broken : PartBreak
+        The break.
+    now : float
+        Monotonic seconds.
+    """
+    return attrs.evolve(
+        make_report(key, BROKE, now - broken.broke_at),
+        target=broken.target,
+        fingerprint=broken.fingerprint,
+        ran_ms=round((broken.broke_at - broken.sent_at) * _MS),
+    )
+
+
 def log_part(event: str, key: PartKey, **fields: object) -> None:
     """Log an event that concerns a part."""
     log_event(
--- a/src/balsamreach/relay/part_quarantine.py
+++ b/src/balsamreach/relay/part_quarantine.py
@@ -12,11 +12,11 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.part_evidence import (
     PartEvidence,
-    key_of,
     log_part,
     make_report,
+    report_break,
 )
-from balsamreach.relay.part_outbox import PartOutbox
+from balsamreach.relay.part_exchange import PartExchange
 from balsamreach.routing.part_suspects import (
     PartBreak,
     PartKey,
@@ -24,19 +24,14 @@
     PartSuspects,
 )
 from balsamreach.telemetry.metrics import Metrics
-from balsamreach.wire.membership import Member
 from balsamreach.wire.part_reports import (
     ANSWERED,
-    BROKE,
-    QUARANTINED,
     TRIED,
     PartReport,
-    PartReports,
 )
 
 REFUSALS = 'balsamreach_part_refusals_total'
 
-_MS = 1000
 _WEIGHTS = 2**64
 #: Maximum parts of one prompt that are looked at. A caller may name thousands.
 _MAX_PARTS = 32
@@ -65,14 +60,13 @@
     metrics: Metrics
     net: PeerNet | None = None
     evidence: PartEvidence = attrs.field(init=False)
-    _outbox: PartOutbox | None = attrs.field(init=False, default=None)
+    _exchange: PartExchange | None = attrs.field(init=False, default=None)
 
     def __attrs_post_init__(self) -> None:
-        """Receive the reports of other routers."""
+        """Begin without a suspected part."""
         self.evidence = PartEvidence(self.clock, self.metrics)
         if self.net is not None:
-            self._outbox = PartOutbox(self.net, self.clock)
-            self.net.on(PartReports, self._on_reports)
+            self._exchange = PartExchange(self.net, self.clock, self.evidence)
 
     @property
     def suspects(self) -> PartSuspects:
@@ -126,7 +120,7 @@
             Its target, and when it was sent and broke.
         """
         for key in _keys_of(call):
-            self._observe(_report_break(key, broken, self.clock.now()))
+            self._observe(report_break(key, broken, self.clock.now()))
 
     def record_answer(self, call: RelayCall) -> None:
         """Record that a target has answered a request."""
@@ -134,54 +128,21 @@
         if not self.suspects.is_empty():
             self.suspects.record_service_answer(call.service, now)
         for key in _keys_of(call):
-            if self.evidence.apply_answer(key, now):
-                self._send(make_report(key, ANSWERED))
+            if self.suspects.find(key) is None:
+                self.suspects.record_answer(key, now)
+            else:
+                self._observe(make_report(key, ANSWERED))
 
     def run_round(self) -> None:
         """Send what was held back, and what other routers don't know."""
-        if self._outbox is None:
-            return
-        if not self.suspects.is_empty():
-            self._announce(self._outbox)
-        self._outbox.send_replies()
-        self._outbox.flush()
-
-    def _announce(self, outbox: PartOutbox) -> None:
-        now, announced = self.clock.now(), self.evidence.announced
-        reports = {
-            key: make_report(key, QUARANTINED, now - at)
-            for key, at in self.suspects.quarantined()
-        }
-        for key, report in reports.items():
-            if key not in announced:
-                announced.add(key)
-                outbox.add(report)
-        suspected = (
-            _report_break(suspect, broken, now)
-            for suspect, broken in self.suspects.suspected()
-        )
-        outbox.inform_new((*reports.values(), *suspected))
+        if self._exchange is not None:
+            self._exchange.run_round()
 
     def _observe(self, report: PartReport) -> None:
-        if self.evidence.apply(report):
-            self._send(report)
-
-    def _send(self, report: PartReport) -> None:
-        if self._outbox is not None:
-            self._outbox.add(report)
-
-    async def _on_reports(self, sender: Member, message: PartReports) -> None:
-        new = tuple(filter(self.evidence.apply, message.reports))
-        self._outbox.forward(new, sender)
-        now = self.clock.now()
-        for report in message.reports:
-            key = key_of(report)
-            if report.outcome == ANSWERED:
-                self._outbox.replies.pop(key, None)
-            elif self.suspects.clears(key, self.evidence.time_of(report)):
-                # The sender can't know that this router has seen an answer.
-                age = now - self.suspects.answered_at(key)
-                self._outbox.replies[key] = make_report(key, ANSWERED, age)
+        if self._exchange is None:
+            self.evidence.apply(report)
+        else:
+            self._exchange.observe(report)
 
     def _keys_with(
         self, call: RelayCall, state: PartState
@@ -198,15 +159,6 @@
     return rendezvous_weight(key.part, me) / _WEIGHTS
 
 
-def _report_break(key: PartKey, broken: PartBreak, now: float) -> PartReport:
-    return attrs.evolve(
-        make_report(key, BROKE, now - broken.broke_at),
-        target=broken.target,
-        fingerprint=broken.fingerprint,
-        ran_ms=round((broken.broke_at - broken.sent_at) * _MS),
-    )
-
-
 def _keys_of(call: RelayCall) -> Iterator[PartKey]:
     if call.prompt is not None:
         for part in call.prompt.shared[:_MAX_PARTS]:
--- a/src/balsamreach/routing/part_suspects.py
+++ b/src/balsamreach/routing/part_suspects.py
@@ -30,6 +30,7 @@
 _QUARANTINE_S = 3600.0
 _MAX_PARTS = 4096
 _MAX_TARGETS = 64
+_MAX_BREAKS = 16
 
 
 class PartState(enum.Enum):
@@ -83,8 +84,6 @@
 
     Parameters
     ----------
-    breaks : list of PartBreak
-        Breaks that count against it, in their order.
     targets : set of str
         Targets at whose crashes it was present.
     tried_at : float
@@ -93,15 +92,49 @@
         Monotonic seconds at which its quarantine began, None if it has not.
     """
 
-    breaks: list[PartBreak] = attrs.field(factory=list)
     targets: set[str] = attrs.field(factory=set)
     tried_at: float = _NEVER
     quarantined_at: float | None = None
+    _known: list[PartBreak] = attrs.field(factory=list)
+
+    @property
+    def breaks(self) -> list[PartBreak]:
+        """Breaks that count, in their order.
+
+        Targets that crash at the same moment have a common cause elsewhere,
+        so each request must have been sent after the crash before.
+        """
+        counted: list[PartBreak] = []
+        for broken in self._known:
+            if not counted or broken.sent_at >= counted[-1].broke_at:
+                counted.append(broken)
+        return counted
 
     @property
     def last_break_at(self) -> float:
         """Monotonic seconds of the last break that counts."""
-        return self.breaks[-1].broke_at if self.breaks else _NEVER
+        breaks = self.breaks
+        return breaks[-1].broke_at if breaks else _NEVER
+
+    def add(self, broken: PartBreak) -> bool:
+        """Add a break; return whether more breaks count than before.
+
+        Routers report breaks in any order. A request that its caller sends
+        again is found by its fingerprint, and does not count here.
+        """
+        if len(self.targets) < _MAX_TARGETS:
+            self.targets.add(broken.target)
+        if any(
+            broken.target == one.target or broken.fingerprint == one.fingerprint
+            for one in self._known
+        ):
+            return False
+        before = len(self.breaks)
+        self._known.append(broken)
+        self._known.sort(key=_broken_at)
+        if len(self._known) > _MAX_BREAKS:
+            self._known = self.breaks[-_MAX_BREAKS:]
+        return len(self.breaks) > before
 
     def is_proven(self, others_answered_at: float) -> bool:
         """Return whether the breaks show that the part crashes targets.
@@ -111,29 +144,14 @@
         others_answered_at : float
             Monotonic seconds at which a request without it was answered.
         """
-        if len(self.breaks) < _QUARANTINE_BREAKS:
+        breaks = self.breaks
+        if len(breaks) < _QUARANTINE_BREAKS:
             return False
-        return others_answered_at >= self.breaks[0].broke_at
+        return others_answered_at >= breaks[0].broke_at
 
-    def add(self, broken: PartBreak) -> bool:
-        """Return whether a break counts, and add it if so.
 
-        Targets that crash at the same moment have a common cause elsewhere,
-        so each request must have been sent after the crash before. A request
-        that its caller sends again is found by its fingerprint.
-        """
-        if len(self.targets) < _MAX_TARGETS:
-            self.targets.add(broken.target)
-        if broken.sent_at < self.last_break_at:
-            return False
-        known = (
-            broken.target == one.target or broken.fingerprint == one.fingerprint
-            for one in self.breaks
-        )
-        if any(known):
-            return False
-        self.breaks.append(broken)
-        return True
+def _broken_at(broken: PartBreak) -> float:
+    return broken.broke_at
 
 
 @attrs.define(eq=False)
@@ -172,7 +190,7 @@
         # tried again.
         others_at = self._services.get(key.service, _NEVER)
         if record.quarantined_at is not None or record.is_proven(others_at):
-            record.quarantined_at = broken.broke_at
+            record.quarantined_at = record.last_break_at
         return True
 
     def record_answer(self, key: PartKey, at: float) -> bool:
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -423,4 +423,5 @@
 
 struct PartReports {
   reports @0 :List(PartReport);
+  routed @1 :Bool;
 }
--- a/src/balsamreach/wire/part_reports.py
+++ b/src/balsamreach/wire/part_reports.py
@@ -54,6 +54,9 @@
     ----------
     reports : tuple of PartReport
         The reports, in the order in which they were made.
+    routed : bool
+        Whether they are on their way to the keepers of their parts.
     """
 
     reports: tuple[PartReport, ...] = ()
+    routed: bool = False
--- a/tests/crashing_parts_run.py
+++ b/tests/crashing_parts_run.py
@@ -53,6 +53,7 @@
     targets: CrashingTargets = attrs.field(init=False)
     callers: PromptCallers = attrs.field(init=False)
     hosts: CutHosts = attrs.field(factory=CutHosts)
+    _draw: float = 0
 
     def __attrs_post_init__(self) -> None:
         """Create the fleet and the random source."""
@@ -83,7 +84,7 @@
             await self._step()
         await asyncio.gather(crashing, sound)
         await self._stop()
-        return [*self._late(), *self._unserved()]
+        return [*self.callers.hung, *self._late(), *self._unserved()]
 
     async def _start(self) -> None:
         await self.fleet.start(_ROUTERS, desk=1)
@@ -126,6 +127,9 @@
             self._cut_off,
             self._reconnect,
         )
+        # Each event draws as many numbers, whatever happens to the fleet, so
+        # that a seed has the same events each time.
+        self._draw = self.rng.random()
         step = self.rng.choice(steps)
         self.events.append(step.__name__.strip('_'))
         await step()
@@ -138,8 +142,7 @@
 
     async def _crash_by_chance(self) -> None:
         """Crash targets that no request harms."""
-        running = self.targets.running()
-        for target in self.rng.sample(running, min(2, len(running))):
+        for target in self.targets.running()[:2]:
             self.targets.crash(target, by_chance=True)
 
     async def _reset_connections(self) -> None:
@@ -148,8 +151,9 @@
             target.break_connections(by_reset=True)
 
     async def _cut_off(self) -> None:
-        number = self.rng.choice(self.fleet.running)
-        how = self.rng.choice((DROPPED, REFUSED, RESET))
+        running, hows = self.fleet.running, (DROPPED, REFUSED, RESET)
+        number = running[int(self._draw * len(running))]
+        how = hows[int(self._draw * 97) % len(hows)]
         self.hosts.cut_off(self.fleet.routers[number], how)
 
     async def _reconnect(self) -> None:
--- a/tests/crashing_targets.py
+++ b/tests/crashing_targets.py
@@ -159,6 +159,8 @@
         Parts that only some of the sound prompts have.
     sound, crashing : list of Sent
         Requests of either kind.
+    hung : list of str
+        Attempts that got no end in time.
     """
 
     fleet: ListedFleet
@@ -166,6 +168,7 @@
     sessions: int = 10
     sound: list[Sent] = attrs.field(factory=list)
     crashing: list[Sent] = attrs.field(factory=list)
+    hung: list[str] = attrs.field(factory=list)
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
 
     async def send_sound(self, seconds: float, rate: float) -> None:
@@ -204,8 +207,19 @@
             shared_parts=parts,
         )
         at = self.fleet.clock.now()
-        await caller.attempt(self.rng.choice(self.fleet.running))
+        if not await self._attempt(caller):
+            return
         sent.append(Sent(at, caller.last_id > 0, caller.statuses[0]))
         if caller.last_id == 0:
             await asyncio.sleep(_RETRY_S)
-            await caller.attempt(self.rng.choice(self.fleet.running))
+            await self._attempt(caller)
+
+    async def _attempt(self, caller: StreamCaller) -> bool:
+        router = self.rng.choice(self.fleet.running)
+        try:
+            await caller.attempt(router)
+        except TimeoutError:
+            runs = 'runs' if router in self.fleet.running else 'has ended'
+            self.hung.append(f'{caller.name}: no end at {router}, which {runs}')
+            return False
+        return True
--- a/tests/test_relay_part_quarantine.py
+++ b/tests/test_relay_part_quarantine.py
@@ -41,6 +41,9 @@
 class FleetTest(unittest.IsolatedAsyncioTestCase):
     """Each router sees some of the crashes."""
 
+    #: Crashes that make up for the lost reports.
+    crashes_after_loss = 1
+
     def setUp(self):
         self.clock = FakeClock()
         self.net = FakeNet()
@@ -49,9 +52,9 @@
         for _ in range(_ROUTERS):
             self.add_router()
 
-    def add_router(self):
+    def add_router(self, zone='zone-a'):
         """Add a router that knows nothing yet."""
-        net = self.net.join(f'router-{len(self.routers)}')
+        net = self.net.join(f'router-{len(self.routers)}', zone)
         self.routers.append(make_quarantine(2, self.clock, Metrics(), net))
         return self.routers[-1]
 
@@ -108,7 +111,8 @@
         """Guards against a router that never learns of a crashing part."""
         self.net.lost[PartReports] = 4
         await self.quarantine()
-        await self.crash(self.routers[0])
+        for _ in range(self.crashes_after_loss):
+            await self.crash(self.routers[0])
         await self.advance(1)
         for router in self.routers:
             self.assertEqual(
@@ -199,6 +203,44 @@
         self.assertEqual(fault, refused and QUARANTINED)
 
 
+class LargeFleetTest(FleetTest):
+    """The same with hubs, one of which keeps what is seen of a part."""
+
+    crashes_after_loss = 3
+
+    def setUp(self):
+        self.clock = FakeClock()
+        self.net = FakeNet(hubs_per_zone=2)
+        self.routers = []
+        self.numbers = iter(range(100))
+        # The third one of each zone is no hub.
+        for zone in ('zone-a', 'zone-a', 'zone-b', 'zone-b') * 2:
+            self.add_router(zone)
+
+    async def test_cost_of_a_crash(self):
+        """Guards against telling all routers of each part at a crash."""
+        await self.crash(self.routers[-1])
+        sent = [one for one in self.net.sent if isinstance(one, PartReports)]
+        # Two suspected parts, one way or two to a keeper each.
+        self.assertLessEqual(len(sent), 4)
+
+    async def test_keeper_dies(self):
+        """Guards against a suspicion that ends with one router."""
+        for router in self.routers[:2]:
+            await self.crash(router)
+        for router in self.routers:
+            await self.answer(router)
+        self.net.kill('router-0')
+        self.routers.pop(0)
+        await self.advance(4)
+        await self.crash(self.routers[-1])
+        await self.advance(1)
+        for router in self.routers:
+            self.assertEqual(
+                router.check(_call(_CRASHING, 99)), PART_QUARANTINED
+            )
+
+
 class AttemptsTest(unittest.TestCase):
     """One router; its targets crash on a part."""
 
--- a/tests/test_routing_part_suspects.py
+++ b/tests/test_routing_part_suspects.py
@@ -55,6 +55,16 @@
                 [_break(1 + number / 100, number) for number in range(5)],
                 FREE,
             ),
+            ('reported_late', [_break(2, 2), _break(1, 1)], ON_TRIAL),
+            (
+                'many_at_once_and_two_later',
+                [
+                    *(_break(1 + number / 100, number) for number in range(30)),
+                    _break(2, 98),
+                    _break(3, 99),
+                ],
+                QUARANTINED,
+            ),
             (
                 'one_target',
                 [_break(1, 1), _break(2, 1, fingerprint='other')],
