End the search for reached targets whatever ends it

What callers would see: a service whose targets all seemed unreachable stays so at this router for good, and its requests take the longer way or are refused.

Cause: only the check itself ended its mark when it failed; an error in the search that follows it left the service unreachable with nobody looking. Found by reading after.

Change: whatever ends the search, requests are sent from here again; the next failure starts a check.

Result: test_search_for_the_end_that_fails failed before, and passes.

--- a/src/balsamreach/placement/access_checks.py
+++ b/src/balsamreach/placement/access_checks.py
@@ -132,10 +132,14 @@
 
     async def _wait_until_reached(self, service: str) -> None:
         reached = False
-        while not reached:
-            await self.clock.sleep(_RETRY_S)
-            reached = await self._reaches(service, '', 1)
-        self.failures.access.conclude(service, reached=True)
+        try:
+            while not reached:
+                await self.clock.sleep(_RETRY_S)
+                reached = await self._reaches(service, '', 1)
+        finally:
+            # Whatever ends the search, requests must be sent from here again:
+            # nothing else would find out that targets are reached.
+            self.failures.access.conclude(service, reached=True)
         await self._forget_failures(service)
 
     async def _forget_failures(self, service: str) -> None:
--- a/tests/test_placement_target_access.py
+++ b/tests/test_placement_target_access.py
@@ -219,6 +219,17 @@
         await self.settle()
         self.assertTrue(self.is_unreachable())
 
+    async def test_search_for_the_end_that_fails(self):
+        """Guards against a service that stays unreachable for good."""
+        self.fail('desk-0')
+        await self.settle()
+        self.assertTrue(self.is_unreachable())
+        self.connector.fault = ValueError
+        self.clock.advance(1)
+        with self.assertRaises(ValueError):
+            await asyncio.gather(*self.checker.tasks)
+        self.assertFalse(self.is_unreachable())
+
     async def test_address_without_a_valid_port(self):
         """Guards against an entry of the list that ends the check."""
         reached = await TcpConnector().connect('127.0.0.1:70000', 0.2)
