Give the soak's team a prepaid budget, and check that it isn't overspent

Cause: the soak said nothing of budgets, since its stand-in of the store gave routers no tokens. Change: the callers' team is prepaid; in each third seed its tokens run out in mid-run. What targets ran and callers received is summed up against it.

--- a/tests/soak_caller.py
+++ b/tests/soak_caller.py
@@ -12,6 +12,7 @@
 from tests.stream_callers import EVENT
 
 EVENTS = 10
+INPUT_TOKENS = 100
 _DEADLINE_S = 4.0
 _TIMEOUT_S = 15.0
 #: Seconds by which an answer may come after the deadline.
@@ -170,6 +171,9 @@
                 self._breach(attempt, problem)
             if attempt.complete and attempt.status == HTTPStatus.OK:
                 return
+            if attempt.status == HTTPStatus.PAYMENT_REQUIRED:
+                await asyncio.sleep(_REFUSED_PAUSE_S)
+                return
 
     def _breach(self, attempt: Attempt, what: str) -> None:
         self.breaches.append(f'{attempt.request_id}: {what}')
@@ -242,7 +246,7 @@
     }
     if kind == LLM:
         headers['Model-Name'] = 'model-a'
-        headers['Token-Counts'] = f'100,{EVENTS}'
+        headers['Token-Counts'] = f'{INPUT_TOKENS},{EVENTS}'
         headers['Prompt-Prefix'] = (
             f'{zlib.crc32(request_id.encode()):x}:60,ffff:40'
         )
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -24,6 +24,7 @@
 _GRACE_S = 8
 _START_CHECKS = 200
 _CHECK_S = 0.05
+_AMPLE_TOKENS = 10_000_000
 _SETTINGS = """
 node = "{name}"
 ip = "{ip}"
@@ -141,9 +142,12 @@
     ----------
     seed : int
         Seed of the addresses and of random choices.
+    prepaid : int
+        Tokens that the callers' team may use.
     """
 
     seed: int
+    prepaid: int = _AMPLE_TOKENS
     clock: Clock = attrs.field(factory=SystemClock)
     store: RowStoreState = attrs.field(factory=RowStoreState)
     routers: list[RouterProcess] = attrs.field(factory=list)
@@ -190,7 +194,8 @@
     def configure(self) -> None:
         """Write a new version of the configuration."""
         self._version += 2
-        changes = {'version': self._version}
+        team = CONFIGURATION['tenants'][0] | {'prepaid': self.prepaid}
+        changes = {'version': self._version, 'tenants': [team]}
         self.store.write('op', 'config', CONFIGURATION | changes)
 
     def add_target(self, service: str, release: str) -> ListedTarget:
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -15,8 +15,9 @@
 
 from tests.listed_fleet import DESK, LLM, ORDER
 from tests.seeded_runs import run_seeds
-from tests.soak_caller import EVENTS, Attempt, SoakCaller
+from tests.soak_caller import EVENTS, INPUT_TOKENS, Attempt, SoakCaller
 from tests.soak_fleet import SoakFleet
+from tests.stream_callers import EVENT
 
 _ROUTERS = 4
 _MANY_ROUTERS = 16
@@ -26,6 +27,9 @@
 _STEPS = 14
 _STEP_S = 0.5
 _WORK_S = 0.03
+#: In each third seed the callers' tokens are used up in mid-run.
+_SCARCE_EACH = 3
+_SCARCE_TOKENS = 15_000
 #: Seconds after which a leaving target gets nothing new, and those that an
 #: undisturbed router may take to learn it.
 _DRAIN_S = 2.0
@@ -56,6 +60,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.fleet = SoakFleet(self.seed)
+        if self.seed % _SCARCE_EACH == 0:
+            self.fleet.prepaid = _SCARCE_TOKENS
         # Separate from the source of the fleet: the faults must not depend on
         # the number of requests sent.
         self.rng = random.Random(self.seed)
@@ -157,6 +163,7 @@
             *self._runs(),
             *self._lost(),
             *self._late_work(),
+            *self._overspent(),
         ]
 
     def _attempts(self) -> Iterator[Attempt]:
@@ -191,6 +198,19 @@
             if one.is_lost and one.kind != LLM and ran[one.request_id]
         ]
 
+    def _overspent(self) -> list[str]:
+        """Return whether targets and callers saw more use than is prepaid."""
+        ran = self._run_counts()
+        used = sum(
+            INPUT_TOKENS + len(EVENT.findall(one.received))
+            for one in self._attempts()
+            if one.kind == LLM and ran[one.request_id]
+        )
+        self.fleet.statuses['tokens', self.fleet.prepaid] = used
+        if used <= self.fleet.prepaid:
+            return []
+        return [f'{used} tokens used of {self.fleet.prepaid}']
+
     def _late_work(self) -> list[str]:
         """Return requests at targets that had said that they leave."""
         attempts = {one.request_id: one for one in self._attempts()}
