Close no connections before the usual rate is known

Change: a router that has not run for half a minute closes nothing. The usual rate is the mean of that time at first. test_platform_crashing_parts sends sound requests for three seconds more: its row rare had none left to count after the last crash (0 of 0 in the same run), with the bound as it was.

--- a/src/balsamreach/relay/connection_shedding.py
+++ b/src/balsamreach/relay/connection_shedding.py
@@ -30,9 +30,11 @@
 _CROWD_OVER_RATIO = 2
 #: Connections in a second below which there is never a crowd.
 _MIN_CROWD = 20
-#: Weight of the last tick in the usual rate, which follows changes in about
-#: half a minute.
-_USUAL_WEIGHT = 1 / 300
+#: Seconds in which the usual rate follows a change. A router that has not run
+#: for as long knows no usual rate.
+_USUAL_S = 30.0
+#: Weight of the last tick in the usual rate.
+_USUAL_WEIGHT = TICK_S / _USUAL_S
 #: Seconds after which a crowd counts as usual. Connections that don't stop
 #: coming are the load, and refusing them helps nobody.
 _MAX_CROWD_S = 60.0
@@ -76,6 +78,8 @@
     _ticked_at: float | None = None
     _ticks: deque[_Tick] = attrs.field(factory=deque)
     _usual: float = 0
+    _learnt: int = 0
+    _learns_since: float | None = None
     _connections: int = 0
     _crowded_since: float | None = None
     _admitted: float = 0
@@ -107,10 +111,8 @@
         while self._ticks[0].ended_at < now - 1:
             self._ticks.popleft()
         if self._crowded_since is None:
-            self._usual += (tick.rate - self._usual) * _USUAL_WEIGHT
-            if tick.late >= _MAX_LATE_S and self._rate() >= self._limit(
-                _CROWD_RATIO
-            ):
+            self._learn(tick)
+            if tick.late >= _MAX_LATE_S and self._is_crowd():
                 self._begin(tick)
         else:
             self._adjust(tick)
@@ -121,6 +123,18 @@
         seconds = self._ticks[-1].ended_at - self._ticks[0].began_at
         return sum(one.connections for one in self._ticks) / max(1.0, seconds)
 
+    def _learn(self, tick: _Tick) -> None:
+        if self._learns_since is None:
+            self._learns_since = tick.began_at
+        self._learnt += 1
+        weight = max(_USUAL_WEIGHT, 1 / self._learnt)
+        self._usual += (tick.rate - self._usual) * weight
+
+    def _is_crowd(self) -> bool:
+        if self._ticked_at - self._learns_since < _USUAL_S:
+            return False
+        return self._rate() >= self._limit(_CROWD_RATIO)
+
     def _limit(self, ratio: float) -> float:
         return max(_MIN_CROWD, ratio * self._usual)
 
--- a/tests/test_platform_crashing_parts.py
+++ b/tests/test_platform_crashing_parts.py
@@ -14,6 +14,8 @@
 _TARGETS = 6
 _QUIET_S = 1.0
 _CRASHING_S = 6.0
+#: Sound requests come for longer, so that there are some after the last crash.
+_ALL_S = _QUIET_S + _CRASHING_S + 3.0
 #: The promise: requests with the part that may still be sent later than this
 #: many seconds after its fifth crash.
 _KNOWN_AFTER = 5
@@ -40,9 +42,7 @@
         for _ in range(_TARGETS):
             self.targets.add()
         await self.fleet.list_known()
-        sound = asyncio.ensure_future(
-            self.callers.send_sound(_QUIET_S + _CRASHING_S, 40)
-        )
+        sound = asyncio.ensure_future(self.callers.send_sound(_ALL_S, 40))
         await asyncio.sleep(_QUIET_S)
         await self.callers.send_crashing(_CRASHING_S, rate)
         await sound
@@ -83,6 +83,5 @@
         began = self.callers.sound[0].at
         quiet = self.callers.served_share(began, began + _QUIET_S)
         known_at = self.targets.crashed_at[:_KNOWN_AFTER][-1]
-        ends_at = began + _QUIET_S + _CRASHING_S
-        served = self.callers.served_share(known_at + 1, ends_at)
+        served = self.callers.served_share(known_at + 1, began + _ALL_S)
         self.assertGreaterEqual(served, _MIN_SERVED * quiet)
--- a/tests/test_relay_connection_shedding.py
+++ b/tests/test_relay_connection_shedding.py
@@ -15,7 +15,7 @@
 _REQUEST_S = 0.006
 _CLOSING_S = 0.0002
 _USUAL = 10
-_USUAL_S = 30
+_USUAL_S = 31
 _CROWD_S = 8
 #: Seconds within which a request counts as served.
 _SERVED_S = 0.5
@@ -116,6 +116,14 @@
         self.router.run(10, rate, request_s)
         self.assertEqual(self.router.shed, 0)
 
+    @parameterized.expand([(0,), (20,)])
+    def test_unknown_usual_rate(self, seconds):
+        """Guards against taking the first connections for a crowd."""
+        router = _Router()
+        router.run(seconds, _USUAL)
+        router.run(5, 300)
+        self.assertEqual(router.shed, 0)
+
     def test_frozen_process(self):
         """Guards against taking a pause of the process for a crowd."""
         self.router.clock.advance(3)
