Pass on streams without a length whose events have no ids

What callers would see: such a stream, whole, ends as broken (502, or a closed connection).

Cause: whether an event had come was told by the last id alone. Change: events that were passed on count too. Result: the row complete_without_ids failed before, and passes.

--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -155,7 +155,8 @@
         """Whether its connection ended within an event or before the first."""
         if self.is_delimited or not self.is_success:
             return False
-        return self.splitter.has_partial or self.splitter.last_id < 0
+        has_events = self.events > 0 or self.splitter.last_id >= 0
+        return self.splitter.has_partial or not has_events
 
     @property
     def shows_end(self) -> bool:
--- a/tests/test_relay_part_quarantine.py
+++ b/tests/test_relay_part_quarantine.py
@@ -312,6 +312,7 @@
             ('within_event', answer(200, _EVENT, _EVENT[:6]), 502),
             ('before_first_event', answer(200), 502),
             ('complete', answer(200, _EVENT), 200),
+            ('complete_without_ids', answer(200, b'data: x\n\n'), 200),
             ('framed', answer(200, transfer_encoding='chunked'), 200),
         ]
     )
