--- a/review/rig.py
+++ b/review/rig.py
@@ -605,12 +605,15 @@
 
 async def stream_tokens(worker, run, headers, body, writer, gap_s=0.02):
     """Answer a request with a prompt by a stream of events, as engines do."""
-    tokens = int(headers['token-counts'].split(',')[1])
+    tokens_in, tokens = map(int, headers['token-counts'].split(','))
     first = int(headers.get('last-event-id') or 0) + 1
+    # The prompt is read before the first token, 101 tokens in a millisecond.
+    await asyncio.sleep(tokens_in / 101_000)
     writer.write(answer_head(headers, kind='text/event-stream'))
     for number in range(first, max(1, tokens // 6) + 1):
         await asyncio.sleep(gap_s)
-        writer.write(chunk(f'id: {number}\ndata: {"x" * 40}\n\n'.encode()))
+        event = f'id: {number}\ndata: {run.request_id} {"x" * 20}\n\n'
+        writer.write(chunk(event.encode()))
         await writer.drain()
     writer.write(b'0\r\n\r\n')
     await writer.drain()
