--- a/review/rig.py
+++ b/review/rig.py
@@ -195,7 +195,8 @@
         self.changed = asyncio.Event()
 
     def close(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
 
     async def _serve(self, reader, writer):
         try:
@@ -351,8 +352,9 @@
         asyncio.ensure_future(self._come_back(self.target_id, down_s))
 
     def close(self):
-        self._beats.cancel()
-        self._server.close()
+        if self._server is not None:
+            self._beats.cancel()
+            self._server.close()
 
     async def _come_back(self, old_id, down_s):
         expiry = 3 * BEAT_S
@@ -756,6 +758,10 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def run():
+        # Whoever ends the case early leaves no process of it behind.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         fleet = Fleet(folder)
         fleet.record(f'disruption: {"yes" if has_trouble else "no"}')
         try:
@@ -774,7 +780,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as exc:  # whatever keeps the case from running
+    except (Exception, asyncio.CancelledError) as exc:
         print(f'the case could not run: {type(exc).__name__}: {exc}')
         code = 2
     sys.exit(code)
