Close the connections of invalid answers

Cause: the exchange ended when the answer to the other request was read whole. To curl that is a normal end, so it put the connection back into its pool while the engine still ran the request, and the request went to another engine at once. The connection stayed one answer behind, so each request on it met the same. The same held for any answer that is found invalid and is whole: unsigned, with a content encoding, or a rejection of another request. Invalid answers that were still coming (a stream of another request, too large a body, a stream with a gap) were read on to the deadline.

Change: an intake that finds its answer invalid sets `problem`, and the transport aborts the transfer, on which curl closes the connection before the exchange returns REJECTED. So the target drops the request before it goes on elsewhere, and nothing is read in place of the next answer. This holds for plain answers, streams, forwarded requests, and `serve`. A rejected answer is no evidence of a crash, and the backup engine doesn't continue it. `answer_rejected` is logged with the request that the answer claims to answer.

Ruled out: that the backup engine, a resumed stream or the silence timeout led there (each closes its connection: probed with 32 kinds of bytes from a raw TCP target, docs/design/ended-exchanges.md).

Tests: test_invalid_answer_closes_connection (8 rows) and test_target_drops_request (4 rows) failed before, all 12.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -51,8 +51,6 @@
         Why the rest is not wanted.
     declined : bool
         Whether the target reports that it did not run the request.
-    foreign : bool
-        Whether the answer belongs to another attempt.
     event_count : int
         Events passed on.
     """
@@ -67,7 +65,6 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.event_count = 0
-        self.foreign = False
         self.declined = False
         self._is_forwarding = False
 
@@ -97,7 +94,7 @@
         self.on_halt = None
 
     def start(self, status: int, headers: dict[str, str]) -> None:
-        """Receive the head; an answer to another attempt is dropped."""
+        """Receive the head; an answer to another attempt is rejected."""
         self.status = status
         self.headers = headers
         self.declined = headers.get(_NOT_RUN_HEADER) == 'true'
@@ -105,9 +102,10 @@
         # to another. The echoed attempt ID reveals it, and nothing of such an
         # answer is passed on.
         echoed = headers.get(_ATTEMPT_HEADER, self.attempt_id)
-        self.foreign = echoed != self.attempt_id
+        if echoed != self.attempt_id:
+            self.problem = 'answer to another attempt'
         self._is_forwarding = not (
-            self.foreign or self.closed or self._is_withheld()
+            self.problem or self.closed or self._is_withheld()
         )
         self._report_head()
 
@@ -131,7 +129,7 @@
         return self.declined or is_failure(self.status)
 
     def _report_head(self) -> None:
-        if self.on_head is not None and not self.foreign:
+        if self.on_head is not None and not self.problem:
             self.on_head(self.status, self.headers)
 
     def _start_answer(self, length: int = 0) -> None:
--- a/src/balsamreach/dispatch/request_attempts.py
+++ b/src/balsamreach/dispatch/request_attempts.py
@@ -240,7 +240,7 @@
         trusted = attempt.target.row.trusted_refusals
         if reply.sent and not (reply.declined and trusted):
             self.may_have_run = True
-        if reply.foreign:
+        if reply.problem:
             self.parts.metrics.count(FOREIGN_ANSWERS)
             log_event(
                 _logger,
@@ -248,7 +248,7 @@
                 'answer_foreign',
                 request_id=self.call.req.key,
                 team=self.call.req.team,
-                reason='the target echoed another attempt',
+                reason=reply.problem,
             )
 
     def _may_retry(self, fault: DispatchFault, slot: Slot) -> bool:
--- a/src/balsamreach/dispatch/stream_replies.py
+++ b/src/balsamreach/dispatch/stream_replies.py
@@ -169,7 +169,8 @@
         # The echoed attempt is the one that started the generation, which may
         # be another router's. So the generation is compared instead.
         named = headers.get(GENERATION_HEADER, self._generation)
-        self.foreign = named != self._generation
+        if named != self._generation:
+            self.problem = 'stream of another generation'
         self.is_gone = status != _HTTP_OK or not self._is_stream()
-        self._is_forwarding = not (self.foreign or self.is_gone or self.closed)
+        self._is_forwarding = not (self.problem or self.is_gone or self.closed)
         self._report_head()
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -61,6 +61,8 @@
 EXPIRED = UpstreamFault('deadline_passed')
 #: The intake stopped the answer.
 HALTED = UpstreamFault('answer_halted')
+#: The intake found the answer invalid, and the transport closed the connection.
+REJECTED = UpstreamFault('answer_rejected')
 
 
 #: Called with the status and headers of an answer, header names in lower case.
@@ -95,6 +97,10 @@
         Whether bytes of the request may have been sent to the target.
     closed : bool
         Whether the attempt is over.
+    problem : str
+        Why the answer is invalid; empty while it is not. The transport then
+        closes the connection: the target may still run the request, and its
+        own answer would be received in place of the next one's.
     on_head : callable or None
         Called with the status and headers of an answer to this attempt.
     """
@@ -102,6 +108,7 @@
     def __init__(self) -> None:
         self.sent = False
         self.closed = False
+        self.problem = ''
         self.on_head: HeadCallback | None = None
 
     def close(self) -> None:
@@ -158,12 +165,14 @@
         -------
         UpstreamFault or None
             None if the HTTP exchange completed, with any status. NOT_SENT only
-            if ``intake.may_send`` never returned True.
+            if ``intake.may_send`` never returned True. REJECTED if the intake
+            found the answer invalid.
 
         Notes
         -----
         An implementation calls ``intake.may_send`` each time right before
         the first byte of the request can be sent, and sends nothing if that
         returns False. Whether callers are told that their request ran depends
-        on this. Cancelling the task closes the connection.
+        on this. After each part of an answer it checks ``intake.problem``.
+        Cancelling the task closes the connection.
         """
--- a/src/balsamreach/dispatch/verdicts.py
+++ b/src/balsamreach/dispatch/verdicts.py
@@ -16,6 +16,7 @@
     upstream.SILENT: Verdict.SILENT,
     upstream.EXPIRED: Verdict.ABANDONED,
     upstream.HALTED: Verdict.ABANDONED,
+    upstream.REJECTED: Verdict.FAILED,
 }
 
 
@@ -31,8 +32,8 @@
     """
     if outcome is not None and not reply.sent:
         return _classify_unsent(outcome)
-    if reply.foreign:
-        return faults.ANSWER_BROKEN.because('answer to another attempt')
+    if reply.problem:
+        return faults.ANSWER_BROKEN.because(reply.problem)
     if reply.halted is not None:
         return reply.halted
     if reply.declined and attempt.target.row.trusted_refusals:
@@ -75,6 +76,6 @@
         return _VERDICT_BY_FAULT[outcome]
     if reply.declined and attempt.target.row.trusted_refusals:
         return Verdict.DECLINED
-    if reply.foreign or is_failure(reply.status):
+    if is_failure(reply.status):
         return Verdict.FAILED
     return Verdict.GOOD if reply.is_complete() else Verdict.BROKEN
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -9,6 +9,7 @@
 from balsamreach.dispatch.upstream import (
     BROKEN,
     NOT_SENT,
+    REJECTED,
     SILENT,
     ConnectFailure,
     Intake,
@@ -56,7 +57,7 @@
         Returns
         -------
         UpstreamFault or None
-            None on success, otherwise NOT_SENT, SILENT or BROKEN.
+            None on success, otherwise NOT_SENT, REJECTED, SILENT or BROKEN.
         """
         transfer = Transfer(intake)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
@@ -119,6 +120,8 @@
         failure = _connect_failure(end.code, os_error)
         reason = end.message or 'no connection in time'
         return NOT_SENT.because_of(failure, reason)
+    if transfer.intake.problem:
+        return REJECTED.because(transfer.intake.problem)
     if end.code == SILENCE_CODE:
         return SILENT.because('no data within the gap timeout')
     fault = BROKEN.because(
--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -66,7 +66,9 @@
             return _ABORT
         if not self.head_complete:
             self._parse_line(line.decode('latin-1').strip())
-        return len(line)
+        # Curl keeps the connection of a complete answer, and closes that of an
+        # aborted transfer.
+        return _ABORT if self.intake.problem else len(line)
 
     def on_body(self, chunk: bytes) -> int | None:
         """Process bytes of the body, or pause if callers read too slowly."""
@@ -75,7 +77,7 @@
             return pycurl.WRITEFUNC_PAUSE
         self.received_data = True
         self.intake.write(chunk)
-        return None
+        return _ABORT if self.intake.problem else None
 
     def _pause(self) -> None:
         self.paused = True
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -9,6 +9,7 @@
 from balsamreach.dispatch.upstream import (
     BROKEN,
     NOT_SENT,
+    REJECTED,
     SILENT,
     ConnectFailure,
     UpstreamFault,
@@ -151,9 +152,12 @@
         intake: AnswerIntake,
         end: UpstreamFault | None,
     ) -> Verdict:
-        # Silence is as often the network's fault as the target's; only a
-        # broken connection indicates a crash.
-        if end is not None and end != SILENT:
+        if end == REJECTED:
+            _log_rejection(call, place, intake)
+        # Silence is as often the network's fault as the target's, and a
+        # rejected response was closed here; only a connection that broke
+        # indicates a crash.
+        elif end is not None and end != SILENT:
             _log_break(call, place, intake, end)
             self._record_break(call, place, intake, end)
         self.chooser.record_failure(place, certain=False)
@@ -208,6 +212,23 @@
     return attrs.evolve(cut, closed_by_target=True)
 
 
+def _log_rejection(
+    call: RelayCall, place: RelayTarget, intake: AnswerIntake
+) -> None:
+    """Log an invalid response, and the request that it claims to answer."""
+    log_event(
+        _logger,
+        logging.WARNING,
+        'answer_rejected',
+        request_id=call.request_id,
+        team=call.team_name,
+        reason=intake.problem,
+        service=call.service,
+        target=place.incarnation,
+        answered_id=intake.head.request_id,
+    )
+
+
 def _log_break(
     call: RelayCall,
     place: RelayTarget,
--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -97,6 +97,7 @@
             self.inner.start(status, _without_own(headers))
             if self.bound_release not in {None, self.release}:
                 self.inner.problem = 'the target has another release'
+            self.problem = self.inner.problem
             return
         self._reached = headers.get(REACHED.lower()) != NO
         fault = _FAULTS.get(outcome, faults.BROKEN)
@@ -110,6 +111,7 @@
         """Receive the next bytes of the body."""
         if self.refusal is None:
             self.inner.write(chunk)
+            self.problem = self.inner.problem
 
     def close(self) -> None:
         """End the attempt permanently."""
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -30,8 +30,6 @@
         Id of the request that the response must belong to.
     head : AnswerHead or None
         Status and headers, once they are received.
-    problem : str
-        Why the response is invalid; empty if it is not.
     held : bytearray
         The bytes received so far, unless they were forwarded.
     is_delimited : bool
@@ -47,7 +45,6 @@
         self.codec = codec
         self.request_id = request_id
         self.head: AnswerHead | None = None
-        self.problem = ''
         self.body = bytearray()
         self.is_delimited = True
         self.progress: AnswerProgress | None = None
--- a/tests/fake_upstream.py
+++ b/tests/fake_upstream.py
@@ -6,13 +6,19 @@
 
 import attrs
 
-from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, Upstream
+from balsamreach.dispatch.upstream import (
+    BROKEN,
+    NOT_SENT,
+    REJECTED,
+    Upstream,
+)
 
 #: Faults: what a target does instead of answering normally.
 REFUSE = 'refuse'
 DECLINE = 'decline'
 FAIL = 'fail'
 FOREIGN = 'foreign'
+FOREIGN_DECLINE = 'foreign decline'
 BREAK_BEFORE_HEAD = 'break before head'
 HANG = 'hang'
 ENDLESS = 'endless'
@@ -87,6 +93,8 @@
             return BROKEN
         status, headers = _head(attempt, fault)
         intake.start(status, headers)
+        if intake.problem:
+            return REJECTED
         intake.write(json.dumps(_completion(attempt, fault)).encode())
         return None
 
@@ -99,6 +107,8 @@
         _status, headers = _head(attempt, fault)
         headers['content-type'] = 'text/event-stream'
         intake.start(200, headers | {'x-engine-request': name})
+        if intake.problem:
+            return REJECTED
         event_count = len(events)
         if fault.startswith(_CUT):
             event_count = int(fault.split()[1])
@@ -146,9 +156,9 @@
         'content-type': 'application/json',
         'x-attempt-id': attempt.attempt_id,
     }
-    if fault == FOREIGN:
+    if fault in {FOREIGN, FOREIGN_DECLINE}:
         headers['x-attempt-id'] = 'another'
-    if fault == DECLINE:
+    if fault in {DECLINE, FOREIGN_DECLINE}:
         return 503, headers | {'x-not-run': 'true'}
     return (500 if fault == FAIL else 200), headers
 
@@ -162,7 +172,7 @@
 
 def _events(name, fault):
     words = ['role', *(f'word-{number}' for number in range(_WORD_COUNT))]
-    if fault == OTHER_WORDS:
+    if fault in {FOREIGN, OTHER_WORDS}:
         words = ['role', 'something', 'else']
     if fault == ENDLESS:
         words = ['role', *('on' for _ in range(1000))]
--- a/tests/relay_scripts.py
+++ b/tests/relay_scripts.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamreach.dispatch.upstream import Intake, UpstreamFault
+from balsamreach.dispatch.upstream import REJECTED, Intake, UpstreamFault
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.exchange import Exchange, Outgoing
 from balsamreach.relay.spending import Reservation, Spending
@@ -33,8 +33,9 @@
         assert intake.may_send()
         intake.start(self.status, self.headers)
         for chunk in self.chunks:
-            intake.write(chunk)
-        return self.end
+            if not intake.problem:
+                intake.write(chunk)
+        return REJECTED if intake.problem else self.end
 
 
 def answer(
--- a/tests/test_gateway_curl_upstream.py
+++ b/tests/test_gateway_curl_upstream.py
@@ -5,21 +5,25 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import trustme
 from parameterized import parameterized
 
 from balsamreach.config.reader import read_settings
+from balsamreach.dispatch.attempt_sender import make_reply
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.upstream import (
     BROKEN,
     NOT_SENT,
+    REJECTED,
     SILENT,
     Attempt,
     ConnectFailure,
     Intake,
 )
 from balsamreach.gateway.curl_upstream import CurlUpstream
+from balsamreach.requests.answers import Output
 from balsamreach.requests.identity import RequestId
 from balsamreach.table.rows import TargetRow, TeamRow
 from balsamreach.targets.registry import Target
@@ -29,6 +33,12 @@
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
 _COMPLETE_ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_OTHER_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\nContent-Length: 2\r\n\r\nno'
+)
+_OTHER_STREAM = _STREAM_HEAD.replace(
+    b'\r\n\r\n', b'\r\nX-Attempt-Id: another\r\n\r\n'
+)
 _MIB = 1024 * 1024
 
 
@@ -214,6 +224,37 @@
         self.assertEqual(target.connections, 2)
 
 
+class RejectedAnswerTest(CurlUpstreamTestCase):
+    """Answers that belong to another attempt."""
+
+    @parameterized.expand(
+        (
+            ('stream', _OTHER_STREAM, True),
+            ('whole_in_place_of_stream', _OTHER_ANSWER, True),
+            ('whole', _OTHER_ANSWER, False),
+        )
+    )
+    async def test_connection_is_closed(
+        self, _name: str, answer: bytes, stream: bool
+    ) -> None:
+        """Guards against a request that runs at two targets at once.
+
+        A target answers an earlier attempt once more, and this one would be
+        sent to another target while it still runs at the first one.
+        """
+        target, address = await self.start_target(answer, _COMPLETE_ANSWER)
+        upstream = self.make_upstream()
+        attempt = _attempt(address, stream=stream)
+        reply = make_reply(
+            attempt.call, mock.Mock(spec=Output), attempt.attempt_id
+        )
+        outcome = await upstream.send(attempt, reply)
+        self.assertEqual(outcome, REJECTED)
+        await target.connection_closed.wait()
+        self.assertIsNone(await upstream.send(attempt, RecordingIntake()))
+        self.assertEqual(target.connections, 2)
+
+
 class SilenceTest(CurlUpstreamTestCase):
     """Connections on which no more data arrives."""
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -12,17 +12,22 @@
 from tornado.testing import AsyncTestCase, bind_unused_port, gen_test
 
 from balsamreach.clock import SystemClock
-from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, SILENT
+from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, REJECTED, SILENT
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.gateway.relay_server import RelayServer
 from balsamreach.placement.relay_targets import TargetEntry
 from balsamreach.platform.requests import PlatformCodec
+from balsamreach.relay.events import EventSplitter
 from balsamreach.relay.exchange import Outgoing
-from balsamreach.relay.response_intakes import AnswerIntake
-from tests.relay_samples import REQUEST
+from balsamreach.relay.response_intakes import AnswerIntake, StreamIntake
+from tests.relay_samples import REQUEST, event
+from tests.relay_scripts import RecordingResponse
 
 _GET = b'GET /a HTTP/1.1\r\nHost: x\r\n\r\n'
 _SIGNED_HEADERS = b'Response-Stamp: s\r\nAttempt-Id: request-1\r\n'
+_OTHER_HEADERS = b'Response-Stamp: s\r\nAttempt-Id: request-0\r\n'
+_NOT_RUN = b'Not-Executed: 1\r\n'
+_CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 
 
 async def _connect(port):
@@ -31,6 +36,14 @@
     return stream
 
 
+def _answer(status, *headers, rest=b'Content-Length: 2\r\n\r\nok'):
+    return b''.join((b'HTTP/1.1 %d X\r\n' % status, *headers, rest))
+
+
+def _chunk(part):
+    return b'%x\r\n%b\r\n' % (len(part), part)
+
+
 def _send_complete(caller_response):
     caller_response.start(200, [('Content-Length', '2')])
     caller_response.write(b'ok')
@@ -185,9 +198,11 @@
         self.reset = reset
         self.connections = 0
         self.requests = []
+        self.closed = asyncio.Event()
 
     async def handle_stream(self, stream, address):
         self.connections += 1
+        stream.set_close_callback(self.closed.set)
         try:
             while self.answers:
                 self.requests.append(await stream.read_until(b'\r\n\r\n'))
@@ -226,7 +241,19 @@
         self.port = port
         self.target.add_sockets([listener])
 
-    async def send(self, **fields):
+    def make_intake(self, *, stream):
+        """Return what receives the answer."""
+        if not stream:
+            return AnswerIntake(self.codec, REQUEST)
+        return StreamIntake(
+            self.codec,
+            REQUEST,
+            RecordingResponse(),
+            EventSplitter(),
+            lambda _events, _size: None,
+        )
+
+    async def send(self, *, stream=False, **fields):
         """Send one attempt; return its result and the intake."""
         entry = TargetEntry(
             target_id='i',
@@ -234,7 +261,7 @@
             address=f'127.0.0.1:{self.port}',
             zone='z',
         )
-        intake = AnswerIntake(self.codec, REQUEST)
+        intake = self.make_intake(stream=stream)
         outgoing = Outgoing(
             target=entry,
             method='GET',
@@ -246,7 +273,7 @@
 
     @gen_test
     async def test_request_at_target(self):
-        self.serve(b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n')
+        self.serve(_answer(200, _SIGNED_HEADERS))
         end, _intake = await self.send()
         self.assertIsNone(end)
         lines = self.target.requests[0].split(b'\r\n')
@@ -277,6 +304,79 @@
         self.assertIsNone(end)
         self.assertEqual(bytes(second.body), b'two')
 
+    @parameterized.expand(
+        (
+            ('other', _answer(200, _OTHER_HEADERS)),
+            ('other_begun', _answer(200, _OTHER_HEADERS, rest=_CHUNKED)),
+            ('other_not_run', _answer(503, _NOT_RUN, _OTHER_HEADERS)),
+            ('other_failed', _answer(500, _OTHER_HEADERS)),
+            ('unsigned', _answer(200, b'Attempt-Id: request-1\r\n')),
+            (
+                'encoded',
+                _answer(200, b'Content-Encoding: x\r\n', _SIGNED_HEADERS),
+            ),
+            (
+                'too_large',
+                _answer(
+                    200,
+                    _SIGNED_HEADERS,
+                    b'Content-Length: 99999999\r\n\r\n',
+                    rest=b'x' * (9 << 20),
+                ),
+            ),
+            (
+                'gap',
+                _answer(
+                    200,
+                    _SIGNED_HEADERS,
+                    _CHUNKED,
+                    _chunk(event(1)),
+                    rest=_chunk(event(3)),
+                ),
+                True,
+            ),
+        )
+    )
+    @gen_test
+    async def test_invalid_answer_closes_connection(
+        self, _, answer, stream=False
+    ):
+        """Guards against a request that runs at two targets at once.
+
+        The target may still run a request whose answer is invalid, and its
+        own answer would be read in place of the next one's.
+        """
+        self.serve(answer, _answer(200, _SIGNED_HEADERS))
+        end, _intake = await self.send(stream=stream)
+        self.assertEqual(end, REJECTED)
+        self.assertFalse(end.closed_by_target)
+        await self.target.closed.wait()
+        end, second = await self.send()
+        self.assertIsNone(end)
+        self.assertEqual(bytes(second.body), b'ok')
+        self.assertEqual(self.target.connections, 2)
+
+    @parameterized.expand(
+        (
+            ('own', _answer(200, _SIGNED_HEADERS)),
+            ('failed', _answer(500, _SIGNED_HEADERS)),
+            ('not_run', _answer(503, _NOT_RUN, _SIGNED_HEADERS)),
+            ('not_run_without_id', _answer(503, _NOT_RUN)),
+            ('misdirected', _answer(421)),
+            (
+                'information_before',
+                _answer(102, rest=b'\r\n%b' % _answer(200, _SIGNED_HEADERS)),
+            ),
+        )
+    )
+    @gen_test
+    async def test_complete_answer_keeps_connection(self, _, answer):
+        """Guards against a new connection for each answer of a target."""
+        self.serve(answer, answer)
+        ends = [await self.send(), await self.send()]
+        self.assertEqual([end for end, _intake in ends], [None, None])
+        self.assertEqual(self.target.connections, 1)
+
     @gen_test
     async def test_repeated_retry_after(self):
         """Of several Retry-After headers the longest applies.
@@ -305,7 +405,7 @@
         Curl reports an invalid chunk, after which it closes the connection
         itself, with the same code as a reset.
         """
-        self.serve(b'HTTP/1.1 200 OK\r\n%s' % rest, **ending)
+        self.serve(_answer(200, _SIGNED_HEADERS, rest=rest), **ending)
         end, _intake = await self.send()
         self.assertEqual(end, BROKEN)
         self.assertEqual(end.closed_by_target, closed)
@@ -341,8 +441,8 @@
         A target closes a pooled connection while a request is sent on it,
         and the outcome, such as a booking, would be unknown.
         """
-        empty = b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
-        self.serve(empty, empty)
+        answer = _answer(200, _SIGNED_HEADERS)
+        self.serve(answer, answer)
         await self.send()
         await self.send(new_connection=True)
         self.assertEqual(self.target.connections, 2)
--- a/tests/test_relay_backups.py
+++ b/tests/test_relay_backups.py
@@ -160,6 +160,7 @@
             ('misdirected', answer(421), b''),
             ('fails', answer(500, b'no'), b''),
             ('event_missing', answer(200, event(3)), b''),
+            ('late_answer', answer(200, _REST, attempt_id='another'), b''),
         )
     )
     def test_continuation_fails(self, _, script, more):
@@ -181,6 +182,7 @@
             ('silent', answer(200, event(1), end=SILENT)),
             ('cut_by_router', answer(200, event(1), end=BROKEN)),
             ('no_event', answer(200, event(1)[:7], end=_CLOSED)),
+            ('late_answer', answer(200, event(1), attempt_id='another')),
             ('no_id', answer(200, b'data: x\n\n', end=_CLOSED)),
             (
                 'ended_within_event',
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -59,6 +59,7 @@
 
 
 _OK = passed_on(answer(200, b'done'))
+_LATE = passed_on(answer(200, b'other', attempt_id='another'))
 _FAILED = passed_on(answer(500, b'no'))
 _UNABLE = refusing(faults.CANNOT_FORWARD)
 _NO_TARGET = refusing(faults.NO_TARGET)
@@ -154,6 +155,8 @@
             ('died', PLAIN, [_DIED, _OK], 200, 2),
             ('died_once', UNSAFE, [_DIED], 502, 1),
             ('target_broke', PLAIN, [_TARGET_BROKE, _OK], 200, 2),
+            ('late_answer', PLAIN, [_LATE, _OK], 200, 2),
+            ('late_answer_once', UNSAFE, [_LATE], 502, 1),
             ('target_broke_once', UNSAFE, [_TARGET_BROKE], 502, 1),
             ('declined_once', UNSAFE, [_FULL, _OK], 200, 2),
             ('failed_once', UNSAFE, [_FAILED], 500, 1),
--- /dev/null
+++ b/tests/test_relay_late_answers.py
@@ -0,0 +1,111 @@
+"""Tests of targets that answer an earlier request once more."""
+
+import asyncio
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.gateway.relay_curl import RelayCurl
+from balsamreach.relay.run import RelayRun
+from tests import relay_samples
+from tests.relay_harness import RelayHarness
+from tests.relay_samples import (
+    ONE_RUN,
+    PLAIN,
+    REQUEST,
+    STREAM,
+    UNSAFE,
+    entry,
+    event,
+)
+from tests.relay_scripts import RecordingResponse
+
+_HEAD = (
+    'HTTP/1.1 200 OK\r\nAttempt-Id: {}\r\nResponse-Stamp: s\r\n'
+    'Content-Length: {}\r\n\r\n'
+)
+_LATE = event(1) + event(2)
+_OWN = event(1)
+_LIMIT_S = 5
+
+
+def _answer(request_id, body):
+    return _HEAD.format(request_id, len(body)).encode() + body
+
+
+@attrs.define(eq=False)
+class _Targets:
+    """Targets of which the first to get a request repeats an answer first.
+
+    It then works on the request until its connection closes. The others
+    answer once that has happened.
+    """
+
+    requests: int = 0
+    dropped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    servers: list[asyncio.Server] = attrs.field(factory=list)
+
+    async def start(self) -> str:
+        """Start a target, and return its address."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self.servers.append(server)
+        host, port = server.sockets[0].getsockname()
+        return f'{host}:{port}'
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b'\r\n\r\nbody')
+        self.requests += 1
+        if self.requests == 1:
+            writer.write(_answer('request-0', _LATE))
+            await reader.read()
+            self.dropped.set()
+        else:
+            await self.dropped.wait()
+            writer.write(_answer(REQUEST, _OWN))
+        writer.close()
+
+
+class LateAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A request is at work at one target at a time."""
+
+    async def asyncSetUp(self):
+        self.curl = RelayCurl(_LIMIT_S)
+        self.addCleanup(self.curl.close)
+        self.harness = RelayHarness(exchange=self.curl)
+        self.targets = _Targets()
+        for service in (relay_samples.ENGINES, relay_samples.DESK):
+            for number in (1, 2):
+                new = entry(f'{service}-{number}', service, version=1)
+                address = await self.targets.start()
+                self.harness.chooser.places.put(
+                    attrs.evolve(new, address=address)
+                )
+        for server in self.targets.servers:
+            self.addCleanup(server.close)
+
+    @parameterized.expand(
+        (
+            ('stream', STREAM, 200, _OWN, 2),
+            ('stream_once', ONE_RUN, 502, b'', 1),
+            ('plain', PLAIN, 200, _OWN, 2),
+            ('plain_once', UNSAFE, 502, b'', 1),
+        )
+    )
+    async def test_target_drops_request(self, _, route, status, body, sent):
+        """Guards against two targets that work on a request at once.
+
+        A target answers an earlier request once more on a kept connection.
+        The request goes on elsewhere while it would still run there.
+        """
+        caller_response = RecordingResponse()
+        run = RelayRun(
+            self.harness.parts, relay_samples.call(route), caller_response
+        )
+        async with asyncio.timeout(_LIMIT_S):
+            await run.run()
+            await self.targets.dropped.wait()
+        self.assertEqual(caller_response.status, status)
+        self.assertEqual(self.targets.requests, sent)
+        if body:
+            self.assertEqual(caller_response.body, body)
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -186,6 +186,23 @@
         self.assertEqual(caller_response.status, 502)
         self.assertNotEqual(caller_response.body, b'x')
 
+    @parameterized.expand(
+        (
+            ('late_answer', answer(200, attempt_id='another')),
+            ('unsigned', answer(200, response_stamp='')),
+        )
+    )
+    def test_invalid_response_is_no_crash(self, _, script):
+        """Guards against refusing sound requests as the cause of crashes.
+
+        The router closes the connections of invalid responses itself.
+        """
+        self.harness.run(relay_samples.call(STREAM), script, script)
+        caller_response = self.harness.run(
+            relay_samples.call(STREAM), answer(200, event(1))
+        )
+        self.assertEqual(caller_response.status, 200)
+
     def evacuate(self, zone, *, in_force=True, version=5):
         order = Evacuation(zone=zone, version=version, in_force=in_force)
         self.harness.evacuations.put(order, 'test')
