Don't resume or cancel the stream of another attempt

What callers saw: where a target of `serve` answered an earlier attempt once more, the caller of a stream got the whole stream of another caller as its own.

Cause: the head of the foreign answer was kept with its `X-Engine-Request`. The attempt then counted as a stream that broke, and was resumed by the generation named there: the engine sent the other caller's events, and the check of a resumed stream compares it with the very id that was asked for. A caller that left could cancel the other one's generation in the same way.

Change: a reply that belongs to another attempt has no generation.

The test failed before: the fault of the caller was None, its answer that of the other attempt.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -78,7 +78,8 @@
     @property
     def generation(self) -> str:
         """The engine's identifier of the generation, empty if unknown."""
-        return self.headers.get(GENERATION_HEADER, '')
+        # That of another attempt must be neither resumed nor cancelled.
+        return '' if self.problem else self.headers.get(GENERATION_HEADER, '')
 
     def halt(self, fault: DispatchFault) -> None:
         """Stop receiving the answer."""
--- a/tests/test_dispatch_run.py
+++ b/tests/test_dispatch_run.py
@@ -336,6 +336,19 @@
         )
         self.assertEqual(counted, 3)
 
+    async def test_foreign_stream_is_not_resumed(self):
+        """Guards against resuming or cancelling the stream of another caller.
+
+        A target mixes up its connections, and the headers that it sends name
+        the generation of another attempt.
+        """
+        self.plan_all(fake_upstream.FOREIGN)
+        caller = await self.router.call()
+        await asyncio.sleep(0)
+        self.assertEqual(caller.fault, faults.ANSWER_BROKEN)
+        self.assertEqual(caller.body, b'')
+        self.assertEqual(self.targets.cancelled, [])
+
     async def test_untrusted_refusal_is_unknown(self):
         self.router.targets.update(
             attrs.evolve(row, trusted_refusals=False) for row in target_rows()
