Don't take the rejection of another attempt for that of the request

What callers saw: where a target of `serve` runs a request and sends the rejection of another attempt on its connection, the claim of a non-idempotent request was released, so that any router would run it again.

Cause: `X-Not-Run` was read before the attempt id, and what is said of another attempt counted as proof that this one did not run.

Change: only the target's own answer can say that it did not run the request.

The test failed before: the row of the claim had no value. In practice such a request goes out on a new connection, so the target has to mix up its connections itself.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -98,13 +98,14 @@
         """Receive the head; an answer to another attempt is rejected."""
         self.status = status
         self.headers = headers
-        self.declined = headers.get(_NOT_RUN_HEADER) == 'true'
         # A target that mixes up its connections would send one caller's answer
         # to another. The echoed attempt ID reveals it, and nothing of such an
         # answer is passed on.
         echoed = headers.get(_ATTEMPT_HEADER, self.attempt_id)
         if echoed != self.attempt_id:
             self.problem = 'answer to another attempt'
+        declined = headers.get(_NOT_RUN_HEADER) == 'true'
+        self.declined = declined and not self.problem
         self._is_forwarding = not (
             self.problem or self.closed or self._is_withheld()
         )
--- a/tests/test_dispatch_run.py
+++ b/tests/test_dispatch_run.py
@@ -349,6 +349,20 @@
         self.assertEqual(caller.body, b'')
         self.assertEqual(self.targets.cancelled, [])
 
+    async def test_foreign_refusal_is_unknown(self):
+        """Guards against a second run after the refusal of another request.
+
+        A target mixes up its connections, and refuses another attempt on the
+        connection of one that it runs.
+        """
+        self.plan_all(fake_upstream.FOREIGN_DECLINE)
+        caller = await self.router.call(**_NON_IDEMPOTENT)
+        await self.router.dispatcher.drain()
+        self.assertEqual(caller.fault.ran, faults.MAYBE_RUN)
+        # With its claim released, any router would run the request again.
+        rows = await self.platform.table.read(('claim/team/key',))
+        self.assertIsNotNone(rows[0].value)
+
     async def test_untrusted_refusal_is_unknown(self):
         self.router.targets.update(
             attrs.evolve(row, trusted_refusals=False) for row in target_rows()
