Resume a stream after an invalid event of its first target

What callers saw: a resumable stream with a missing or an endless event was cut off, after a second engine had run it for nothing.

Cause: the splitter of a stream is shared by its attempts and kept the error of the first one, so all that the second target sent was invalid too.

Change: an attempt begins without the error of the one before. The connection of the first target is closed by then, so only one engine works on the stream.

The test failed before: its caller had event 1 of 3, and no end.

--- a/src/balsamreach/relay/delivery.py
+++ b/src/balsamreach/relay/delivery.py
@@ -88,7 +88,7 @@
         """
         if not self.call.route.streams:
             return AnswerIntake(self.codec, self.call.request_id)
-        self._splitter.discard_partial()
+        self._splitter.begin_attempt()
         return StreamIntake(
             self.codec,
             self.call.request_id,
--- a/src/balsamreach/relay/events.py
+++ b/src/balsamreach/relay/events.py
@@ -40,20 +40,21 @@
     last_id : int
         Id of the last event that was forwarded, -1 for none.
     error : str
-        Why the stream can't continue; empty while it can.
+        Why the target's stream is invalid; empty while it is not.
     """
 
     last_id: int = -1
     error: str = ''
     _buffer: bytes = b''
 
-    def discard_partial(self) -> None:
-        """Discard the first part of an event whose target broke off.
+    def begin_attempt(self) -> None:
+        """Discard the unfinished event and the error of the previous target.
 
         The next target begins with a complete event. Joined to the part from
         the previous target, it would be an event that no target sent.
         """
         self._buffer = b''
+        self.error = ''
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the new events that a chunk completes."""
--- a/tests/test_relay_events.py
+++ b/tests/test_relay_events.py
@@ -47,7 +47,7 @@
         splitter = EventSplitter()
         splitter.feed(event(1) + event(2) + event(3)[:8])
         self.assertTrue(splitter.has_partial)
-        splitter.discard_partial()
+        splitter.begin_attempt()
         events = splitter.feed(event(3) + event(4))
         self.assertEqual([one.raw for one in events], [event(3), event(4)])
 
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -254,6 +254,26 @@
         second = self.harness.exchange.sent[1]
         self.assertEqual(dict(second.headers)['Last-Event-Id'], '1')
 
+    @parameterized.expand(
+        (
+            ('gap', event(1) + event(3)),
+            ('event_without_end', event(1) + b'data: %b' % (b'x' * (1 << 20))),
+        )
+    )
+    def test_stream_resumes_after_invalid_event(self, _, stream):
+        """Guards against a second engine that runs a stream for nothing.
+
+        What was wrong with the stream of the first target must not be held
+        against that of the second.
+        """
+        caller_response = self.harness.run(
+            relay_samples.call(STREAM),
+            answer(200, stream),
+            answer(200, event(2) + event(3)),
+        )
+        self.assertEqual(caller_response.body, event(1) + event(2) + event(3))
+        self.assertTrue(caller_response.complete)
+
     @parameterized.expand(
         (
             ('not_resumable', ONE_RUN, [answer(200, event(1), end=BROKEN)]),
