Test that a rejected forwarded stream ends at its target

The first router closes its connection to the helping one, which cancels the attempt and so closes the connection to the target. Without ForwardedIntake passing on the problem of the response, the test fails: the exchange and the target go on until the stream ends.

--- a/tests/test_relay_late_answers.py
+++ b/tests/test_relay_late_answers.py
@@ -5,9 +5,20 @@
 
 import attrs
 from parameterized import parameterized
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
 
+from balsamreach.dispatch.upstream import REJECTED
+from balsamreach.gateway.forwarding_client import HttpForwardingClient
+from balsamreach.gateway.forwarding_server import ForwardingHandler
 from balsamreach.gateway.relay_curl import RelayCurl
+from balsamreach.gateway.relay_server import RelayServer
+from balsamreach.relay.forwarded_intake import ForwardedIntake
+from balsamreach.relay.forwarded_run import ForwardedRunner
+from balsamreach.relay.response_intakes import AnswerIntake
 from balsamreach.relay.run import RelayRun
+from balsamreach.wire.forwarding import ForwardedRequest
+from balsamreach.wire.membership import Member
 from tests import relay_samples
 from tests.relay_harness import RelayHarness
 from tests.relay_samples import (
@@ -28,6 +39,7 @@
 _LATE = event(1) + event(2)
 _OWN = event(1)
 _LIMIT_S = 5
+_MAX_BODY = 1 << 20
 
 
 def _answer(request_id, body):
@@ -36,12 +48,13 @@
 
 @attrs.define(eq=False)
 class _Targets:
-    """Targets of which the first to get a request repeats an answer first.
+    """Targets of which the first to get a request answers another one first.
 
     It then works on the request until its connection closes. The others
     answer once that has happened.
     """
 
+    first_answer: bytes = _answer('request-0', _LATE)
     requests: int = 0
     dropped: asyncio.Event = attrs.field(factory=asyncio.Event)
     servers: list[asyncio.Server] = attrs.field(factory=list)
@@ -57,7 +70,7 @@
         await reader.readuntil(b'\r\n\r\nbody')
         self.requests += 1
         if self.requests == 1:
-            writer.write(_answer('request-0', _LATE))
+            writer.write(self.first_answer)
             await reader.read()
             self.dropped.set()
         else:
@@ -66,8 +79,8 @@
         writer.close()
 
 
-class LateAnswerTest(unittest.IsolatedAsyncioTestCase):
-    """A request is at work at one target at a time."""
+class LateAnswerCase(unittest.IsolatedAsyncioTestCase):
+    """A router with targets on sockets."""
 
     async def asyncSetUp(self):
         self.curl = RelayCurl(_LIMIT_S)
@@ -84,6 +97,10 @@
         for server in self.targets.servers:
             self.addCleanup(server.close)
 
+
+class LateAnswerTest(LateAnswerCase):
+    """A request is at work at one target at a time."""
+
     @parameterized.expand(
         (
             ('stream', STREAM, 200, _OWN, 2),
@@ -109,3 +126,51 @@
         self.assertEqual(self.targets.requests, sent)
         if body:
             self.assertEqual(caller_response.body, body)
+
+
+class ForwardedAnswerTest(LateAnswerCase):
+    """A target drops a request whose answer the first router rejects."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        parts = self.harness.parts
+        runner = ForwardedRunner(
+            parts.attempt_parts, parts.clock, parts.log, lambda: True
+        )
+        handler = ForwardingHandler('fleet', runner.run)
+        self.server = HTTPServer(
+            RelayServer(handler.answer, parts.clock, lambda: _MAX_BODY)
+        )
+        self.addCleanup(self.server.stop)
+
+    async def test_target_drops_request(self):
+        """Guards against a stream that runs on at the end of two connections.
+
+        Another router passes on the stream of a target with another release
+        than the one that the caller has events of.
+        """
+        listener, port = bind_unused_port()
+        self.server.add_sockets([listener])
+        self.targets.first_answer = _HEAD.format(REQUEST, 99).encode() + _OWN
+        codec = self.harness.parts.codec
+        intake = ForwardedIntake(AnswerIntake(codec, REQUEST), 'release-1')
+        message = ForwardedRequest(
+            fleet='fleet',
+            sender='first',
+            request_id=REQUEST,
+            method='POST',
+            path='/stream/x',
+            service=relay_samples.ENGINES,
+            left_ms=1000 * _LIMIT_S,
+            streams=True,
+            resumable=True,
+        )
+        helping = Member(
+            'helping', 'host', '', 'zone-a', forwarding=f'127.0.0.1:{port}'
+        )
+        client = HttpForwardingClient(self.curl, 0)
+        call = relay_samples.call(STREAM)
+        async with asyncio.timeout(_LIMIT_S):
+            end = await client.send(helping, call, message, intake)
+            await self.targets.dropped.wait()
+        self.assertEqual(end, REJECTED)
