Close the connection of a request that is cancelled before it begins

What callers saw: a caller waited, with an open connection and no answer, for a router that had stopped at once.

The connection was held by a server connection of the killed router, whose stream was open, neither read nor written, and no task was left that would answer.

Cause: `RelayRouter.stop` cancels the tasks of the requests in progress. A task that is cancelled before its first step executes no code, so the `finally` that closes the connection did not run. A real process ends right after, which closes its connections; in one process with its test the connection stays open.

Change: a callback of the task closes the connection, which is also called for a task that never began.

test_request_that_is_cancelled_before_it_begins failed before (no end of the connection within 5 s).

--- a/src/balsamreach/gateway/relay_server.py
+++ b/src/balsamreach/gateway/relay_server.py
@@ -232,8 +232,8 @@
         self._task = asyncio.ensure_future(
             self._answer(request, caller_response)
         )
+        self._task.add_done_callback(partial(self._on_done, caller_response))
         self.server.running.add(self._task)
-        self._task.add_done_callback(self.server.running.discard)
         self.conn.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
@@ -250,9 +250,15 @@
         except StreamClosedError:
             # The caller disconnected between two writes.
             caller_response.abort()
-        finally:
-            if not caller_response.ended:
-                caller_response.abort()
+
+    def _on_done(
+        self, caller_response: CallerResponse, task: asyncio.Task
+    ) -> None:
+        self.server.running.discard(task)
+        # A task that is cancelled before its first step executes no code, so
+        # it can't close the connection itself.
+        if not caller_response.ended:
+            caller_response.abort()
 
 
 def _phrase(status: int) -> str:
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import struct
+from unittest import mock
 
 from parameterized import parameterized
 from tornado.httpserver import HTTPServer
@@ -120,6 +121,20 @@
         await self.cancelled.wait()
         self.assertEqual(len(self.requests_seen), 1)
 
+    @gen_test
+    async def test_request_that_is_cancelled_before_it_begins(self):
+        """Guards against a caller that waits for a router that has stopped.
+
+        The router stops after it has read a request and before the first step
+        of the task that answers it.
+        """
+        self.server.running = mock.Mock(spec=set)
+        self.server.running.add.side_effect = asyncio.Task.cancel
+        stream = await _connect(self.port)
+        await stream.write(_GET)
+        self.assertEqual(await stream.read_until_close(), b'')
+        self.assertEqual(self.requests_seen, [])
+
     @gen_test
     async def test_request_on_closed_connection_does_not_run(self):
         """A request must not run after its connection was closed.
