Let the soak's targets send some answers a second time

A proxy before each target repeats one answer of twenty where the next one on the connection is expected, and notes from when to when each request was in progress at its target. No request may be in progress at two targets for more than 0.4 s, the users' bound; streams last 0.6 s now, as before they could not have shown it.

--- a/tests/soak_caller.py
+++ b/tests/soak_caller.py
@@ -9,6 +9,7 @@
 
 from tests.listed_fleet import LLM, ORDER
 from tests.soak_fleet import RouterProcess, SoakFleet
+from tests.soak_responses import HEAD_END, is_complete
 from tests.stream_callers import EVENT
 
 EVENTS = 10
@@ -20,8 +21,6 @@
 _CHUNK_BYTES = 65536
 _REFUSED_PAUSE_S = 0.05
 _STATUS_LINE = re.compile(rb'HTTP/1\.1 (\d{3}) ')
-_HEAD_END = b'\r\n\r\n'
-_LAST_CHUNK = b'0\r\n\r\n'
 
 
 @attrs.define
@@ -63,7 +62,7 @@
         """Whether the response is that of this attempt."""
         if self.status != HTTPStatus.OK:
             return True
-        head, _, body = self.received.partition(_HEAD_END)
+        head, _, body = self.received.partition(HEAD_END)
         is_echoed = f'attempt-id: {self.request_id}'.encode() in head.lower()
         is_in_body = self.request_id.encode() in body
         return is_echoed and (self.kind == LLM or is_in_body)
@@ -220,22 +219,12 @@
                 self.close()
                 return
             attempt.received += chunk
-            attempt.complete = _is_complete(attempt.received)
-        head = attempt.received.partition(_HEAD_END)[0]
+            attempt.complete = is_complete(attempt.received)
+        head = attempt.received.partition(HEAD_END)[0]
         if b'connection: close' in head.lower():
             self.close()
 
 
-def _is_complete(received: bytes) -> bool:
-    if _HEAD_END not in received:
-        return False
-    head, body = received.split(_HEAD_END, 1)
-    for line in head.lower().splitlines():
-        if line.startswith(b'content-length:'):
-            return len(body) >= int(line.partition(b':')[2])
-    return body.endswith(_LAST_CHUNK)
-
-
 def _request(kind: str, request_id: str, extra: dict[str, str]) -> bytes:
     headers = {
         'Host': 'host.example',
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -19,12 +19,15 @@
 from balsamreach.standins.listed_target import ListedTarget, make_listed_target
 from balsamreach.standins.row_store import RowStoreState, make_row_store
 from tests.listed_fleet import CONFIGURATION
+from tests.repeating_proxy import RepeatingProxy
 
 _FRONT, _READY, _CONTROL, _FORWARDING = 8227, 8220, 8229, 7340
 _GRACE_S = 8
 _START_CHECKS = 200
 _CHECK_S = 0.05
 _AMPLE_TOKENS = 10_000_000
+#: Share of the targets' answers that are sent a second time.
+_REPEATED_SHARE = 0.05
 _SETTINGS = """
 node = "{name}"
 ip = "{ip}"
@@ -156,6 +159,7 @@
     addresses: dict[str, str] = attrs.field(factory=dict)
     statuses: Counter = attrs.field(factory=Counter)
     rng: random.Random = attrs.field(init=False)
+    proxies: list[RepeatingProxy] = attrs.field(factory=list)
     _servers: list[HTTPServer] = attrs.field(factory=list)
     _directory: tempfile.TemporaryDirectory = attrs.field(
         factory=tempfile.TemporaryDirectory
@@ -205,7 +209,9 @@
             target_id=target_id, clock=self.clock, release=release
         )
         self.targets[target_id] = target
-        self.addresses[target_id] = self._serve(make_listed_target(target))
+        self.addresses[target_id] = self._serve_through_proxy(
+            make_listed_target(target)
+        )
         self._list(target, 'ready')
         return target
 
@@ -227,6 +233,8 @@
         """End all processes and stand-ins."""
         self.store.answer()
         await asyncio.gather(*(router.stop() for router in self.routers))
+        for proxy in self.proxies:
+            proxy.stop()
         for server in self._servers:
             server.stop()
             await server.close_all_connections()
@@ -243,6 +251,15 @@
         }
         self.store.write('servers', target.target_id, fields)
 
+    def _serve_through_proxy(self, app: Application) -> str:
+        proxy = RepeatingProxy(
+            self._serve(app), _REPEATED_SHARE, self.rng, self.clock
+        )
+        listener, port = bind_unused_port()
+        proxy.add_socket(listener)
+        self.proxies.append(proxy)
+        return f'127.0.0.1:{port}'
+
     def _serve(self, app: Application) -> str:
         listener, port = bind_unused_port()
         server = HTTPServer(app)
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+import itertools
 import random
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Iterator
 from http import HTTPStatus
 
@@ -27,6 +28,10 @@
 _STEPS = 14
 _STEP_S = 0.5
 _WORK_S = 0.03
+#: Seconds for which two targets may work on a request, and those between two
+#: events of a stream, which lasts longer than that.
+_SHARED_WORK_S = 0.4
+_EVENT_S = 0.06
 #: In each third seed the callers' tokens are used up in mid-run.
 _SCARCE_EACH = 3
 _SCARCE_TOKENS = 15_000
@@ -100,7 +105,7 @@
     def _add_target(self, service: str, release: str) -> None:
         target = self.fleet.add_target(service, release)
         target.events = EVENTS
-        target.work = _WORK_S
+        target.work = _EVENT_S if service == LLM else _WORK_S
 
     async def _step(self) -> None:
         steps: tuple[Step, ...] = (
@@ -158,9 +163,12 @@
         seen = [one for caller in self._callers for one in caller.breaches]
         for one in self._attempts():
             self.fleet.statuses[one.kind, one.status] += 1
+        for proxy in self.fleet.proxies:
+            self.fleet.statuses['answers', 'repeated'] += proxy.repeated
         return [
             *seen,
             *self._runs(),
+            *self._shared_work(),
             *self._lost(),
             *self._late_work(),
             *self._overspent(),
@@ -189,6 +197,19 @@
             and runs[one.request_id] > (one.status != refused)
         ]
 
+    def _shared_work(self) -> list[str]:
+        """Return requests at which two targets were at work at once."""
+        runs = defaultdict(list)
+        for proxy in self.fleet.proxies:
+            for run in proxy.runs:
+                runs[run.request_id].append(run)
+        return [
+            f'{request_id}: {one.target} and {other.target} at once'
+            for request_id, same in runs.items()
+            for one, other in itertools.combinations(same, 2)
+            if one.overlap(other) > _SHARED_WORK_S
+        ]
+
     def _lost(self) -> list[str]:
         """Return requests that ran, and whose answers were lost."""
         ran = self._run_counts()
