--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -19,6 +19,7 @@
 from balsamreach.standins.listed_target import ListedTarget, make_listed_target
 from balsamreach.standins.row_store import RowStoreState, make_row_store
 from tests.listed_fleet import CONFIGURATION
+from tests.loop_stalls import LoopStalls
 from tests.repeating_proxy import RepeatingProxy
 
 _FRONT, _READY, _CONTROL, _FORWARDING = 8227, 8220, 8229, 7340
@@ -160,6 +161,7 @@
     statuses: Counter = attrs.field(factory=Counter)
     rng: random.Random = attrs.field(init=False)
     proxies: list[RepeatingProxy] = attrs.field(factory=list)
+    stalls: LoopStalls = attrs.field(init=False)
     _servers: list[HTTPServer] = attrs.field(factory=list)
     _directory: tempfile.TemporaryDirectory = attrs.field(
         factory=tempfile.TemporaryDirectory
@@ -168,6 +170,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.rng = random.Random(self.seed)
+        self.stalls = LoopStalls(self.clock)
 
     async def start(self, routers: int) -> None:
         """Start the store and all routers; targets must be added before."""
