--- a/tests/fake_upstream.py
+++ b/tests/fake_upstream.py
@@ -54,6 +54,7 @@
     cancelled: list = attrs.field(factory=list)
     generations: dict = attrs.field(factory=dict)
     cut_resumes: int = 0
+    foreign_resumes: int = 0
     began: asyncio.Event = attrs.field(factory=asyncio.Event)
     go_on: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -133,12 +134,16 @@
             intake.start(404, {'content-type': 'application/json'})
             intake.write(b'{"error": "no such generation"}')
             return None
+        is_foreign = self.foreign_resumes > 0
+        self.foreign_resumes -= is_foreign
         headers = {
             'content-type': 'text/event-stream',
-            'x-engine-request': name,
+            'x-engine-request': 'another' if is_foreign else name,
         }
         intake.start(200, headers)
-        remaining = events[int(query) :]
+        if intake.problem:
+            return REJECTED
+        remaining = events if is_foreign else events[int(query) :]
         if self.cut_resumes > 0:
             self.cut_resumes -= 1
             remaining = remaining[:1]
--- a/tests/test_dispatch_run.py
+++ b/tests/test_dispatch_run.py
@@ -126,6 +126,17 @@
         self.check_complete(caller)
         self.assertEqual(self.targets.runs['key'], 1)
 
+    async def test_resumed_stream_of_another_generation(self):
+        """Guards against the events of another caller in a resumed stream.
+
+        The engine answers an earlier request for a generation once more.
+        """
+        self.plan_all(cut(2))
+        self.targets.foreign_resumes = 1
+        caller = await self.router.call()
+        self.check_complete(caller)
+        self.assertEqual(self.targets.runs['key'], 1)
+
     async def test_lost_generation_runs_again_and_continues(self):
         """Guards against a repeated beginning when a stream runs again.
 
