Free a test of TLS of the machine's speed

The test's process holds both ends of the connection, stood still for 1.2 s, and the default timeout of a connection is 1 s. As for polls, the test now sets a longer one; what it checks is the same.

--- a/tests/test_curl_tls.py
+++ b/tests/test_curl_tls.py
@@ -81,8 +81,9 @@
             'host.zone=zone-a',
             f'platform.table={url}',
             # On a busy machine the test process may pause for longer than the
-            # default timeout of polls.
+            # default timeouts of polls and connections.
             'targets.poll_timeout=30s',
+            'platform.connect_timeout=30s',
         )
         return read_settings(
             None, (*base_settings, 'routing.target_tls=yes', *tls_settings)
