Log the release of each stream as it begins

Change: stream_begun names the release and whether a record is sent, while the router can't rule out a second release; stream_taken_up tells for how long the router has followed the list. No decision changes.

--- a/src/balsamreach/placement/service_releases.py
+++ b/src/balsamreach/placement/service_releases.py
@@ -89,6 +89,14 @@
             if known.targets > 0 or known.gone_at >= since
         )
 
+    def followed_for(self, service: str) -> float | None:
+        """Return the seconds since a target of a service was first listed.
+
+        None if this router has never seen one.
+        """
+        first_at = self._first_at.get(service)
+        return None if first_at is None else self.clock.now() - first_at
+
     def is_mixed(self, service: str, within: float) -> bool:
         """Return whether a service had several releases in that time."""
         return len(self.seen(service, within)) > 1
--- a/src/balsamreach/relay/stream_releases.py
+++ b/src/balsamreach/relay/stream_releases.py
@@ -7,7 +7,6 @@
 A service of one release costs no message and no record.
 """
 
-import logging
 from collections import defaultdict
 
 import attrs
@@ -21,8 +20,8 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.record_keepers import RecordKeepers
 from balsamreach.relay.release_inquiry import ReleaseInquiry
+from balsamreach.relay.release_log import ReleaseLog
 from balsamreach.relay.release_records import ReleaseRecords
-from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.membership import Member
 from balsamreach.wire.releases import (
@@ -31,12 +30,10 @@
     StreamsBegun,
 )
 
-TAKEN_UP = 'balsamreach_relay_streams_taken_up_total'
 #: Bases of what a router knows of a stream's release.
 RECORD = 'record'
 ONLY = 'only'
 
-_logger = logging.getLogger(__name__)
 _MS = 1000
 #: Minimum seconds for which a caller may return.
 _MIN_KEEP_S = 30.0
@@ -94,6 +91,8 @@
         Source of the current time.
     metrics : Metrics
         Counts streams that are taken up again.
+    log : ReleaseLog
+        Logs streams that begin or are taken up again.
     records : ReleaseRecords
         Streams of which this router knows the release.
     keepers : RecordKeepers
@@ -104,6 +103,7 @@
     services: ServiceReleases
     clock: Clock
     metrics: Metrics
+    log: ReleaseLog = attrs.field(init=False)
     records: ReleaseRecords = attrs.field(init=False)
     keepers: RecordKeepers = attrs.field(init=False)
     _running: dict[int, _Running] = attrs.field(factory=dict)
@@ -115,6 +115,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the records, and choose keepers by the current members."""
+        self.log = ReleaseLog(self.services, self.metrics)
         self.records = ReleaseRecords(self.clock)
         self.keepers = RecordKeepers(self.net)
 
@@ -131,7 +132,9 @@
         keep = _keep_seconds(call)
         stream = _Running(call.service, call.release, keep)
         self._running[key] = stream
-        if self.services.is_mixed(call.service, keep):
+        is_mixed = self.services.is_mixed(call.service, keep)
+        self.log.log_begun(call, keep, is_recorded=is_mixed)
+        if is_mixed:
             self._enqueue(key, stream)
             self._flush()
 
@@ -161,23 +164,7 @@
         origin = self._find_here(call)
         if origin is None:
             origin = await self._find_elsewhere(call)
-        is_found = isinstance(origin, Origin)
-        outcome = origin.basis if is_found else origin.code
-        self.metrics.count(TAKEN_UP, outcome=outcome)
-        log_event(
-            _logger,
-            logging.INFO if is_found else logging.WARNING,
-            'stream_taken_up',
-            request_id=call.request_id,
-            team=call.team_name,
-            resumes=call.resumes,
-            last_event=call.last_event,
-            outcome=outcome,
-            release=origin.release if is_found else None,
-            source=origin.source if is_found else None,
-            age_ms=round(origin.age * _MS) if is_found else None,
-            seen=self.services.seen(call.service, _keep_seconds(call)),
-        )
+        self.log.log_taken_up(call, _keep_seconds(call), origin)
         return origin
 
     def run_round(self) -> None:
