--- a/tests/listed_fleet.py
+++ b/tests/listed_fleet.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from http import HTTPStatus
 
 import attrs
@@ -209,41 +209,26 @@
 
     async def add_router(self) -> RelayRouter:
         """Start a router and wait until it is ready and has all its peers."""
-        known = [self.routers[number].parts.net for number in self.running]
-        seeds = ', '.join(net.me.address for net in known)
-        router = make_router(
-            read_settings(
-                None,
-                (
-                    'host.zone=zone-a',
-                    'host.address=127.0.0.1',
-                    f'platform.table={self._store_url}',
-                    'peers.fleet=platform',
-                    'peers.address=127.0.0.1',
-                    'peers.port=0',
-                    'peers.forwarding_port=0',
-                    f'peers.seeds={seeds}',
-                    'callers.address=127.0.0.1',
-                    'callers.port=0',
-                    'probes.address=127.0.0.1',
-                    'probes.port=0',
-                    # A blocked event loop must not look like a dead target.
-                    'relay.connect_timeout=30s',
-                    *self.overrides,
-                ),
-            ),
-        )
-        await router.start()
-        number = len(self.routers)
-        self.routers.append(router)
-        assert await until(lambda: router.state == 'ready')
-        net = router.parts.net
-        others = len(self.running)
-        assert await until(lambda: len(net.neighbours()) >= others)
-        self.ready_at[f'router-{number}'] = self.clock.now()
-        self.running.append(number)
+        known = [self.routers[number] for number in self.running]
+        router = await self._start_router(known)
+        await self._await_ready(router, len(known))
         return router
 
+    async def add_routers(self, count: int) -> None:
+        """Start routers at the same time, as after a loss of power."""
+        started: list[RelayRouter] = []
+        for _ in range(count):
+            started.append(await self._start_router(started))
+        for router in started:
+            await self._await_ready(router, count - 1)
+
+    async def kill_all(self) -> int:
+        """Stop all routers at once without a warning; return their number."""
+        killed = [self.routers[number] for number in self.running]
+        self.running.clear()
+        await asyncio.gather(*(router.stop() for router in killed))
+        return len(killed)
+
     async def replace_router(self) -> None:
         """Shut down a random router while starting another one."""
         number = self.running.pop(self.rng.randrange(len(self.running)))
@@ -371,6 +356,43 @@
         )
         return [request_id for request_id, count in runs.items() if count > 1]
 
+    async def _start_router(self, known: Sequence[RelayRouter]) -> RelayRouter:
+        seeds = ', '.join(router.parts.net.me.address for router in known)
+        router = make_router(
+            read_settings(
+                None,
+                (
+                    'host.zone=zone-a',
+                    'host.address=127.0.0.1',
+                    f'platform.table={self._store_url}',
+                    'peers.fleet=platform',
+                    'peers.address=127.0.0.1',
+                    'peers.port=0',
+                    'peers.forwarding_port=0',
+                    f'peers.seeds={seeds}',
+                    'callers.address=127.0.0.1',
+                    'callers.port=0',
+                    'probes.address=127.0.0.1',
+                    'probes.port=0',
+                    # A blocked event loop must not look like a dead target.
+                    'relay.connect_timeout=30s',
+                    *self.overrides,
+                ),
+            ),
+        )
+        await router.start()
+        self.routers.append(router)
+        return router
+
+    async def _await_ready(self, router: RelayRouter, others: int) -> None:
+        """Wait until a router is ready and has all its peers."""
+        assert await until(lambda: router.state == 'ready')
+        net = router.parts.net
+        assert await until(lambda: len(net.neighbours()) >= others)
+        number = self.routers.index(router)
+        self.ready_at[f'router-{number}'] = self.clock.now()
+        self.running.append(number)
+
     def _is_late(self, arrival: Arrival, ends: float) -> bool:
         # A router that has just started still has to learn this from its
         # peers.
