Let the simulated store keep the limits of commits, and count its calls

For tests of what routers keep in the store. rows-get honours `limit`; rows-tx gets 400 with more than 100 entries, more than 1 MB or several parts without `across`, and 403 for `op` and `servers`. `served_tables` takes the other tables away, `calls` counts by path and table, `read` returns a row's fields.

Not simulated: pages of at most 1 MB, rates and 429, `row_bytes`, `tx_ms`.

--- a/src/balsamreach/standins/row_store.py
+++ b/src/balsamreach/standins/row_store.py
@@ -8,7 +8,8 @@
 import base64
 import json
 import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Collection
 from http import HTTPStatus
 from typing import Any
 
@@ -19,6 +20,11 @@
 
 _Key = tuple[str, str, str]
 _MS = 1000
+#: Maximum number of entries, and bytes of the body, of a commit.
+_MAX_ENTRIES = 100
+_MAX_COMMIT_BYTES = 1_000_000
+#: Tables that the system may not write to.
+_OPERATOR_TABLES = frozenset(('op', 'servers'))
 
 
 @attrs.define(eq=False)
@@ -37,6 +43,10 @@
         A call that follows changes after an older version gets status 410.
     status : int
         HTTP status of every response; 0 while the store works.
+    served_tables : collection of str or None
+        Calls that concern other tables get status 503; None for no limit.
+    calls : Counter
+        Number of calls by path and table, including those that got no answer.
     lose_answers : int
         How many of the next commits are applied and not answered.
     waits : list of int
@@ -52,6 +62,8 @@
     version: int = 0
     history_from: int = 0
     status: int = 0
+    served_tables: Collection[str] | None = None
+    calls: Counter = attrs.field(factory=Counter)
     lose_answers: int = 0
     waits: list[int] = attrs.field(factory=list)
     page_rows: int = 500
@@ -78,6 +90,11 @@
             encoded = base64.b64encode(json.dumps(fields).encode()).decode()
         return self.apply([((table, part, key), encoded)])
 
+    def read(self, table: str, key: str, part: str = '') -> Any:
+        """Return the fields of a row."""
+        encoded, _version = self.rows[table, part, key]
+        return json.loads(base64.b64decode(encoded))
+
     def apply(self, writes: list[tuple[_Key, str | None]]) -> int:
         """Apply writes as one change and return its version."""
         self.version += 1
@@ -103,10 +120,20 @@
 
     async def prepare(self) -> None:
         """Wait while the store is silent; send the set status, if any."""
+        tables = self.tables()
+        self.state.calls.update((self.request.path, one) for one in tables)
         await self.state.audible.wait()
+        served = self.state.served_tables
         if self.state.status:
             self.set_status(self.state.status)
             self.finish()
+        elif served is not None and not tables.issubset(served):
+            self.set_status(HTTPStatus.SERVICE_UNAVAILABLE)
+            self.finish()
+
+    def tables(self) -> set[str]:
+        """Return the tables that the call concerns."""
+        return {self.get_argument('table')}
 
     def reply(self, **fields: Any) -> None:
         """Respond with fields, the newest version and the store's time."""
@@ -128,7 +155,8 @@
             and key[2] >= first
             and (not end or key[2] < end)
         ]
-        limit = self.state.page_rows
+        wanted = int(self.get_argument('limit', '') or self.state.page_rows)
+        limit = min(wanted, self.state.page_rows)
         self.reply(rows=rows[:limit], more_pages=len(rows) > limit)
         self.state.on_page()
 
@@ -163,8 +191,16 @@
 
 
 class _CommitHandler(_StoreHandler):
+    def tables(self) -> set[str]:
+        """Return the tables of all entries."""
+        return {row['table'] for row in _entries(self.request.body)}
+
     def post(self) -> None:
         """Apply a commit if all expected versions match."""
+        status = _check_commit(self.request.body)
+        if status != HTTPStatus.OK:
+            self.set_status(status)
+            return
         body = json.loads(self.request.body)
         for check in body['expected_rev']:
             if self.state.version_of(_parse_key(check)) != check['ver']:
@@ -202,6 +238,29 @@
     )
 
 
+def _check_commit(encoded: bytes) -> HTTPStatus:
+    """Return the status of a commit that the store would not even try."""
+    entries = _entries(encoded)
+    if len(entries) > _MAX_ENTRIES or len(encoded) > _MAX_COMMIT_BYTES:
+        return HTTPStatus.BAD_REQUEST
+    body = json.loads(encoded)
+    if any(row['table'] in _OPERATOR_TABLES for row in _changes(body)):
+        return HTTPStatus.FORBIDDEN
+    parts = {row['part'] for row in entries}
+    if len(parts) > 1 and not body.get('across'):
+        return HTTPStatus.BAD_REQUEST
+    return HTTPStatus.OK
+
+
+def _entries(encoded: bytes) -> list[dict[str, Any]]:
+    body = json.loads(encoded)
+    return [*body['expected_rev'], *_changes(body)]
+
+
+def _changes(body: dict[str, Any]) -> list[dict[str, Any]]:
+    return [*body['writes'], *body['remove']]
+
+
 def _parse_key(fields: dict[str, Any]) -> _Key:
     return fields['table'], fields['part'], fields['key']
 
