--- a/tests/releases_run.py
+++ b/tests/releases_run.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from balsamreach.standins.listed_target import ListedTarget
 from tests.cut_host import DROPPED, REFUSED, RESET, CutHosts
 from tests.listed_fleet import LLM, ListedFleet
 from tests.seeded_runs import run_seeds
@@ -20,10 +21,10 @@
 _RELEASES = ('v1', 'v2')
 _TARGETS = 3
 _EVENTS = 12
-_WORK_S = 0.03
+_WORK_S = 0.1
 _STEPS = 12
 _STEP_S = 0.4
-_CALLERS = 10
+_CALLERS = 20
 #: Times that a caller takes its stream up again.
 _RETURNS = 3
 #: Share of streams that lose their caller's connection, and the seconds after
@@ -34,6 +35,11 @@
 #: ones that begin, and the number of them from which it counts.
 _MIN_RATIO = 0.5
 _MIN_RETURNS = 12
+#: Seconds from a stream's first event after which a restart of all routers must
+#: not lose its release.
+_WRITTEN_S = 0.5
+#: Share of such restarts during which all targets of a release are replaced.
+_REPLACED_SHARE = 0.5
 
 Step = Callable[[], Awaitable[None]]
 
@@ -51,6 +57,14 @@
         return self.served / self.sent if self.sent else 1
 
 
+@attrs.frozen
+class _Restart:
+    """Monotonic seconds between which no router ran."""
+
+    killed_at: float
+    up_at: float
+
+
 @attrs.define(eq=False)
 class ReleasesRun:
     """A run with callers who return, and a random event every 0.4 s.
@@ -72,6 +86,9 @@
     _returned: _Served = attrs.field(factory=_Served)
     _mixed: list[str] = attrs.field(factory=list)
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
+    _survived: _Served = attrs.field(factory=_Served)
+    _restarts: list[_Restart] = attrs.field(factory=list)
+    _up: asyncio.Event = attrs.field(factory=asyncio.Event)
     _running: bool = True
 
     def __attrs_post_init__(self) -> None:
@@ -88,6 +105,7 @@
         for release in _RELEASES * _TARGETS:
             self._add_target(release)
         await fleet.list_known()
+        self._up.set()
         callers = [asyncio.ensure_future(self._call()) for _ in range(_CALLERS)]
         for _ in range(_STEPS):
             await asyncio.sleep(_STEP_S)
@@ -98,12 +116,13 @@
         return [*self._mixed, *self._refusals()]
 
     def _refusals(self) -> list[str]:
-        share = self._returned.share
-        if self._returned.sent < _MIN_RETURNS:
-            return []
-        if share >= _MIN_RATIO * self._new.share:
-            return []
-        return [f'{self._returned} of returning callers, {self._new} of new']
+        least = _MIN_RATIO * self._new.share
+        counts = {'returning': self._returned, 'surviving': self._survived}
+        return [
+            f'{count} of {name} streams, {self._new} of new'
+            for name, count in counts.items()
+            if count.sent >= _MIN_RETURNS and count.share < least
+        ]
 
     def _add_target(self, release: str) -> None:
         number = next(self._numbers)
@@ -116,6 +135,7 @@
         while self._running:
             name = f'caller-{next(self._numbers)}'
             caller = StreamCaller(self.fleet, name)
+            await self._up.wait()
             await self._attempt(caller, self._new)
             for _ in range(_RETURNS):
                 await self._return(caller)
@@ -126,8 +146,8 @@
         if caller.is_complete or not caller.last_id:
             return
         await asyncio.sleep(_RETURN_S)
-        counts = self._can_go_on(caller)
-        await self._attempt(caller, self._returned if counts else _Served())
+        await self._up.wait()
+        await self._attempt(caller, self._count_of(caller))
 
     async def _attempt(self, caller: StreamCaller, served: _Served) -> None:
         is_lost = self.fleet.rng.random() < _LOST_SHARE
@@ -151,7 +171,21 @@
         ]
         return len(serving) > 1
 
-    def _listed(self):
+    def _count_of(self, caller: StreamCaller) -> _Served:
+        """Return the count that an attempt at taking up a stream adds to."""
+        since = [
+            restart
+            for restart in self._restarts
+            if caller.began_at < restart.up_at
+        ]
+        if not self._can_go_on(caller) or any(
+            caller.began_at > restart.killed_at - _WRITTEN_S
+            for restart in since
+        ):
+            return _Served()
+        return self._survived if since else self._returned
+
+    def _listed(self) -> list[ListedTarget]:
         return [
             target
             for target_id, target in self.fleet.targets.items()
@@ -167,6 +201,8 @@
             self._replace_target,
             self._kill_router,
             self._replace_router,
+            self._replace_release,
+            self._restart_all,
             self._cut_off,
             self._reconnect,
             self._reconnect,
@@ -187,12 +223,34 @@
         """Replace a target by one of the other release."""
         old = self.rng.choice(self._listed())
         release = next(one for one in _RELEASES if one != old.release)
+        self._replace(old, release)
+
+    async def _replace_release(self) -> None:
+        """Replace all targets of a release by such of the other one."""
+        old, new = self.rng.sample(_RELEASES, 2)
+        for target in self._listed():
+            if target.release == old:
+                self._replace(target, new)
+
+    def _replace(self, old: ListedTarget, release: str) -> None:
         self._add_target(release)
         self.fleet.store.write('servers', old.target_id, None)
 
     async def _kill_router(self) -> None:
         await self.fleet.kill_router()
 
+    async def _restart_all(self) -> None:
+        """Kill all routers, replace a release or not, and start others."""
+        self._up.clear()
+        killed_at = self.fleet.clock.now()
+        count = await self.fleet.kill_all()
+        if self.rng.random() < _REPLACED_SHARE:
+            self.events.append('replace_release while down')
+            await self._replace_release()
+        await self.fleet.add_routers(count)
+        self._restarts.append(_Restart(killed_at, self.fleet.clock.now()))
+        self._up.set()
+
     async def _replace_router(self) -> None:
         await self.fleet.replace_router()
 
--- a/tests/stream_callers.py
+++ b/tests/stream_callers.py
@@ -32,6 +32,8 @@
         Status of each attempt, 0 for none.
     is_complete : bool
         Whether the stream has ended normally.
+    began_at : float
+        Monotonic seconds at which the first event came.
     route : str
         First element of the path.
     shared_parts : tuple of str
@@ -45,6 +47,7 @@
     releases: list[str] = attrs.field(factory=list)
     statuses: list[int] = attrs.field(factory=list)
     is_complete: bool = False
+    began_at: float = 0
     first_attempt: str = ''
     route: str = LLM
     shared_parts: tuple[str, ...] = ()
@@ -84,6 +87,8 @@
         while chunk := await _read_chunk(reader):
             received += chunk
             events = EVENT.findall(received)
+            if events:
+                self.began_at = self.began_at or self.fleet.clock.now()
             self.is_complete = received.endswith(_LAST_CHUNK)
             if self.is_complete or 0 < max_events <= len(events):
                 break
