Don't take bytes that are no answer for a crash

Cause: an exchange that ends since a target's bytes are no HTTP, or its head has no end, is closed at this end. It was reported as a broken connection and recorded as one: the classifier took it for evidence that the prompt crashes its targets.

Evidence: tests.test_relay_endless_bytes.CrashEvidenceTest, with targets on sockets.

Why it works: UpstreamFault.closed_here says that the connection was closed at this end since its bytes were no answer. The outcome stays BROKEN and the target's failure still counts, but no crash is recorded, as for a response that the intake rejects.

A malformed chunk has the same code of curl as a reset connection and is still taken for a break.

--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -34,12 +34,16 @@
     closed_by_target : bool
         Whether the target closed or reset the connection, so that it no
         longer works on the request.
+    closed_here : bool
+        Whether the connection was closed at this end since its bytes were no
+        answer. That doesn't show that the target has crashed.
     connect_failure : ConnectFailure or None
         Why there was no connection; None for faults other than NOT_SENT and
         if the transport doesn't tell.
     """
 
     closed_by_target: bool = attrs.field(default=False, eq=False)
+    closed_here: bool = attrs.field(default=False, eq=False)
     connect_failure: ConnectFailure | None = attrs.field(default=None, eq=False)
 
     def because_of(self, failure: ConnectFailure, reason: str) -> Self:
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -21,6 +21,19 @@
 
 #: Maximum number of idle handles kept for reuse.
 _MAX_IDLE_HANDLES = 1024
+#: Curl's code for a head that exceeds curl's own limits; pycurl has no name
+#: for it.
+_TOO_LARGE = 100
+#: Codes of exchanges whose bytes are no answer: no HTTP, or a head that is too
+#: large, by curl's limits or by ours. The target hasn't closed the connection.
+_NO_ANSWER_CODES = frozenset(
+    (
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        pycurl.E_FTP_WEIRD_SERVER_REPLY,
+        pycurl.E_WRITE_ERROR,
+        _TOO_LARGE,
+    )
+)
 
 #: Sets all options of a reset handle.
 Prepare = Callable[[pycurl.Curl, Transfer], None]
@@ -128,7 +141,11 @@
         transfer.abort_reason or end.message or 'no whole head'
     )
     closed = _is_closed_by_target(end.code, os_error)
-    return attrs.evolve(fault, closed_by_target=closed)
+    return attrs.evolve(
+        fault,
+        closed_by_target=closed,
+        closed_here=end.code in _NO_ANSWER_CODES,
+    )
 
 
 def _is_closed_by_target(code: int, os_error: int) -> bool:
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -152,11 +152,11 @@
         intake: AnswerIntake,
         end: UpstreamFault | None,
     ) -> Verdict:
-        if end == REJECTED:
-            _log_rejection(call, place, intake)
-        # Silence is as often the network's fault as the target's, and a
-        # rejected response was closed here; only a connection that broke
-        # indicates a crash.
+        if end is not None and (end == REJECTED or end.closed_here):
+            _log_rejection(call, place, intake, end)
+        # Silence is as often the network's fault as the target's, and the
+        # connection of an invalid response was closed here; only one that
+        # broke indicates a crash.
         elif end is not None and end != SILENT:
             _log_break(call, place, intake, end)
             self._record_break(call, place, intake, end)
@@ -213,7 +213,10 @@
 
 
 def _log_rejection(
-    call: RelayCall, place: RelayTarget, intake: AnswerIntake
+    call: RelayCall,
+    place: RelayTarget,
+    intake: AnswerIntake,
+    end: UpstreamFault,
 ) -> None:
     """Log an invalid response, and the request that it claims to answer."""
     log_event(
@@ -222,10 +225,10 @@
         'answer_rejected',
         request_id=call.request_id,
         team=call.team_name,
-        reason=intake.problem,
+        reason=intake.problem or end.reason,
         service=call.service,
         target=place.incarnation,
-        answered_id=intake.head.request_id,
+        answered_id='' if intake.head is None else intake.head.request_id,
     )
 
 
--- /dev/null
+++ b/tests/test_relay_endless_bytes.py
@@ -0,0 +1,114 @@
+"""Tests of targets whose answers have no end."""
+
+import asyncio
+import itertools
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from balsamreach.catalogue.entries import Route
+from balsamreach.gateway.relay_curl import RelayCurl
+from balsamreach.relay.run import RelayRun
+from tests import endless_targets as samples
+from tests import relay_samples
+from tests.deployment import until
+from tests.endless_targets import SOCKET_BYTES, Endless, EndlessTarget
+from tests.relay_harness import RelayHarness
+from tests.relay_samples import STREAM, entry
+from tests.relay_scripts import RecordingResponse
+
+_PLAIN_FORMS = samples.ANY | samples.BODIES | samples.ERRORS
+_STREAM_FORMS = samples.ANY | samples.ERRORS | samples.EVENTS
+#: The largest of the router's limits, that of a plain answer.
+_MAX_TAKEN_BYTES = (8 << 20) + SOCKET_BYTES
+#: Time limit of the requests in seconds, far beyond any wait of a test.
+_DEADLINE_S = 60
+#: Seconds within which each request must be answered.
+_MAX_WAIT_S = 20
+#: The same for a stream that goes on to its time limit.
+_SHORT_DEADLINE_S = 1
+_SPEEDS = {'fast': False, 'slow': True}
+_SEEDS = 3
+_SEEDED_REQUESTS = 24
+
+
+def _cases(forms: dict[str, Endless], **routes: Route):
+    cases = itertools.product(routes.items(), forms.items(), _SPEEDS.items())
+    for (name, route), (form, endless), (speed, slow) in cases:
+        yield f'{name}_{form}_{speed}', route, endless, slow
+
+
+class FullResponse(RecordingResponse):
+    """The response to a caller that reads nothing after the first bytes."""
+
+    @property
+    def should_pause(self) -> bool:
+        """Whether the caller has got bytes."""
+        return bool(self.body)
+
+
+class EndlessCase(unittest.IsolatedAsyncioTestCase):
+    """A router with two targets of each service on sockets."""
+
+    async def asyncSetUp(self):
+        self.curl = RelayCurl(_MAX_WAIT_S)
+        self.addCleanup(self.curl.close)
+        self.harness = RelayHarness(exchange=self.curl)
+
+    async def start(self, *script):
+        """Start the targets."""
+        self.target = EndlessTarget(list(script))
+        self.addCleanup(self.target.stop)
+        for service in (relay_samples.ENGINES, relay_samples.DESK):
+            for number in (1, 2):
+                new = entry(f'{service}-{number}', service, version=1)
+                address = await self.target.start()
+                self.harness.chooser.places.put(
+                    attrs.evolve(new, address=address)
+                )
+
+    async def request(self, route, response=None, seconds=_DEADLINE_S):
+        """Send a request, and return the response that its caller gets."""
+        call = relay_samples.call(route, seconds=seconds)
+        response = response or RecordingResponse()
+        run = RelayRun(self.harness.parts, call, response)
+        async with asyncio.timeout(_MAX_WAIT_S):
+            await run.run()
+        return response
+
+    async def assert_dropped(self):
+        """Check that the connection is closed, and few bytes were taken."""
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+        self.assertLess(self.target.written, _MAX_TAKEN_BYTES)
+
+    def failures(self):
+        """Return how many targets have failed."""
+        places = self.harness.chooser.places
+        return sum(
+            place.breaker.consecutive_failures
+            for service in (relay_samples.ENGINES, relay_samples.DESK)
+            for place in places.of_service(service)
+        )
+
+
+class CrashEvidenceTest(EndlessCase):
+    """Bytes that are no answer don't show that a target has crashed."""
+
+    @parameterized.expand(list(samples.NO_ANSWERS.items()))
+    async def test_is_no_crash(self, _, endless):
+        """Guards against refusing all prompts that share a part.
+
+        The router closes the connections; the targets are up.
+        """
+        await self.start((endless, False), (endless, False))
+        response = await self.request(STREAM)
+        self.assertEqual(response.status, 502)
+        self.assertEqual(self.target.requests, 2)
+        quarantine = self.harness.parts.quarantine
+        self.assertTrue(quarantine.parts.suspects.is_empty())
+        await self.assert_dropped()
+
+
+if __name__ == '__main__':
+    unittest.main()
