End answers whose bytes make nothing whole for two seconds

Cause: each byte counted as a sign of life. A target that sends a few bytes of a head, an event, trailers or a body without a length each 50 ms is never silent, and never ends; nor does one that repeats an event, of which nothing is passed on. Only the time limit of the request ended these exchanges.

What callers saw: no answer, or a stream without a next event, up to the time limit, although other targets could answer and the request may be repeated. Callers give up sooner.

Evidence: tests.test_relay_endless_bytes, with targets on sockets that write without end, fast or slowly. Of its 120 tests, 36 failed before the change with TimeoutError, e.g. test_goes_on_elsewhere_01_plain_head_lines_slow, after 20 s of a time limit of 60 s. All pass now.

TransferWatch ends the exchange after eight checks, two seconds, at which bytes arrived that made nothing whole. A silent check counts neither way, so a target that is at work is waited for as before. The check is on for the answers of the relay only (Intake.must_progress).

--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -145,6 +145,16 @@
         """Whether to pause reading until callers have caught up."""
         return False
 
+    @property
+    def must_progress(self) -> bool:
+        """Whether an answer ends if its bytes make nothing whole for long."""
+        return False
+
+    @property
+    def whole_parts(self) -> int | None:
+        """Whole events received; None if the body isn't split into any."""
+        return None
+
     @abc.abstractmethod
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Receive status and headers, header names in lower case."""
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -17,21 +17,27 @@
 )
 from balsamreach.gateway.curl_loop import CurlLoop, TransferEnd
 from balsamreach.gateway.curl_transfer import Transfer
-from balsamreach.gateway.curl_watch import SILENCE_CODE, TransferWatch
+from balsamreach.gateway.curl_watch import (
+    ENDLESS_CODE,
+    SILENCE_CODE,
+    TransferWatch,
+)
 
 #: Maximum number of idle handles kept for reuse.
 _MAX_IDLE_HANDLES = 1024
 #: Curl's code for a head that exceeds curl's own limits; pycurl has no name
 #: for it.
 _TOO_LARGE = 100
-#: Codes of exchanges whose bytes are no answer: no HTTP, or a head that is too
-#: large, by curl's limits or by ours. The target hasn't closed the connection.
+#: Codes of exchanges whose bytes are no answer: no HTTP, a head that is too
+#: large by curl's limits or by ours, or no end. The target hasn't closed the
+#: connection.
 _NO_ANSWER_CODES = frozenset(
     (
         pycurl.E_UNSUPPORTED_PROTOCOL,
         pycurl.E_FTP_WEIRD_SERVER_REPLY,
         pycurl.E_WRITE_ERROR,
         _TOO_LARGE,
+        ENDLESS_CODE,
     )
 )
 
--- a/src/balsamreach/gateway/curl_watch.py
+++ b/src/balsamreach/gateway/curl_watch.py
@@ -1,4 +1,4 @@
-"""Timers that stop silent transfers and resume paused ones."""
+"""Timers that stop silent and endless transfers and resume paused ones."""
 
 import asyncio
 from collections.abc import Callable
@@ -11,6 +11,8 @@
 
 #: Used as curl's error code: no data was received within the gap timeout.
 SILENCE_CODE = -1
+#: The same: data was received, but no more of the answer became whole.
+ENDLESS_CODE = -2
 #: Number of checks of a transfer within one gap timeout.
 _CHECKS_PER_TIMEOUT = 8
 #: Number of silent checks after which a transfer may be given up early.
@@ -46,14 +48,14 @@
     silence_timeout: float
     gives_up: Callable[[], bool] | None = None
     _silent_checks: int = 0
+    _endless_checks: int = 0
     _check_timer: asyncio.TimerHandle | None = None
     _resume_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Start the checks."""
         self.transfer.on_pause = self._schedule_resume
-        if self.silence_timeout or self.gives_up is not None:
-            self._schedule_check()
+        self._schedule_check()
 
     def stop(self) -> None:
         """Cancel all timers."""
@@ -77,11 +79,30 @@
             self._silent_checks = 0
         else:
             self._silent_checks += 1
+        self._count_endless()
         self.transfer.received_data = False
-        if not self._is_too_silent():
+        self.transfer.progressed = False
+        if self._is_too_silent():
+            self.curl_loop.complete(self.curl, TransferEnd(SILENCE_CODE))
+        elif self._endless_checks >= _CHECKS_PER_TIMEOUT:
+            self.curl_loop.complete(
+                self.curl, TransferEnd(ENDLESS_CODE, 'the answer has no end')
+            )
+        else:
             self._schedule_check()
+
+    def _count_endless(self) -> None:
+        # A faulty target may send a head, an event or a body without end. A
+        # few bytes in each interval are no silence, but no answer either. A
+        # target that is silent after a whole head may still be at work, so
+        # such a check counts neither way.
+        transfer = self.transfer
+        if not transfer.intake.must_progress:
             return
-        self.curl_loop.complete(self.curl, TransferEnd(SILENCE_CODE))
+        if transfer.progressed or transfer.paused:
+            self._endless_checks = 0
+        elif transfer.received_data or transfer.is_within_head(self.curl):
+            self._endless_checks += 1
 
     def _is_too_silent(self) -> bool:
         if self._silent_checks < _MIN_CHECKS:
--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -78,6 +78,16 @@
         """Whether reading should pause until the caller has caught up."""
         return self.inner.is_full
 
+    @property
+    def must_progress(self) -> bool:
+        """True, as for the response of the target."""
+        return self.inner.must_progress
+
+    @property
+    def whole_parts(self) -> int | None:
+        """Events forwarded; None if the response is no stream."""
+        return self.inner.whole_parts
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request.
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -49,6 +49,11 @@
         self.is_delimited = True
         self.progress: AnswerProgress | None = None
 
+    @property
+    def must_progress(self) -> bool:
+        """True: what a target sends is made whole before."""
+        return True
+
     @property
     def is_success(self) -> bool:
         """Whether the status is a success."""
@@ -165,6 +170,11 @@
         """Whether reading should pause until the caller has caught up."""
         return self.caller_response.should_pause
 
+    @property
+    def whole_parts(self) -> int | None:
+        """Events forwarded; None if the response is no stream."""
+        return self.events if self.is_success else None
+
     def write(self, chunk: bytes) -> None:
         """Forward the events that are complete now."""
         if not self.is_success or self.problem or self.closed:
--- a/tests/endless_targets.py
+++ b/tests/endless_targets.py
@@ -11,6 +11,8 @@
 _BLOCK_BYTES = 16 * 1024
 #: Send buffer of the stand-in, so that few bytes wait in its socket.
 _SEND_BUFFER_BYTES = 64 * 1024
+#: More than any request of a test has.
+_MAX_REQUEST_BYTES = 64 * 1024
 #: Pause of a slow stand-in. No silence timeout is as short.
 _PAUSE_S = 0.05
 #: What the sockets of both ends hold at most beyond what the reader took: the
@@ -89,12 +91,13 @@
 #: Streams that stop giving new events.
 EVENTS = {
     'event': Endless(b'%bid: 1\ndata: ' % _TO_CLOSE, _BYTES),
-    'same_event': Endless(_TO_CLOSE, event(1)),
     'second_event': Endless(b'%b%bdata: ' % (_TO_CLOSE, event(1)), _BYTES),
     'event_trailers': Endless(
         b'%b%x\r\n%b\r\n0\r\n' % (_CHUNKED, len(event(1)), event(1)), _LINE
     ),
 }
+#: A stream that repeats an event, of which nothing is kept.
+REPEATED = Endless(_TO_CLOSE, event(1))
 #: Streams that go on without end.
 STREAMS = {
     'ids': Endless(_TO_CLOSE, b'id: %d\ndata: x\n\n'),
@@ -149,7 +152,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
+        head = await reader.read(_MAX_REQUEST_BYTES)
+        if not head:
+            writer.close()
+            return
         self.requests += 1
         endless, slow = self.script.pop(0) if self.script else (None, False)
         if endless is None:
--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -13,9 +13,9 @@
 from tests import endless_targets as samples
 from tests import relay_samples
 from tests.deployment import until
-from tests.endless_targets import SOCKET_BYTES, Endless, EndlessTarget
+from tests.endless_targets import OWN, SOCKET_BYTES, Endless, EndlessTarget
 from tests.relay_harness import RelayHarness
-from tests.relay_samples import STREAM, entry
+from tests.relay_samples import ONE_RUN, PLAIN, STREAM, UNSAFE, entry
 from tests.relay_scripts import RecordingResponse
 
 _PLAIN_FORMS = samples.ANY | samples.BODIES | samples.ERRORS
@@ -110,5 +110,116 @@
         await self.assert_dropped()
 
 
+class RepeatableTest(EndlessCase):
+    """A request that may be repeated goes on at another target."""
+
+    @parameterized.expand(
+        itertools.chain(
+            _cases(_PLAIN_FORMS, plain=PLAIN),
+            _cases(_STREAM_FORMS, stream=STREAM),
+        )
+    )
+    async def test_goes_on_elsewhere(self, _, route, endless, slow):
+        """Guards against requests held to their time limit, or lost."""
+        await self.start((endless, slow))
+        response = await self.request(route)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, OWN)
+        self.assertTrue(response.complete)
+        self.assertEqual(self.target.requests, 2)
+        self.assertEqual(self.failures(), 1)
+        await self.assert_dropped()
+
+
+class RepeatedEventTest(EndlessCase):
+    """A stream that repeats an event is no answer to its caller."""
+
+    @parameterized.expand(tuple(_SPEEDS.items()))
+    async def test_goes_on_elsewhere(self, _, slow):
+        """Guards against a caller that gets nothing up to its time limit."""
+        await self.start((samples.REPEATED, slow))
+        response = await self.request(STREAM)
+        self.assertEqual(response.body, OWN)
+        self.assertTrue(response.complete)
+        self.assertEqual(self.target.requests, 2)
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+
+class OnceTest(EndlessCase):
+    """A request that may not be repeated is answered."""
+
+    @parameterized.expand(
+        itertools.chain(
+            _cases(_PLAIN_FORMS, plain=UNSAFE),
+            _cases(_STREAM_FORMS, stream=ONE_RUN),
+        )
+    )
+    async def test_is_answered(self, _, route, endless, slow):
+        """Guards against requests held to their time limit, or run twice."""
+        await self.start((endless, slow))
+        response = await self.request(route)
+        if response.status == 200:
+            self.assertTrue(response.aborted)
+            self.assertFalse(response.complete)
+        else:
+            self.assertEqual(response.status, 502)
+        self.assertEqual(self.target.requests, 1)
+        self.assertEqual(self.failures(), 1)
+        await self.assert_dropped()
+
+
+class StreamTest(EndlessCase):
+    """A stream that always has a next event ends with its time limit."""
+
+    @parameterized.expand(_cases(samples.STREAMS, again=STREAM, once=ONE_RUN))
+    async def test_looks_incomplete(self, _, route, endless, slow):
+        """Guards against a stream that passes for whole, or is run again."""
+        await self.start((endless, slow))
+        response = await self.request(route, seconds=_SHORT_DEADLINE_S)
+        self.assertEqual(response.status, 200)
+        self.assertTrue(response.aborted)
+        self.assertFalse(response.complete)
+        self.assertEqual(self.target.requests, 1)
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+    @parameterized.expand(list(samples.STREAMS.items()))
+    async def test_slow_caller(self, _, endless):
+        """Guards against a stream that piles up for a caller that stops."""
+        await self.start((endless, False))
+        response = await self.request(
+            STREAM, FullResponse(), seconds=_SHORT_DEADLINE_S
+        )
+        self.assertTrue(response.aborted)
+        await self.assert_dropped()
+
+
+class BehindTest(EndlessCase):
+    """Bytes behind a whole answer belong to no request."""
+
+    @parameterized.expand(
+        _cases(
+            {'behind': samples.BEHIND},
+            plain=PLAIN,
+            plain_once=UNSAFE,
+            stream=STREAM,
+            stream_once=ONE_RUN,
+        )
+    )
+    async def test_is_answered(self, _, route, endless, slow):
+        """Guards against passing such bytes on, now or to the next request."""
+        await self.start((endless, slow))
+        await self.assert_answered(route)
+        await self.assert_answered(route)
+        self.assertEqual(self.target.requests, 2)
+        await self.assert_dropped()
+
+    async def assert_answered(self, route):
+        """Send a request, and check that its caller gets the answer."""
+        response = await self.request(route)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, OWN)
+        self.assertTrue(response.complete)
+
+
 if __name__ == '__main__':
     unittest.main()
