Search each byte of a stream for the end of its event once

Cause: EventSplitter copied and searched the whole unfinished event with each piece of it. An event of 1 MiB, the most that is kept, in chunks of 8 bytes took 131,072 searches of half a megabyte in the mean.

What callers saw: the event loop stood still, for 0.5 s at first and for 6 s before the event was too large (asyncio's debug log: _socket_action took 6.032 seconds), so all requests of the router waited, and this one went on after more than 20 s. A target that sends an event without end in small chunks is enough.

Evidence: test_goes_on_elsewhere_44_stream_event_in_chunks_fast and test_is_answered_44_stream_event_in_chunks_fast failed before with TimeoutError (2 tests in 45.7 s), and pass now.

Why it works: the unfinished event is a bytearray that grows in place, and the search begins three bytes before the new piece, since an end has four bytes at most.

--- a/src/balsamreach/relay/events.py
+++ b/src/balsamreach/relay/events.py
@@ -5,6 +5,8 @@
 import attrs
 
 _END = re.compile(rb'\r?\n\r?\n')
+#: Maximum size of the end of an event.
+_MAX_END_BYTES = 4
 _ID = re.compile(rb'^id:[ ]?(\d+)\r?$', re.MULTILINE)
 #: Maximum size of an event; a target that never ends one would otherwise
 #: exhaust the memory.
@@ -45,7 +47,8 @@
 
     last_id: int = -1
     error: str = ''
-    _buffer: bytes = b''
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    _searched: int = 0
 
     def begin_attempt(self) -> None:
         """Discard the unfinished event and the error of the previous target.
@@ -53,15 +56,20 @@
         The next target begins with a complete event. Joined to the part from
         the previous target, it would be an event that no target sent.
         """
-        self._buffer = b''
+        self._buffer.clear()
+        self._searched = 0
         self.error = ''
 
     def feed(self, chunk: bytes) -> list[Event]:
         """Return the new events that a chunk completes."""
         if self.error:
             return []
-        complete, rest = _split(self._buffer + chunk)
-        self._buffer = rest
+        self._buffer += chunk
+        # A target may send an event in pieces of a few bytes. Looking at all
+        # of the event with each would block the router for seconds.
+        complete, end = _split(self._buffer, self._searched)
+        del self._buffer[:end]
+        self._searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
         if len(self._buffer) > _MAX_EVENT_BYTES:
             self.error = 'an event is too large'
         events = []
@@ -91,10 +99,11 @@
         return Event(raw, event_id)
 
 
-def _split(stream: bytes) -> tuple[list[bytes], bytes]:
+def _split(stream: bytearray, searched: int) -> tuple[list[bytes], int]:
+    """Return the whole events of a stream, and where the last one ends."""
     parts = []
     start = 0
-    for match in _END.finditer(stream):
-        parts.append(stream[start : match.end()])
+    for match in _END.finditer(stream, searched):
+        parts.append(bytes(stream[start : match.end()]))
         start = match.end()
-    return parts, stream[start:]
+    return parts, start
--- a/tests/endless_targets.py
+++ b/tests/endless_targets.py
@@ -91,6 +91,7 @@
 #: Streams that stop giving new events.
 EVENTS = {
     'event': Endless(b'%bid: 1\ndata: ' % _TO_CLOSE, _BYTES),
+    'event_in_chunks': Endless(b'%bb\r\nid: 1\ndata:\r\n' % _CHUNKED, _CHUNK),
     'second_event': Endless(b'%b%bdata: ' % (_TO_CLOSE, event(1)), _BYTES),
     'event_trailers': Endless(
         b'%b%x\r\n%b\r\n0\r\n' % (_CHUNKED, len(event(1)), event(1)), _LINE
--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import random
 import unittest
 
 import attrs
@@ -221,5 +222,34 @@
         self.assertTrue(response.complete)
 
 
+class SeededTest(EndlessCase):
+    """Many requests at once, of which some get bytes without end."""
+
+    @parameterized.expand([(seed,) for seed in range(_SEEDS)])
+    async def test_verdict(self, seed):
+        """Guards against mixed answers and forgotten connections."""
+        rng = random.Random(seed)
+        forms = [None, None, *(_PLAIN_FORMS | _STREAM_FORMS).values()]
+        await self.start(
+            *(
+                (rng.choice(forms), rng.choice((False, True)))
+                for _request in range(_SEEDED_REQUESTS)
+            )
+        )
+        routes = rng.choices(
+            (PLAIN, UNSAFE, STREAM, ONE_RUN), k=_SEEDED_REQUESTS
+        )
+        responses = await asyncio.gather(*map(self.request, routes))
+        for response in responses:
+            if response.status == 200 and not response.aborted:
+                self.assertEqual(response.body, OWN)
+                self.assertTrue(response.complete)
+            elif response.status != 200:
+                self.assertIn(response.status, (502, 503))
+            else:
+                self.assertFalse(response.complete)
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+
 if __name__ == '__main__':
     unittest.main()
