Keep a target's promise not to run a request whose rejection has no end

Cause: AnswerIntake.declined was false as soon as the answer had a problem, so a rejection (Not-Executed) whose body exceeds 8 MiB counted as an answer that may have run.

What callers saw: 502 for a request that may not be repeated, although it had run nowhere and could go on at another target.

Evidence: RejectionTest.test_goes_on_elsewhere_2_plain_once_rejection_fast failed before: AssertionError: 502 != 200.

Why it works: the head is the target's own and states that the request was not run. Whether that head is valid is kept apart from what is wrong with the body. A rejection of another request is still no promise.

--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -47,6 +47,7 @@
         self.head: AnswerHead | None = None
         self.body = bytearray()
         self.is_delimited = True
+        self._has_own_head = False
         self.progress: AnswerProgress | None = None
 
     @property
@@ -93,7 +94,8 @@
     @property
     def declined(self) -> bool:
         """Whether it is certain that the target did not run the request."""
-        if self.head is None or self.problem:
+        # The head is a promise, also if the body behind it has no end.
+        if self.head is None or not self._has_own_head:
             return False
         return self.head.not_run or self.head.misdirected
 
@@ -111,6 +113,7 @@
             self.problem = "the body is not the target's own"
         elif _OK <= status < _MULTIPLE_CHOICES and not head.signed:
             self.problem = 'the target did not sign its answer'
+        self._has_own_head = not self.problem
         if self.on_head is not None:
             self.on_head(status, headers)
 
--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -251,5 +251,26 @@
         self.assertTrue(await until(lambda: not self.target.open_answers))
 
 
+class RejectionTest(EndlessCase):
+    """A target's own refusal is a promise, whatever follows its head."""
+
+    @parameterized.expand(
+        _cases(
+            {'rejection': samples.REJECTION},
+            plain=PLAIN,
+            plain_once=UNSAFE,
+            stream=STREAM,
+        )
+    )
+    async def test_goes_on_elsewhere(self, _, route, endless, slow):
+        """Guards against losing a request that has run nowhere."""
+        await self.start((endless, slow))
+        response = await self.request(route)
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.body, OWN)
+        self.assertEqual(self.target.requests, 2)
+        await self.assert_dropped()
+
+
 if __name__ == '__main__':
     unittest.main()
