Bound the body of another router's refusal

Cause: ForwardedIntake dropped the body of a refusal without counting it. As fast bytes count as progress, nothing but the time limit ended the exchange.

What callers saw: nothing up to the time limit, if the address of a router answers with a refusal whose body has no end. Routers send none, so this needs a fault of the other router.

Evidence: tests.test_forwarded_endless_bytes, is_refused_0_refusal_to_close_fast and is_refused_2_refusal_chunks_fast, failed before with TimeoutError after 20 s.

Why it works: a body of more than 64 KiB ends the exchange; the refusal, which the head states, still counts.

--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -26,6 +26,9 @@
 NO = '0'
 
 _SERVER_ERROR = 500
+#: Maximum size in bytes of the body of a refusal, which is not used. A router
+#: sends none, so more than any error page has is no refusal of one.
+_MAX_REFUSAL_BYTES = 64 * 1024
 #: Faults that another router may report.
 _FAULTS = {
     fault.code: fault
@@ -72,6 +75,7 @@
         self.target = ''
         self.release = ''
         self._reached = True
+        self._refusal_bytes = 0
 
     @property
     def is_full(self) -> bool:
@@ -122,6 +126,10 @@
         if self.refusal is None:
             self.inner.write(chunk)
             self.problem = self.inner.problem
+            return
+        self._refusal_bytes += len(chunk)
+        if self._refusal_bytes > _MAX_REFUSAL_BYTES:
+            self.problem = 'the refusal is too large'
 
     def close(self) -> None:
         """End the attempt permanently."""
