--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -47,8 +47,14 @@
         self.head: AnswerHead | None = None
         self.body = bytearray()
         self.is_delimited = True
+        self._has_own_head = False
         self.progress: AnswerProgress | None = None
 
+    @property
+    def must_progress(self) -> bool:
+        """True: what a target sends is made whole before."""
+        return True
+
     @property
     def is_success(self) -> bool:
         """Whether the status is a success."""
@@ -88,7 +94,8 @@
     @property
     def declined(self) -> bool:
         """Whether it is certain that the target did not run the request."""
-        if self.head is None or self.problem:
+        # The head is a promise, also if the body behind it has no end.
+        if self.head is None or not self._has_own_head:
             return False
         return self.head.not_run or self.head.misdirected
 
@@ -106,6 +113,7 @@
             self.problem = "the body is not the target's own"
         elif _OK <= status < _MULTIPLE_CHOICES and not head.signed:
             self.problem = 'the target did not sign its answer'
+        self._has_own_head = not self.problem
         if self.on_head is not None:
             self.on_head(status, headers)
 
@@ -165,6 +173,11 @@
         """Whether reading should pause until the caller has caught up."""
         return self.caller_response.should_pause
 
+    @property
+    def whole_parts(self) -> int | None:
+        """Events forwarded; None if the response is no stream."""
+        return self.events if self.is_success else None
+
     def write(self, chunk: bytes) -> None:
         """Forward the events that are complete now."""
         if not self.is_success or self.problem or self.closed:
