--- a/src/balsamreach/daemon/placing_parts.py
+++ b/src/balsamreach/daemon/placing_parts.py
@@ -25,6 +25,7 @@
 from balsamreach.relay.chooser import Chooser
 from balsamreach.relay.retry_budget import RelayRetryBudget
 from balsamreach.relay.stream_releases import StreamReleases
+from balsamreach.services.outside import Outside
 from balsamreach.telemetry.metrics import Metrics
 
 
@@ -144,7 +145,7 @@
 
 
 def make_stream_releases(
-    net: PeerNet, chooser: Chooser, metrics: Metrics
+    net: PeerNet, chooser: Chooser, metrics: Metrics, outside: Outside
 ) -> StreamReleases:
     """Create and start what knows the releases that began streams.
 
@@ -156,9 +157,17 @@
         Chooser of the targets.
     metrics : Metrics
         Counts streams that are taken up again.
+    outside : Outside
+        Clients of the platform's services.
     """
-    services = chooser.places.releases
-    releases = StreamReleases(net, services, chooser.clock, metrics)
+    releases = StreamReleases(
+        net,
+        chooser.places.releases,
+        chooser.clock,
+        metrics,
+        outside.releases,
+        outside.times,
+    )
     releases.start()
     return releases
 
--- a/src/balsamreach/daemon/relay_parts.py
+++ b/src/balsamreach/daemon/relay_parts.py
@@ -78,7 +78,7 @@
     """
     builder = _make_builder(cfg, outside)
     exchange = RelayCurl(cfg.relay.connect_timeout)
-    holdings = builder.make_holdings(outside)
+    holdings = builder.make_holdings()
     chooser = make_chooser(
         cfg.host.zone,
         builder.net,
@@ -115,7 +115,7 @@
     clock, rng, metrics = SystemClock(), random.Random(), Metrics()
     incarnation = uuid.uuid4().hex
     net = make_peer_net(cfg, incarnation, clock, rng, metrics, outside.hosts)
-    builder = _PartsBuilder(cfg, net, clock, rng, metrics)
+    builder = _PartsBuilder(cfg, net, outside, clock, rng, metrics)
     net.local_status.table_version = lambda: builder.view.version
     return builder
 
@@ -126,6 +126,7 @@
 
     cfg: Settings
     net: TcpPeerNet
+    outside: Outside
     clock: Clock
     rng: random.Random
     metrics: Metrics
@@ -138,16 +139,16 @@
         self.freshness_check = FreshnessCheck(self.view, self.clock)
         self.link_parts = make_link_parts(self.cfg, self.net, self.clock)
 
-    def make_holdings(self, outside: Outside) -> Holdings:
+    def make_holdings(self) -> Holdings:
         """Create what admits requests against held tokens."""
         holdings = Holdings(
-            outside.table,
+            self.outside.table,
             self.view.prepaid,
             self.net.me.incarnation,
             self.cfg.budget,
             self.cfg.relay.spend_window,
             self.net,
-            outside.times,
+            self.outside.times,
             self.net.me.address,
             self.clock,
             self.rng,
@@ -175,7 +176,9 @@
             self.net,
         )
         chooser.failures.link_delayed = self.link_parts.delay.is_high
-        releases = make_stream_releases(self.net, chooser, self.metrics)
+        releases = make_stream_releases(
+            self.net, chooser, self.metrics, self.outside
+        )
         attempt_parts = RelayAttemptParts(
             codec=codec,
             chooser=chooser,
--- a/src/balsamreach/placement/service_releases.py
+++ b/src/balsamreach/placement/service_releases.py
@@ -1,6 +1,6 @@
 """The releases that the targets of each service run, now and of late."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -35,6 +35,10 @@
     return False
 
 
+def _ignore() -> None:
+    """Ignore an edit."""
+
+
 @attrs.define(eq=False)
 class ServiceReleases:
     """Tells services of one release from those that have run several.
@@ -47,13 +51,20 @@
         Returns whether the list of targets is up to date now.
     changes : int
         How often a release has appeared at a service.
+    edits : int
+        How often a release has appeared or gone.
+    on_edit : callable
+        Called when ``edits`` has changed.
     """
 
     clock: Clock = attrs.field(factory=SystemClock)
     is_current: Callable[[], bool] = _never
     changes: int = 0
+    edits: int = 0
+    on_edit: Callable[[], None] = _ignore
     _services: dict[str, dict[str, _Release]] = attrs.field(factory=dict)
     _first_at: dict[str, float] = attrs.field(factory=dict)
+    _restored: set[str] = attrs.field(factory=set)
 
     def add(self, service: str, release: str) -> None:
         """Record a target that is new in the list."""
@@ -61,7 +72,9 @@
         releases = self._services.setdefault(service, {})
         known = releases.setdefault(release, _Release())
         known.targets += 1
-        self.changes += known.targets == 1
+        if known.targets == 1:
+            self.changes += 1
+            self._record_edit()
         if len(releases) > _MAX_RELEASES:
             releases.pop(min(releases, key=lambda one: releases[one].age_order))
 
@@ -71,6 +84,54 @@
         if known is not None:
             known.targets -= 1
             known.gone_at = self.clock.now()
+            if known.targets == 0:
+                self._record_edit()
+
+    def names(self) -> Iterable[str]:
+        """Return the services that targets were listed of."""
+        return tuple(self._services)
+
+    def gone_times(self, service: str) -> dict[str, float | None]:
+        """Return when the last target of each release was removed.
+
+        Monotonic seconds; None while targets are listed.
+        """
+        return {
+            release: None if known.targets else known.gone_at
+            for release, known in self._services.get(service, {}).items()
+        }
+
+    def restore(self, service: str, gone_at: Mapping[str, float]) -> None:
+        """Add all releases that a service has had before.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        gone_at : mapping of str to float
+            Monotonic seconds until which each release may have had targets.
+        """
+        releases = self._services.setdefault(service, {})
+        for release, moment in gone_at.items():
+            self.changes += release not in releases
+            known = releases.setdefault(release, _Release(gone_at=moment))
+            known.gone_at = max(known.gone_at, moment)
+        self._restored.add(service)
+
+    def forget(self) -> None:
+        """Record that the list was outdated until now.
+
+        A release may have come and gone without this router seeing it.
+        """
+        now = self.clock.now()
+        self._restored.clear()
+        self._first_at = dict.fromkeys(self._first_at, now)
+
+    def remembers(self, service: str, within: float) -> bool:
+        """Return whether this router knows all releases of that time."""
+        followed = self.followed_for(service)
+        is_long = followed is not None and followed >= within
+        return is_long or service in self._restored
 
     def seen(self, service: str, within: float) -> tuple[str, ...]:
         """Return the releases of targets listed in the last seconds.
@@ -112,7 +173,9 @@
             outdated.
         """
         seen = self.seen(service, within)
-        known_for = self.clock.now() - self._first_at.get(service, float('inf'))
-        if len(seen) != 1 or known_for < within or not self.is_current():
-            return None
-        return seen[0]
+        is_known = self.remembers(service, within) and self.is_current()
+        return seen[0] if is_known and len(seen) == 1 else None
+
+    def _record_edit(self) -> None:
+        self.edits += 1
+        self.on_edit()
--- a/src/balsamreach/platform/router.py
+++ b/src/balsamreach/platform/router.py
@@ -13,6 +13,7 @@
 from balsamreach.platform.feed import FeedParts
 from balsamreach.platform.feeds import ConfigurationFeed, TargetsFeed
 from balsamreach.platform.pages import PageSharing
+from balsamreach.platform.release_rows import ReleaseRows
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.platform.router_list import RouterList
 from balsamreach.platform.row_store import RowStore
@@ -48,7 +49,7 @@
     parts = make_relay_parts(
         cfg,
         PlatformCodec(random.Random()),
-        Outside(RowTableService(store), hosts, times),
+        Outside(RowTableService(store), hosts, times, ReleaseRows(store)),
     )
     exchange = _make_exchange(parts)
     configuration, targets = _make_feeds(
@@ -68,6 +69,7 @@
         (
             configuration.feed.run,
             targets.feed.run,
+            parts.run.releases.history.run,
             partial(hosts.register, address, cfg.host.zone),
         ),
         (
--- a/src/balsamreach/relay/release_log.py
+++ b/src/balsamreach/relay/release_log.py
@@ -1,19 +1,16 @@
 """Log messages and metrics about the releases that began streams."""
 
 import logging
-from typing import TYPE_CHECKING
 
 import attrs
 
 from balsamreach.placement.service_releases import ServiceReleases
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
+from balsamreach.relay.release_inquiry import Origin
 from balsamreach.telemetry.logs import log_event
 from balsamreach.telemetry.metrics import Metrics
 
-if TYPE_CHECKING:
-    from balsamreach.relay.stream_releases import Origin
-
 TAKEN_UP = 'balsamreach_relay_streams_taken_up_total'
 
 _logger = logging.getLogger(__name__)
@@ -68,7 +65,7 @@
         )
 
     def log_taken_up(
-        self, call: RelayCall, keep: float, origin: 'Origin | RelayFault'
+        self, call: RelayCall, keep: float, origin: Origin | RelayFault
     ) -> None:
         """Log and count a stream that its caller takes up again.
 
--- a/src/balsamreach/relay/stream_releases.py
+++ b/src/balsamreach/relay/stream_releases.py
@@ -7,6 +7,7 @@
 A service of one release costs no message and no record.
 """
 
+import asyncio
 from collections import defaultdict
 
 import attrs
@@ -19,9 +20,20 @@
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.record_keepers import RecordKeepers
-from balsamreach.relay.release_inquiry import ReleaseInquiry
+from balsamreach.relay.release_history import ReleaseHistory
+from balsamreach.relay.release_inquiry import (
+    ONLY,
+    RECORD,
+    Origin,
+    ReleaseInquiry,
+    conclude,
+)
 from balsamreach.relay.release_log import ReleaseLog
 from balsamreach.relay.release_records import ReleaseRecords
+from balsamreach.relay.release_store import NoReleaseStore, ReleaseStore
+from balsamreach.relay.service_history import ServiceHistory
+from balsamreach.relay.stream_history import StreamHistory
+from balsamreach.services.times import ServiceClock
 from balsamreach.telemetry.metrics import Metrics
 from balsamreach.wire.membership import Member
 from balsamreach.wire.releases import (
@@ -30,10 +42,6 @@
     StreamsBegun,
 )
 
-#: Bases of what a router knows of a stream's release.
-RECORD = 'record'
-ONLY = 'only'
-
 _MS = 1000
 #: Minimum seconds for which a caller may return.
 _MIN_KEEP_S = 30.0
@@ -45,29 +53,6 @@
 _MIN_INTERVAL_S = 0.02
 
 
-@attrs.frozen
-class Origin:
-    """The release that began a stream.
-
-    Parameters
-    ----------
-    release : str
-        The release.
-    basis : str
-        ``record`` if it is that of the stream, ``only`` if the service has had
-        no other one.
-    source : str
-        Incarnation of the router that knows it; empty if it is this one.
-    age : float
-        Seconds since that router learnt it.
-    """
-
-    release: str
-    basis: str
-    source: str = ''
-    age: float = 0
-
-
 @attrs.frozen
 class _Running:
     """A stream in progress here, whose caller has events."""
@@ -77,6 +62,10 @@
     keep: float
 
 
+def _make_times(releases: 'StreamReleases') -> ServiceClock:
+    return ServiceClock(releases.clock)
+
+
 @attrs.define(eq=False)
 class StreamReleases:
     """Finds the release that began a stream, here or at other routers.
@@ -91,21 +80,30 @@
         Source of the current time.
     metrics : Metrics
         Counts streams that are taken up again.
+    store : ReleaseStore
+        What survives a restart of all routers.
+    times : ServiceClock
+        Bounds on the clock of the store.
     log : ReleaseLog
         Logs streams that begin or are taken up again.
     records : ReleaseRecords
         Streams of which this router knows the release.
     keepers : RecordKeepers
         Chooses the routers that keep records.
+    history : ReleaseHistory
+        Reads and writes the store.
     """
 
     net: PeerNet
     services: ServiceReleases
     clock: Clock
     metrics: Metrics
+    store: ReleaseStore = attrs.field(factory=NoReleaseStore)
+    times: ServiceClock = attrs.Factory(_make_times, takes_self=True)
     log: ReleaseLog = attrs.field(init=False)
     records: ReleaseRecords = attrs.field(init=False)
     keepers: RecordKeepers = attrs.field(init=False)
+    history: ReleaseHistory = attrs.field(init=False)
     _running: dict[int, _Running] = attrs.field(factory=dict)
     _unsent: dict[int, _Running] = attrs.field(factory=dict)
     _sent: set[int] = attrs.field(factory=set)
@@ -118,6 +116,12 @@
         self.log = ReleaseLog(self.services, self.metrics)
         self.records = ReleaseRecords(self.clock)
         self.keepers = RecordKeepers(self.net)
+        name = self.net.me.incarnation
+        self.history = ReleaseHistory(
+            self.net,
+            ServiceHistory(self.store, self.services, self.times),
+            StreamHistory(self.store, self.records, self.times, name),
+        )
 
     def start(self) -> None:
         """Begin to receive the messages of other routers."""
@@ -161,9 +165,15 @@
         Origin or RelayFault
             The release; the fault if it can't be known.
         """
-        origin = self._find_here(call)
+        ask = ReleaseAsk(
+            key=stream_key(call) if call.resumes else 0,
+            service=call.service,
+            within_s=round(_keep_seconds(call)),
+        )
+        told = self._tell(ask)
+        origin = conclude(told, {}) if told.basis else None
         if origin is None:
-            origin = await self._find_elsewhere(call)
+            origin = await self._find_elsewhere(call, ask)
         self.log.log_taken_up(call, _keep_seconds(call), origin)
         return origin
 
@@ -206,46 +216,22 @@
         self._unsent.clear()
         for release, keys in batches.items():
             message = StreamsBegun(release, tuple(keys), keep_s)
+            self.history.add(message)
             if not self.keepers.tell(message):
                 self._sent.difference_update(keys)
                 self._is_complete = False
 
-    def _find_here(self, call: RelayCall) -> Origin | None:
-        key = stream_key(call)
-        running = self._running.get(key)
-        if running is not None and call.resumes:
-            return Origin(running.release, RECORD)
-        record = self.records.find(key) if call.resumes else None
-        if record is not None:
-            age = self.clock.now() - record.learnt_at
-            return Origin(record.release, RECORD, age=age)
-        only = self.services.only_release(call.service, _keep_seconds(call))
-        return None if only is None else Origin(only, ONLY)
-
-    async def _find_elsewhere(self, call: RelayCall) -> Origin | RelayFault:
-        keep = _keep_seconds(call)
-        ask = ReleaseAsk(
-            key=stream_key(call) if call.resumes else 0,
-            service=call.service,
-            within_s=round(keep),
-        )
+    async def _find_elsewhere(
+        self, call: RelayCall, ask: ReleaseAsk
+    ) -> Origin | RelayFault:
         inquiry = ReleaseInquiry(self.net, ask)
-        await inquiry.run(self.keepers.of(stream_key(call)))
-        answer = inquiry.decisive
-        if answer is not None:
-            return Origin(
-                answer.release,
-                answer.basis,
-                inquiry.source,
-                answer.age_ms / _MS,
-            )
-        seen = set(self.services.seen(call.service, keep))
-        seen.update(*(one.seen for one in inquiry.answers))
-        # After all routers have restarted, or in an outage of the store, none
-        # can rule out another release. One that none has seen either is no
-        # reason to refuse.
-        if len(seen) == 1 and inquiry.answers:
-            return Origin(seen.pop(), ONLY)
+        await asyncio.gather(
+            inquiry.run(self.keepers.of(stream_key(call))),
+            self.history.refresh(),
+        )
+        origin = conclude(self._tell(ask), inquiry.answers)
+        if origin is not None:
+            return origin
         return faults.UNKNOWN_RELEASE.because(
             'no router that answers knows which release began the stream'
         )
@@ -256,21 +242,39 @@
         for key in message.keys:
             self.records.put(key, message.release, message.keep_s)
         if message.forward:
+            self.history.add(message)
             self.keepers.forward(message)
 
     async def _on_ask(self, _member: Member, ask: ReleaseAsk) -> ReleaseTold:
-        seen = self.services.seen(ask.service, ask.within_s)
+        told = self._tell(ask)
+        # Without hubs, the router that asks reads the store itself.
+        if not told.basis and self.net.hubs.hubs_of(self.net.me.zone):
+            await self.history.refresh()
+            told = self._tell(ask)
+        return told
+
+    def _tell(self, ask: ReleaseAsk) -> ReleaseTold:
+        """Return what this router knows."""
+        told = ReleaseTold(
+            seen=self.services.seen(ask.service, ask.within_s),
+            remembers=self.services.remembers(ask.service, ask.within_s),
+        )
         running = self._running.get(ask.key)
         if running is not None:
-            return ReleaseTold(running.release, RECORD, seen=seen)
+            return attrs.evolve(told, release=running.release, basis=RECORD)
         record = self.records.find(ask.key)
         if record is not None:
             age = self.clock.now() - record.learnt_at
-            return ReleaseTold(record.release, RECORD, round(age * _MS), seen)
+            return attrs.evolve(
+                told,
+                release=record.release,
+                basis=RECORD,
+                age_ms=round(age * _MS),
+            )
         only = self.services.only_release(ask.service, ask.within_s)
         if only is None:
-            return ReleaseTold(seen=seen)
-        return ReleaseTold(only, ONLY, seen=seen)
+            return told
+        return attrs.evolve(told, release=only, basis=ONLY)
 
 
 def stream_key(call: RelayCall) -> int:
--- a/src/balsamreach/services/outside.py
+++ b/src/balsamreach/services/outside.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from balsamreach.relay.release_store import NoReleaseStore, ReleaseStore
 from balsamreach.services.base import HostList, TableService
 from balsamreach.services.times import ServiceClock
 
@@ -18,8 +19,11 @@
         Host list, by which routers find each other.
     times : ServiceClock
         Bounds on the clock of the table service.
+    releases : ReleaseStore
+        What is kept of releases over a restart of all routers.
     """
 
     table: TableService
     hosts: HostList
     times: ServiceClock
+    releases: ReleaseStore = attrs.field(factory=NoReleaseStore)
--- a/src/balsamreach/wire/messages.capnp
+++ b/src/balsamreach/wire/messages.capnp
@@ -408,6 +408,7 @@
   basis @1 :Text;
   ageMs @2 :UInt32;
   seen @3 :List(Text);
+  remembers @4 :Bool;
 }
 
 struct PartReport {
--- a/src/balsamreach/wire/releases.py
+++ b/src/balsamreach/wire/releases.py
@@ -62,9 +62,13 @@
     seen : tuple of str
         Releases that the service had in that time, as far as the router has
         seen.
+    remembers : bool
+        Whether the router knows all releases of that time, except what it may
+        have missed while its list was outdated.
     """
 
     release: str = ''
     basis: str = ''
     age_ms: int = 0
     seen: tuple[str, ...] = ()
+    remembers: bool = False
