Test the time of a removed release while the store is slow

Cause: each router that reads a row takes a later bound of its time than the row has, and writes that bound, so the time grows with each reader: by 16 s with eight routers and a store that takes 2 s.

--- a/tests/test_relay_service_history.py
+++ b/tests/test_relay_service_history.py
@@ -267,6 +267,17 @@
         self.clock.advance(4)
         self.assert_all_saw({'v2'})
 
+    def test_slow_store(self):
+        """Guards against a time that grows with each router that reads."""
+        self.set_up_routers(0)
+        gone_at = self.rows.now() - 50
+        self.put(v1=gone_at)
+        self.rows.delay = 2
+        for ahead in _AHEAD:
+            self.write(self.start('v2', ahead=ahead))
+        late = self.stored['v1'] - gone_at
+        self.assertLessEqual(late, self.rows.delay + _TOLERANCE_S)
+
     def assert_all_saw(self, expected):
         """Ask routers that have followed the list, and restarted ones."""
         restarted = [self.start('v2', ahead=ahead) for ahead in _AHEAD]
