Test the release of a stream that is reported twice

Cause: the record in memory keeps the first release of a stream, and the next batch the last one that was reported.

--- a/tests/test_relay_stream_history.py
+++ b/tests/test_relay_stream_history.py
@@ -137,6 +137,19 @@
         found = self.found(self.start(), *digests)
         self.assertEqual(set(found), {'v1'})
 
+    def test_two_releases_are_reported(self):
+        """Guards against a row that differs from the record in memory.
+
+        A router that has no record of the stream's beginning reports another
+        release before the batch is written.
+        """
+        for release in ('v1', 'v2'):
+            self.add(1, release=release)
+            self.writer.records.put(1, release, _KEEP_S)
+        self.write()
+        self.assertEqual(self.found(self.writer, 1), ['v1'])
+        self.assertEqual(self.written, [{'v1': {1}}])
+
     def test_answer_is_lost(self):
         """Guards against harm by a row that is written under two keys."""
         self.add(1)
