--- a/tests/test_platform_release_rows.py
+++ b/tests/test_platform_release_rows.py
@@ -208,6 +208,16 @@
             ('no_streams', {'written_ms': 1, 'keep_s': 1}),
             ('no_times', {'streams': {'v1': 'AAAAAAAAAAE='}}),
             ('short_digest', _FIELDS | {'streams': {'v1': 'AAA='}}),
+            ('written_ms_text', _FIELDS | {'written_ms': '1'}),
+            ('written_ms_null', _FIELDS | {'written_ms': None}),
+            ('keep_s_text', _FIELDS | {'keep_s': '30'}),
+            ('keep_s_null', _FIELDS | {'keep_s': None}),
+            ('streams_null', _FIELDS | {'streams': None}),
+            ('streams_list', _FIELDS | {'streams': ['v1']}),
+            ('digests_null', _FIELDS | {'streams': {'v1': None}}),
+            ('digests_list', _FIELDS | {'streams': {'v1': [1]}}),
+            ('digests_no_base64', _FIELDS | {'streams': {'v1': 'A'}}),
+            ('digests_no_ascii', _FIELDS | {'streams': {'v1': 'é'}}),
         )
     )
     @gen_test
@@ -221,6 +231,9 @@
             ('no_keys', {}),
             ('null', {'gone_ms': None}),
             ('list', {'gone_ms': ['v1']}),
+            ('time_text', {'gone_ms': {'v1': '1'}}),
+            ('time_list', {'gone_ms': {'v1': [1]}}),
+            ('time_object', {'gone_ms': {'v1': {}}}),
         )
     )
     @gen_test
