--- a/tests/fake_release_store.py
+++ b/tests/fake_release_store.py
@@ -55,6 +55,8 @@
         Cleared while calls get no answer.
     calls : list of str
         Names of the calls that have been made.
+    callers : set of str
+        Names of the routers that made them.
     """
 
     clock: Clock
@@ -66,6 +68,7 @@
     delay: float = 0
     audible: asyncio.Event = attrs.field(factory=asyncio.Event)
     calls: list[str] = attrs.field(factory=list)
+    callers: set[str] = attrs.field(factory=set)
     services: dict[str, StoredService] = attrs.field(factory=dict)
     batches: dict[tuple[str, str], StreamBatch] = attrs.field(factory=dict)
     version: int = 0
@@ -148,10 +151,13 @@
         Rows that all routers share.
     times : ServiceClock
         Records the time of the store from each answer.
+    name : str
+        Name of the router.
     """
 
     rows: FakeRows
     times: ServiceClock
+    name: str = ''
 
     async def read_services(self) -> dict[str, StoredService] | PlatformFault:
         """Return the releases of all services."""
@@ -183,6 +189,7 @@
         self, name: str, work: Callable[..., Any], *arguments: Any
     ) -> Any:
         self.rows.calls.append(name)
+        self.rows.callers.add(self.name)
         await self.rows.pause()
         if self.rows.is_away:
             return UNAVAILABLE
