Test callers that come as soon as the list of targets is current

Cause: until the next round, and for good at a router that is no hub, a router trusts what it knew before its list was outdated.

--- a/tests/test_relay_release_history.py
+++ b/tests/test_relay_release_history.py
@@ -348,3 +348,35 @@
         await asyncio.sleep(_SETTLED_S)
         self.outdated.clear()
         return group[0]
+
+    @parameterized.expand(
+        (('without_hubs', 0, 0), ('hub', 1, 0), ('no_hub', 1, 1))
+    )
+    @virtual
+    async def test_at_once(self, _, hubs, number):
+        """Guards against trust in the list before the store is read."""
+        router = await self.follow_one_release(hubs, number)
+        self.assertEqual(await self.find(router), faults.UNKNOWN_RELEASE)
+
+    @virtual
+    async def test_no_hub(self):
+        """Guards against routers that never notice that they missed one."""
+        router = await self.follow_one_release(1, 1)
+        await asyncio.sleep(_SETTLED_S)
+        self.assertEqual(await self.find(router), faults.UNKNOWN_RELEASE)
+
+    @virtual
+    async def test_first_list_at_once(self):
+        """Guards against a release that left before the first list came.
+
+        The row counted as gone when it was read, minutes before that.
+        """
+        self.put(v1=None)
+        self.listed = []
+        self.fabric = FakeNet()
+        self.outdated = {'late'}
+        router = self.start('late')
+        await asyncio.sleep(2 * _LONG_S)
+        router.services.add(ENGINES, 'v2')
+        self.outdated.clear()
+        self.assertEqual(await self.find(router), faults.UNKNOWN_RELEASE)
