Test a restart of a fleet in five zones

This test fails. Cause: a hub reads the part of its own zone only, and a router asks hubs of three zones, so a stream of a fourth one is refused. Change: the failing test.

--- a/tests/test_relay_release_history.py
+++ b/tests/test_relay_release_history.py
@@ -295,6 +295,17 @@
         await asyncio.sleep(_SETTLED_S)
         self.assertEqual(set(self.stored), {'v0', 'v1', 'v2'})
 
+    @virtual
+    async def test_five_zones(self):
+        """Guards against rows of zones that nobody who is asked reads."""
+        zones = (*_ZONES, 'zone-d', 'zone-e')
+        await self.run_fleet(1, zones)
+        begun = await self.begin_each()
+        self.restart_fleet(1, zones)
+        found = {one: await self.find(self.routers[0], one) for one in begun}
+        refused = [one for one in begun if found[one] != begun[one]]
+        self.assertEqual(refused, [])
+
     async def assert_all_find(self, expected):
         for router in self.routers:
             self.assertEqual(await self.find(router), expected)
