--- a/tests/test_relay_release_history.py
+++ b/tests/test_relay_release_history.py
@@ -194,7 +194,15 @@
                 self.assertEqual(found, release)
 
     @virtual
-    async def test_eight_routers_settle(self):
+    async def test_cancelled(self):
+        """Guards against tasks that outlive a router that stops."""
+        await self.run_fleet()
+        self.stop_fleet()
+        await asyncio.sleep(_SETTLED_S)
+        self.assertEqual(asyncio.all_tasks(), {asyncio.current_task()})
+
+    @virtual
+    async def test_all_routers_settle(self):
         """Guards against routers that write in turn for good."""
         await self.run_fleet()
         for releases in (('v2', 'v3'), ('v3',), ('v3', 'v1')):
