--- a/src/balsamreach/placement/service_releases.py
+++ b/src/balsamreach/placement/service_releases.py
@@ -1,5 +1,6 @@
 """The releases that the targets of each service run, now and of late."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
@@ -19,11 +20,15 @@
     targets : int
         Targets in the list that run it.
     gone_at : float
-        Monotonic seconds at which the last one was removed.
+        Monotonic seconds at which the last one was removed from this router's
+        list.
+    restored_until : float
+        Monotonic seconds until which others may have listed one.
     """
 
     targets: int = 0
-    gone_at: float = 0
+    gone_at: float = float('-inf')
+    restored_until: float = float('-inf')
 
     @property
     def age_order(self) -> tuple[bool, float]:
@@ -92,17 +97,21 @@
         return tuple(self._services)
 
     def gone_times(self, service: str) -> dict[str, float | None]:
-        """Return when the last target of each release was removed.
+        """Return when this router's list lost the last target of a release.
 
         Monotonic seconds; None while targets are listed.
         """
         return {
             release: None if known.targets else known.gone_at
             for release, known in self._services.get(service, {}).items()
+            if known.targets or math.isfinite(known.gone_at)
         }
 
     def restore(
-        self, service: str, since: float, gone_at: Mapping[str, float]
+        self,
+        service: str,
+        since: float,
+        gone_at: Mapping[str, float | None],
     ) -> None:
         """Add all releases that a service has had since a time.
 
@@ -112,15 +121,21 @@
             The service.
         since : float
             Monotonic seconds from which on these are all releases.
-        gone_at : mapping of str to float
-            Monotonic seconds until which each release may have had targets.
+        gone_at : mapping of str to float or None
+            Monotonic seconds until which each release may have had targets;
+            None if nobody knows that they have gone.
         """
+        now = self.clock.now()
         self._restored_since[service] = since
         releases = self._services.setdefault(service, {})
         for release, moment in gone_at.items():
             self.changes += release not in releases
-            known = releases.setdefault(release, _Release(gone_at=moment))
-            known.gone_at = max(known.gone_at, moment)
+            known = releases.setdefault(release, _Release())
+            if moment is None:
+                # Unless this router's list has it, it is gone by now.
+                known.gone_at = now
+            else:
+                known.restored_until = max(known.restored_until, moment)
 
     def forget(self) -> None:
         """Record that the list was outdated until now.
@@ -157,7 +172,8 @@
         return tuple(
             release
             for release, known in self._services.get(service, {}).items()
-            if known.targets > 0 or known.gone_at >= since
+            if known.targets > 0
+            or max(known.gone_at, known.restored_until) >= since
         )
 
     def is_mixed(self, service: str, within: float) -> bool:
--- a/src/balsamreach/relay/release_history.py
+++ b/src/balsamreach/relay/release_history.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import logging
 
 import attrs
@@ -41,6 +42,8 @@
 _IDLE_S = 1.0
 #: Minimum seconds between two reads for callers whose stream is unknown.
 _READ_INTERVAL_S = 0.5
+#: The same for reads of all zones, a call for each.
+_ZONES_S = 5.0
 #: Maximum seconds that a caller waits for the store.
 MAX_WAIT_S = 0.25
 #: Maximum seconds that another router's question waits for it. The router that
@@ -72,6 +75,7 @@
     streams: StreamHistory
     _read_part: str | None = None
     _tried_at: float = float('-inf')
+    _zones_read_at: float = float('-inf')
     _reading: asyncio.Future[None] | None = None
     _fault: PlatformFault | None = None
     _was_current: bool = True
@@ -100,14 +104,16 @@
     async def run(self) -> None:
         """Read once, and write what changes, until cancelled."""
         clock = self.streams.times.clock
-        await self._wait_for_members()
-        while True:
-            await self._run_round()
-            is_hub = self.part not in {None, _WHOLE_FLEET}
-            await clock.sleep(_HUB_INTERVAL_S if is_hub else _INTERVAL_S)
-            waiting = asyncio.ensure_future(self._wake.wait())
-            await asyncio.wait({waiting}, timeout=_IDLE_S)
-            waiting.cancel()
+        try:
+            await self._wait_for_members()
+            while True:
+                await self._run_round()
+                is_hub = self.part not in {None, _WHOLE_FLEET}
+                await clock.sleep(_HUB_INTERVAL_S if is_hub else _INTERVAL_S)
+                await self._wait_for_change()
+        finally:
+            if self._reading is not None:
+                self._reading.cancel()
 
     async def refresh(self, max_wait: float) -> None:
         """Read what has been written, for a caller whose stream is unknown.
@@ -124,7 +130,7 @@
         now = self.streams.times.clock.now()
         if not is_reading and now >= self._tried_at + _READ_INTERVAL_S:
             self._tried_at = now
-            self._reading = asyncio.ensure_future(self._read(part))
+            self._reading = asyncio.ensure_future(self._read_for_caller(part))
         if self._reading is not None:
             await asyncio.wait({self._reading}, timeout=max_wait)
 
@@ -148,8 +154,14 @@
         weight = rendezvous_weight(self.net.me.incarnation, 'start')
         await clock.sleep(_JITTER_S * (weight % _STEPS) / _STEPS)
 
+    async def _wait_for_change(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_IDLE_S):
+                await self._wake.wait()
+
     async def _run_round(self) -> None:
         self._wake.clear()
+        self.check_list()
         part = self.part
         if not self.services.is_read:
             # Routers that aren't hubs must know, too, which services have had
@@ -161,6 +173,16 @@
             await self._read(part)
         await self._write(part)
 
+    async def _read_for_caller(self, part: str) -> None:
+        """Read all zones now and then: a caller may come from another one."""
+        await self._read(part)
+        now = self.streams.times.clock.now()
+        if part == _WHOLE_FLEET or now < self._zones_read_at + _ZONES_S:
+            return
+        self._zones_read_at = now
+        others = set(self.net.hubs.zones()).difference((part,))
+        await asyncio.gather(*map(self.streams.read, sorted(others)))
+
     async def _read(self, part: str) -> None:
         faults = await asyncio.gather(
             self.services.read(), self.streams.read(part)
--- a/src/balsamreach/relay/service_history.py
+++ b/src/balsamreach/relay/service_history.py
@@ -18,7 +18,7 @@
 _KEEP_S = 86_400.0
 #: Seconds by which routers may differ on the moment of a removal. Without a
 #: tolerance, each router would write its own.
-_TOLERANCE_S = 5.0
+_TOLERANCE_S = 1.0
 #: Seconds for which a release is remembered longer than its row says: the
 #: store's time is known within the delay of a call only.
 _CLOCK_MARGIN_S = 2.0
@@ -72,10 +72,12 @@
 
     async def write(self) -> PlatformFault | None:
         """Write the rows that differ from what this router knows."""
-        fault = await self._verify()
         edits = self.services.edits
-        if fault is not None or edits == self._known_edits:
-            return fault
+        if edits != self._seen_edits:
+            self._seen_edits = edits
+            self._verify_until = self.times.clock.now() + _VERIFY_S
+        if edits == self._known_edits:
+            return await self._verify()
         faults = [
             await self._write_one(service) for service in self.services.names()
         ]
@@ -92,9 +94,6 @@
 
     async def _verify(self) -> PlatformFault | None:
         now = self.times.clock.now()
-        if self.services.edits != self._seen_edits:
-            self._seen_edits = self.services.edits
-            self._verify_until = now + _VERIFY_S
         is_due = now >= self._read_at + _VERIFY_INTERVAL_S
         if is_due and now < self._verify_until:
             return await self.read()
@@ -150,9 +149,9 @@
         now = self.times.clock.now()
         store_now = self.times.at_least()
         gone_at = {
-            release: now
+            release: None
             if gone is None
-            else min(now, now - (store_now - gone) + _CLOCK_MARGIN_S)
+            else now - (store_now - gone) + _CLOCK_MARGIN_S
             for release, gone in row.releases.items()
         }
         since = -math.inf
--- a/src/balsamreach/relay/stream_releases.py
+++ b/src/balsamreach/relay/stream_releases.py
@@ -179,6 +179,7 @@
             service=call.service,
             within_s=round(_keep_seconds(call)),
         )
+        self.history.check_list()
         told = self._tell(ask)
         origin = conclude(told, {}) if told.basis else None
         if origin is None:
@@ -257,6 +258,7 @@
             self.keepers.forward(message)
 
     async def _on_ask(self, _member: Member, ask: ReleaseAsk) -> ReleaseTold:
+        self.history.check_list()
         told = self._tell(ask)
         # Without hubs, the router that asks reads the store itself.
         if not told.basis and self.net.hubs.hubs_of(self.net.me.zone):
