Bound the size of the store's answers

Cause: an answer without a stated maximum size had none, and its bytes keep a read active for up to 16 request timeouts, 80 s by default.

What callers saw: a store, or whatever answers at its address, that sends a body without end as fast as it is read takes all memory of the router. In the test, with 16 timeouts of 0.6 s, it had taken 79 to 89 MB.

Evidence: tests.test_platform_endless_bytes.StoreTest, six of 40 failed before: test_read_fails_12_body_to_close_fast: AssertionError: not less than; likewise chunks, one_chunk, huge_length, error_500 and error_404. All pass now, with a bound for the framing of small chunks of bytes, which those figures exceed as well.

Why it works: curl ends an answer beyond 32 MiB, far more than a page (1 MB). Its outcome is UNKNOWN, not TOO_LARGE, since no caller asked for a bound and a write may have been applied. ProbeTest shows the same for polls of targets, which their timeout bounds.

--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -31,6 +31,10 @@
     503: UNAVAILABLE,
 }
 _FIRST_ERROR_STATUS = 400
+#: Maximum size in bytes of an answer of which the caller states none. A page
+#: has 1 MB and a stored object some more; an answer without end would take all
+#: memory while its bytes keep the call active.
+_MAX_ANSWER_BYTES = 32 << 20
 #: Progress checks per request timeout.
 _CHECKS = 4
 #: Check intervals until the first check.
@@ -60,7 +64,8 @@
     writes : bool
         Whether the call changes data, so that it must not be sent twice.
     most_bytes : int
-        Maximum size of the answer; 0 for no limit.
+        Maximum size of the answer; 0 for 32 MiB, beyond which the outcome is
+        unknown.
     """
 
     method: str
@@ -93,7 +98,8 @@
         curl.setopt(pycurl.PREREQFUNCTION, self.before_send)
         curl.setopt(pycurl.XFERINFOFUNCTION, self.note_progress)
         curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(pycurl.MAXFILESIZE, self.call.most_bytes)
+        most_bytes = self.call.most_bytes or _MAX_ANSWER_BYTES
+        curl.setopt(pycurl.MAXFILESIZE, most_bytes)
         self.tls.prepare(curl)
 
     def before_send(self, *_addresses: Any) -> int:
@@ -157,7 +163,8 @@
         return False
 
     def _fault(self, exc: CurlError) -> PlatformFault:
-        if exc.errno == pycurl.E_FILESIZE_EXCEEDED:
+        is_too_large = exc.errno == pycurl.E_FILESIZE_EXCEEDED
+        if is_too_large and self.call.most_bytes:
             return TOO_LARGE.because(str(exc))
         refused = exc.errno in _NO_CONNECTION and not self.call.writes
         if self.attempts == 0 or refused:
--- a/tests/endless_targets.py
+++ b/tests/endless_targets.py
@@ -20,6 +20,12 @@
 SOCKET_BYTES = 8 << 20
 
 
+def max_taken(limit: int) -> int:
+    """Return how many bytes a reader may take that keeps so many at most."""
+    # A chunk of 8 bytes is sent as 13.
+    return limit * 13 // 8 + SOCKET_BYTES
+
+
 @attrs.frozen
 class Endless:
     """Bytes without end.
