State what bounds bytes without end, place by place

UnseenTest covers bytes within a line that curl doesn't report: streams go on after two seconds, plain requests are held to their time limit and not longer.

--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -251,6 +251,27 @@
         self.assertTrue(await until(lambda: not self.target.open_answers))
 
 
+class UnseenTest(EndlessCase):
+    """Bytes within a line, of which curl tells nothing."""
+
+    @parameterized.expand(_cases(samples.UNSEEN, stream=STREAM))
+    async def test_stream_goes_on_elsewhere(self, _, route, endless, slow):
+        """Guards against a stream that waits up to its time limit."""
+        await self.start((endless, slow))
+        response = await self.request(route)
+        self.assertEqual(response.body, OWN)
+        self.assertEqual(self.target.requests, 2)
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+    @parameterized.expand(_cases(samples.UNSEEN, plain=PLAIN))
+    async def test_plain_ends_with_time_limit(self, _, route, endless, slow):
+        """Guards against a request that outlasts its time limit."""
+        await self.start((endless, slow))
+        response = await self.request(route, seconds=_SHORT_DEADLINE_S)
+        self.assertIn(response.status, (200, 504))
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+
 class RejectionTest(EndlessCase):
     """A target's own refusal is a promise, whatever follows its head."""
 
