Bound the body of a plain service's error

Cause: PlainReply keeps the body of a 5xx to pass it on if no other target answers better, and had a limit for other answers only.

What callers saw: an error whose body has no end took memory up to the deadline of the request, and the request didn't go on before.

Evidence: tests.test_dispatch_endless_bytes.PlainErrorTest, to_close and chunks, failed before with TimeoutError after 5 s.

Why it works: a body of more than 1 MiB, the limit of what is buffered, makes the answer invalid; it ends as REJECTED and isn't delivered, as run.py delivers an error for TARGET_FAILED only. An error of a plain service that is larger than 1 MiB is no longer passed on.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -201,7 +201,12 @@
         self._chunks.append(chunk)
         # Limits the memory for long answers. An answer that has been passed on
         # in part cannot be retried at another target, however.
-        if self._size > _MAX_BUFFERED and not is_failure(self.status):
+        if self._size <= _MAX_BUFFERED:
+            return
+        if is_failure(self.status):
+            # An error is passed on only when no other target answers.
+            self.problem = 'the error is too large'
+        else:
             self._start_answer()
             self.answer.write(b''.join(self._chunks))
             self._chunks.clear()
--- /dev/null
+++ b/tests/test_dispatch_endless_bytes.py
@@ -0,0 +1,80 @@
+"""Tests of plain services whose answers to `serve` have no end."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from parameterized import parameterized
+
+from balsamreach.config.reader import read_settings
+from balsamreach.dispatch.attempt_sender import make_reply
+from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.upstream import REJECTED, Attempt
+from balsamreach.gateway.curl_upstream import CurlUpstream
+from balsamreach.requests.answers import Output
+from balsamreach.requests.identity import RequestId
+from balsamreach.table.rows import TargetRow, TeamRow
+from balsamreach.targets.registry import Target
+from tests.deployment import until
+from tests.endless_targets import Endless, EndlessTarget, max_taken
+
+_ERROR = b'HTTP/1.1 500 Error\r\n'
+#: Maximum size in bytes of the body of an error of a plain service.
+_MAX_ERROR_BYTES = 1 << 20
+#: Seconds within which the exchange must end.
+_MAX_WAIT_S = 5
+
+
+class PlainErrorTest(unittest.IsolatedAsyncioTestCase):
+    """An error of a plain service, whose body is kept to be passed on."""
+
+    @parameterized.expand(
+        (
+            ('to_close', Endless(b'%b\r\n' % _ERROR, b'xxxxxxxx')),
+            (
+                'chunks',
+                Endless(
+                    b'%bTransfer-Encoding: chunked\r\n\r\n' % _ERROR,
+                    b'8\r\nxxxxxxxx\r\n',
+                ),
+            ),
+        )
+    )
+    async def test_is_rejected(self, _, endless):
+        """Guards against an error that takes all memory of the router."""
+        target = EndlessTarget([(endless, False)])
+        self.addCleanup(target.stop)
+        attempt = _attempt(await target.start())
+        upstream = CurlUpstream(read_settings(None, ('host.zone=zone-a',)))
+        self.addCleanup(upstream.close)
+        reply = make_reply(
+            attempt.call, mock.Mock(spec=Output, backlog=0), attempt.attempt_id
+        )
+        async with asyncio.timeout(_MAX_WAIT_S):
+            outcome = await upstream.send(attempt, reply)
+        self.assertEqual(outcome, REJECTED)
+        self.assertTrue(await until(lambda: not target.open_answers))
+        self.assertLess(target.written, max_taken(_MAX_ERROR_BYTES))
+
+
+def _attempt(address: str) -> Attempt:
+    call = Call(
+        req=RequestId('winders', 'key', True, b''),
+        team=TeamRow(name='winders'),
+        kind='service',
+        name='report',
+        method='GET',
+        path='/report',
+        headers={},
+        body=b'',
+        stream=False,
+        idempotent=True,
+        reserved_tokens=0,
+        deadline=1,
+    )
+    row = TargetRow(name='t', address=address, zone='zone-a', service='report')
+    return Attempt('attempt-1', call, Target(row))
+
+
+if __name__ == '__main__':
+    unittest.main()
