--- a/tests/test_relay_endless_bytes.py
+++ b/tests/test_relay_endless_bytes.py
@@ -14,7 +14,7 @@
 from tests import endless_targets as samples
 from tests import relay_samples
 from tests.deployment import until
-from tests.endless_targets import OWN, SOCKET_BYTES, Endless, EndlessTarget
+from tests.endless_targets import OWN, Endless, EndlessTarget, max_taken
 from tests.relay_harness import RelayHarness
 from tests.relay_samples import ONE_RUN, PLAIN, STREAM, UNSAFE, entry
 from tests.relay_scripts import RecordingResponse
@@ -22,7 +22,7 @@
 _PLAIN_FORMS = samples.ANY | samples.BODIES | samples.ERRORS
 _STREAM_FORMS = samples.ANY | samples.ERRORS | samples.EVENTS
 #: The largest of the router's limits, that of a plain answer.
-_MAX_TAKEN_BYTES = (8 << 20) + SOCKET_BYTES
+_MAX_TAKEN_BYTES = max_taken(8 << 20)
 #: Time limit of the requests in seconds, far beyond any wait of a test.
 _DEADLINE_S = 60
 #: Seconds within which each request must be answered.
@@ -251,6 +251,27 @@
         self.assertTrue(await until(lambda: not self.target.open_answers))
 
 
+class UnseenTest(EndlessCase):
+    """Bytes within a line, of which curl tells nothing."""
+
+    @parameterized.expand(_cases(samples.UNSEEN, stream=STREAM))
+    async def test_stream_goes_on_elsewhere(self, _, route, endless, slow):
+        """Guards against a stream that waits up to its time limit."""
+        await self.start((endless, slow))
+        response = await self.request(route)
+        self.assertEqual(response.body, OWN)
+        self.assertEqual(self.target.requests, 2)
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+    @parameterized.expand(_cases(samples.UNSEEN, plain=PLAIN))
+    async def test_plain_ends_with_time_limit(self, _, route, endless, slow):
+        """Guards against a request that outlasts its time limit."""
+        await self.start((endless, slow))
+        response = await self.request(route, seconds=_SHORT_DEADLINE_S)
+        self.assertIn(response.status, (200, 504))
+        self.assertTrue(await until(lambda: not self.target.open_answers))
+
+
 class RejectionTest(EndlessCase):
     """A target's own refusal is a promise, whatever follows its head."""
 
