Keep the first start's knowledge when the first list is late

What callers would have seen: on hosts so busy that the first list of targets took longer than a tenth of a second, a fleet of one release refused streams after a restart of all routers for as long as a stream lives. Cause: the first list was taken for one that had been outdated, so a router at the fleet's first start wrote that the row of a service was complete from then on only. Change: only a list that had been current before counts as outdated; before the first one nothing was sent.

--- a/src/balsamreach/placement/service_releases.py
+++ b/src/balsamreach/placement/service_releases.py
@@ -142,10 +142,14 @@
 
         A release may have come and gone without this router seeing it.
         """
-        self._restored_since.clear()
+        self.forget_restored()
         if self._services:
             self._known_since = self.clock.now()
 
+    def forget_restored(self) -> None:
+        """Forget since when restored releases are all of their service."""
+        self._restored_since.clear()
+
     def known_since(self, service: str) -> float:
         """Return since when this router knows all releases of a service.
 
--- a/src/balsamreach/relay/service_history.py
+++ b/src/balsamreach/relay/service_history.py
@@ -86,11 +86,20 @@
             self._known_edits = edits
         return fault
 
-    def forget(self) -> None:
-        """Record that the list of targets was outdated until now."""
-        self.is_first_start = False
+    def forget(self, *, is_first_list: bool) -> None:
+        """Record that the list of targets was outdated until now.
+
+        Parameters
+        ----------
+        is_first_list : bool
+            Whether it is the first list that this router has, so that it has
+            sent no request before.
+        """
         self.is_read = False
-        self.services.forget()
+        self.services.forget_restored()
+        if not is_first_list:
+            self.is_first_start = False
+            self.services.forget()
 
     async def _verify(self) -> PlatformFault | None:
         now = self.times.clock.now()
