Decide in one place whether a target's head is one

Callers got a 200 whose body was not the target's, or was cut: a target sent `Transfer-Encoding : chunked`, `Content-Length : 5`, or both a length and chunks. A name with a blank or a control byte inside, or a value with one, closed the caller's connection after the request had run. Statuses from 600 on were passed on as answers.

Cause: the head was read twice. Curl framed the body by its reading, and Transfer parsed the same lines by another: `str.strip` takes more than blanks and tabs off a name, no name was checked, and any digits were a status. The length that the target had announced was passed on although curl had framed the body by something else.

Change: http_heads decides, without input or output, whether lines are a head (status line, names, values, lengths, codings). What is malformed ends the exchange before the intake sees anything of it, for the relay, `serve` and requests that are forwarded. Such an answer counts as broken: it may have run, it goes on elsewhere if it may be repeated, it is no evidence of a crash and no promise. The relay frames the bodies that it passes on by their own size, and leaves out what the `Connection` of the target names.

Curl joins a line that begins with a blank to the line before, as RFC 9112 allows, and doesn't show that it did. A length or a coding in such a line is refused, and so is a signature, an id or a `Not-Executed` that holds a blank.

--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -28,13 +28,14 @@
 #: Curl's code for a head that exceeds curl's own limits; pycurl has no name
 #: for it.
 _TOO_LARGE = 100
-#: Codes of exchanges whose bytes are no answer: no HTTP, a head that is too
-#: large by curl's limits or by ours, or no end. The target hasn't closed the
-#: connection.
+#: Codes of exchanges whose bytes are no answer: no HTTP, a malformed head, one
+#: that is too large by curl's limits or by ours, or no end. The target hasn't
+#: closed the connection.
 _NO_ANSWER_CODES = frozenset(
     (
         pycurl.E_UNSUPPORTED_PROTOCOL,
         pycurl.E_FTP_WEIRD_SERVER_REPLY,
+        pycurl.E_BAD_CONTENT_ENCODING,
         pycurl.E_WRITE_ERROR,
         _TOO_LARGE,
         ENDLESS_CODE,
--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -7,9 +7,8 @@
 import pycurl
 
 from balsamreach.dispatch.upstream import Intake
+from balsamreach.http_heads import HeadReader
 
-#: Maximum size in bytes of an answer's head.
-_MAX_HEAD_BYTES = 64 * 1024
 #: Bytes of a body without a length that count as progress. A plain answer is
 #: made before it is sent, so one that brings less in two seconds is no answer,
 #: or arrives too slowly to be whole before its deadline.
@@ -18,8 +17,6 @@
 #: have. A body with a larger one has no end in practice.
 _MAX_LENGTH_BYTES = 8 << 20
 _ABORT = 0
-_FIRST_FINAL_STATUS = 200
-_SINGLE_VALUE_HEADERS = frozenset(('content-length', 'set-cookie'))
 
 
 @attrs.define(eq=False)
@@ -32,8 +29,6 @@
         Receives the answer.
     on_pause : callable or None
         Called when the transfer pauses.
-    head_complete : bool
-        Whether the whole head was received.
     received_data : bool
         Whether data was received since this was last set to false.
     progressed : bool
@@ -51,14 +46,16 @@
     progressed: bool = False
     paused: bool = False
     abort_reason: str = ''
-    head_complete: bool = False
-    _status: int = 0
-    _headers: dict[str, str] = attrs.field(factory=dict)
-    _head_size: int = 0
+    _reader: HeadReader = attrs.field(factory=HeadReader)
     _is_within_head: bool = True
     _parts: int = 0
     _unnoted_bytes: int = 0
 
+    @property
+    def head_complete(self) -> bool:
+        """Whether the whole head was received."""
+        return self._reader.head is not None
+
     def is_within_head(self, curl: pycurl.Curl) -> bool:
         """Return whether a head has begun that isn't complete.
 
@@ -86,7 +83,6 @@
     def on_header_line(self, line: bytes) -> int:
         """Process a line of the head; an empty line ends it."""
         self.received_data = True
-        self._head_size += len(line)
         # A connection may end within a line. Curl then passes on the part that
         # it has, and takes a carriage return in it for the end of the head: a
         # success cut there would pass for one with an empty body, and a
@@ -94,13 +90,18 @@
         is_whole = line.endswith(b'\n')
         # A target may send an interim head long before the final one.
         self._is_within_head = bool(line.strip()) or not is_whole
-        # An endless head would exhaust the memory.
-        if self._head_size > _MAX_HEAD_BYTES:
-            self.abort_reason = 'the head of the answer is too large'
+        had_head = self.head_complete
+        self._reader.read_line(line)
+        # Curl frames the body by a reading of its own, so that an answer whose
+        # head is malformed must not be received any further.
+        if self._reader.fault is not None:
+            self.abort_reason = self._reader.fault.reason
             return _ABORT
-        if is_whole and not self.head_complete:
-            return self._process_line(line)
-        return len(line)
+        if self.head_complete and not had_head:
+            self._start()
+        # Curl keeps the connection of a complete answer, and closes that of an
+        # aborted transfer.
+        return _ABORT if self.intake.problem else len(line)
 
     def on_body(self, chunk: bytes) -> int | None:
         """Process bytes of the body, or pause if callers read too slowly."""
@@ -129,41 +130,10 @@
             self._unnoted_bytes = 0
 
     def _has_length(self) -> bool:
-        length = self._headers.get('content-length', '')
-        return length.isdecimal() and int(length) <= _MAX_LENGTH_BYTES
-
-    def _process_line(self, line: bytes) -> int:
-        # Curl takes such a line for the end of the head, and would keep the
-        # connection of an answer that ends there.
-        if line.startswith(b'\r') and line.strip():
-            self.abort_reason = 'a bare carriage return in the head'
-            return _ABORT
-        self._parse_line(line.decode('latin-1').strip())
-        # Curl keeps the connection of a complete answer, and closes that of an
-        # aborted transfer.
-        return _ABORT if self.intake.problem else len(line)
-
-    def _parse_line(self, line: str) -> None:
-        if line.startswith('HTTP/'):
-            self._status = _parse_status(line)
-            self._headers = {}
-        elif line:
-            name, _colon, text = line.partition(':')
-            self._add_header(name.strip().lower(), text.strip())
-        elif self._status >= _FIRST_FINAL_STATUS:
-            self.head_complete = True
-            self.progressed = True
-            self.intake.start(self._status, self._headers)
-
-    def _add_header(self, name: str, text: str) -> None:
-        existing = self._headers.get(name, text)
-        # Repeated headers are joined to a list, except those that can't
-        # hold one.
-        if existing != text and name not in _SINGLE_VALUE_HEADERS:
-            text = f'{existing}, {text}'
-        self._headers[name] = text
-
+        length = self._reader.head.length
+        return length is not None and length <= _MAX_LENGTH_BYTES
 
-def _parse_status(line: str) -> int:
-    code = line.split(' ')[1]
-    return int(code) if code.isdigit() else 0
+    def _start(self) -> None:
+        head = self._reader.head
+        self.progressed = True
+        self.intake.start(head.status, head.headers)
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -9,6 +9,7 @@
 
 from balsamreach.catalogue.catalogue import Catalogue
 from balsamreach.catalogue.entries import Route, Team
+from balsamreach.http_heads import connection_options
 from balsamreach.placement.notices import TargetNotice
 from balsamreach.placement.prompts import Part, Prompt
 from balsamreach.placement.relay_targets import TargetEntry
@@ -32,6 +33,17 @@
 _TOKEN_COUNTS = re.compile(r'(\d{1,12}),(\d{1,12})')
 _PROMPT_PART = re.compile(r'([0-9a-fA-F]{1,64}):(\d{1,12})')
 _COUNT = re.compile(r'\d{1,9}')
+#: Headers of an answer whose values are words. A blank in one shows that a
+#: malformed line was joined to it.
+_WORDS = tuple(
+    name.lower()
+    for name in (
+        header_names.REQUEST_ID,
+        header_names.SIGNATURE,
+        header_names.NOT_RUN,
+    )
+)
+_BLANK = re.compile(r'[ \t]')
 _BEARER = re.compile(r'[Bb]earer +(\S+)')
 
 _STATUS = {
@@ -144,19 +156,18 @@
 
     def read_answer(self, status: int, headers: dict[str, str]) -> AnswerHead:
         """Parse the status and headers of a target's answer."""
-        forwarded = tuple(
-            (name, text)
-            for name, text in headers.items()
-            if name not in header_names.HOP_BY_HOP or name == 'content-length'
-        )
+        dropped = header_names.HOP_BY_HOP | connection_options(headers)
+        forwarded = {
+            name: text for name, text in headers.items() if name not in dropped
+        }
         return AnswerHead(
             status=status,
-            headers=forwarded,
+            headers=tuple(forwarded.items()),
             request_id=headers.get(header_names.REQUEST_ID.lower(), ''),
-            signed=header_names.SIGNATURE.lower() in headers,
+            signed=header_names.SIGNATURE.lower() in forwarded,
             not_run=header_names.NOT_RUN.lower() in headers,
             misdirected=status == _MISDIRECTED,
-            usable=not headers.get('content-encoding'),
+            usable=_is_usable(headers),
             notice=_read_notice(status, headers),
         )
 
@@ -213,6 +224,12 @@
         )
 
 
+def _is_usable(headers: dict[str, str]) -> bool:
+    if headers.get('content-encoding'):
+        return False
+    return not any(_BLANK.search(headers.get(name, '')) for name in _WORDS)
+
+
 def _copy_header(call: RelayCall, copy: CacheCopy) -> tuple[str, str]:
     if copy.is_source:
         return header_names.KV_FROM, f'{copy.address}/{call.request_id}'
--- a/src/balsamreach/relay/delivery.py
+++ b/src/balsamreach/relay/delivery.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 
 import attrs
 
@@ -10,7 +11,7 @@
 from balsamreach.relay.attempt_results import Verdict
 from balsamreach.relay.call import RelayCall
 from balsamreach.relay.caller_response import CallerResponse
-from balsamreach.relay.codec import Codec
+from balsamreach.relay.codec import Codec, HeaderList
 from balsamreach.relay.event_timing import EventTiming
 from balsamreach.relay.events import EventSplitter
 from balsamreach.relay.faults import RelayFault
@@ -20,6 +21,7 @@
 
 #: Method whose responses have no body, whatever their headers say.
 _HEAD = 'HEAD'
+_LENGTH = 'Content-Length'
 
 
 def _ignore() -> None:
@@ -117,11 +119,25 @@
         if self.caller_response.started:
             return faults.BROKEN.because('the stream could not be resumed')
         self.link.add(2 * len(intake.body), self.call.team_name)
-        self.caller_response.start(intake.head.status, intake.head.headers)
+        self.caller_response.start(
+            intake.head.status, self._plain_headers(intake)
+        )
         self.caller_response.write(bytes(intake.body))
         self.caller_response.finish()
         return None
 
+    def _plain_headers(self, intake: AnswerIntake) -> HeaderList:
+        """Return the headers of a whole response, with its length."""
+        status, headers = intake.head.status, intake.head.headers
+        length: str | None = str(len(intake.body))
+        # The length that the target announces is that of a body which another
+        # request would get.
+        if self.call.method == _HEAD or status == HTTPStatus.NOT_MODIFIED:
+            length = intake.length
+        if length is None or status == HTTPStatus.NO_CONTENT:
+            return headers
+        return (*headers, (_LENGTH, length))
+
     def _make_intake(self, on_heard: Callable[[], None]) -> AnswerIntake:
         if not self.call.route.streams:
             return AnswerIntake(self.codec, self.call.request_id)
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -31,7 +31,9 @@
         Id of the request that the response must belong to.
     head : AnswerHead or None
         Status and headers, once they are received.
-    held : bytearray
+    length : str or None
+        The length that the headers announce, in bytes.
+    body : bytearray
         The bytes received so far, unless they were forwarded.
     is_delimited : bool
         Whether the headers say where the body ends; otherwise it ends with
@@ -48,6 +50,7 @@
         self.codec = codec
         self.request_id = request_id
         self.head: AnswerHead | None = None
+        self.length: str | None = None
         self.body = bytearray()
         self.is_delimited = True
         self.expects_body = True
@@ -109,8 +112,9 @@
         """Receive the status and headers of the response."""
         head = self.codec.read_answer(status, headers)
         self.head = head
-        is_chunked = 'chunked' in headers.get('transfer-encoding', '').lower()
-        self.is_delimited = is_chunked or 'content-length' in headers
+        self.length = headers.get('content-length')
+        is_chunked = 'transfer-encoding' in headers
+        self.is_delimited = is_chunked or self.length is not None
         # A late response to an earlier request may arrive on the connection
         # in place of this one's. Forwarded, it would reach the wrong caller.
         if self.for_other_request:
--- a/tests/test_relay_cut_answers.py
+++ b/tests/test_relay_cut_answers.py
@@ -45,8 +45,8 @@
         self.addCleanup(self.curl.close)
         self.harness = RelayHarness(exchange=self.curl)
 
-    async def request(self, route, answer, *, reset, method='POST'):
-        """Send a request that gets an answer, and return its response."""
+    async def start_targets(self, answer, *, reset=False):
+        """Start targets, the first of which to be asked gives an answer."""
         self.target = CutTarget([answer], reset)
         self.addCleanup(self.target.stop)
         for service in (relay_samples.ENGINES, relay_samples.DESK):
@@ -56,6 +56,10 @@
                 self.harness.chooser.places.put(
                     attrs.evolve(new, address=address)
                 )
+
+    async def request(self, route, answer, *, reset, method='POST'):
+        """Send a request that gets an answer, and return its response."""
+        await self.start_targets(answer, reset=reset)
         response = RecordingResponse()
         call = attrs.evolve(relay_samples.call(route), method=method)
         run = RelayRun(self.harness.parts, call, response)
