Read the heads of the store, probed targets and routers by the same rules

A store in trouble that answered a write with a malformed 503 was taken to have refused it, a target with a malformed head counted as alive, and the operators' command showed rows from such an answer.

Cause: these clients only looked for the end of the head (the operators' client not even for that), and left the rest to curl, which passes on names with blanks, statuses up to 999, and lengths beside chunks.

Change: curl_heads reads the lines by http_heads. Without a head the outcome of a call is unknown, a poll has no answer, and a command reports that the outcome is unknown or that the router gives none.

--- a/src/balsamreach/client/operators.py
+++ b/src/balsamreach/client/operators.py
@@ -20,6 +20,7 @@
     UNTRUSTED,
     ClientFault,
 )
+from balsamreach.curl_heads import CurlHead
 from balsamreach.curl_tls import CurlTls
 
 _CONNECT_TIMEOUT_S = 5
@@ -159,16 +160,18 @@
         path: str,
         body: dict[str, Any] | None = None,
     ) -> Answer:
-        sink = io.BytesIO()
+        sink, head = io.BytesIO(), CurlHead()
         self._prepare(method, path, sink)
+        self._curl.setopt(pycurl.HEADERFUNCTION, head.read_line)
         if body is not None:
             self._curl.setopt(pycurl.POSTFIELDS, json.dumps(body))
         try:
             self._curl.perform()
         except pycurl.error as exc:
             return _transfer_fault(exc, self.url)
-        status = self._curl.getinfo(pycurl.RESPONSE_CODE)
-        return _parse_answer(status, sink.getvalue())
+        if head.final is None:
+            return OUTCOME_UNKNOWN.because(f'{self.url}: {head.problem}')
+        return _parse_answer(head.final.status, sink.getvalue())
 
     def _prepare(self, method: str, path: str, sink: io.BytesIO) -> None:
         options = {
--- a/src/balsamreach/curl_heads.py
+++ b/src/balsamreach/curl_heads.py
@@ -1,47 +1,44 @@
-"""Tells whether a Tornado curl client has received the head of an answer."""
+"""Reads the heads of answers that come through curl."""
 
 import attrs
 from tornado.httpclient import HTTPRequest
 
-_FIRST_LINE = 'HTTP/'
-_INTERIM_STATUS = '1'
-_LINE_END = '\n'
+from balsamreach.http_heads import Head, HeadReader
 
 
 @attrs.define(eq=False)
-class HeadEnd:
-    """Whether the final head of an answer was received to its end.
+class CurlHead:
+    """The head of the answer to one request.
 
     Curl reports no error for a connection that closes within the head. What
     was received of it would pass for an answer without a body, and its status
-    for the outcome of the call.
-
-    Parameters
-    ----------
-    received : bool
-        Whether it was.
+    for the outcome of the call. It also passes on lines that are no headers.
     """
 
-    received: bool = False
-    _is_final: bool = False
+    _reader: HeadReader = attrs.field(factory=HeadReader)
+
+    @property
+    def final(self) -> Head | None:
+        """The final head; None if it wasn't received, or is malformed."""
+        return None if self._reader.fault else self._reader.head
+
+    @property
+    def problem(self) -> str:
+        """Why there is no head; empty if there is one."""
+        if self._reader.fault is not None:
+            return self._reader.fault.reason
+        if self._reader.head is None:
+            return 'the connection closed within the head'
+        return ''
 
     def watch(self, request: HTTPRequest) -> None:
-        """Look at the answer to a request that is sent next."""
-        request.header_callback = self.read_line
-
-    def read_line(self, line: str) -> None:
-        """Look at the next line of the head, with its end.
-
-        Parameters
-        ----------
-        line : str
-            The line. At the end of its connection curl passes on a part of
-            one, which ends without a line feed.
-        """
-        if not line.endswith(_LINE_END):
-            return
-        if line.startswith(_FIRST_LINE):
-            status = line.partition(' ')[2]
-            self._is_final = not status.startswith(_INTERIM_STATUS)
-        elif self._is_final and not line.strip('\r\n'):
-            self.received = True
+        """Read the head of the answer to a request that is sent next."""
+        request.header_callback = self._read_text
+
+    def read_line(self, line: bytes) -> None:
+        """Read the next line, as curl's callback for headers."""
+        self._reader.read_line(line)
+
+    def _read_text(self, line: str) -> None:
+        # Tornado decodes the lines by this encoding, which loses nothing.
+        self._reader.read_line(line.encode('latin-1'))
--- a/src/balsamreach/gateway/target_client.py
+++ b/src/balsamreach/gateway/target_client.py
@@ -10,7 +10,7 @@
 
 from balsamreach.clock import Clock
 from balsamreach.config.settings import Settings
-from balsamreach.curl_heads import HeadEnd
+from balsamreach.curl_heads import CurlHead
 from balsamreach.gateway.target_tls import target_tls, target_url
 from balsamreach.json_input import JsonFault, read_json
 from balsamreach.targets.client import (
@@ -140,20 +140,18 @@
         address: str,
         request: HTTPRequest,
     ) -> Mapping[str, Any] | TargetFault:
-        head_end = HeadEnd()
-        head_end.watch(request)
+        head = CurlHead()
+        head.watch(request)
         try:
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as exc:
             is_unreachable = exc.errno in _NO_CONNECTION
             fault = UNREACHABLE if is_unreachable else NO_ANSWER
             return fault.because(str(exc))
-        if not head_end.received:
-            return NO_ANSWER.because('the connection closed within the head')
+        if head.final is None:
+            return NO_ANSWER.because(head.problem)
         if self.on_head is not None:
-            pairs = response.headers.get_all()
-            headers = {name.lower(): text for name, text in pairs}
-            self.on_head(address, response.code, headers)
+            self.on_head(address, head.final.status, head.final.headers)
         if response.code >= _FIRST_ERROR_STATUS:
             return REFUSED.because(f'the target answered {response.code}')
         parsed = read_json(response.body)
--- a/src/balsamreach/services/http.py
+++ b/src/balsamreach/services/http.py
@@ -9,7 +9,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
-from balsamreach.curl_heads import HeadEnd
+from balsamreach.curl_heads import CurlHead
 from balsamreach.curl_tls import CurlTls
 from balsamreach.json_input import JsonFault, read_json
 from balsamreach.services.faults import (
@@ -87,7 +87,7 @@
     attempts: int = 0
     transferred: int = 0
     is_abandoned: bool = False
-    head_end: HeadEnd = attrs.field(factory=HeadEnd)
+    head: CurlHead = attrs.field(factory=CurlHead)
 
     def prepare(self, curl: pycurl.Curl) -> None:
         # A pooled connection from before an outage may be dead without having
@@ -141,9 +141,9 @@
             response = fetch.result()
         except CurlError as exc:
             return self._fault(exc)
-        if self.head_end.received:
+        if self.head.final is not None:
             return response
-        return UNKNOWN.because('the connection closed within the head')
+        return UNKNOWN.because(self.head.problem)
 
     async def _wait_while_active(
         self, fetch: asyncio.Future, silence_timeout: float
@@ -234,7 +234,7 @@
             call, self.tls, new_connection=self._needs_new_connection
         )
         request = self._request(call, transfer)
-        transfer.head_end.watch(request)
+        transfer.head.watch(request)
         fetch = self._http_client().fetch(request, raise_error=False)
         fetch.add_done_callback(_consume_exception)
         outcome = await transfer.wait(fetch, self.request_timeout)
