Keep targets from speaking in the name of the router that helps

A target behind a router that helps could answer with `X-Forward-Ran: 0`, and the caller was told that its request, which had run, had not. Any `X-Forward-Outcome` of a target made its answer a 502. A HEAD request whose answer announced a length ended with a closed connection, as the helping router announced that length for its own response to a POST.

Cause: ForwardedResponse sent the target's headers as they came beside its own, and the two were joined by the router that read them.

Change: the names that routers give each other are left out of what a target sends, and the length of a HEAD response too.

Found by reading, not seen on machines.

--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -25,6 +25,10 @@
 YES = '1'
 NO = '0'
 
+#: Headers that only routers give each other.
+_OWN = frozenset(
+    name.lower() for name in (OUTCOME, TARGET, RELEASE, MAY_HAVE_RUN, REACHED)
+)
 _SERVER_ERROR = 500
 #: Maximum size in bytes of the body of a refusal, which is not used. A router
 #: sends none, so more than any error page has is no refusal of one.
@@ -195,7 +199,11 @@
             history.may_have_run = True
 
 
+def is_own(name: str) -> bool:
+    """Return whether a header is one that only routers give each other."""
+    return name.lower() in _OWN
+
+
 def _without_own(headers: dict[str, str]) -> dict[str, str]:
     """Return the headers of the target."""
-    own = {OUTCOME.lower(), TARGET.lower(), RELEASE.lower()}
-    return {name: text for name, text in headers.items() if name not in own}
+    return {name: text for name, text in headers.items() if not is_own(name)}
--- a/src/balsamreach/relay/forwarded_run.py
+++ b/src/balsamreach/relay/forwarded_run.py
@@ -13,7 +13,7 @@
 from balsamreach.catalogue.entries import Route, Split, Team
 from balsamreach.clock import Clock
 from balsamreach.placement.prompts import Part, Prompt
-from balsamreach.relay import faults
+from balsamreach.relay import faults, forwarded_intake
 from balsamreach.relay.attempt_parts import RelayAttemptParts
 from balsamreach.relay.attempts import RelayAttempts
 from balsamreach.relay.call import RelayCall
@@ -34,6 +34,8 @@
 
 _MS = 1000
 _UNAVAILABLE = 503
+_HEAD = 'HEAD'
+_LENGTH = 'content-length'
 #: Maximum requests of other routers in progress. Each takes two connections,
 #: and the smallest hosts have some 1,600 descriptors.
 _MAX_RUNNING = 400
@@ -50,10 +52,15 @@
         Incarnation of the target that the request is sent to.
     release : str
         Release of that target.
+    is_head : bool
+        Whether the request has the method HEAD. The length of its response is
+        that of a body that isn't sent, and to the other router it would be
+        that of this one.
     """
 
-    def __init__(self, inner: CallerResponse) -> None:
+    def __init__(self, inner: CallerResponse, *, is_head: bool) -> None:
         self.inner = inner
+        self.is_head = is_head
         self.target = ''
         self.release = ''
 
@@ -74,7 +81,15 @@
             (TARGET, self.target),
             (RELEASE, self.release),
         )
-        self.inner.start(status, (*headers, *added))
+        # The target's own would be read as this router's.
+        kept = (
+            header
+            for header in headers
+            if not forwarded_intake.is_own(header[0])
+        )
+        if self.is_head:
+            kept = (header for header in kept if header[0].lower() != _LENGTH)
+        self.inner.start(status, (*kept, *added))
 
     def write(self, chunk: bytes) -> None:
         """Send bytes of the body."""
@@ -150,7 +165,7 @@
         """
         started = self.clock.now()
         call = read_forwarded(message, body, started)
-        to_router = ForwardedResponse(response)
+        to_router = ForwardedResponse(response, is_head=call.method == _HEAD)
         attempts = RelayAttempts(
             self.parts,
             call,
--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -287,6 +287,15 @@
         self.assertEqual(len(self.client.messages), count)
 
 
+class RecordingLines(RecordingResponse):
+    """Records the headers line by line."""
+
+    def start(self, status, headers):
+        """Record the status and headers."""
+        super().start(status, headers)
+        self.lines = tuple(headers)
+
+
 class RunForOthersTest(unittest.TestCase):
     """A router sends requests to targets for another one."""
 
@@ -301,11 +310,12 @@
             lambda: self.has_room,
         )
 
-    def run_message(self, route, *scripts):
+    def run_message(self, route, *scripts, response=None, method='POST'):
         """Run a forwarded request, and return the response."""
         self.harness.exchange.scripts = list(scripts)
-        message = _describe(relay_samples.call(route), self.harness)
-        response = RecordingResponse()
+        call = attrs.evolve(relay_samples.call(route), method=method)
+        message = _describe(call, self.harness)
+        response = response or RecordingResponse()
         asyncio.run(self.runner.run(message, b'body', response))
         return response
 
@@ -326,6 +336,39 @@
         self.assertEqual(len(self.harness.exchange.sent), 1)
         self.assertTrue(response.complete)
 
+    @parameterized.expand(
+        (
+            ('outcome', {'x_forward_outcome': 'targets_full'}),
+            ('promise', {'x_forward_ran': '0', 'x_forward_reached': '0'}),
+            ('target', {'x_forward_target': 'other'}),
+            ('release', {'x_forward_release': 'other'}),
+        )
+    )
+    def test_names_of_its_own(self, _, headers):
+        """Guards against a target that speaks in this router's name.
+
+        The other router would take the response for a refusal, and its
+        promise that the request has not run for this router's.
+        """
+        response = RecordingLines()
+        script = answer(200, b'done', **headers)
+        self.run_message(PLAIN, script, response=response)
+        names = [name.lower() for name, _text in response.lines]
+        self.assertEqual(names.count(OUTCOME.lower()), 1)
+        self.assertNotIn(MAY_HAVE_RUN.lower(), names)
+        self.assertEqual(len(names), len(set(names)))
+
+    def test_length_of_head_request(self):
+        """Guards against a response without the body that it announces.
+
+        The caller's request has no body in its answer, unlike the request
+        that carries it here.
+        """
+        script = answer(200, content_length='5')
+        response = self.run_message(PLAIN, script, method='HEAD')
+        self.assertNotIn('content-length', response.headers)
+        self.assertTrue(response.complete)
+
     @parameterized.expand((('no_room', True), ('cut_off', False)))
     def test_unable(self, _, reached):
         """Guards against helping others without the means to."""
