Bound the answers of polled targets

A poll of a target whose report has no end took up to 100 MB, the default of Tornado's client, within its timeout; 64 polls may run at the same time.

Cause: nothing but the timeout bounded the body, and the stand-in of the existing test wrote too slowly to show it.

Change: curl ends an answer beyond 8 MiB, as the store's client does by its own limit.

Evidence: in test_platform_endless_bytes.FastProbeTest, whose stand-in writes blocks of 256 KiB, the target had written 104,857,661 bytes before; now less than 8 MiB and what the sockets hold. Found while the stand-in was made faster.

--- a/src/balsamreach/gateway/target_client.py
+++ b/src/balsamreach/gateway/target_client.py
@@ -31,6 +31,9 @@
 _MAX_CLIENTS = 64
 _CONNECTION_AGE_S = 30
 _FIRST_ERROR_STATUS = 400
+#: Maximum size in bytes of an answer. One without end would take all memory
+#: before its timeout.
+_MAX_ANSWER_BYTES = 8 << 20
 _STORED = 'stored'
 _NO_CONNECTION = frozenset(
     (pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST),
@@ -162,6 +165,7 @@
     def _prepare(self, curl: pycurl.Curl) -> None:
         curl.setopt(pycurl.MAXAGE_CONN, _CONNECTION_AGE_S)
         curl.setopt(pycurl.NOPROXY, '*')
+        curl.setopt(pycurl.MAXFILESIZE, _MAX_ANSWER_BYTES)
         # Set in any case, because a pooled handle keeps the options of its
         # last request.
         curl.setopt(pycurl.FRESH_CONNECT, 0)
--- a/tests/endless_targets.py
+++ b/tests/endless_targets.py
@@ -46,6 +46,14 @@
         """Return one repetition."""
         return self.more.replace(b'%d', b'%d' % number)
 
+    def parts(self, number: int, least: int) -> tuple[bytes, int]:
+        """Return repetitions from a number on, and the number of the next."""
+        block = b''
+        while len(block) < least:
+            block += self.part(number)
+            number += 1
+        return block, number
+
 
 _IDS = b'Attempt-Id: %b\r\nResponse-Stamp: s\r\n' % REQUEST.encode()
 _HEAD = b'HTTP/1.1 200 OK\r\n%b' % _IDS
@@ -129,6 +137,9 @@
         50 ms, instead of as fast as the reader takes them.
     answer : bytes
         Answer to all other requests.
+    block_bytes : int
+        Bytes that are written at once, for repetitions that have no numbers;
+        0 for a slower stand-in that counts them.
     requests : int
         Requests received.
     written : int
@@ -139,6 +150,7 @@
 
     script: list[tuple[Endless | None, bool]]
     answer: bytes = ANSWER
+    block_bytes: int = 0
     requests: int = 0
     written: int = 0
     open_answers: int = 0
@@ -184,13 +196,12 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES)
         writer.transport.set_write_buffer_limits(0)
         await self._write(writer, endless.begin)
-        number = 0
+        number = 1
+        block = endless.more * (self.block_bytes // len(endless.more))
         while True:
-            number += 1
-            block = endless.part(number)
-            while not slow and len(block) < _BLOCK_BYTES:
-                number += 1
-                block += endless.part(number)
+            if not self.block_bytes:
+                least = 1 if slow else _BLOCK_BYTES
+                block, number = endless.parts(number, least)
             await self._write(writer, block)
             await asyncio.sleep(_PAUSE_S if slow else 0)
 
--- a/tests/test_platform_endless_bytes.py
+++ b/tests/test_platform_endless_bytes.py
@@ -25,6 +25,9 @@
 _MAX_WAIT_S = 20
 #: Maximum size in bytes of an answer of the store, as the client states it.
 _MAX_ANSWER_BYTES = 32 << 20
+#: The same for an answer of a target that is polled.
+_MAX_REPORT_BYTES = 8 << 20
+_FAST_BYTES = 1 << 18
 _MAX_TAKEN_BYTES = max_taken(_MAX_ANSWER_BYTES)
 
 
@@ -92,5 +95,26 @@
         await self.assert_dropped()
 
 
+class FastProbeTest(unittest.IsolatedAsyncioTestCase):
+    """Polls of a target that writes as fast as its reader takes it."""
+
+    @parameterized.expand(
+        (form, samples.BODIES[form])
+        for form in ('body_to_close', 'one_chunk', 'huge_length')
+    )
+    async def test_poll_fails(self, _, endless):
+        """Guards against a report that takes all memory by its timeout."""
+        target = EndlessTarget([(endless, False)], block_bytes=_FAST_BYTES)
+        self.addCleanup(target.stop)
+        client = HttpTargetClient(
+            read_settings(None, ('host.zone=zone-a',)), SystemClock()
+        )
+        self.addCleanup(client.close)
+        outcome = await client.load(await target.start())
+        self.assertIsInstance(outcome, TargetFault)
+        self.assertTrue(await until(lambda: not target.open_answers))
+        self.assertLess(target.written, max_taken(_MAX_REPORT_BYTES))
+
+
 if __name__ == '__main__':
     unittest.main()
