Bound the memory of answers that are received

Targets that answered many requests at once with a body or an event without end took a router beyond its memory: 80 such answers, 656 MiB on a host of 160. The process would have been killed, and the requests of all other callers with it.

Cause: each answer had a limit, 8 MiB for a plain one and 1 MiB for an event, but nothing counted them together.

Change: memory/answers counts what is held of all answers, in the relay, for requests that are forwarded, and in `serve`. An eighth of the host's memory is theirs. Beyond it the answer that holds most is given up, those whose heads announce their size last; answers of up to 64 KiB always find a quarter of the share. Bytes that wait for slow callers count for larger answers too. A single answer of 8 MiB is received on any host. The caller of an answer that is given up gets a 502, or another attempt if the request may be repeated.

--- a/src/balsamreach/daemon/relay_guards.py
+++ b/src/balsamreach/daemon/relay_guards.py
@@ -19,6 +19,7 @@
 )
 from balsamreach.gateway.request_limits import Refuser, RequestLimits
 from balsamreach.gateway.request_meter import MeterParts
+from balsamreach.memory.answers import AnswerMemory
 from balsamreach.memory.budget import MemoryBudget
 from balsamreach.memory.connections import ConnectionLimit
 from balsamreach.memory.response_buffers import ResponseBuffers
@@ -134,7 +135,7 @@
 
 
 def make_relay_guards(parts: RelayParts) -> RelayGuards:
-    """Create what guards the listeners of a relay router.
+    """Create what guards the listeners, and limit the answers of targets.
 
     Parameters
     ----------
@@ -142,9 +143,10 @@
         Components of the router.
     """
     shares = client_shares(parts.cfg)
+    buffers = ResponseBuffers(shares.responses)
+    answers = AnswerMemory(shares.answers, lambda: buffers.used)
+    parts.exchange.handles.memory = answers
+    parts.forwarding.exchange.handles.memory = answers
     return RelayGuards(
-        parts,
-        shares,
-        MemoryBudget(shares.requests, parts.clock),
-        ResponseBuffers(shares.responses),
+        parts, shares, MemoryBudget(shares.requests, parts.clock), buffers
     )
--- a/src/balsamreach/daemon/serve_guards.py
+++ b/src/balsamreach/daemon/serve_guards.py
@@ -8,6 +8,7 @@
 from balsamreach.gateway.guard import Guard, GuardParts
 from balsamreach.gateway.refusals import CallersRefuser
 from balsamreach.gateway.request_meter import MeterParts
+from balsamreach.memory.answers import AnswerMemory
 from balsamreach.memory.budget import MemoryBudget
 from balsamreach.memory.connections import ConnectionLimit
 from balsamreach.memory.response_buffers import ResponseBuffers
@@ -26,7 +27,7 @@
 def make_serve_guards(
     parts: Parts, callers: Application, operators: Application
 ) -> ServeGuards:
-    """Return the guards of the listeners for callers and for operators.
+    """Return the guards of the listeners, and limit the targets' answers.
 
     Parameters
     ----------
@@ -41,11 +42,15 @@
         budget=MemoryBudget(shares.requests, parts.clock),
         clock=parts.clock,
     )
+    buffers = ResponseBuffers(shares.responses)
+    parts.upstream.handles.memory = AnswerMemory(
+        shares.answers, lambda: buffers.used
+    )
     callers_parts = GuardParts(
         meter=meter,
         refuser=CallersRefuser(),
         connections=ConnectionLimit(shares.callers),
-        buffers=ResponseBuffers(shares.responses),
+        buffers=buffers,
         metrics=parts.metrics,
     )
     operators_parts = attrs.evolve(
--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -181,6 +181,16 @@
             return True
         return self.answer.status != 0 or self._read_body() is not None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held until the answer is complete."""
+        return self._size if self._chunks else 0
+
+    def discard(self, reason: str) -> None:
+        """Free the body, of which nothing was passed on."""
+        super().discard(reason)
+        self._chunks.clear()
+
     def usage(self) -> Usage | None:
         """Return the usage reported in a JSON body."""
         return read_usage(self._read_body())
--- a/src/balsamreach/dispatch/stream_replies.py
+++ b/src/balsamreach/dispatch/stream_replies.py
@@ -56,6 +56,16 @@
         self._dropped_event = False
         self._usage: Usage | None = None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of an event that is not complete."""
+        return len(self._partial_event)
+
+    def discard(self, reason: str) -> None:
+        """Free the incomplete event."""
+        super().discard(reason)
+        self._partial_event = b''
+
     def is_complete(self) -> bool:
         """Return whether the end marker came and no event was dropped."""
         ended = self._done and not self._dropped_event
--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -110,8 +110,12 @@
         Called with the status and headers of an answer to this attempt.
     silence : SilencePolicy
         Decides for how long the transport waits without data.
+    must_progress : bool
+        Whether an answer ends if its bytes make nothing whole for long.
     """
 
+    must_progress = False
+
     def __init__(self) -> None:
         self.sent = False
         self.closed = False
@@ -149,16 +153,26 @@
         """Whether to pause reading until callers have caught up."""
         return False
 
-    @property
-    def must_progress(self) -> bool:
-        """Whether an answer ends if its bytes make nothing whole for long."""
-        return False
-
     @property
     def whole_parts(self) -> int | None:
         """Whole events received; None if the body isn't split into any."""
         return None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the answer that are held and not passed on yet."""
+        return 0
+
+    def discard(self, reason: str) -> None:
+        """Free what is held, and receive nothing more.
+
+        Parameters
+        ----------
+        reason : str
+            Why the answer is not received any further.
+        """
+        self.problem = self.problem or reason
+
     @abc.abstractmethod
     def start(self, status: int, headers: dict[str, str]) -> None:
         """Receive status and headers, header names in lower case."""
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -1,7 +1,9 @@
 """Pool of curl handles that runs transfers."""
 
 import errno
+import sys
 from collections.abc import Callable
+from functools import partial
 
 import attrs
 import pycurl
@@ -22,6 +24,7 @@
     SILENCE_CODE,
     TransferWatch,
 )
+from balsamreach.memory.answers import AnswerMemory
 
 #: Maximum number of idle handles kept for reuse.
 _MAX_IDLE_HANDLES = 1024
@@ -48,8 +51,15 @@
 
 @attrs.define
 class CurlHandles:
-    """Curl handles of one client, which share a pool of connections."""
+    """Curl handles of one client, which share a pool of connections.
 
+    Parameters
+    ----------
+    memory : AnswerMemory
+        Memory of the process for answers.
+    """
+
+    memory: AnswerMemory = attrs.Factory(partial(AnswerMemory, sys.maxsize))
     _loop: CurlLoop = attrs.field(factory=CurlLoop)
     _idle: list[pycurl.Curl] = attrs.field(factory=list)
 
@@ -72,7 +82,7 @@
         UpstreamFault or None
             None on success, otherwise NOT_SENT, REJECTED, SILENT or BROKEN.
         """
-        transfer = Transfer(intake)
+        transfer = Transfer(intake, self.memory)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         prepare(curl, transfer)
         watch = TransferWatch(self._loop, curl, transfer)
--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -1,6 +1,8 @@
 """Curl callbacks and state of one transfer."""
 
+import sys
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import attrs
@@ -8,15 +10,21 @@
 
 from balsamreach.dispatch.upstream import Intake
 from balsamreach.http_heads import HeadReader
+from balsamreach.memory.answers import (
+    LARGEST_BYTES,
+    AnswerMemory,
+    HeldAnswer,
+)
 
 #: Bytes of a body without a length that count as progress. A plain answer is
 #: made before it is sent, so one that brings less in two seconds is no answer,
 #: or arrives too slowly to be whole before its deadline.
 _PROGRESS_BYTES = 8 * 1024
-#: Largest length in bytes that bounds a body: as much as a plain answer may
-#: have. A body with a larger one has no end in practice.
-_MAX_LENGTH_BYTES = 8 << 20
+#: Bytes of a head from which on it counts as held memory. Heads are smaller,
+#: and gone with their last line.
+_COUNTED_HEAD_BYTES = 16 * 1024
 _ABORT = 0
+_NO_MEMORY = 'the answers of targets take too much memory'
 
 
 @attrs.define(eq=False)
@@ -27,8 +35,12 @@
     ----------
     intake : Intake
         Receives the answer.
+    memory : AnswerMemory
+        Memory of the process for answers.
     on_pause : callable or None
-        Called when the transfer pauses.
+        Called when the transfer pauses as callers read too slowly.
+    on_give_up : callable or None
+        Called when there is no memory for the answer.
     received_data : bool
         Whether data was received since this was last set to false.
     progressed : bool
@@ -41,7 +53,9 @@
     """
 
     intake: Intake
+    memory: AnswerMemory = attrs.Factory(partial(AnswerMemory, sys.maxsize))
     on_pause: Callable[[], None] | None = None
+    on_give_up: Callable[[], None] | None = None
     received_data: bool = False
     progressed: bool = False
     paused: bool = False
@@ -50,6 +64,11 @@
     _is_within_head: bool = True
     _parts: int = 0
     _unnoted_bytes: int = 0
+    _held: HeldAnswer = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Hold nothing of the answer so far."""
+        self._held = HeldAnswer(self._give_up)
 
     @property
     def head_complete(self) -> bool:
@@ -99,6 +118,8 @@
             return _ABORT
         if self.head_complete and not had_head:
             self._start()
+        if self._reader.size > _COUNTED_HEAD_BYTES:
+            self._count_held()
         # Curl keeps the connection of a complete answer, and closes that of an
         # aborted transfer.
         return _ABORT if self.intake.problem else len(line)
@@ -111,8 +132,31 @@
         self.received_data = True
         self.intake.write(chunk)
         self._note_progress(len(chunk))
+        self._count_held()
         return _ABORT if self.intake.problem else None
 
+    def close(self) -> None:
+        """Count nothing of the answer any more, and forget the callbacks.
+
+        They refer to what refers to this transfer. Until the garbage collector
+        found them, the body of the request would stay in memory.
+        """
+        self.memory.end(self._held)
+        self.on_pause = None
+        self.on_give_up = None
+
+    def _count_held(self) -> None:
+        size = self.intake.held_bytes
+        if not self.head_complete:
+            size += self._reader.size
+        if size != self._held.size:
+            self.memory.resize(self._held, size)
+
+    def _give_up(self) -> None:
+        self.intake.discard(_NO_MEMORY)
+        if self.on_give_up is not None:
+            self.on_give_up()
+
     def _pause(self) -> None:
         self.paused = True
         if self.on_pause is not None:
@@ -131,9 +175,10 @@
 
     def _has_length(self) -> bool:
         length = self._reader.head.length
-        return length is not None and length <= _MAX_LENGTH_BYTES
+        return length is not None and length <= LARGEST_BYTES
 
     def _start(self) -> None:
         head = self._reader.head
         self.progressed = True
+        self._held.has_length = self._has_length()
         self.intake.start(head.status, head.headers)
--- a/src/balsamreach/gateway/curl_upstream.py
+++ b/src/balsamreach/gateway/curl_upstream.py
@@ -28,11 +28,13 @@
         Timeouts, the maximum age of pooled connections, and TLS.
     clock : Clock
         Time source for recorded silences.
+    handles : CurlHandles
+        Run the transfers.
     """
 
     cfg: Settings
     clock: Clock = attrs.Factory(SystemClock)
-    _handles: CurlHandles = attrs.field(factory=CurlHandles)
+    handles: CurlHandles = attrs.field(factory=CurlHandles)
     _options: CurlOptions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -50,11 +52,11 @@
         if attempt.call.stream:
             intake.silence = SilenceTimeout(self.cfg.routing.gap_timeout)
         prepare = partial(self._options.apply, attempt)
-        fault = await self._handles.send(prepare, intake)
+        fault = await self.handles.send(prepare, intake)
         if fault == SILENT:
             self._options.record_silence(attempt.target.row.address)
         return fault
 
     def close(self) -> None:
         """Close all connections."""
-        self._handles.close()
+        self.handles.close()
--- a/src/balsamreach/gateway/curl_watch.py
+++ b/src/balsamreach/gateway/curl_watch.py
@@ -12,6 +12,8 @@
 SILENCE_CODE = -1
 #: The same: data was received, but no more of the answer became whole.
 ENDLESS_CODE = -2
+#: The same: there is no memory for the answer.
+NO_MEMORY_CODE = -3
 #: Number of checks in a row without progress after which a transfer has no
 #: end.
 _MAX_ENDLESS_CHECKS = 8
@@ -44,13 +46,12 @@
     def start(self) -> None:
         """Start the checks."""
         self.transfer.on_pause = self._schedule_resume
+        self.transfer.on_give_up = self._end_without_memory
         self._schedule_check()
 
     def stop(self) -> None:
         """Cancel all timers."""
-        # The transfer and the watch refer to each other. Until the garbage
-        # collector found them, the body of the request would stay in memory.
-        self.transfer.on_pause = None
+        self.transfer.close()
         for timer in (self._check_timer, self._resume_timer):
             if timer is not None:
                 timer.cancel()
@@ -100,6 +101,9 @@
         policy = self.transfer.intake.silence
         return policy.gives_up(self._silent_checks * policy.interval)
 
+    def _end_without_memory(self) -> None:
+        self.curl_loop.complete(self.curl, TransferEnd(NO_MEMORY_CODE))
+
     def _schedule_resume(self) -> None:
         loop = asyncio.get_running_loop()
         self._resume_timer = loop.call_later(_RESUME_CHECK_S, self._try_resume)
--- a/src/balsamreach/gateway/relay_curl.py
+++ b/src/balsamreach/gateway/relay_curl.py
@@ -31,11 +31,13 @@
         own.
     tls : CurlTls or None
         Certificates for TLS connections; None for plain connections.
+    handles : CurlHandles
+        Run the transfers.
     """
 
     connect_timeout: float
     tls: CurlTls | None = None
-    _handles: CurlHandles = attrs.field(factory=CurlHandles)
+    handles: CurlHandles = attrs.field(factory=CurlHandles)
 
     async def send(
         self,
@@ -44,11 +46,11 @@
     ) -> UpstreamFault | None:
         """Send an attempt and pass the answer to the intake."""
         prepare = partial(self._apply, outgoing)
-        return await self._handles.send(prepare, intake)
+        return await self.handles.send(prepare, intake)
 
     def close(self) -> None:
         """Close all connections."""
-        self._handles.close()
+        self.handles.close()
 
     def _apply(
         self,
--- a/src/balsamreach/memory/shares.py
+++ b/src/balsamreach/memory/shares.py
@@ -2,10 +2,12 @@
 
 import attrs
 
-#: Shares of the memory for requests that are received or in progress, for
-#: responses that wait for their readers, and for open connections. The rest is
-#: for the process itself, its state, and what the allocator can't reuse.
+#: Shares of the memory for requests that are received or in progress, for the
+#: answers of targets while they are received, for responses that wait for their
+#: readers, and for open connections. The rest is for the process itself, its
+#: state, and what the allocator can't reuse.
 _REQUESTS_SHARE = 0.25
+_ANSWERS_SHARE = 0.125
 _RESPONSES_SHARE = 0.0625
 _CONNECTIONS_SHARE = 0.125
 #: Memory of an open connection without a request, plain and with TLS.
@@ -26,13 +28,15 @@
 
     Parameters
     ----------
-    requests, responses : int
-        Bytes of requests, and of responses that wait for their readers.
+    requests, answers, responses : int
+        Bytes of requests, of answers that are received, and of responses that
+        wait for their readers.
     callers, routers : int
         Open connections of callers, and of other routers.
     """
 
     requests: int
+    answers: int
     responses: int
     callers: int
     routers: int
@@ -55,6 +59,7 @@
     connections = int(memory * _CONNECTIONS_SHARE) // connection
     return ClientShares(
         requests=int(memory * _REQUESTS_SHARE),
+        answers=int(memory * _ANSWERS_SHARE),
         responses=int(memory * _RESPONSES_SHARE),
         callers=_at_least(connections, sockets * _CALLERS_SOCKETS),
         routers=_at_least(connections, sockets * _ROUTERS_SOCKETS),
--- a/src/balsamreach/relay/events.py
+++ b/src/balsamreach/relay/events.py
@@ -79,6 +79,11 @@
                 events.append(event)
         return events
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of the incomplete event that is buffered."""
+        return len(self._buffer)
+
     @property
     def has_partial(self) -> bool:
         """Whether the first part of an incomplete event is buffered."""
--- a/src/balsamreach/relay/forwarded_intake.py
+++ b/src/balsamreach/relay/forwarded_intake.py
@@ -71,6 +71,8 @@
         Release of the target; empty if it is unknown.
     """
 
+    must_progress = AnswerIntake.must_progress
+
     def __init__(
         self, inner: AnswerIntake, bound_release: str | None = None
     ) -> None:
@@ -89,16 +91,21 @@
         """Whether reading should pause until the caller has caught up."""
         return self.inner.is_full
 
-    @property
-    def must_progress(self) -> bool:
-        """True, as for the response of the target."""
-        return self.inner.must_progress
-
     @property
     def whole_parts(self) -> int | None:
         """Events forwarded; None if the response is no stream."""
         return self.inner.whole_parts
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the target's response that are held."""
+        return self.inner.held_bytes
+
+    def discard(self, reason: str) -> None:
+        """Free what is held of the target's response."""
+        super().discard(reason)
+        self.inner.discard(reason)
+
     @property
     def may_have_run(self) -> bool:
         """Whether a target may have run the request.
--- a/src/balsamreach/relay/response_intakes.py
+++ b/src/balsamreach/relay/response_intakes.py
@@ -3,14 +3,12 @@
 from collections.abc import Callable
 
 from balsamreach.dispatch.upstream import Intake
+from balsamreach.memory.answers import LARGEST_BYTES
 from balsamreach.relay.answer_progress import AnswerProgress
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.codec import AnswerHead, Codec
 from balsamreach.relay.events import EventSplitter
 
-#: Maximum size of a plain response, which is buffered until it is complete.
-#: A larger one is refused, since its caller could get an incomplete response.
-_MAX_PLAIN_BYTES = 8 << 20
 #: Events of a stream without a length that show that its target was not
 #: crashed by it: that happens as the target begins to answer.
 _PROOF_EVENTS = 2
@@ -45,6 +43,9 @@
         receives the response of the target.
     """
 
+    # What a target sends is made whole before.
+    must_progress = True
+
     def __init__(self, codec: Codec, request_id: str) -> None:
         super().__init__()
         self.codec = codec
@@ -57,11 +58,6 @@
         self._has_own_head = False
         self.progress: AnswerProgress | None = None
 
-    @property
-    def must_progress(self) -> bool:
-        """True: what a target sends is made whole before."""
-        return True
-
     @property
     def is_success(self) -> bool:
         """Whether the status is a success."""
@@ -132,8 +128,20 @@
         if self.problem:
             return
         self.body += chunk
-        if len(self.body) > _MAX_PLAIN_BYTES:
-            self.problem = 'the answer is too large'
+        # It is held until it is complete. If a larger one were passed on while
+        # it is received, its caller could get a part of it.
+        if len(self.body) > LARGEST_BYTES:
+            self.discard('the answer is too large')
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of a plain response, which is held until it is complete."""
+        return len(self.body)
+
+    def discard(self, reason: str) -> None:
+        """Free the body."""
+        super().discard(reason)
+        self.body = bytearray()
 
     @property
     def _lacks_length(self) -> bool:
@@ -195,6 +203,16 @@
         """Events forwarded; None if the response is no stream."""
         return self.events if self.is_success else None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of an event that is not complete, or of an error."""
+        return len(self.body) + self.splitter.partial_bytes
+
+    def discard(self, reason: str) -> None:
+        """Free the incomplete event, or the error."""
+        super().discard(reason)
+        self.splitter.begin_attempt()
+
     def write(self, chunk: bytes) -> None:
         """Forward the events that are complete now."""
         if not self.is_success or self.problem or self.closed:
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -239,7 +239,7 @@
 
     def add_target(self, service: str, release: str) -> ListedTarget:
         """Start a target and list it."""
-        target_id = f'{service}-{len(self.targets)}'
+        target_id = f'{service}-{len(self.addresses)}'
         target = ListedTarget(
             target_id=target_id, clock=self.clock, release=release
         )
@@ -250,6 +250,12 @@
         self._list(target, 'ready')
         return target
 
+    def list_target(self, service: str, address: str) -> None:
+        """List a target of another kind, which listens at an address."""
+        target_id = f'{service}-{len(self.addresses)}'
+        self.addresses[target_id] = address
+        self._list(ListedTarget(target_id=target_id, clock=self.clock), 'ready')
+
     def drain_target(self, target: ListedTarget) -> None:
         """List a target as one that leaves."""
         self.drained_at[target.target_id] = self.clock.now()
--- a/tests/test_daemon_relay_guards.py
+++ b/tests/test_daemon_relay_guards.py
@@ -7,6 +7,7 @@
 from balsamreach.catalogue.entries import CallerLimits
 from balsamreach.config.reader import read_settings
 from balsamreach.daemon.relay_guards import make_relay_guards
+from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.gateway.relay_server import RelayServer
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.telemetry.metrics import Metrics
@@ -30,7 +31,10 @@
                 codec=PlatformCodec(random.Random(1)), retry_jitter=None
             ),
             view=self.view,
+            exchange=RelayCurl(1),
+            forwarding=SimpleNamespace(exchange=RelayCurl(1)),
         )
+        self.parts = parts
         self.guards = make_relay_guards(parts)
         self.app = RelayServer(None, parts.clock)
 
@@ -67,6 +71,16 @@
         turns = {id(guard.parts.turns) for guard in guards}
         self.assertEqual((len(budgets), len(turns)), (1, 1))
 
+    def test_answers_share_the_memory(self):
+        """Guards against answers that take the memory of clients."""
+        exchanges = (self.parts.exchange, self.parts.forwarding.exchange)
+        memories = {id(one.handles.memory) for one in exchanges}
+        memory = exchanges[0].handles.memory
+        self.assertEqual(len(memories), 1)
+        self.assertEqual(memory.capacity, self.guards.shares.answers)
+        self.guards.buffers.used = 5
+        self.assertEqual(memory.waiting(), 5)
+
     def test_forwarded_body_is_counted_twice(self):
         guard = self.guards.guard_forwarding(self.app)
         self.view.current = SimpleNamespace(limits=_LIMITS)
