Let other work go on beside answers that come in many small pieces

Beside ten targets that wrote chunks of eight bytes as fast as they could, a router did nothing else for 5 s: callers got nothing by their deadlines, and the store counted as away. Chunk extensions without end did the same to 80 requests for 3.5 s.

Cause: curl passes on each chunk by a callback and reads all that has arrived before it returns. The kernel lets the receive buffer of a fast connection grow to megabytes, so that one event of the loop took up to 0.3 s.

Change: after 1,024 pieces of less than 1 KiB the answers pause, and go on in turn in the next turns of the event loop. The receive buffer of a connection to a target or a router is 128 KiB, which also bounds what waits unread.

The test of the turns fails without them, as the first answer goes on for good.

--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -1,6 +1,7 @@
 """Pool of curl handles that runs transfers."""
 
 import errno
+import socket
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -24,8 +25,13 @@
     SILENCE_CODE,
     TransferWatch,
 )
+from balsamreach.gateway.receiving_turns import ReceivingTurns
 from balsamreach.memory.answers import AnswerMemory
 
+#: Receive buffer of a connection in bytes. Curl reads all that has arrived
+#: before it returns, and what waits there counts towards the memory of the
+#: process; by default the kernel lets it grow to megabytes.
+_RECEIVE_BUFFER_BYTES = 128 * 1024
 #: Maximum number of idle handles kept for reuse.
 _MAX_IDLE_HANDLES = 1024
 #: Curl's code for a head that exceeds curl's own limits; pycurl has no name
@@ -60,6 +66,7 @@
     """
 
     memory: AnswerMemory = attrs.Factory(partial(AnswerMemory, sys.maxsize))
+    _turns: ReceivingTurns = attrs.field(factory=ReceivingTurns)
     _loop: CurlLoop = attrs.field(factory=CurlLoop)
     _idle: list[pycurl.Curl] = attrs.field(factory=list)
 
@@ -82,7 +89,7 @@
         UpstreamFault or None
             None on success, otherwise NOT_SENT, REJECTED, SILENT or BROKEN.
         """
-        transfer = Transfer(intake, self.memory)
+        transfer = Transfer(intake, self.memory, self._turns)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         prepare(curl, transfer)
         watch = TransferWatch(self._loop, curl, transfer)
@@ -114,6 +121,15 @@
     curl.setopt(pycurl.PREREQFUNCTION, transfer.on_prereq)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, _limit_receive_buffer)
+
+
+def _limit_receive_buffer(fd: int, _purpose: int) -> int:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fd)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    # The descriptor stays curl's.
+    sock.detach()
+    return pycurl.SOCKOPT_OK
 
 
 def _connect_failure(code: int, os_error: int) -> ConnectFailure:
--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -9,6 +9,10 @@
 import pycurl
 
 from balsamreach.dispatch.upstream import Intake
+from balsamreach.gateway.receiving_turns import (
+    SMALL_PIECE_BYTES,
+    ReceivingTurns,
+)
 from balsamreach.http_heads import HeadReader
 from balsamreach.memory.answers import (
     LARGEST_BYTES,
@@ -37,8 +41,12 @@
         Receives the answer.
     memory : AnswerMemory
         Memory of the process for answers.
+    turns : ReceivingTurns
+        Limits the small pieces of all answers.
     on_pause : callable or None
         Called when the transfer pauses as callers read too slowly.
+    on_interrupt : callable or None
+        Called when it pauses to let other work go on.
     on_give_up : callable or None
         Called when there is no memory for the answer.
     received_data : bool
@@ -54,7 +62,9 @@
 
     intake: Intake
     memory: AnswerMemory = attrs.Factory(partial(AnswerMemory, sys.maxsize))
+    turns: ReceivingTurns = attrs.field(factory=ReceivingTurns)
     on_pause: Callable[[], None] | None = None
+    on_interrupt: Callable[[], None] | None = None
     on_give_up: Callable[[], None] | None = None
     received_data: bool = False
     progressed: bool = False
@@ -130,6 +140,10 @@
             self._pause()
             return pycurl.WRITEFUNC_PAUSE
         self.received_data = True
+        if len(chunk) < SMALL_PIECE_BYTES and not self.turns.take():
+            if self.on_interrupt is not None:
+                self.on_interrupt()
+            return pycurl.WRITEFUNC_PAUSE
         self.intake.write(chunk)
         self._note_progress(len(chunk))
         self._count_held()
@@ -143,6 +157,7 @@
         """
         self.memory.end(self._held)
         self.on_pause = None
+        self.on_interrupt = None
         self.on_give_up = None
 
     def _count_held(self) -> None:
--- a/src/balsamreach/gateway/curl_watch.py
+++ b/src/balsamreach/gateway/curl_watch.py
@@ -1,6 +1,7 @@
 """Timers that stop silent and endless transfers and resume paused ones."""
 
 import asyncio
+from functools import partial
 
 import attrs
 import pycurl
@@ -46,6 +47,7 @@
     def start(self) -> None:
         """Start the checks."""
         self.transfer.on_pause = self._schedule_resume
+        self.transfer.on_interrupt = self._wait_for_turn
         self.transfer.on_give_up = self._end_without_memory
         self._schedule_check()
 
@@ -101,6 +103,9 @@
         policy = self.transfer.intake.silence
         return policy.gives_up(self._silent_checks * policy.interval)
 
+    def _wait_for_turn(self) -> None:
+        self.transfer.turns.wait(partial(self.curl_loop.resume, self.curl))
+
     def _end_without_memory(self) -> None:
         self.curl_loop.complete(self.curl, TransferEnd(NO_MEMORY_CODE))
 
