Refuse late requests that a planned stop would cut off

In a planned stop of one router, in calm, requests whose bodies ended late in the grace period were sent to targets, and their connections closed without an answer at its end. Some of them may not be repeated.

Cause: until the requests in progress had ended, nothing compared what was left of the grace period with the time that a request may take. At its end the tasks were cancelled, which tells a caller nothing.

Change: relay/leaving decides, without input or output, whether a leaving router takes a request: by the slowest recent request of its route with a margin, or by its own time limit, whichever is shorter. All others get a 503 `leaving` with a short Retry-After; they have not run, and other routers are ready. A request that is in progress at the end of the grace period gets an answer as well: 503 if no target has it, otherwise 502. RelayRequests holds the requests of callers, which RelayRouter had become too large for. Requests of other routers hold: a leaving router refuses them (`cannot_forward`).

Evidence, test_platform_late_requests, a router with a grace period of 4 s and 20 bodies that end one after the other: on 15 plain requests and 9 streams ran and were cut off, none is now; each other one is a 503 that no target has seen. Targets that become slow meanwhile: a closed connection before, 502 now. test_relay_leaving replays the decision by an injected clock.

--- a/src/balsamreach/daemon/relay_router.py
+++ b/src/balsamreach/daemon/relay_router.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -18,15 +17,10 @@
 )
 from balsamreach.daemon.relay_guards import RelayGuards, make_relay_guards
 from balsamreach.daemon.relay_parts import RelayParts
+from balsamreach.daemon.relay_requests import RelayRequests
 from balsamreach.gateway.probes import Probes
 from balsamreach.gateway.relay_server import RelayServer
-from balsamreach.relay import faults
-from balsamreach.relay.call import RelayCall
-from balsamreach.relay.caller_response import CallerResponse
-from balsamreach.relay.codec import CallerRequest
 from balsamreach.relay.connection_shedding import TICK_S, ConnectionShedder
-from balsamreach.relay.faults import RelayFault
-from balsamreach.relay.run import RelayRun
 from balsamreach.telemetry.logs import log_event
 
 _logger = logging.getLogger(__name__)
@@ -42,8 +36,6 @@
 #: rest is for returning tokens.
 _DRAIN_SHARE = 0.85
 _MS = 1000
-#: Refusals that may not apply under a newer configuration.
-_UNCONFIRMED_REFUSALS = (faults.NO_ROUTE, faults.UNKNOWN_KEY)
 
 Runner = Callable[[], Awaitable[None]]
 
@@ -76,7 +68,7 @@
     forwarding: ForwardingListener = attrs.field(init=False)
     shedder: ConnectionShedder = attrs.field(init=False)
     guards: RelayGuards = attrs.field(init=False)
-    _is_drained: bool = False
+    requests: RelayRequests = attrs.field(init=False)
     _tasks: list[asyncio.Task] = attrs.field(factory=list)
 
     async def start(self) -> None:
@@ -110,13 +102,14 @@
         """Finish the requests in progress, return tokens and stop."""
         self.state = _LEAVING
         log_event(_logger, logging.INFO, 'router_leaving')
-        began = self.parts.clock.now()
+        grace = self.parts.cfg.relay.grace
+        deadline = self.parts.clock.now() + grace * _DRAIN_SHARE
+        self.requests.admission.ends_at = deadline
         await self._stop_accepting()
-        deadline = began + self.parts.cfg.relay.grace * _DRAIN_SHARE
         await self._drain(deadline)
         # A body may end while the tokens are returned. Its request would be
         # cancelled at its target when the router stops.
-        self._is_drained = True
+        self.requests.admission.close()
         await self.parts.holdings.leave(deadline)
         await self.stop()
         log_event(_logger, logging.INFO, 'router_left')
@@ -136,7 +129,8 @@
         cfg = self.parts.cfg
         self.shedder = ConnectionShedder(self.parts.clock, self.parts.metrics)
         self.guards = make_relay_guards(self.parts)
-        self.server = RelayServer(self._handle_request, self.parts.clock)
+        self.requests = RelayRequests(self.parts)
+        self.server = RelayServer(self.requests.answer, self.parts.clock)
         self.callers = open_listener(
             cfg,
             cfg.callers,
@@ -183,52 +177,7 @@
                 reason='grace period expired',
                 requests=len(self.server.running),
             )
-
-    async def _handle_request(
-        self, request: CallerRequest, caller_response: CallerResponse
-    ) -> None:
-        call = await self._read_request(request)
-        if self._is_drained:
-            call = faults.NOT_READY.because('the router is leaving')
-        if isinstance(call, RelayFault):
-            self._refuse(call, caller_response)
-            return
-        await RelayRun(self.parts.run, call, caller_response).run()
-
-    async def _read_request(
-        self, request: CallerRequest
-    ) -> RelayCall | RelayFault:
-        parts = self.parts
-        if parts.view.current is None:
-            return faults.NOT_READY.because('no configuration')
-        codec = parts.run.codec
-        call = codec.read_request(request, parts.view.current)
-        if call not in _UNCONFIRMED_REFUSALS:
-            return call
-        # A newer configuration may contain the unknown route or key. This is
-        # confirmed first, because callers don't retry after a final refusal.
-        if not await parts.freshness_check.confirm():
-            return faults.NOT_READY.because('a newer configuration may exist')
-        return codec.read_request(request, parts.view.current)
-
-    def _refuse(
-        self, fault: RelayFault, caller_response: CallerResponse
-    ) -> None:
-        log_event(
-            _logger,
-            logging.WARNING,
-            'request_refused',
-            reason=fault.reason,
-            outcome=fault.code,
-            configuration=self.parts.view.version,
-            heard=self.parts.view.newest_known,
-            confirmed_ms=_to_ms(self.parts.freshness_check.age()),
-        )
-        run = self.parts.run
-        answer = run.codec.refuse(run.retry_jitter.add_jitter(fault))
-        caller_response.start(answer.status, answer.headers)
-        caller_response.write(answer.body)
-        caller_response.finish()
+            await self.requests.cut_off()
 
     async def _check_limits(self) -> None:
         listeners = (self.callers, self.probes, self.forwarding.listener)
@@ -264,9 +213,5 @@
         )
 
 
-def _to_ms(seconds: float) -> int | None:
-    return None if math.isinf(seconds) else round(seconds * _MS)
-
-
 def _is_ready(parts: RelayParts) -> bool:
     return parts.view.current is not None and len(parts.places) > 0
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -48,6 +48,7 @@
 
 _STATUS = {
     faults.NOT_READY: 503,
+    faults.LEAVING: 503,
     faults.MALFORMED: 400,
     faults.NO_ROUTE: 404,
     faults.UNKNOWN_KEY: 401,
@@ -70,6 +71,7 @@
     faults.TIMED_OUT: 504,
     faults.BROKEN: 502,
     faults.TARGET_FAILED: 502,
+    faults.CUT_OFF: 502,
     faults.ABANDONED: 502,
 }
 _MAY_HAVE_RUN_STATUS = 502
--- a/src/balsamreach/relay/faults.py
+++ b/src/balsamreach/relay/faults.py
@@ -33,8 +33,11 @@
         return attrs.evolve(self, retry_after=seconds, reason=reason)
 
 
-#: This router has no configuration yet, or is leaving.
+#: This router has no configuration yet.
 NOT_READY = RelayFault('not_ready', retry_after=0.5)
+#: This router is being stopped before the request could end. The others are
+#: ready to run it.
+LEAVING = RelayFault('leaving', retry_after=0.1)
 #: The request is malformed.
 MALFORMED = RelayFault('malformed')
 #: No route matches the host and path.
@@ -86,5 +89,7 @@
 BROKEN = RelayFault('answer_broken', not_run=False)
 #: The target responded with a server error.
 TARGET_FAILED = RelayFault('target_failed', not_run=False)
+#: The grace period of this router has ended while a target ran the request.
+CUT_OFF = RelayFault('cut_off', not_run=False)
 #: The caller has disconnected.
 ABANDONED = RelayFault('abandoned', not_run=False)
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -19,6 +19,8 @@
 from balsamreach.relay.spending import Reservation, Spending
 from balsamreach.relay.stream_releases import StreamReleases
 
+_GRACE_ENDED = 'the grace period of the router has ended'
+
 
 @attrs.frozen(kw_only=True)
 class RelayRunParts:
@@ -52,9 +54,17 @@
     parts: RelayRunParts
     call: RelayCall
     caller_response: CallerResponse
+    _timeout: asyncio.Timeout | None = None
+    _is_cut_off: bool = False
+
+    async def run(self) -> RelayFault | None:
+        """Process the request; the caller always gets a final response.
 
-    async def run(self) -> None:
-        """Process the request; the caller always gets a final response."""
+        Returns
+        -------
+        RelayFault or None
+            Why the caller got no target's response; None if it did.
+        """
         started = self.parts.clock.now()
         attempts = RelayAttempts(
             self.parts.attempt_parts, self.call, self.caller_response
@@ -67,6 +77,17 @@
             self.parts.log.record_end(self.call, attempts, fault, started)
         if fault is not None:
             self._refuse(fault, attempts.call)
+        return fault
+
+    def cut_off(self) -> None:
+        """End the request now, as the router is being stopped.
+
+        A connection that just closes tells its caller nothing: neither that
+        the request has not run, nor that another router should be asked.
+        """
+        self._is_cut_off = True
+        if self._timeout is not None:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _admit(self, attempts: RelayAttempts) -> RelayFault | None:
         self.parts.link.add(self.call.size, self.call.team_name, requests=1)
@@ -78,15 +99,25 @@
             return faults.EXPIRED_BEFORE_SENDING.because(
                 'its time limit had passed on arrival'
             )
+        if self._is_cut_off:
+            return faults.LEAVING.because(_GRACE_ENDED)
         try:
-            async with asyncio.timeout(time_left):
+            async with asyncio.timeout(time_left) as timeout:
+                self._timeout = timeout
                 return await self._run_charged(attempts)
         except TimeoutError:
-            if attempts.history.may_have_run:
-                return faults.TIMED_OUT.because('its time limit has passed')
-            return faults.EXPIRED_BEFORE_SENDING.because(
-                'its time limit has passed'
-            )
+            return self._expired(attempts)
+        finally:
+            self._timeout = None
+
+    def _expired(self, attempts: RelayAttempts) -> RelayFault:
+        may_have_run = attempts.history.may_have_run
+        if self._is_cut_off:
+            fault = faults.CUT_OFF if may_have_run else faults.LEAVING
+            return fault.because(_GRACE_ENDED)
+        expired = faults.EXPIRED_BEFORE_SENDING
+        fault = faults.TIMED_OUT if may_have_run else expired
+        return fault.because('its time limit has passed')
 
     async def _check(self, attempts: RelayAttempts) -> RelayFault | None:
         refusal = self.parts.quarantine.check(self.call)
