Refuse late requests that would outlast a stop of `serve`

A router of `serve` that was stopped took requests until `leave_timeout` was over, and closed the connections of those that still ran without an answer.

The dispatcher asks it for each request that no one has asked for before: the answer of a known one is still given. The refusal is 503 `router_leaving`, and the request has not run.

--- a/src/balsamreach/daemon/relay_requests.py
+++ b/src/balsamreach/daemon/relay_requests.py
@@ -12,8 +12,8 @@
 from balsamreach.relay.caller_response import CallerResponse
 from balsamreach.relay.codec import CallerRequest
 from balsamreach.relay.faults import RelayFault
-from balsamreach.relay.leaving import LeavingAdmission, RecentDurations
 from balsamreach.relay.run import RelayRun
+from balsamreach.requests.leaving import LeavingAdmission, RecentDurations
 from balsamreach.telemetry.logs import log_event
 
 _logger = logging.getLogger(__name__)
@@ -49,11 +49,10 @@
     ) -> None:
         """Answer one request of a caller."""
         call = await self._read_request(request)
-        refusal = call
         if isinstance(call, RelayCall):
-            refusal = self.admission.check(call)
-        if isinstance(refusal, RelayFault):
-            self._refuse(refusal, caller_response)
+            call = self._admit(call)
+        if isinstance(call, RelayFault):
+            self._refuse(call, caller_response)
         else:
             await self._run(RelayRun(self.parts.run, call, caller_response))
 
@@ -65,6 +64,10 @@
         if tasks:
             await asyncio.wait(tasks, timeout=_CUT_OFF_S)
 
+    def _admit(self, call: RelayCall) -> RelayCall | RelayFault:
+        problem = self.admission.find_problem(call.route.name, call.deadline)
+        return faults.LEAVING.because(problem) if problem else call
+
     async def _run(self, run: RelayRun) -> None:
         began = self.parts.clock.now()
         self._running[run] = asyncio.current_task()
--- a/src/balsamreach/daemon/router.py
+++ b/src/balsamreach/daemon/router.py
@@ -112,8 +112,7 @@
 
     async def leave(self) -> None:
         """Finish the requests in progress, record their bills and stop."""
-        self.state = LEAVING
-        log_event(_logger, logging.INFO, 'router_leaving')
+        self._begin_to_leave()
         await self.parts.net.leave()
         await self._stop_accepting()
         await self._drain()
@@ -122,6 +121,13 @@
         await self._close()
         log_event(_logger, logging.INFO, 'router_left')
 
+    def _begin_to_leave(self) -> None:
+        self.state = LEAVING
+        log_event(_logger, logging.INFO, 'router_leaving')
+        grace = self.cfg.callers.leave_delay + self.cfg.callers.leave_timeout
+        ends_at = self.parts.clock.now() + grace
+        self.parts.dispatcher.admission.ends_at = ends_at
+
     async def _stop_accepting(self) -> None:
         # A load balancer that has not checked /readyz again still sends
         # connections. If the listener closed at once, they would be refused,
@@ -150,6 +156,9 @@
                 reason='leave_timeout exceeded',
                 requests=len(self.parts.dispatcher.running),
             )
+        # A body may end while the bills are recorded. Its request would be cut
+        # off when the connections close.
+        self.parts.dispatcher.admission.close()
 
     async def _close(self) -> None:
         await self.callers.server.close_all_connections()
--- a/src/balsamreach/dispatch/dispatcher.py
+++ b/src/balsamreach/dispatch/dispatcher.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from balsamreach.dispatch import faults
 from balsamreach.dispatch.call import Call
 from balsamreach.dispatch.faults import DispatchFault
 from balsamreach.dispatch.run import (
@@ -13,6 +14,7 @@
 )
 from balsamreach.requests.answers import Answer
 from balsamreach.requests.faults import RequestFault
+from balsamreach.requests.leaving import LeavingAdmission, RecentDurations
 
 _MAINTENANCE_INTERVAL_S = 1
 
@@ -27,10 +29,18 @@
         Components shared by all requests.
     running : dict of Answer to Task
         Task of each request in progress.
+    admission : LeavingAdmission
+        Refuses requests while the router is being stopped.
     """
 
     parts: RunParts
     running: dict[Answer, asyncio.Task] = attrs.field(factory=dict)
+    admission: LeavingAdmission = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Admit all requests while the router isn't being stopped."""
+        clock = self.parts.claims.clock
+        self.admission = LeavingAdmission(RecentDurations(clock))
 
     def submit(self, call: Call) -> Answer | DispatchFault:
         """Start a request, or return the answer that a duplicate joins.
@@ -44,20 +54,26 @@
         -------
         Answer or DispatchFault
             The answer to attach to; a fault if the key was used with another
-            body.
+            body, or if this router is being stopped.
         """
         known = self.parts.answers.find(call.req)
         if isinstance(known, RequestFault):
             return translate_request_fault(known)
         if known is not None:
             return known
+        problem = self.admission.find_problem(_route(call), call.deadline)
+        if problem:
+            return faults.LEAVING.because(problem)
         answer = self.parts.answers.open(
             call.req,
             idempotent=call.idempotent,
         )
         task = asyncio.create_task(RequestRun(self.parts, call, answer).run())
         self.running[answer] = task
-        task.add_done_callback(lambda _done: self.running.pop(answer, None))
+        began = self.parts.claims.clock.now()
+        task.add_done_callback(
+            lambda _done: self._record_end(answer, _route(call), began)
+        )
         return answer
 
     def cancel_if_unattended(self, answer: Answer) -> None:
@@ -78,3 +94,14 @@
         while self.running:
             await asyncio.wait(list(self.running.values()))
         await self.parts.claims.release_all()
+
+    def _record_end(self, answer: Answer, route: str, began: float) -> None:
+        self.running.pop(answer, None)
+        if answer.status:
+            seconds = self.parts.claims.clock.now() - began
+            self.admission.durations.record(route, seconds)
+
+
+def _route(call: Call) -> str:
+    """Return the name of the requests that take as long as this one."""
+    return f'{call.kind} {call.name}'
--- a/src/balsamreach/dispatch/faults.py
+++ b/src/balsamreach/dispatch/faults.py
@@ -33,6 +33,9 @@
 BUDGET_UNREACHABLE = DispatchFault('budget_unreachable', retry_after=2)
 #: No target serves the model or service.
 NO_TARGET = DispatchFault('no_target', retry_after=30)
+#: This router is being stopped before the request could end. The others are
+#: ready to run it.
+LEAVING = DispatchFault('router_leaving', retry_after=1)
 #: All targets that serve it are busy, failing or leaving.
 OVERLOADED = DispatchFault('overloaded', retry_after=1)
 #: All targets that serve it asked to receive no requests for a while.
--- a/src/balsamreach/gateway/refusals.py
+++ b/src/balsamreach/gateway/refusals.py
@@ -20,6 +20,7 @@
     faults.BUDGET_UNREACHABLE: 503,
     faults.NO_TARGET: 503,
     faults.OVERLOADED: 503,
+    faults.LEAVING: 503,
     faults.TARGETS_BACK_OFF: 503,
     faults.RATE_LIMITED: 429,
     faults.TEAM_CONCURRENCY: 429,
--- a/src/balsamreach/relay/leaving.py
+++ b/src/balsamreach/requests/leaving.py
@@ -9,9 +9,6 @@
 import attrs
 
 from balsamreach.clock import Clock
-from balsamreach.relay import faults
-from balsamreach.relay.call import RelayCall
-from balsamreach.relay.faults import RelayFault
 
 #: Factor by which a request may take longer than the slowest recent one of its
 #: route.
@@ -91,21 +88,27 @@
     durations: RecentDurations
     ends_at: float | None = None
 
-    def check(self, call: RelayCall) -> RelayFault | None:
-        """Return why a request is refused; None if it is taken."""
+    def find_problem(self, route: str, deadline: float) -> str:
+        """Return why a request is refused; empty if it is taken.
+
+        Parameters
+        ----------
+        route : str
+            Route of the request.
+        deadline : float
+            Monotonic seconds by which it ends in any case.
+        """
         if self.ends_at is None:
-            return None
+            return ''
         now = self.durations.clock.now()
-        needed = call.deadline - now
-        slowest = self.durations.slowest(call.route.name)
+        needed = deadline - now
+        slowest = self.durations.slowest(route)
         if slowest is not None:
             needed = min(needed, slowest * _MARGIN)
         left = self.ends_at - now
         if left > 0 and needed <= left:
-            return None
-        return faults.LEAVING.because(
-            f'the router stops in {left:.1f} s; it may take {needed:.1f} s'
-        )
+            return ''
+        return f'the router stops in {left:.1f} s; it may take {needed:.1f} s'
 
     def close(self) -> None:
         """Refuse all further requests."""
--- a/tests/test_relay_leaving.py
+++ b/tests/test_requests_leaving.py
@@ -5,19 +5,19 @@
 
 from parameterized import parameterized
 
-from balsamreach.relay import faults
-from balsamreach.relay.leaving import LeavingAdmission, RecentDurations
 from balsamreach.relay.run import RelayRun
 from balsamreach.relay.spending import Reservation, UnmeteredSpending
+from balsamreach.requests.leaving import LeavingAdmission, RecentDurations
 from tests import relay_samples
 from tests.relay_harness import RelayHarness
-from tests.relay_samples import PLAIN, UNSAFE
+from tests.relay_samples import UNSAFE
 from tests.relay_scripts import RecordingResponse
 from tests.support import FakeClock
 
 _GRACE_S = 8.0
 _DEADLINE_S = 12.0
 _MANY = 5000
+_ROUTE = 'route'
 
 
 class LeavingAdmissionTest(unittest.TestCase):
@@ -27,9 +27,10 @@
         self.clock = FakeClock()
         self.admission = LeavingAdmission(RecentDurations(self.clock))
 
-    def check(self, route=PLAIN, seconds=_DEADLINE_S):
-        """Return why a request is refused."""
-        return self.admission.check(relay_samples.call(route, seconds=seconds))
+    def is_refused(self, seconds=_DEADLINE_S):
+        """Return whether a request with a time limit is refused."""
+        deadline = self.clock.now() + seconds
+        return bool(self.admission.find_problem(_ROUTE, deadline))
 
     def leave(self, after):
         """Begin the grace period, and let a part of it pass."""
@@ -37,51 +38,47 @@
         self.clock.advance(after)
 
     def test_not_leaving(self):
-        self.assertIsNone(self.check())
+        self.assertFalse(self.is_refused())
 
     @parameterized.expand(
         (
-            ('begin', 1.5, 0, None),
-            ('in_time', 1.5, 5, None),
-            ('may_outlast', 1.5, 6, faults.LEAVING),
-            ('long_work', 6, 0, faults.LEAVING),
-            ('unknown', None, 0, faults.LEAVING),
-            ('end', 0, _GRACE_S, faults.LEAVING),
-            ('after_end', 0, _GRACE_S + 1, faults.LEAVING),
+            ('begin', 1.5, 0, False),
+            ('in_time', 1.5, 5, False),
+            ('may_outlast', 1.5, 6, True),
+            ('long_work', 6, 0, True),
+            ('unknown', None, 0, True),
+            ('end', 0, _GRACE_S, True),
+            ('after_end', 0, _GRACE_S + 1, True),
         )
     )
     def test_slowest_request(self, _, slowest, after, expected):
         """Guards against taking what the grace period cuts off."""
         if slowest is not None:
-            self.admission.durations.record(PLAIN.name, slowest)
-            self.admission.durations.record(PLAIN.name, slowest / 2)
-        self.admission.durations.record(UNSAFE.name, 0.1)
+            self.admission.durations.record(_ROUTE, slowest)
+            self.admission.durations.record(_ROUTE, slowest / 2)
+        self.admission.durations.record('other', 0.1)
         self.leave(after)
-        refusal = self.check(seconds=_DEADLINE_S + after)
-        self.assertEqual(refusal, expected)
-        if refusal is not None:
-            self.assertTrue(refusal.not_run)
-            self.assertGreater(refusal.retry_after, 0)
+        self.assertEqual(self.is_refused(), expected)
 
     def test_short_time_limit(self):
         """Guards against refusing what ends by its own time limit."""
         self.leave(4)
-        self.assertIsNone(self.check(seconds=7.9))
-        self.assertIsNotNone(self.check(seconds=8.1))
+        self.assertFalse(self.is_refused(3.9))
+        self.assertTrue(self.is_refused(4.1))
 
     def test_closed(self):
-        self.admission.durations.record(PLAIN.name, 0.1)
+        self.admission.durations.record(_ROUTE, 0.1)
         self.leave(1)
         self.admission.close()
-        self.assertEqual(self.check(), faults.LEAVING)
+        self.assertTrue(self.is_refused())
 
     def test_slow_request_is_forgotten(self):
         """Guards against refusing requests for one that was slow long ago."""
         durations = self.admission.durations
         for seconds in (7, 1, 1):
-            durations.record(PLAIN.name, seconds)
+            durations.record(_ROUTE, seconds)
             self.clock.advance(11)
-        self.assertEqual(durations.slowest(PLAIN.name), 1)
+        self.assertEqual(durations.slowest(_ROUTE), 1)
 
     def test_removed_routes_are_forgotten(self):
         """Guards against memory that grows with each configuration."""
