--- a/src/balsamreach/memory/answers.py
+++ b/src/balsamreach/memory/answers.py
@@ -49,8 +49,8 @@
     """Counts the bytes of all answers, and gives some up when it is full.
 
     The answer that holds most is given up first, as one without end grows
-    beyond all others. Those whose heads announce their size come last: they do
-    have an end.
+    beyond all others. Those whose heads announce their size come later, since
+    they do have an end, and small ones last.
 
     Parameters
     ----------
@@ -106,6 +106,7 @@
         answer.give_up()
 
 
-def _rank(answer: HeldAnswer) -> tuple[bool, int]:
+def _rank(answer: HeldAnswer) -> tuple[bool, bool, int]:
     """Return the order in which answers are given up, the last one first."""
-    return not answer.has_length, answer.size
+    is_large = answer.size > _SMALL_BYTES
+    return is_large, not answer.has_length, answer.size
--- a/src/balsamreach/platform/requests.py
+++ b/src/balsamreach/platform/requests.py
@@ -33,17 +33,11 @@
 _TOKEN_COUNTS = re.compile(r'(\d{1,12}),(\d{1,12})')
 _PROMPT_PART = re.compile(r'([0-9a-fA-F]{1,64}):(\d{1,12})')
 _COUNT = re.compile(r'\d{1,9}')
-#: Headers of an answer whose values are words. A blank in one shows that a
-#: malformed line was joined to it.
-_WORDS = tuple(
-    name.lower()
-    for name in (
-        header_names.REQUEST_ID,
-        header_names.SIGNATURE,
-        header_names.NOT_RUN,
-    )
-)
+#: Headers of an answer that hold a single word each.
+_WORDS = (header_names.REQUEST_ID.lower(), header_names.SIGNATURE.lower())
 _BLANK = re.compile(r'[ \t]')
+#: A line that begins with a blank, and was joined to a header before it.
+_JOINED_HEADER = re.compile(r'[ \t][^ \t:]*:')
 _BEARER = re.compile(r'[Bb]earer +(\S+)')
 
 _STATUS = {
@@ -229,7 +223,10 @@
 def _is_usable(headers: dict[str, str]) -> bool:
     if headers.get('content-encoding'):
         return False
-    return not any(_BLANK.search(headers.get(name, '')) for name in _WORDS)
+    if any(_BLANK.search(headers.get(name, '')) for name in _WORDS):
+        return False
+    promise = headers.get(header_names.NOT_RUN.lower(), '')
+    return _JOINED_HEADER.search(promise) is None
 
 
 def _copy_header(call: RelayCall, copy: CacheCopy) -> tuple[str, str]:
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -86,7 +86,7 @@
         the request has not run, nor that another router should be asked.
         """
         self._is_cut_off = True
-        if self._timeout is not None:
+        if self._timeout is not None and not self._timeout.expired():
             self._timeout.reschedule(asyncio.get_running_loop().time())
 
     async def _admit(self, attempts: RelayAttempts) -> RelayFault | None:
--- a/tests/test_requests_leaving.py
+++ b/tests/test_requests_leaving.py
@@ -129,6 +129,20 @@
         self.assertEqual(response.status, 503)
         self.assertIn('retry-after', response.headers)
 
+    async def test_time_limit_has_passed(self):
+        """Guards against a stop that fails for a request that just ends."""
+        harness = RelayHarness()
+        harness.exchange.hang = True
+        call = relay_samples.call(UNSAFE, seconds=0.01)
+        response = RecordingResponse()
+        run = RelayRun(harness.parts, call, response)
+        task = asyncio.ensure_future(run.run())
+        while not task.done():
+            await asyncio.sleep(0)
+            run.cut_off()
+            harness.exchange.hang = False
+        self.assertEqual(response.status, 502)
+
     async def test_request_that_begins(self):
         """Guards against sending a request after the others were cut off."""
         harness = RelayHarness()
