--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -13,7 +13,7 @@
     SMALL_PIECE_BYTES,
     ReceivingTurns,
 )
-from balsamreach.http_heads import HeadReader
+from balsamreach.http_heads import Head, HeadReader
 from balsamreach.memory.answers import (
     LARGEST_BYTES,
     AnswerMemory,
@@ -119,16 +119,17 @@
         is_whole = line.endswith(b'\n')
         # A target may send an interim head long before the final one.
         self._is_within_head = bool(line.strip()) or not is_whole
-        had_head = self.head_complete
-        self._reader.read_line(line)
+        reader = self._reader
+        had_head = reader.head is not None
+        reader.read_line(line)
         # Curl frames the body by a reading of its own, so that an answer whose
         # head is malformed must not be received any further.
-        if self._reader.fault is not None:
-            self.abort_reason = self._reader.fault.reason
+        if reader.fault is not None:
+            self.abort_reason = reader.fault.reason
             return _ABORT
-        if self.head_complete and not had_head:
-            self._start()
-        if self._reader.size > _COUNTED_HEAD_BYTES:
+        if reader.head is not None and not had_head:
+            self._start(reader.head)
+        if reader.size > _COUNTED_HEAD_BYTES:
             self._count_held()
         # Curl keeps the connection of a complete answer, and closes that of an
         # aborted transfer.
@@ -192,8 +193,7 @@
         length = self._reader.head.length
         return length is not None and length <= LARGEST_BYTES
 
-    def _start(self) -> None:
-        head = self._reader.head
+    def _start(self, head: Head) -> None:
         self.progressed = True
         self._held.has_length = self._has_length()
         self.intake.start(head.status, head.headers)
--- a/src/balsamreach/http_heads.py
+++ b/src/balsamreach/http_heads.py
@@ -15,11 +15,11 @@
 #: Version, status and reason. A status outside of 100 to 599 has no meaning,
 #: and callers read it differently.
 _STATUS_LINE = re.compile(
-    rb'(HTTP/1\.[01]) ([1-5][0-9]{2})(?: [\t -~\x80-\xff]*)?'
+    rb'(HTTP/1\.[01]) ([1-5][0-9]{2})(?: [\t -~\x80-\xff]*)?\r?\n'
 )
 #: Name, which is a token, and value, without control characters.
 _FIELD = re.compile(
-    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t -~\x80-\xff]*)",
+    rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t -~\x80-\xff]*)\r?\n",
 )
 #: A name of which the body's end depends, within the value of another header.
 #: Curl joins a line that begins with a blank to the line before, which is one
@@ -27,6 +27,7 @@
 _FOLDED_FRAMING = re.compile(
     r'[ \t](content-length|transfer-encoding)[ \t]*:', re.IGNORECASE
 )
+_EMPTY_LINES = (b'\r\n', b'\n')
 #: More digits don't fit into 64 bits.
 _LENGTH = re.compile(r'[0-9]{1,18}')
 #: Around a value, only these are no part of it.
@@ -99,7 +100,9 @@
     size: int = 0
     _version: bytes = b''
     _status: int = 0
-    _fields: list[tuple[str, str]] = attrs.field(factory=list)
+    _headers: dict[str, str] = attrs.field(factory=dict)
+    _lengths: list[str] = attrs.field(factory=list)
+    _codings: list[str] = attrs.field(factory=list)
 
     def read_line(self, line: bytes) -> None:
         """Read the next line.
@@ -118,21 +121,20 @@
                 'the head of the answer is too large'
             )
         elif self.head is None and line.endswith(b'\n'):
-            self._read(line.removesuffix(b'\n').removesuffix(b'\r'))
+            self._read(line)
 
-    def _read(self, text: bytes) -> None:
+    def _read(self, line: bytes) -> None:
         if not self._status:
-            self._read_status(text)
-        elif text:
-            self._read_field(text)
+            self._read_status(line)
+        elif line not in _EMPTY_LINES:
+            self._read_field(line)
         elif self._status >= _FIRST_FINAL_STATUS:
             self._end()
         else:
-            self._status = 0
-            self._fields.clear()
+            self._begin_again()
 
-    def _read_status(self, text: bytes) -> None:
-        match = _STATUS_LINE.fullmatch(text)
+    def _read_status(self, line: bytes) -> None:
+        match = _STATUS_LINE.fullmatch(line)
         if match is None:
             self._fail('no status line')
             return
@@ -141,22 +143,63 @@
         if self._status == _SWITCHING_PROTOCOLS:
             self._fail('a switch to another protocol')
 
-    def _read_field(self, text: bytes) -> None:
-        match = _FIELD.fullmatch(text)
+    def _read_field(self, line: bytes) -> None:
+        match = _FIELD.fullmatch(line)
         if match is None:
             self._fail('a line that is no header')
             return
-        name, field = match[1].decode(), match[2].decode('latin-1')
-        self._fields.append((name.lower(), field.strip(_OPTIONAL_SPACE)))
+        name = match[1].decode().lower()
+        text = match[2].decode('latin-1').strip(_OPTIONAL_SPACE)
+        if name == _LENGTH_NAME:
+            self._lengths.append(text)
+        elif name == _CODING_NAME:
+            self._codings.append(text.lower())
+        elif ':' in text and _FOLDED_FRAMING.search(text):
+            self._fail('a length or a transfer coding in a folded line')
+        else:
+            self._add(name, text)
+
+    def _add(self, name: str, text: str) -> None:
+        existing = self._headers.get(name, text)
+        # Repeated headers are joined to a list, except those that can't
+        # hold one.
+        if existing != text and name not in _NO_LIST:
+            text = f'{existing}, {text}'
+        self._headers[name] = text
+
+    def _begin_again(self) -> None:
+        """Forget an interim head."""
+        self._status = 0
+        self._headers.clear()
+        self._lengths.clear()
+        self._codings.clear()
 
     def _end(self) -> None:
-        problem = _find_framing_problem(self._version, self._fields)
+        problem = self._find_framing_problem()
         if problem:
             self._fail(problem)
-        else:
-            self.head = Head(
-                status=self._status, headers=_join_fields(self._fields)
-            )
+            return
+        if self._lengths:
+            self._headers[_LENGTH_NAME] = str(int(self._lengths[0]))
+        elif self._codings:
+            self._headers[_CODING_NAME] = _CHUNKED
+        self.head = Head(status=self._status, headers=self._headers)
+
+    def _find_framing_problem(self) -> str:
+        """Return why it isn't told where the body ends; empty if it is."""
+        lengths, codings = self._lengths, self._codings
+        if not all(map(_LENGTH.fullmatch, lengths)):
+            return 'a length that is no number'
+        if len(set(map(int, lengths))) > 1:
+            return 'two lengths'
+        if not codings:
+            return ''
+        if lengths:
+            return 'a length beside a transfer coding'
+        # A recipient of HTTP/1.0 doesn't know chunks.
+        if codings != [_CHUNKED] or self._version != _CHUNKED_VERSION:
+            return 'an unknown transfer coding'
+        return ''
 
     def _fail(self, problem: str) -> None:
         self.fault = MALFORMED.because(f'the head of the answer has {problem}')
@@ -172,37 +215,3 @@
     """
     options = headers.get('connection', '').lower().split(',')
     return frozenset(option.strip(_OPTIONAL_SPACE) for option in options)
-
-
-def _find_framing_problem(version: bytes, fields: list[tuple[str, str]]) -> str:
-    """Return why a head doesn't say where the body ends; empty if it does."""
-    lengths = [text for name, text in fields if name == _LENGTH_NAME]
-    codings = [text.lower() for name, text in fields if name == _CODING_NAME]
-    if any(_FOLDED_FRAMING.search(text) for _name, text in fields):
-        return 'a length or a transfer coding in a folded line'
-    if not all(map(_LENGTH.fullmatch, lengths)):
-        return 'a length that is no number'
-    if len(set(map(int, lengths))) > 1:
-        return 'two lengths'
-    if not codings:
-        return ''
-    if lengths:
-        return 'a length beside a transfer coding'
-    # A recipient of HTTP/1.0 doesn't know chunks.
-    if codings != [_CHUNKED] or version != _CHUNKED_VERSION:
-        return 'an unknown transfer coding'
-    return ''
-
-
-def _join_fields(fields: list[tuple[str, str]]) -> dict[str, str]:
-    headers: dict[str, str] = {}
-    for name, text in fields:
-        existing = headers.get(name, text)
-        if existing != text and name not in _NO_LIST:
-            text = f'{existing}, {text}'
-        headers[name] = text
-    if _LENGTH_NAME in headers:
-        headers[_LENGTH_NAME] = str(int(headers[_LENGTH_NAME].split(',')[0]))
-    if _CODING_NAME in headers:
-        headers[_CODING_NAME] = _CHUNKED
-    return headers
