Free an answer's transfer as soon as it has ended

The account of held answers refers to the transfer, and the transfer to it, so that bodies of requests stayed in memory until the garbage collector ran: the three tests of test_relay_body_memory failed in a run of all tests, and pass now. The transfer gives the reference up when it is closed.

--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -31,6 +31,10 @@
 _NO_MEMORY = 'the answers of targets take too much memory'
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 @attrs.define(eq=False)
 class Transfer:
     """Passes one answer from curl to its intake.
@@ -157,6 +161,7 @@
         found them, the body of the request would stay in memory.
         """
         self.memory.end(self._held)
+        self._held.give_up = _ignore
         self.on_pause = None
         self.on_interrupt = None
         self.on_give_up = None
