Count only the excess of what waits for slow callers

Bytes that wait for slow callers have a share of their own, a sixteenth of the memory. Counted from the first byte, two slow callers of large answers would have kept all answers of over 64 KiB from a host of 160 MiB.

--- a/src/balsamreach/daemon/relay_guards.py
+++ b/src/balsamreach/daemon/relay_guards.py
@@ -144,7 +144,7 @@
     """
     shares = client_shares(parts.cfg)
     buffers = ResponseBuffers(shares.responses)
-    answers = AnswerMemory(shares.answers, lambda: buffers.used)
+    answers = AnswerMemory(shares.answers, lambda: buffers.excess)
     parts.exchange.handles.memory = answers
     parts.forwarding.exchange.handles.memory = answers
     return RelayGuards(
--- a/src/balsamreach/daemon/serve_guards.py
+++ b/src/balsamreach/daemon/serve_guards.py
@@ -44,7 +44,7 @@
     )
     buffers = ResponseBuffers(shares.responses)
     parts.upstream.handles.memory = AnswerMemory(
-        shares.answers, lambda: buffers.used
+        shares.answers, lambda: buffers.excess
     )
     callers_parts = GuardParts(
         meter=meter,
--- a/src/balsamreach/memory/answers.py
+++ b/src/balsamreach/memory/answers.py
@@ -57,8 +57,8 @@
     capacity : int
         Bytes that all answers may take.
     waiting : callable
-        Returns the bytes of answers that wait for callers who read slowly.
-        They take memory too, but can't be given up any more, so that larger
+        Returns the bytes of answers that wait for slow callers beyond the
+        share that is theirs. They can't be given up any more, so that larger
         answers must leave room for them.
     used : int
         Bytes that are held of answers that are received.
--- a/src/balsamreach/memory/response_buffers.py
+++ b/src/balsamreach/memory/response_buffers.py
@@ -27,6 +27,11 @@
     capacity: int
     used: int = 0
 
+    @property
+    def excess(self) -> int:
+        """Bytes that wait beyond the capacity."""
+        return max(0, self.used - self.capacity)
+
     def is_full(self, waiting: int) -> bool:
         """Return whether a response must wait for its reader.
 
