Don't promise that a keyed request has not run at another router

A leaving router of `serve` refuses requests before it asks the other routers, one of which may run a request with the same key. The refusal says `unknown` there, and `no` only for requests whose key this router made. test_dispatch_leaving covers both; found by reading.

--- a/src/balsamreach/dispatch/dispatcher.py
+++ b/src/balsamreach/dispatch/dispatcher.py
@@ -6,7 +6,7 @@
 
 from balsamreach.dispatch import faults
 from balsamreach.dispatch.call import Call
-from balsamreach.dispatch.faults import DispatchFault
+from balsamreach.dispatch.faults import MAYBE_RUN, DispatchFault
 from balsamreach.dispatch.run import (
     RequestRun,
     RunParts,
@@ -63,7 +63,7 @@
             return known
         problem = self.admission.find_problem(_route(call), call.deadline)
         if problem:
-            return faults.LEAVING.because(problem)
+            return _leaving(call, problem)
         answer = self.parts.answers.open(
             call.req,
             idempotent=call.idempotent,
@@ -105,3 +105,10 @@
 def _route(call: Call) -> str:
     """Return the name of the requests that take as long as this one."""
     return f'{call.kind} {call.name}'
+
+
+def _leaving(call: Call, problem: str) -> DispatchFault:
+    fault = faults.LEAVING.because(problem)
+    # Another router may have run a request with the caller's key, and isn't
+    # asked any more.
+    return fault if call.req.minted else attrs.evolve(fault, ran=MAYBE_RUN)
