Let the soak break the heads of some answers

2% of the answers that its targets send get a malformed line, and no order that may run once may pass for a success then. The count of answers that were given up goes, as nothing reads it: `answer_rejected` tells each one.

--- a/src/balsamreach/memory/answers.py
+++ b/src/balsamreach/memory/answers.py
@@ -62,14 +62,11 @@
         answers must leave room for them.
     used : int
         Bytes that are held of answers that are received.
-    given_up : int
-        Answers that were given up.
     """
 
     capacity: int
     waiting: Callable[[], int] = _none_waiting
     used: int = 0
-    given_up: int = 0
     _receiving: dict[HeldAnswer, None] = attrs.field(factory=dict)
 
     def resize(self, answer: HeldAnswer, size: int) -> None:
@@ -101,7 +98,6 @@
         return self.used + self.waiting() > limit
 
     def _give_up(self, answer: HeldAnswer) -> None:
-        self.given_up += 1
         self.end(answer)
         answer.give_up()
 
--- a/tests/crowds/relay_case.py
+++ b/tests/crowds/relay_case.py
@@ -58,6 +58,7 @@
             host_limits=_HOST_LIMITS,
             caller_limits=_CALLER_LIMITS,
             repeated_share=0,
+            broken_share=0,
         )
         self.addAsyncCleanup(self.fleet.stop)
 
--- a/tests/repeating_proxy.py
+++ b/tests/repeating_proxy.py
@@ -1,4 +1,4 @@
-"""Fake TCP proxy that repeats answers of a target."""
+"""Fake TCP proxy that repeats answers of a target, and breaks their heads."""
 
 import asyncio
 import random
@@ -13,6 +13,9 @@
 from tests.soak_responses import is_complete
 
 _CHUNK_BYTES = 65536
+_LINE_END = b'\r\n'
+#: A line that makes a head malformed.
+_MALFORMED_LINE = b'X-Broken : 1\r\n'
 _REQUEST_ID = re.compile(rb'\r\nattempt-id: (\S+)\r\n', re.IGNORECASE)
 
 
@@ -47,7 +50,8 @@
 class RepeatingProxy(TCPServer):
     """Passes requests to a target, and sends some answers a second time.
 
-    The second answer is sent where that to the next request is expected.
+    The second answer is sent where that to the next request is expected. The
+    heads of some other answers get a malformed line.
 
     Parameters
     ----------
@@ -63,6 +67,12 @@
         Answers that were sent twice so far.
     runs : list of Run
         Requests that came to the target.
+    broken_share : float
+        Share of the answers whose heads are malformed.
+    heads_rng : random.Random
+        Chooses these answers.
+    broken : set of str
+        Ids of the requests that got them.
     """
 
     def __init__(
@@ -75,6 +85,9 @@
         self.clock = clock
         self.repeated = 0
         self.runs: list[Run] = []
+        self.broken_share = 0.0
+        self.heads_rng = random.Random(target)
+        self.broken: set[str] = set()
 
     async def handle_stream(self, stream: IOStream, address: object) -> None:
         """Serve a connection until one of its ends closes."""
@@ -122,6 +135,8 @@
         try:
             while True:
                 chunk = await upstream.read_bytes(_CHUNK_BYTES, partial=True)
+                if not exchange.answer and exchange.run is not None:
+                    chunk = self._break_head(chunk, exchange.run)
                 exchange.answer += chunk
                 if is_complete(exchange.answer):
                     self._end(exchange)
@@ -129,6 +144,14 @@
         except StreamClosedError:
             stream.close()
 
+    def _break_head(self, chunk: bytes, run: Run) -> bytes:
+        if self.heads_rng.random() >= self.broken_share:
+            return chunk
+        self.broken.add(run.request_id)
+        return chunk.replace(
+            _LINE_END, b'%b%b' % (_LINE_END, _MALFORMED_LINE), 1
+        )
+
     def _end(self, exchange: _Exchange) -> None:
         run = exchange.run
         if run is not None:
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -32,6 +32,8 @@
 _AMPLE_TOKENS = 10_000_000
 #: Share of the targets' answers that are sent a second time.
 _REPEATED_SHARE = 0.05
+#: Share of the targets' answers whose heads are malformed.
+_BROKEN_SHARE = 0.02
 _SETTINGS = """
 node = "{name}"
 ip = "{ip}"
@@ -170,6 +172,8 @@
         Limits of callers in the configuration.
     repeated_share : float
         Share of the targets' answers that are sent a second time.
+    broken_share : float
+        Share of the targets' answers whose heads are malformed.
     """
 
     seed: int
@@ -178,6 +182,7 @@
     host_limits: str = ''
     caller_limits: dict[str, int] = attrs.field(factory=dict)
     repeated_share: float = _REPEATED_SHARE
+    broken_share: float = _BROKEN_SHARE
     clock: Clock = attrs.field(factory=SystemClock)
     store: RowStoreState = attrs.field(factory=RowStoreState)
     routers: list[RouterProcess] = attrs.field(factory=list)
@@ -296,6 +301,8 @@
         proxy = RepeatingProxy(
             self._serve(app), self.repeated_share, self.rng, self.clock
         )
+        proxy.broken_share = self.broken_share
+        proxy.heads_rng = random.Random(f'{self.seed} {len(self.proxies)}')
         listener, port = bind_unused_port()
         proxy.add_socket(listener)
         self.proxies.append(proxy)
--- a/tests/soak_run.py
+++ b/tests/soak_run.py
@@ -168,9 +168,11 @@
             self.fleet.statuses[one.kind, one.status] += 1
         for proxy in self.fleet.proxies:
             self.fleet.statuses['answers', 'repeated'] += proxy.repeated
+            self.fleet.statuses['answers', 'broken'] += len(proxy.broken)
         return [
             *seen,
             *self._runs(),
+            *self._broken_answers(),
             *self._shared_work(),
             *self._lost(),
             *self._late_work(),
@@ -200,6 +202,17 @@
             and runs[one.request_id] > (one.status != refused)
         ]
 
+    def _broken_answers(self) -> list[str]:
+        """Return orders whose malformed answers passed for successes."""
+        broken = set().union(*(proxy.broken for proxy in self.fleet.proxies))
+        return [
+            f'{one.request_id}: a malformed answer passed on'
+            for one in self._attempts()
+            if one.kind == ORDER
+            and one.request_id in broken
+            and one.status == HTTPStatus.OK
+        ]
+
     def _shared_work(self) -> list[str]:
         """Return requests at which two targets were at work at once."""
         runs = defaultdict(list)
