Look at each byte of an event of `serve` once

An engine that sent an event without end in pieces of 8 bytes kept a router of `serve` from all other work: with each piece it copied and searched all that it had of the event, up to 4 MiB. Callers of other requests got nothing meanwhile.

Change: the piece is appended in place, and searched from where the search ended, as the relay's splitter does.

--- a/src/balsamreach/dispatch/stream_replies.py
+++ b/src/balsamreach/dispatch/stream_replies.py
@@ -51,7 +51,7 @@
         self.received_count = 0
         self.wants_usage = wants_usage
         self.max_tokens = max_tokens
-        self._partial_event = b''
+        self._partial_event = bytearray()
         self._done = False
         self._dropped_event = False
         self._usage: Usage | None = None
@@ -64,7 +64,7 @@
     def discard(self, reason: str) -> None:
         """Free the incomplete event."""
         super().discard(reason)
-        self._partial_event = b''
+        self._partial_event.clear()
 
     def is_complete(self) -> bool:
         """Return whether the end marker came and no event was dropped."""
@@ -83,15 +83,11 @@
         if not self._is_stream():
             super()._forward(chunk)
             return
-        received = self._partial_event + chunk if self._partial_event else chunk
         # Only complete events are passed on, so that a stream that breaks
         # inside an event can be resumed or ended with an error event.
-        cut = received.rfind(_EVENT_END) + len(_EVENT_END)
-        if cut < len(_EVENT_END):
-            self._keep_partial(received)
+        events = self._take_events(chunk)
+        if not events:
             return
-        self._partial_event = received[cut:]
-        events = received[:cut]
         self.received_count += events.count(_EVENT_END)
         if self._exceeds_reservation():
             self.halt(faults.RESERVATION_SPENT)
@@ -103,14 +99,28 @@
             self._start_answer()
             self.answer.write(events)
 
-    def _keep_partial(self, received: bytes) -> None:
+    def _take_events(self, chunk: bytes) -> bytes:
+        """Return the events that a chunk completes, and keep the rest."""
+        partial = self._partial_event
+        # A target may send an event in pieces of a few bytes. Looking at all
+        # of the event with each would block the router for minutes.
+        searched = max(0, len(partial) - len(_EVENT_END) + 1)
+        partial += chunk
+        cut = partial.rfind(_EVENT_END, searched) + len(_EVENT_END)
+        if cut < len(_EVENT_END):
+            self._limit_partial()
+            return b''
+        events = bytes(partial[:cut])
+        del partial[:cut]
+        return events
+
+    def _limit_partial(self) -> None:
         # A target that never ends its event would exhaust the memory. The
         # dropped bytes could contain the end marker, so the answer counts as
         # broken.
-        self._dropped_event = (
-            self._dropped_event or len(received) > _MAX_EVENT_BYTES
-        )
-        self._partial_event = b'' if self._dropped_event else received
+        if self._dropped_event or len(self._partial_event) > _MAX_EVENT_BYTES:
+            self._dropped_event = True
+            self._partial_event.clear()
 
     def _exceeds_reservation(self) -> bool:
         # Only the reserved tokens are set aside: a target that does not stop
--- a/src/balsamreach/http_heads.py
+++ b/src/balsamreach/http_heads.py
@@ -21,9 +21,9 @@
 _FIELD = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):([\t -~\x80-\xff]*)\r?\n",
 )
-#: A name of which the body's end depends, within the value of another header.
-#: Curl joins a line that begins with a blank to the line before, which is one
-#: of the ways that RFC 9112 leaves. The same name is a header to other readers.
+#: A name on which the end of the body depends, within the value of another
+#: header. Curl joins a line that begins with a blank to the line before, which
+#: is one of the ways that RFC 9112 leaves. To other readers it is a header.
 _FOLDED_FRAMING = re.compile(
     r'[ \t](content-length|transfer-encoding)[ \t]*:', re.IGNORECASE
 )
@@ -89,8 +89,8 @@
     head : Head or None
         The final head, once all of it was received.
     fault : HeadFault or None
-        Why the lines are no head; None while they may be one. A line behind
-        it changes nothing.
+        Why the lines are no head, or too many; None while they may be one.
+        Further lines don't change it.
     size : int
         Bytes that were received.
     """
--- a/tests/test_dispatch_endless_bytes.py
+++ b/tests/test_dispatch_endless_bytes.py
@@ -9,6 +9,7 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.dispatch.attempt_sender import make_reply
 from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.stream_replies import StreamReply
 from balsamreach.dispatch.upstream import REJECTED, Attempt
 from balsamreach.gateway.curl_upstream import CurlUpstream
 from balsamreach.requests.answers import Output
@@ -23,6 +24,9 @@
 _MAX_ERROR_BYTES = 1 << 20
 #: Seconds within which the exchange must end.
 _MAX_WAIT_S = 5
+_PIECE = b'x' * 8
+#: More than an event of a stream may have.
+_EVENT_BYTES = 5 << 20
 
 
 class PlainErrorTest(unittest.IsolatedAsyncioTestCase):
@@ -57,6 +61,40 @@
         self.assertLess(target.written, max_taken(_MAX_ERROR_BYTES))
 
 
+class StreamEventTest(unittest.TestCase):
+    """An event without end, which comes in pieces of a few bytes."""
+
+    def test_small_pieces(self):
+        """Guards against a router that stands still for minutes.
+
+        With each piece it looked at all of the event, and copied it.
+        """
+        output = mock.Mock(spec=Output, backlog=0, status=0)
+        reply = StreamReply(output, 'attempt-1', wants_usage=True)
+        reply.start(200, {'content-type': 'text/event-stream'})
+        reply.write(b'data: 1\n\ndata: ')
+        for _ in range(_EVENT_BYTES // len(_PIECE)):
+            reply.write(_PIECE)
+        output.write.assert_called_once_with(b'data: 1\n\n')
+        self.assertLessEqual(reply.held_bytes, _EVENT_BYTES)
+        reply.write(b'x\n')
+        reply.write(b'\ndata: [DONE]\n\n')
+        self.assertFalse(reply.is_complete())
+
+    def test_end_in_two_pieces(self):
+        """Guards against missing the end of an event between two pieces."""
+        output = mock.Mock(spec=Output, backlog=0, status=0)
+        reply = StreamReply(output, 'attempt-1', wants_usage=True)
+        reply.start(200, {'content-type': 'text/event-stream'})
+        sent = b'data: 1\n\ndata: 2\n\ndata: [DONE]\n\n'
+        for byte in sent:
+            reply.write(bytes((byte,)))
+        written = [call.args[0] for call in output.write.call_args_list]
+        self.assertEqual(b''.join(written), sent)
+        self.assertEqual(reply.event_count, 3)
+        self.assertTrue(reply.is_complete())
+
+
 def _attempt(address: str) -> Attempt:
     call = Call(
         req=RequestId('winders', 'key', True, b''),
