Hold plain answers of `serve` in one buffer

A plain answer in chunks of 8 bytes took seven times its size: each chunk was kept as an object of its own, and the account of answers counted its bytes alone.

Change: the bytes are appended to one buffer, as in the relay.

--- a/src/balsamreach/dispatch/replies.py
+++ b/src/balsamreach/dispatch/replies.py
@@ -171,7 +171,7 @@
     ) -> None:
         super().__init__(answer, attempt_id)
         self._check_json = check_json
-        self._chunks: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
 
     def is_complete(self) -> bool:
@@ -184,12 +184,12 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that are held until the answer is complete."""
-        return self._size if self._chunks else 0
+        return len(self._body)
 
     def discard(self, reason: str) -> None:
         """Free the body, of which nothing was passed on."""
         super().discard(reason)
-        self._chunks.clear()
+        self._body.clear()
 
     def usage(self) -> Usage | None:
         """Return the usage reported in a JSON body."""
@@ -197,7 +197,7 @@
 
     def deliver(self) -> None:
         """Pass on the complete answer."""
-        body = b''.join(self._chunks)
+        body = bytes(self._body)
         self._start_answer(len(body))
         if body:
             self.answer.write(body)
@@ -208,7 +208,7 @@
 
     def _forward(self, chunk: bytes) -> None:
         self._size += len(chunk)
-        self._chunks.append(chunk)
+        self._body += chunk
         # Limits the memory for long answers. An answer that has been passed on
         # in part cannot be retried at another target, however.
         if self._size <= _MAX_BUFFERED:
@@ -218,11 +218,11 @@
             self.problem = 'the error is too large'
         else:
             self._start_answer()
-            self.answer.write(b''.join(self._chunks))
-            self._chunks.clear()
+            self.answer.write(bytes(self._body))
+            self._body.clear()
 
     def _read_body(self) -> Any:
-        return read_json(b''.join(self._chunks))
+        return read_json(bytes(self._body))
 
 
 def is_failure(status: int) -> bool:
--- a/tests/test_dispatch_endless_bytes.py
+++ b/tests/test_dispatch_endless_bytes.py
@@ -1,6 +1,7 @@
 """Tests of plain services whose answers to `serve` have no end."""
 
 import asyncio
+import tracemalloc
 import unittest
 from unittest import mock
 
@@ -9,6 +10,7 @@
 from balsamreach.config.reader import read_settings
 from balsamreach.dispatch.attempt_sender import make_reply
 from balsamreach.dispatch.call import Call
+from balsamreach.dispatch.replies import PlainReply
 from balsamreach.dispatch.stream_replies import StreamReply
 from balsamreach.dispatch.upstream import REJECTED, Attempt
 from balsamreach.gateway.curl_upstream import CurlUpstream
@@ -61,6 +63,23 @@
         self.assertLess(target.written, max_taken(_MAX_ERROR_BYTES))
 
 
+class PlainPiecesTest(unittest.TestCase):
+    """A plain answer that comes in pieces of a few bytes."""
+
+    def test_memory(self):
+        """Guards against answers that take many times what is counted."""
+        output = mock.Mock(spec=Output, backlog=0, status=0)
+        reply = PlainReply(output, 'attempt-1')
+        reply.start(200, {})
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(_MAX_ERROR_BYTES // len(_PIECE)):
+            reply.write(bytes(bytearray(_PIECE)))
+        taken, _peak = tracemalloc.get_traced_memory()
+        self.assertEqual(reply.held_bytes, _MAX_ERROR_BYTES)
+        self.assertLess(taken, 2 * reply.held_bytes)
+
+
 class StreamEventTest(unittest.TestCase):
     """An event without end, which comes in pieces of a few bytes."""
 
