--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -1,7 +1,6 @@
 """Pool of curl handles that runs transfers."""
 
 import errno
-import socket
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -28,10 +27,6 @@
 from balsamreach.gateway.receiving_turns import ReceivingTurns
 from balsamreach.memory.answers import AnswerMemory
 
-#: Receive buffer of a connection in bytes. Curl reads all that has arrived
-#: before it returns, and what waits there counts towards the memory of the
-#: process; by default the kernel lets it grow to megabytes.
-_RECEIVE_BUFFER_BYTES = 128 * 1024
 #: Maximum number of idle handles kept for reuse.
 _MAX_IDLE_HANDLES = 1024
 #: Curl's code for a head that exceeds curl's own limits; pycurl has no name
@@ -121,15 +116,6 @@
     curl.setopt(pycurl.PREREQFUNCTION, transfer.on_prereq)
     curl.setopt(pycurl.HEADERFUNCTION, transfer.on_header_line)
     curl.setopt(pycurl.WRITEFUNCTION, transfer.on_body)
-    curl.setopt(pycurl.SOCKOPTFUNCTION, _limit_receive_buffer)
-
-
-def _limit_receive_buffer(fd: int, _purpose: int) -> int:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fd)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
-    # The descriptor stays curl's.
-    sock.detach()
-    return pycurl.SOCKOPT_OK
 
 
 def _connect_failure(code: int, os_error: int) -> ConnectFailure:
