Tell that a release is gone only from a list that is up to date

A caller that took a stream up at a router which had just continued after a pause got 503 `release_gone` without a time to come back, "no target of release v2 is left", while two targets of v2 served.

Cause: other routers tell at once which release began the stream; the list of targets is read some 0.3 s later, and the refusal was taken from it as it stood.

Change: `relay/release_check.py` tells the release gone only if a current list shows its targets, none of which takes requests, or if the store has confirmed the list; otherwise the caller is told to come back in 0.5 s (`no_target`). The same holds at a router that helps another one.

--- a/src/balsamreach/relay/forwarded_run.py
+++ b/src/balsamreach/relay/forwarded_run.py
@@ -29,6 +29,7 @@
     TARGET,
     YES,
 )
+from balsamreach.relay.release_check import find_refusal
 from balsamreach.relay.request_log import RequestLog
 from balsamreach.wire.forwarding import ForwardedRequest
 
@@ -196,7 +197,7 @@
         if not self.is_available() or self.running > _MAX_RUNNING:
             return faults.CANNOT_FORWARD.because('this router has no room')
         refusal = self.parts.quarantine.check_forwarded(call)
-        refusal = refusal or chooser.refusal(call)
+        refusal = refusal or await find_refusal(chooser, call)
         if refusal is not None:
             return refusal
         place = chooser.choose(call, excluded)
--- a/src/balsamreach/relay/run.py
+++ b/src/balsamreach/relay/run.py
@@ -14,6 +14,7 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.host_link import HostLink
 from balsamreach.relay.quarantine import CrashQuarantine
+from balsamreach.relay.release_check import find_refusal
 from balsamreach.relay.request_log import RequestLog
 from balsamreach.relay.retry_jitter import RetryJitter
 from balsamreach.relay.spending import Reservation, Spending
@@ -128,7 +129,8 @@
             if isinstance(origin, RelayFault):
                 return origin
             attempts.selection.bind(origin.release)
-        return self.parts.attempt_parts.chooser.refusal(attempts.call)
+        chooser = self.parts.attempt_parts.chooser
+        return await find_refusal(chooser, attempts.call)
 
     async def _run_charged(self, attempts: RelayAttempts) -> RelayFault | None:
         reservation = await self.parts.spending.reserve(self.call)
--- a/src/balsamreach/relay/stream_releases.py
+++ b/src/balsamreach/relay/stream_releases.py
@@ -21,6 +21,7 @@
 from balsamreach.relay.faults import RelayFault
 from balsamreach.relay.local_releases import LocalReleases, RunningStream
 from balsamreach.relay.record_keepers import RecordKeepers
+from balsamreach.relay.release_check import CONFIRM_S
 from balsamreach.relay.release_history import (
     MAX_ANSWER_WAIT_S,
     MAX_WAIT_S,
@@ -50,9 +51,6 @@
 #: The same in time limits of the route. One attempt lasts as long as that at
 #: most, and the caller's own limit may be longer.
 _KEEP_TIME_LIMITS = 2
-#: Seconds to keep a caller waiting for the list. A slow store answers in 0.35
-#: s.
-_CONFIRM_S = 0.5
 #: Minimum seconds between two rounds of messages, so that a burst of streams
 #: doesn't cost a message each.
 _MIN_INTERVAL_S = 0.02
@@ -181,7 +179,7 @@
             service=call.service,
             within_s=round(_keep_seconds(call)),
         )
-        is_confirmed = await self.local.confirm(ask, _CONFIRM_S)
+        is_confirmed = await self.local.confirm(ask, CONFIRM_S)
         told = self.local.tell(ask, is_confirmed=is_confirmed)
         origin = conclude(told, {}) if told.basis else None
         if origin is None:
--- a/tests/test_relay_releases.py
+++ b/tests/test_relay_releases.py
@@ -1,6 +1,8 @@
 """Tests of streams whose service has targets of several releases."""
 
+import asyncio
 import unittest
+from functools import partial
 
 import attrs
 from parameterized import parameterized
@@ -8,6 +10,7 @@
 from balsamreach.dispatch.upstream import BROKEN, NOT_SENT
 from balsamreach.relay import faults
 from balsamreach.relay.forwarded_intake import RELEASE
+from balsamreach.relay.stream_releases import stream_key
 from tests import relay_samples
 from tests.relay_harness import RelayHarness
 from tests.relay_samples import ENGINES, STREAM, entry, event
@@ -18,6 +21,9 @@
 _REST = answer(200, event(3))
 _WHOLE = answer(200, event(1), event(2), event(3))
 _HALF_AN_EVENT = answer(200, event(1)[:9], end=BROKEN)
+_LEAVING = entry('engines-3', ENGINES, release='v2', leaving=True)
+#: Seconds for which a caller may return.
+_KEEP_S = 60
 _REFUSED = unreachable(NOT_SENT.because('refused'))
 
 
@@ -75,6 +81,63 @@
         self.assertEqual(sorted(self.sent_releases()), ['v1', 'v2'])
 
 
+class OutdatedListTest(unittest.TestCase):
+    """A stream is taken up whose release has no target in the list."""
+
+    def setUp(self):
+        self.harness = RelayHarness()
+        self.places = self.harness.chooser.places
+        for name in ('engines-1', 'engines-2'):
+            self.places.put(entry(name, ENGINES, release='v1', version=2))
+
+    async def confirm(self, is_confirmed, found, _max_wait):
+        """Read targets from the store, and return what is asked for."""
+        await asyncio.sleep(0)
+        for target in found:
+            self.places.put(target)
+        return is_confirmed
+
+    def take_up(self, *, is_current, is_confirmed, found=()):
+        """Return the response to a caller of a stream of v2."""
+        self.places.releases.is_current = lambda: is_current
+        self.places.releases.confirm = partial(
+            self.confirm, is_confirmed, found
+        )
+        call = relay_samples.call(STREAM, last_event='2')
+        call = attrs.evolve(call, resumes='first')
+        records = self.harness.releases.records
+        records.put(stream_key(call), 'v2', _KEEP_S)
+        return self.harness.run(call, _REST)
+
+    @parameterized.expand(
+        (
+            ('not_listed_yet', False, False, False, True),
+            ('not_listed_confirmed', False, False, True, False),
+            ('not_listed_though_current', False, True, False, True),
+            ('leaving_in_current_list', True, True, False, False),
+            ('leaving_in_outdated_list', True, False, False, True),
+            ('leaving_confirmed', True, False, True, False),
+        )
+    )
+    def test_refusal(self, _, is_listed, is_current, is_confirmed, may_return):
+        """Guards against giving up a stream whose target isn't read yet."""
+        if is_listed:
+            self.places.put(_LEAVING)
+        refused = self.take_up(is_current=is_current, is_confirmed=is_confirmed)
+        self.assertEqual(refused.status, 503)
+        self.assertEqual('retry-after' in refused.headers, may_return)
+
+    @parameterized.expand(((True,), (False,)))
+    def test_target_found_meanwhile(self, is_confirmed):
+        """Guards against a refusal though the list has the target now."""
+        caller_response = self.take_up(
+            is_current=True,
+            is_confirmed=is_confirmed,
+            found=[entry('engines-3', ENGINES, release='v2')],
+        )
+        self.assertEqual(caller_response.status, 200)
+
+
 class ForwardedStreamTest(ForwardingCase):
     """The release is kept on the way through another router."""
 
