Let the late callers of `serve` stop before connections close

Cause: in the test. Its callers sent until `Router.leave` had returned. That is later than the moment at which the connections close, by the stop of the operators' interface, the tasks and the tracing, so that a body could be sent to a connection that was closed already. Nobody can answer that, and the router has not read it.

Change: the callers send until the router is about to close the connections, and it closes them once it has read what was sent before. All that has been sent must be answered, as before; the time in which bills are recorded is still covered.

--- a/tests/test_sessions_late_requests.py
+++ b/tests/test_sessions_late_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from functools import partial
 
 from parameterized import parameterized
 
@@ -44,6 +45,7 @@
         self.addAsyncCleanup(self.deployment.stop)
         self.service = self.deployment.service.core
         self.service.cfg.delay_ms = _DELAY_MS
+        self.is_closing = False
 
     async def begin(self):
         """Send all of a request but the end of its body."""
@@ -52,12 +54,18 @@
         streams[1].write(_HEAD)
         return streams
 
+    async def close_connections(self, close):
+        """Close them once the router has read what was sent before."""
+        self.is_closing = True
+        await asyncio.sleep(_PAUSE_S)
+        await close()
+
     @parameterized.expand((('known', True), ('unknown', False)))
     async def test_planned_stop(self, _, is_known):
         """Guards against late requests that are cut off, and run for nothing.
 
-        The router takes them until its time to leave is over, when it closes
-        their connections without an answer.
+        The router takes them until its time to leave is over. What it has
+        received before it closes the connections must be answered.
         """
         address = self.deployment.service.address
         self.assertTrue(await until(lambda: address))
@@ -68,11 +76,15 @@
         callers = [await self.begin() for _ in range(_CALLERS)]
         ends = [asyncio.ensure_future(_end(*await self.begin()))]
         router = self.deployment.routers.pop()
+        server = router.callers.server
+        server.close_all_connections = partial(
+            self.close_connections, server.close_all_connections
+        )
         self.assertTrue(await until(lambda: router.parts.dispatcher.running))
         left = asyncio.ensure_future(router.leave())
         for streams in callers:
             await asyncio.sleep(_PAUSE_S)
-            if left.done():
+            if self.is_closing:
                 streams[1].close()
             else:
                 ends.append(asyncio.ensure_future(_end(*streams)))
