Don't blame a target whose answer finds no memory

An answer that is given up since all answers take too much memory counted as a failure of its target, also one that announced its length and was sound. In a burst of large answers a router would suspend targets that work, and refuse the requests that only they can run.

Cause: `Intake.discard` makes the exchange end as REJECTED, like bytes that are no answer.

Change: an exchange that this router gave up ends as NO_MEMORY if the head had announced a length; the target then neither succeeded nor failed, in `relay` and in `serve`. One without a length still counts as failed, since it may be an answer without end.

--- a/src/balsamreach/dispatch/upstream.py
+++ b/src/balsamreach/dispatch/upstream.py
@@ -68,6 +68,8 @@
 HALTED = UpstreamFault('answer_halted')
 #: The intake found the answer invalid, and the transport closed the connection.
 REJECTED = UpstreamFault('answer_rejected')
+#: This process had no memory for the rest of an answer that seemed sound.
+NO_MEMORY = UpstreamFault('no_memory')
 
 
 #: Called with the status and headers of an answer, header names in lower case.
--- a/src/balsamreach/dispatch/verdicts.py
+++ b/src/balsamreach/dispatch/verdicts.py
@@ -17,6 +17,7 @@
     upstream.EXPIRED: Verdict.ABANDONED,
     upstream.HALTED: Verdict.ABANDONED,
     upstream.REJECTED: Verdict.FAILED,
+    upstream.NO_MEMORY: Verdict.ABANDONED,
 }
 
 
--- a/src/balsamreach/gateway/curl_handles.py
+++ b/src/balsamreach/gateway/curl_handles.py
@@ -10,6 +10,7 @@
 
 from balsamreach.dispatch.upstream import (
     BROKEN,
+    NO_MEMORY,
     NOT_SENT,
     REJECTED,
     SILENT,
@@ -82,7 +83,8 @@
         Returns
         -------
         UpstreamFault or None
-            None on success, otherwise NOT_SENT, REJECTED, SILENT or BROKEN.
+            None on success, otherwise NOT_SENT, NO_MEMORY, REJECTED, SILENT or
+            BROKEN.
         """
         transfer = Transfer(intake, self.memory, self._turns)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
@@ -143,6 +145,8 @@
         failure = _connect_failure(end.code, os_error)
         reason = end.message or 'no connection in time'
         return NOT_SENT.because_of(failure, reason)
+    if transfer.lacks_memory:
+        return NO_MEMORY.because(transfer.intake.problem)
     if transfer.intake.problem:
         return REJECTED.because(transfer.intake.problem)
     if end.code == SILENCE_CODE:
--- a/src/balsamreach/gateway/curl_transfer.py
+++ b/src/balsamreach/gateway/curl_transfer.py
@@ -60,6 +60,9 @@
         to false: its head, an event, or bytes of a body that is no stream.
     paused : bool
         Whether reading is paused because callers read too slowly.
+    lacks_memory : bool
+        Whether there was no memory for an answer that announced its length.
+        One without a length may have no end.
     abort_reason : str
         Why a callback stopped the transfer; empty if none did.
     """
@@ -73,6 +76,7 @@
     received_data: bool = False
     progressed: bool = False
     paused: bool = False
+    lacks_memory: bool = False
     abort_reason: str = ''
     _reader: HeadReader = attrs.field(factory=HeadReader)
     _is_within_head: bool = True
@@ -174,6 +178,7 @@
             self.memory.resize(self._held, size)
 
     def _give_up(self) -> None:
+        self.lacks_memory = self._held.has_length
         self.intake.discard(_NO_MEMORY)
         if self.on_give_up is not None:
             self.on_give_up()
--- a/src/balsamreach/relay/attempt_results.py
+++ b/src/balsamreach/relay/attempt_results.py
@@ -8,6 +8,7 @@
 
 from balsamreach.dispatch.upstream import (
     BROKEN,
+    NO_MEMORY,
     NOT_SENT,
     REJECTED,
     SILENT,
@@ -25,6 +26,8 @@
 from balsamreach.telemetry.logs import log_event
 
 _SERVER_ERROR = 500
+#: Ends of exchanges whose answers were not received any further.
+_REFUSED_HERE = frozenset((REJECTED, NO_MEMORY))
 #: Maximum parts of a prompt in a log line.
 _MAX_LOGGED_PARTS = 16
 
@@ -152,7 +155,7 @@
         intake: AnswerIntake,
         end: UpstreamFault | None,
     ) -> Verdict:
-        if end is not None and (end == REJECTED or end.closed_here):
+        if end is not None and (end in _REFUSED_HERE or end.closed_here):
             _log_rejection(call, place, intake, end)
         # Silence is as often the network's fault as the target's, and the
         # connection of an invalid response was closed here; only one that
@@ -160,7 +163,10 @@
         elif end is not None and end != SILENT:
             _log_break(call, place, intake, end)
             self._record_break(call, place, intake, end)
-        self.chooser.record_failure(place, certain=False)
+        if end == NO_MEMORY:
+            place.breaker.release_probe()
+        else:
+            self.chooser.record_failure(place, certain=False)
         reason = intake.problem or (end and end.reason) or ''
         return Verdict(faults.BROKEN.because(reason))
 
--- a/tests/test_gateway_relay.py
+++ b/tests/test_gateway_relay.py
@@ -14,10 +14,17 @@
 from balsamreach.clock import SystemClock
 from balsamreach.daemon.listeners import GuardedServer
 from balsamreach.dispatch.silence import SilenceTimeout
-from balsamreach.dispatch.upstream import BROKEN, NOT_SENT, REJECTED, SILENT
+from balsamreach.dispatch.upstream import (
+    BROKEN,
+    NO_MEMORY,
+    NOT_SENT,
+    REJECTED,
+    SILENT,
+)
 from balsamreach.gateway.relay_curl import RelayCurl
 from balsamreach.gateway.relay_server import RelayServer
 from balsamreach.gateway.request_limits import RequestLimits
+from balsamreach.memory.answers import LARGEST_BYTES, AnswerMemory
 from balsamreach.placement.relay_targets import TargetEntry
 from balsamreach.platform.requests import PlatformCodec
 from balsamreach.relay.events import EventSplitter
@@ -302,6 +309,27 @@
         names = {line.partition(b':')[0] for line in lines[1:] if line}
         self.assertEqual(names, {b'Host', b'X-One', b'X-Empty'})
 
+    @parameterized.expand(
+        (
+            ('length', b'Content-Length: 200000\r\n\r\n', NO_MEMORY),
+            ('close', b'\r\n', REJECTED),
+            ('chunked', b'%b30d40\r\n' % _CHUNKED, REJECTED),
+        )
+    )
+    @gen_test
+    async def test_no_memory(self, _, framing, fault):
+        """Guards against blaming a target for a sound answer.
+
+        All memory for large answers is taken by answers that wait.
+        """
+        waiting = mock.Mock(return_value=LARGEST_BYTES)
+        self.curl.handles.memory = AnswerMemory(1, waiting)
+        rest = framing + bytes(150_000)
+        self.serve(_answer(200, _SIGNED_HEADERS, rest=rest))
+        end, intake = await self.send()
+        self.assertEqual(end, fault)
+        self.assertEqual(intake.held_bytes, 0)
+
     @gen_test
     async def test_surplus_answer_is_discarded(self):
         """A caller must not get the answer to an earlier request.
--- a/tests/test_relay_run.py
+++ b/tests/test_relay_run.py
@@ -9,7 +9,9 @@
 
 from balsamreach.dispatch.upstream import (
     BROKEN,
+    NO_MEMORY,
     NOT_SENT,
+    REJECTED,
     SILENT,
     ConnectFailure,
 )
@@ -168,6 +170,16 @@
         self.assertEqual(bool(recovered), recovers)
         self.assertEqual(all(is_open), not recovers)
 
+    @parameterized.expand(((NO_MEMORY, 0), (REJECTED, 1), (BROKEN, 1)))
+    def test_failures_of_target(self, end, failures):
+        """Guards against suspending targets as this router lacks memory."""
+        script = answer(200, b'x', end=end)
+        caller_response = self.harness.run(relay_samples.call(UNSAFE), script)
+        self.assertEqual(caller_response.status, 502)
+        places = self.harness.chooser.places.of_service(DESK)
+        counted = [place.breaker.consecutive_failures for place in places]
+        self.assertEqual(sum(counted), failures)
+
     @parameterized.expand(
         (
             ('late_answer', answer(200, b'x', attempt_id='another')),
