--- a/tests/releases_run.py
+++ b/tests/releases_run.py
@@ -35,6 +35,9 @@
 #: ones that begin, and the number of them from which it counts.
 _MIN_RATIO = 0.5
 _MIN_RETURNS = 12
+#: Status of an attempt whose connection ended without an answer. It shows
+#: nothing if all routers were killed meanwhile.
+_UNANSWERED = 0
 #: Seconds from a stream's first event after which a restart of all routers must
 #: not lose its release.
 _WRITTEN_S = 0.5
@@ -154,12 +157,16 @@
         is_lost = self.fleet.rng.random() < _LOST_SHARE
         max_events = self.fleet.rng.randrange(1, _EVENTS) if is_lost else 0
         before = caller.last_id
+        restarts = len(self._restarts)
         await caller.attempt(
             self.fleet.rng.choice(self.fleet.running), max_events
         )
         kind = 'returned' if before else 'new'
         self.fleet.statuses[kind, caller.statuses[-1]] += 1
         goes_on = caller.is_complete or caller.last_id > before
+        was_killed = not self._up.is_set() or len(self._restarts) > restarts
+        if was_killed and not goes_on and caller.statuses[-1] == _UNANSWERED:
+            return
         served.sent += 1
         served.served += goes_on
 
