--- a/tests/test_relay_forwarding.py
+++ b/tests/test_relay_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 import attrs
 from parameterized import parameterized
@@ -310,10 +311,10 @@
             lambda: self.has_room,
         )
 
-    def run_message(self, route, *scripts, response=None, method='POST'):
+    def run_message(self, route, *scripts, response=None, **fields):
         """Run a forwarded request, and return the response."""
         self.harness.exchange.scripts = list(scripts)
-        call = attrs.evolve(relay_samples.call(route), method=method)
+        call = attrs.evolve(relay_samples.call(route), **fields)
         message = _describe(call, self.harness)
         response = response or RecordingResponse()
         asyncio.run(self.runner.run(message, b'body', response))
@@ -387,6 +388,15 @@
         self.assertEqual(response.headers[OUTCOME.lower()], 'no_target')
         self.assertEqual(self.harness.exchange.sent, [])
 
+    @parameterized.expand(((True, 'release_gone'), (False, 'no_target')))
+    def test_unlisted_release(self, is_confirmed, outcome):
+        """Guards against giving up a stream whose target isn't read yet."""
+        releases = self.harness.chooser.places.releases
+        releases.confirm = mock.AsyncMock(return_value=is_confirmed)
+        response = self.run_message(STREAM, release='v2')
+        self.assertEqual(response.headers[OUTCOME.lower()], outcome)
+        self.assertEqual(self.harness.exchange.sent, [])
+
     @parameterized.expand(
         (
             ('retried', PLAIN, SILENT),
